Serve a lookup and a guarded action through separate processes

Cause: the repository was empty.

Change: a workspace of library, stand-ins, programs and bench. A document reaches the gateway only through the log service; requests go from caller to backend server and back; counts go through the reporter and the log service into the report.

Measured: the whole-path test passes with every part as its own process. Nothing else is proved yet.

--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/mod.rs
@@ -0,0 +1,6 @@
+//! One module an experiment: its flags in `Args`, its run in `exec`.
+
+pub mod overhead;
+
+/// What an experiment ends with.
+pub type ExperimentResult = Result<(), Box<dyn std::error::Error>>;
--- /dev/null
+++ b/crates/turmericloft-cli/src/bin/turmericloft-standin/main.rs
@@ -0,0 +1,45 @@
+//! Stand-ins for the platform and the backend servers, as processes.
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use turmericloft::util::{
+    error_chain,
+    logging::{self, LogFormat},
+};
+
+mod commands;
+
+use commands::{backend, hosts, log};
+
+/// Runs a stand-in until it is killed
+#[derive(Debug, Parser)]
+#[command(name = "turmericloft-standin", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    Log(log::Args),
+    Hosts(hosts::Args),
+    Backend(backend::Args),
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let result = match (logging::start(LogFormat::Text), Cli::parse().command) {
+        (Err(e), _) => Err(e.into()),
+        (_, Command::Log(args)) => log::exec(args).await,
+        (_, Command::Hosts(args)) => hosts::exec(args).await,
+        (_, Command::Backend(args)) => backend::exec(args).await,
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprint!("{}", error_chain::render(e.as_ref()));
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the programs as separate processes.
+
+mod support;
+mod whole_path;
--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -0,0 +1,7 @@
+//! Processes, a caller, and documents for the tests.
+
+mod caller;
+mod platform;
+mod process;
+
+pub use self::{caller::send, platform::Platform, process::Process};
--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/whole_path.rs
@@ -0,0 +1,61 @@
+//! A request from the caller to a backend server and into the report.
+
+use http::Method;
+use nix::sys::signal::Signal;
+
+use crate::support::{Platform, send};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lookup_and_guarded_action_are_served_and_reported() {
+    let mut platform = Platform::start();
+    assert_eq!(
+        send(platform.admin, "", Method::GET, "/ready", &[])
+            .await
+            .status,
+        503
+    );
+    platform.promote();
+    assert_eq!(
+        send(platform.admin, "", Method::GET, "/ready", &[])
+            .await
+            .status,
+        200
+    );
+    let gateway = platform.callers;
+    let lookup = send(
+        gateway,
+        Platform::TOKEN,
+        Method::GET,
+        "/calendar/free?day=5",
+        &[],
+    )
+    .await;
+    assert_eq!(lookup.status, 200);
+    assert!(lookup.body.starts_with("/free?day=5 "), "{}", lookup.body);
+    let key = [("idempotency-key", "b-1")];
+    let booking = send(
+        gateway,
+        Platform::TOKEN,
+        Method::POST,
+        "/booking/book",
+        &key,
+    )
+    .await;
+    assert_eq!(booking.status, 200);
+    let unknown = send(gateway, "wrong", Method::GET, "/calendar/free", &[]).await;
+    assert_eq!(unknown.status, 401);
+
+    platform.gateway.signal(Signal::SIGTERM);
+    assert!(platform.gateway.wait().success());
+    platform.reporter.signal(Signal::SIGTERM);
+    assert!(platform.reporter.wait().success());
+    let report = platform.turmericloft(&["report"]);
+    snapbox::assert_data_eq!(
+        report,
+        snapbox::str![[r#"
+web booking book admitted=1 served=1 refused=0 not-run=0 unknown=0 unfinished=0
+web calendar lookup admitted=1 served=1 refused=0 not-run=0 unknown=0 unfinished=0
+
+"#]]
+    );
+}
--- /dev/null
+++ b/crates/turmericloft-standins/src/backend/mod.rs
@@ -0,0 +1,11 @@
+//! Stand-in for a backend server.
+
+mod faults;
+mod routes;
+mod runs;
+
+pub use self::{
+    faults::BackendFaults,
+    routes::{BackendStandin, DEADLINE_HEADER, LOAD_HEADER, SHED_HEADER},
+    runs::RunCounts,
+};
--- /dev/null
+++ b/crates/turmericloft-standins/src/host_list/mod.rs
@@ -0,0 +1,69 @@
+//! Stand-in for the platform's host list. It shows changes only after a lag.
+
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+
+use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
+use parking_lot::Mutex;
+use tokio::time::Instant;
+use turmericloft::sources::host_list::HostList;
+
+use crate::{ServeError, Served};
+
+/// A running stand-in for the host list.
+#[derive(Clone, Debug, Default)]
+pub struct HostListStandin {
+    shared: Arc<Mutex<Shared>>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    shown: HostList,
+    pending: VecDeque<(Instant, HostList)>,
+    lag: Duration,
+    down: bool,
+}
+
+impl HostListStandin {
+    /// Serves the list at `address`: `GET /hosts` reads it, `PUT /hosts` replaces it.
+    pub async fn serve(&self, address: SocketAddr) -> Result<Served, ServeError> {
+        let app = Router::new()
+            .route("/hosts", get(read).put(replace))
+            .with_state(Arc::clone(&self.shared));
+        Served::start(address, app).await
+    }
+
+    /// Replaces the list; readers see it after the lag.
+    pub fn set(&self, list: HostList) {
+        let mut shared = self.shared.lock();
+        let at = Instant::now() + shared.lag;
+        shared.pending.push_back((at, list));
+    }
+
+    /// Sets the time until changes are seen.
+    pub fn set_lag(&self, lag: Duration) {
+        self.shared.lock().lag = lag;
+    }
+
+    /// Takes the list down or up.
+    pub fn set_down(&self, down: bool) {
+        self.shared.lock().down = down;
+    }
+}
+
+async fn read(State(shared): State<Arc<Mutex<Shared>>>) -> Result<Json<HostList>, StatusCode> {
+    let mut shared = shared.lock();
+    if shared.down {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let now = Instant::now();
+    while shared.pending.front().is_some_and(|(at, _)| *at <= now) {
+        if let Some((_, list)) = shared.pending.pop_front() {
+            shared.shown = list;
+        }
+    }
+    Ok(Json(shared.shown.clone()))
+}
+
+async fn replace(State(shared): State<Arc<Mutex<Shared>>>, Json(list): Json<HostList>) {
+    HostListStandin { shared }.set(list);
+}
--- /dev/null
+++ b/crates/turmericloft-standins/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! Load generator: open-loop arrivals, latency counted from the intended start.
--- /dev/null
+++ b/crates/turmericloft-standins/src/serve.rs
@@ -0,0 +1,63 @@
+//! Serving a stand-in on loopback.
+
+use std::{future::IntoFuture, io, net::SocketAddr};
+
+use axum::Router;
+use thiserror::Error;
+use tokio::{net::TcpListener, task::JoinHandle};
+use tokio_util::sync::CancellationToken;
+
+/// Why a stand-in could not be served.
+#[derive(Debug, Error)]
+#[error("cannot listen on {address}")]
+pub struct ServeError {
+    address: SocketAddr,
+    #[source]
+    source: io::Error,
+}
+
+/// A stand-in that is being served; it ends when dropped.
+#[derive(Debug)]
+pub struct Served {
+    /// Address it listens on.
+    pub address: SocketAddr,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+impl Served {
+    /// Serves `app` at `address`; with port 0 a free port is taken.
+    pub async fn start(address: SocketAddr, app: Router) -> Result<Self, ServeError> {
+        let error = |source| ServeError { address, source };
+        let listener = TcpListener::bind(address).await.map_err(error)?;
+        let local = listener.local_addr().map_err(error)?;
+        let stop = CancellationToken::new();
+        let stopped = stop.clone().cancelled_owned();
+        let task = tokio::spawn(async move {
+            tokio::select! {
+                served = axum::serve(listener, app).into_future() => {
+                    if let Err(e) = served {
+                        log::error!("a stand-in ended: {e}");
+                    }
+                }
+                () = stopped => {}
+            }
+        });
+        Ok(Self {
+            address: local,
+            stop,
+            task,
+        })
+    }
+
+    /// Waits until the stand-in ends.
+    pub async fn wait(mut self) {
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/document/budget.rs
@@ -0,0 +1,25 @@
+//! What measuring may cost.
+
+use serde::{Deserialize, Serialize};
+
+/// Upper limits for the cost of counting and reporting on one host.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MeasuringBudget {
+    /// Share of one processor core, from 0 to 1.
+    pub core_share: f64,
+    /// Bytes sent a second to the log service and to peers.
+    pub bytes_per_s: u64,
+    /// Memory held, in bytes.
+    pub memory_bytes: u64,
+}
+
+impl Default for MeasuringBudget {
+    fn default() -> Self {
+        Self {
+            core_share: 0.01,
+            bytes_per_s: 2_048,
+            memory_bytes: 16 << 20,
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/document/mod.rs
@@ -0,0 +1,26 @@
+//! The environment document: what operators write, check, try and promote.
+//!
+//! One TOML file names zones, services with their endpoints and kinds of request, callers with
+//! their contracts, and the budget for measuring.
+
+mod budget;
+mod caller;
+mod contract;
+mod digest;
+mod endpoint;
+mod environment_document;
+mod kind;
+mod service;
+mod zone;
+
+pub use self::{
+    budget::MeasuringBudget,
+    caller::Caller,
+    contract::Contract,
+    digest::{Digest, TokenHash},
+    endpoint::Endpoint,
+    environment_document::{Document, DocumentError},
+    kind::{Handling, Kind},
+    service::Service,
+    zone::Zone,
+};
--- /dev/null
+++ b/crates/turmericloft/src/core/document/service.rs
@@ -0,0 +1,54 @@
+//! Services.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use super::{Endpoint, Kind};
+use crate::core::Name;
+
+/// A service: its endpoints, kinds of request and limits.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name; the first segment of a request's path.
+    pub name: Name,
+    /// Time within which callers need an answer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "deadline_ms")]
+    pub deadline: Duration,
+    /// Requests that may wait in one gateway.
+    #[serde(default = "default_queue")]
+    pub queue: u32,
+    /// Largest request body, in bytes.
+    #[serde(default = "default_body_bytes")]
+    pub body_bytes: u64,
+    /// Extra calls (retries and hedges) as a share of calls, in percent.
+    #[serde(default = "default_extra_calls_percent")]
+    pub extra_calls_percent: u32,
+    /// Kinds of request, tried in this order.
+    pub kinds: Vec<Kind>,
+    /// Where the service runs.
+    pub endpoints: Vec<Endpoint>,
+}
+
+impl Service {
+    /// The first kind that fits a request.
+    pub fn kind(&self, method: &str, path: &str) -> Option<&Kind> {
+        self.kinds.iter().find(|kind| kind.matches(method, path))
+    }
+}
+
+fn default_queue() -> u32 {
+    256
+}
+
+fn default_body_bytes() -> u64 {
+    8 << 20
+}
+
+fn default_extra_calls_percent() -> u32 {
+    5
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/mod.rs
@@ -0,0 +1,21 @@
+//! Types and decisions. Nothing here opens a socket, reads a clock or spawns a task.
+
+pub mod config;
+pub mod counting;
+pub mod document;
+mod environment;
+mod host_id;
+mod name;
+mod outcome;
+mod problem;
+pub mod routing;
+mod step;
+
+pub use self::{
+    environment::{Environment, ServiceRoute},
+    host_id::HostId,
+    name::{Name, NameError},
+    outcome::Outcome,
+    problem::Problem,
+    step::Step,
+};
--- /dev/null
+++ b/crates/turmericloft/src/core/name.rs
@@ -0,0 +1,66 @@
+//! Names of services, callers, kinds, zones and hosts.
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Longest name accepted, in bytes: the length of one DNS label.
+const MAX_NAME_BYTES: usize = 63;
+
+/// A checked name: 1 to 63 lower-case ASCII letters, digits and inner hyphens.
+///
+/// Cloning is cheap: the text is shared.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Name(Arc<str>);
+
+/// Why a text is not a [`Name`].
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("`{0}` is not a name: use 1 to 63 of a-z, 0-9 and inner hyphens")]
+pub struct NameError(String);
+
+impl Name {
+    /// Checks `text` and keeps it as a name.
+    pub fn new(text: &str) -> Result<Self, NameError> {
+        let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+        let fits = !text.is_empty() && text.len() <= MAX_NAME_BYTES;
+        let inner = !text.starts_with('-') && !text.ends_with('-');
+        if fits && inner && text.bytes().all(allowed) {
+            Ok(Self(text.into()))
+        } else {
+            Err(NameError(text.chars().take(MAX_NAME_BYTES).collect()))
+        }
+    }
+
+    /// The name's text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl std::borrow::Borrow<str> for Name {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
+impl TryFrom<String> for Name {
+    type Error = NameError;
+
+    fn try_from(text: String) -> Result<Self, NameError> {
+        Self::new(&text)
+    }
+}
+
+impl From<Name> for String {
+    fn from(name: Name) -> Self {
+        name.as_str().to_owned()
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/routing/mod.rs
@@ -0,0 +1,5 @@
+//! Routing: which endpoint gets a request.
+
+mod endpoint_table;
+
+pub use self::endpoint_table::{EndpointTable, InFlight};
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/answer.rs
@@ -0,0 +1,34 @@
+//! Answers that the gateway makes itself.
+
+use bytes::Bytes;
+use http::{
+    HeaderValue, Response, StatusCode,
+    header::{CONTENT_TYPE, RETRY_AFTER},
+};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+
+use crate::{core::Problem, sources::backend::BodyError};
+
+/// Body of an answer to a caller.
+pub(super) type AnswerBody = UnsyncBoxBody<Bytes, BodyError>;
+
+/// A problem as an answer.
+pub(super) fn problem(problem: &Problem) -> Response<AnswerBody> {
+    let body = serde_json::to_vec(problem).unwrap_or_default();
+    let mut answer = Response::new(whole(body));
+    *answer.status_mut() =
+        StatusCode::from_u16(problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(Problem::MEDIA_TYPE));
+    if let Some(seconds) = problem.retry_after_seconds() {
+        headers.insert(RETRY_AFTER, seconds.into());
+    }
+    answer
+}
+
+/// A body that is there already.
+pub(super) fn whole(bytes: impl Into<Bytes>) -> AnswerBody {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -0,0 +1,20 @@
+//! Running a gateway: the data path between callers and backend servers.
+//!
+//! A request goes through [`handle`]: caller, service and kind are found in the environment in
+//! force, an endpoint is chosen, and the answer is streamed back and counted.
+
+mod admin;
+mod answer;
+mod follow_config;
+mod handle;
+mod listener;
+mod relayed_body;
+mod run;
+mod send_snapshots;
+mod service_state;
+mod shared;
+
+pub use self::{
+    run::{GatewayError, run_gateway},
+    shared::{Gateway, InForce},
+};
--- /dev/null
+++ b/crates/turmericloft/src/util/error_chain.rs
@@ -0,0 +1,18 @@
+//! Errors as users see them.
+
+use std::{error::Error, fmt::Write};
+
+/// `error: …` with each cause on a line of its own.
+pub fn render(error: &dyn Error) -> String {
+    let mut text = format!("error: {error}\n");
+    let mut cause = error.source();
+    if cause.is_some() {
+        text.push_str("\nCaused by:\n");
+    }
+    while let Some(e) = cause {
+        let indented = e.to_string().replace('\n', "\n    ");
+        let _ = writeln!(text, "  {indented}");
+        cause = e.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/turmericloft/src/util/mod.rs
@@ -0,0 +1,6 @@
+//! What all other modules share.
+
+pub mod clock;
+pub mod error_chain;
+pub mod logging;
+pub mod settings;
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/acceptance.rs
@@ -0,0 +1,58 @@
+//! The rule that accepts configuration records.
+
+use turmericloft::core::{
+    Name,
+    config::{Accepted, ConfigRecord, Verdict},
+    document::Digest,
+};
+
+const DOCUMENT: &str = "schema = 1\nzones = []\nservices = []\ncallers = []\n";
+
+fn record(version: u64, parent: Option<Digest>, id: &str) -> ConfigRecord {
+    let document = format!("{DOCUMENT}# {id}\n");
+    ConfigRecord {
+        version,
+        parent,
+        promotion_id: id.to_owned(),
+        author: Name::new("anna").unwrap(),
+        promoted_at_ms: 0,
+        digest: Digest::of(document.as_bytes()),
+        document,
+    }
+}
+
+fn judge(current: Option<&Accepted>, record: &ConfigRecord) -> Verdict {
+    Accepted::judge(current, 0, &serde_json::to_vec(record).unwrap())
+}
+
+fn accept(current: Option<&Accepted>, record: &ConfigRecord) -> Accepted {
+    match judge(current, record) {
+        Verdict::Accepted(accepted) => *accepted,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+#[test]
+fn second_record_on_the_same_parent_loses() {
+    let first = accept(None, &record(1, None, "a"));
+    assert_eq!(
+        judge(Some(&first), &record(1, None, "b")),
+        Verdict::Lost { current: 1 }
+    );
+}
+
+#[test]
+fn repeated_record_changes_nothing() {
+    let first = accept(None, &record(1, None, "a"));
+    assert_eq!(
+        judge(Some(&first), &record(1, None, "a")),
+        Verdict::Repeated
+    );
+}
+
+#[test]
+fn record_with_a_wrong_digest_is_malformed() {
+    let mut bad = record(1, None, "a");
+    bad.digest = Digest::of(b"another");
+    assert!(matches!(judge(None, &bad), Verdict::Malformed(_)));
+}
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the library.
+
+mod acceptance;
+mod peer;
