Split the request path into match, dispatch and the two ways of handling

Cause: one file held every step, so that work on guarded actions, routing and the HTTP side would meet in it.

--- a/crates/turmericloft/src/ops/gateway/answer.rs
+++ b/crates/turmericloft/src/ops/gateway/answer.rs
@@ -7,7 +7,10 @@
 };
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 
-use crate::{core::Problem, sources::backend::BodyError};
+use crate::{
+    core::{Outcome, Problem, Step, counting::OpenCount},
+    sources::backend::BodyError,
+};
 
 /// Body of an answer to a caller.
 pub(super) type AnswerBody = UnsyncBoxBody<Bytes, BodyError>;
@@ -32,3 +35,14 @@
         .map_err(|never| match never {})
         .boxed_unsync()
 }
+
+/// Counts the end of a request and answers with the problem.
+pub(super) fn end(count: OpenCount, p: &Problem) -> Response<AnswerBody> {
+    count.end(p.outcome);
+    problem(p)
+}
+
+/// A request turned away.
+pub(super) fn refusal(status: StatusCode, step: Step, detail: &str) -> Problem {
+    Problem::new(status, Outcome::Refused, step, detail)
+}
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/lookup.rs
@@ -0,0 +1,52 @@
+//! Requests that may be repeated.
+
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::{
+    answer::{AnswerBody, end},
+    dispatch::{DispatchError, dispatch, to_backend},
+    matched::Matched,
+    relayed_body::{Relay, RelayedBody},
+    shared::InForce,
+};
+use crate::core::{Outcome, Problem, counting::OpenCount};
+
+/// Sends a request to a backend server and streams the answer back.
+pub(super) async fn answer(
+    in_force: &InForce,
+    matched: &Matched<'_>,
+    req: Request<Incoming>,
+    count: OpenCount,
+) -> Response<AnswerBody> {
+    match dispatch(in_force, matched, to_backend(req, &matched.path)).await {
+        Ok(dispatched) => {
+            let relay = Relay {
+                count,
+                lease: dispatched.lease,
+                in_flight: dispatched.in_flight,
+            };
+            dispatched
+                .response
+                .map(|body| RelayedBody::new(body, relay).boxed_unsync())
+        }
+        Err(DispatchError::NotStarted {
+            step,
+            detail,
+            retry_after,
+        }) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let p = Problem::new(status, Outcome::Refused, step, detail);
+            end(count, &p.retry_after(retry_after))
+        }
+        Err(DispatchError::MayHaveRun { source }) => {
+            let status = StatusCode::BAD_GATEWAY;
+            let detail = source.to_string();
+            end(
+                count,
+                &Problem::new(status, Outcome::Unfinished, source.step, detail),
+            )
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/matched.rs
@@ -0,0 +1,92 @@
+//! What a request asks for, found in the environment in force.
+
+use std::time::Duration;
+
+use http::{HeaderMap, Request, StatusCode, header::AUTHORIZATION};
+
+use super::{answer::refusal, shared::InForce};
+use crate::core::{
+    Problem, Step,
+    counting::CountKey,
+    document::{Caller, Kind, Service},
+};
+
+/// Caller, service and kind of a request.
+#[derive(Debug)]
+pub(super) struct Matched<'a> {
+    pub(super) caller: &'a Caller,
+    pub(super) service: &'a Service,
+    pub(super) kind: &'a Kind,
+    /// Path for the backend server.
+    pub(super) path: String,
+}
+
+impl<'a> Matched<'a> {
+    /// Finds caller, service and kind, and checks the caller's contract.
+    pub(super) fn find<B>(in_force: &'a InForce, req: &Request<B>) -> Result<Self, Problem> {
+        let environment = &in_force.environment;
+        let caller = bearer_token(req.headers())
+            .and_then(|token| environment.caller(token))
+            .ok_or_else(|| {
+                refusal(
+                    StatusCode::UNAUTHORIZED,
+                    Step::Received,
+                    "unknown bearer token",
+                )
+            })?;
+        let no_service = || {
+            refusal(
+                StatusCode::NOT_FOUND,
+                Step::Authenticated,
+                "no such service",
+            )
+        };
+        let route = environment.route(req.uri().path()).ok_or_else(no_service)?;
+        let service = environment
+            .service(route.service.name.as_str())
+            .ok_or_else(no_service)?;
+        let path = route.path.to_owned();
+        let kind = service.kind(req.method().as_str(), &path).ok_or_else(|| {
+            refusal(
+                StatusCode::NOT_FOUND,
+                Step::Authenticated,
+                "the service has no such kind",
+            )
+        })?;
+        let allowed = caller
+            .contract(&service.name)
+            .is_some_and(|c| c.allows(&kind.name));
+        if !allowed {
+            let detail = "the caller has no contract for this service and kind";
+            return Err(refusal(StatusCode::FORBIDDEN, Step::Matched, detail));
+        }
+        Ok(Self {
+            caller,
+            service,
+            kind,
+            path,
+        })
+    }
+
+    /// What the request is counted by.
+    pub(super) fn count_key(&self) -> CountKey {
+        CountKey {
+            caller: self.caller.name.clone(),
+            service: self.service.name.clone(),
+            kind: self.kind.name.clone(),
+        }
+    }
+
+    /// Time within which the caller needs the answer.
+    pub(super) fn deadline(&self) -> Duration {
+        self.kind.deadline.unwrap_or(self.service.deadline)
+    }
+}
+
+fn bearer_token(headers: &HeaderMap) -> Option<&str> {
+    headers
+        .get(AUTHORIZATION)?
+        .to_str()
+        .ok()?
+        .strip_prefix("Bearer ")
+}
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -5,9 +5,13 @@
 
 mod admin;
 mod answer;
+mod dispatch;
 mod follow_config;
+mod guarded;
 mod handle;
 mod listener;
+mod lookup;
+mod matched;
 mod relayed_body;
 mod run;
 mod send_snapshots;
