--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the library.
 
 mod acceptance;
+mod parsers;
 mod peer;
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/parsers.rs
@@ -0,0 +1,53 @@
+//! Outside bytes never make a parser panic.
+
+use proptest::prelude::*;
+use turmericloft::{
+    core::{
+        config::{Accepted, Verdict},
+        counting::Snapshot,
+        document::Document,
+    },
+    sources::{
+        host_list::HostList,
+        log_service::RecordPage,
+        peer::{Envelope, PeerDatagram, PeerReply, PeerRequest},
+    },
+    util::settings::GatewaySettings,
+};
+
+proptest! {
+    #[test]
+    fn peer_messages_of_any_bytes_are_read_or_rejected(bytes: Vec<u8>) {
+        let _ = postcard::from_bytes::<Envelope<PeerRequest>>(&bytes);
+        let _ = postcard::from_bytes::<Envelope<PeerDatagram>>(&bytes);
+        let _ = postcard::from_bytes::<PeerReply>(&bytes);
+        let _ = postcard::from_bytes::<Snapshot>(&bytes);
+    }
+
+    #[test]
+    fn config_records_of_any_bytes_are_malformed(bytes: Vec<u8>) {
+        prop_assert!(matches!(Accepted::judge(None, 0, &bytes), Verdict::Malformed(_)));
+    }
+
+    #[test]
+    fn documents_and_settings_of_any_text_are_read_or_rejected(text in "\\PC*") {
+        let _ = Document::parse(&text);
+        let _ = toml::from_str::<GatewaySettings>(&text);
+    }
+
+    #[test]
+    fn platform_answers_of_any_text_are_read_or_rejected(text in "[\\[\\]{}:,\"a-z0-9]*") {
+        let _ = serde_json::from_str::<RecordPage>(&text);
+        let _ = serde_json::from_str::<HostList>(&text);
+    }
+}
+
+#[test]
+fn oversized_document_is_rejected_before_it_is_read() {
+    let text = "#".repeat(Document::MAX_BYTES + 1);
+    let e = Document::parse(&text).unwrap_err();
+    snapbox::assert_data_eq!(
+        e.to_string(),
+        snapbox::str!["the document has 4194305 bytes; at most 4194304 are allowed"]
+    );
+}
