Measure how costs grow with size; keep GUARANTEES.md in step with the tests

Change: turmericloft-bench capacity prints at least four points a cost, the line through them and its value at the largest size. docs/GUARANTEES.md names its tests, and a test checks that they exist.

Left: slopes of the other parts, once they exist.

--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/capacity/document.rs
@@ -0,0 +1,80 @@
+//! Costs of a document by its size.
+
+use std::{fmt::Write, hint::black_box, time::Instant};
+
+use turmericloft::core::{Environment, document::Document};
+
+use super::{
+    super::ExperimentResult,
+    Args,
+    series::{SIZES, Series},
+};
+use crate::figure::Printer;
+
+/// Times each document is read; the fastest counts, as the machine is shared.
+const REPEATS: usize = 5;
+
+pub(super) fn measure(args: &Args, figures: &Printer) -> ExperimentResult {
+    let mut bytes = Series::new("document", "bytes", "bytes");
+    let mut parse = Series::new("document", "parse_ms", "ms");
+    let mut index = Series::new("document", "index_ms", "ms");
+    for part in SIZES {
+        let scaled = |n: usize| (n as f64 * part) as usize;
+        let endpoints = scaled(args.endpoints);
+        let text = document(scaled(args.services), endpoints, scaled(args.callers));
+        let document = Document::parse(&text)?;
+        let x = endpoints as f64;
+        bytes.add(x, text.len() as f64);
+        parse.add(x, fastest_ms(|| drop(black_box(Document::parse(&text)))));
+        index.add(
+            x,
+            fastest_ms(|| drop(black_box(Environment::new(1, document.clone())))),
+        );
+    }
+    [bytes, parse, index]
+        .iter()
+        .for_each(|series| series.print(figures));
+    Ok(())
+}
+
+/// A document with this many services, endpoints and callers.
+pub(super) fn document(services: usize, endpoints: usize, callers: usize) -> String {
+    let mut text = "schema = 1\nzones = [{ name = \"a\", region = \"south\" }]\n".to_owned();
+    let mut endpoint = 0;
+    for service in 0..services {
+        let _ = write!(
+            text,
+            "[[services]]\nname = \"service-{service}\"\ndeadline_ms = 2000\n\
+             kinds = [{{ name = \"read\", method = \"GET\", handling = \"idempotent\" }},\n\
+             {{ name = \"write\", method = \"POST\", handling = \"guarded\", weight = 5 }}]\n"
+        );
+        let end = endpoints * (service + 1) / services;
+        while endpoint < end {
+            let (high, low) = (endpoint / 250, endpoint % 250 + 1);
+            let _ = write!(
+                text,
+                "[[services.endpoints]]\naddress = \"10.0.{high}.{low}:8080\"\nzone = \"a\"\n\
+                 slots = 4\nconnections = 250\n"
+            );
+            endpoint += 1;
+        }
+    }
+    for caller in 0..callers {
+        let _ = write!(
+            text,
+            "[[callers]]\nname = \"caller-{caller}\"\ntoken_sha256 = \"{caller:064x}\"\n\
+             contracts = [{{ service = \"service-{}\" }}]\n",
+            caller % services
+        );
+    }
+    text
+}
+
+fn fastest_ms(run: impl Fn()) -> f64 {
+    let times = (0..REPEATS).map(|_| {
+        let start = Instant::now();
+        run();
+        start.elapsed().as_secs_f64() * 1_000.0
+    });
+    times.fold(f64::INFINITY, f64::min)
+}
--- a/crates/turmericloft-bench/src/experiments/mod.rs
+++ b/crates/turmericloft-bench/src/experiments/mod.rs
@@ -1,5 +1,6 @@
 //! One module an experiment: its flags in `Args`, its run in `exec`.
 
+pub mod capacity;
 pub mod overhead;
 
 /// What an experiment ends with.
--- a/crates/turmericloft-bench/src/figure.rs
+++ b/crates/turmericloft-bench/src/figure.rs
@@ -45,6 +45,6 @@
             value,
             unit,
         } = figure;
-        println!("{experiment:<10} {case:<20} {variant:<16} {metric:<24} {value:>12.3} {unit}");
+        println!("{experiment:<10} {case:<20} {variant:<16} {metric:<24} {value:>14.6} {unit}");
     }
 }
--- /dev/null
+++ b/crates/turmericloft-bench/src/fit.rs
@@ -0,0 +1,49 @@
+//! A straight line through measured points.
+
+/// Least-squares line `y = intercept + slope * x`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fit {
+    /// Growth of y with each unit of x.
+    pub slope: f64,
+    /// y at x = 0.
+    pub intercept: f64,
+    /// Share of y's variance that the line explains, from 0 to 1.
+    pub r_squared: f64,
+}
+
+/// One measured point.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Point {
+    /// Size that was varied.
+    pub x: f64,
+    /// Value measured.
+    pub y: f64,
+}
+
+impl Fit {
+    /// Fits a line through at least two points with different x.
+    pub fn through(points: &[Point]) -> Self {
+        let n = points.len() as f64;
+        let mean_x = points.iter().map(|p| p.x).sum::<f64>() / n;
+        let mean_y = points.iter().map(|p| p.y).sum::<f64>() / n;
+        let sxx: f64 = points.iter().map(|p| (p.x - mean_x).powi(2)).sum();
+        let syy: f64 = points.iter().map(|p| (p.y - mean_y).powi(2)).sum();
+        let sxy: f64 = points.iter().map(|p| (p.x - mean_x) * (p.y - mean_y)).sum();
+        let slope = sxy / sxx;
+        let r_squared = if syy > 0.0 {
+            sxy * sxy / (sxx * syy)
+        } else {
+            1.0
+        };
+        Self {
+            slope,
+            intercept: mean_y - slope * mean_x,
+            r_squared,
+        }
+    }
+
+    /// y on the line at `x`.
+    pub fn at(&self, x: f64) -> f64 {
+        self.intercept + self.slope * x
+    }
+}
--- a/crates/turmericloft-bench/src/main.rs
+++ b/crates/turmericloft-bench/src/main.rs
@@ -9,8 +9,9 @@
 
 mod experiments;
 mod figure;
+mod fit;
 
-use experiments::overhead;
+use experiments::{capacity, overhead};
 
 /// Measures turmericloft against its own baselines on loopback
 #[derive(Debug, Parser)]
@@ -28,6 +29,7 @@
 
 #[derive(Debug, Subcommand)]
 enum Experiment {
+    Capacity(capacity::Args),
     Overhead(overhead::Args),
 }
 
@@ -36,6 +38,7 @@
     let cli = Cli::parse();
     let figures = figure::Printer::new(cli.json);
     let result = match cli.experiment {
+        Experiment::Capacity(args) => capacity::exec(args, cli.seed, &figures).await,
         Experiment::Overhead(args) => overhead::exec(args, cli.seed, &figures).await,
     };
     match result {
--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/docs.rs
@@ -0,0 +1,52 @@
+//! The pages under docs/ keep in step with the tree.
+
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{Path, PathBuf},
+};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// Words in backticks on a page that contain `::`.
+fn paths_named_in(page: &str) -> BTreeSet<String> {
+    let text = fs::read_to_string(root().join("docs").join(page)).expect("the page is there");
+    let quoted = text.split('`').skip(1).step_by(2);
+    quoted
+        .filter(|word| word.contains("::"))
+        .map(str::to_owned)
+        .collect()
+}
+
+/// Whether `package::module::test` is a test of that package's testsuite.
+fn is_test(path: &str) -> bool {
+    let Some((package, rest)) = path.split_once("::") else {
+        return false;
+    };
+    let Some((module, test)) = rest.rsplit_once("::") else {
+        return false;
+    };
+    let suite = root().join("crates").join(package).join("tests/testsuite");
+    let module = module.replace("::", "/");
+    let files = [
+        suite.join(format!("{module}.rs")),
+        suite.join(format!("{module}/mod.rs")),
+    ];
+    let declared = format!("fn {test}(");
+    files
+        .iter()
+        .any(|f| fs::read_to_string(f).is_ok_and(|text| text.contains(&declared)))
+}
+
+#[test]
+fn guarantees_name_only_tests_that_exist() {
+    let named = paths_named_in("GUARANTEES.md");
+    assert!(!named.is_empty());
+    let missing: Vec<_> = named.iter().filter(|path| !is_test(path)).collect();
+    assert!(
+        missing.is_empty(),
+        "docs/GUARANTEES.md names no test of these: {missing:?}"
+    );
+}
