Add a load generator with open-loop arrivals

Benches, the demo and tests need a load whose latency is counted from the intended start of each call, so that a target that falls behind shows. Calls start from a thread of their own, because the runtime's timer is coarser than the gaps at 5,000 calls a second. Results are kept by caller, service and kind: counts by status and by the problem's outcome, broken and foreign answers, and an HDR histogram. `turmericloft-standin load` sends one sort of call from the command line.

--- a/crates/turmericloft-cli/src/bin/turmericloft-standin/commands/mod.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft-standin/commands/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod backend;
 pub mod hosts;
+pub mod load;
 pub mod log;
 
 /// What a stand-in ends with.
--- a/crates/turmericloft-cli/src/bin/turmericloft-standin/main.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft-standin/main.rs
@@ -10,7 +10,7 @@
 
 mod commands;
 
-use commands::{backend, hosts, log};
+use commands::{backend, hosts, load, log};
 
 /// Runs a stand-in until it is killed
 #[derive(Debug, Parser)]
@@ -25,6 +25,7 @@
     Log(log::Args),
     Hosts(hosts::Args),
     Backend(backend::Args),
+    Load(load::Args),
 }
 
 #[tokio::main]
@@ -34,6 +35,7 @@
         (_, Command::Log(args)) => log::exec(args).await,
         (_, Command::Hosts(args)) => hosts::exec(args).await,
         (_, Command::Backend(args)) => backend::exec(args).await,
+        (_, Command::Load(args)) => load::exec(args).await,
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/load.rs
@@ -0,0 +1,64 @@
+//! The load generator against a whole installation.
+
+use std::time::Duration;
+
+use http::{HeaderName, Method, StatusCode};
+use turmericloft::core::Outcome;
+use turmericloft_standins::load::{Arrivals, Call, CallKey, LoadPlan, run_load};
+
+use crate::support::Platform;
+
+fn key(kind: &str) -> CallKey {
+    CallKey {
+        caller: "web".to_owned(),
+        service: "any".to_owned(),
+        kind: kind.to_owned(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_call_is_counted_by_status_and_outcome() {
+    let mut platform = Platform::start();
+    platform.promote();
+    let tag = (HeaderName::from_static("answer-tag"), "call-{n}".to_owned());
+    let lookup = Call {
+        key: key("lookup"),
+        headers: vec![tag.clone()],
+        weight: 3,
+        ..Call::get("/calendar/free?n={n}", Platform::TOKEN)
+    };
+    let idempotency = (
+        HeaderName::from_static("idempotency-key"),
+        "b-{n}".to_owned(),
+    );
+    let booking = Call {
+        key: key("book"),
+        method: Method::POST,
+        headers: vec![tag, idempotency],
+        ..Call::get("/booking/book", Platform::TOKEN)
+    };
+    let stranger = Call {
+        key: key("stranger"),
+        ..Call::get("/calendar/free", "wrong")
+    };
+    let plan = LoadPlan {
+        arrivals: Arrivals::Even,
+        duration: Duration::from_millis(500),
+        connections: 4,
+        ..LoadPlan::new(vec![lookup, booking, stranger], 201.0, 7)
+    };
+    let results = run_load(&[platform.callers], plan).await;
+    let total = results.total();
+    assert_eq!(total.sent, 100);
+    assert_eq!((total.broken, total.foreign), (0, 0));
+    let stranger = &results.by_key[&key("stranger")];
+    assert_eq!(
+        stranger.with_status(StatusCode::UNAUTHORIZED),
+        stranger.sent
+    );
+    assert_eq!(stranger.with_outcome(Outcome::Refused), stranger.sent);
+    let book = &results.by_key[&key("book")];
+    assert_eq!(book.with_outcome(Outcome::Served), book.sent);
+    assert!(book.sent > 0 && stranger.sent > 0);
+    assert_eq!(results.caller("web").sent, total.sent);
+}
