Let gateways know each other through the host list and heartbeats

Cause: gateways acted alone; PeerMesh was not wired in. PeerMesh::rotate set the client configuration on a clone of the endpoint, so that new connections went on using the old identity; `new_connections_use_the_identity_of_the_last_rotation` failed before the change (a connection was refused) and passes after it.

Change: optional settings table `[peers]` (listen, certificate, key, authorities as PEM files; read again each second and used for new connections when they change). `Peers` answers PeerRequest variants, keeps the membership (core/membership, no input or output) and offers address_of, incarnation_of, alive, request and datagram; `Gateway::peers()` gives it. The host list is read each second: `Gateway::leaving_endpoints()` gives the addresses of backend servers that leave, for routing to leave out. A heartbeat now tells the sender's address. The host list stand-in takes `PUT /hosts` without a content type. Platform::start_gateways(n) starts gateways that have heard each other.

--- a/crates/turmericloft-bench/src/experiments/capacity/mesh.rs
+++ b/crates/turmericloft-bench/src/experiments/capacity/mesh.rs
@@ -85,11 +85,12 @@
     meshes: &[Arc<PeerMesh>],
     addresses: &[SocketAddr],
 ) -> Result<(), Box<dyn std::error::Error>> {
-    let heartbeat = PeerDatagram::Heartbeat(Heartbeat {
-        version: 1,
-        leaving: false,
-    });
     for (i, mesh) in meshes.iter().enumerate() {
+        let heartbeat = PeerDatagram::Heartbeat(Heartbeat {
+            version: 1,
+            leaving: false,
+            address: addresses[i],
+        });
         for (j, address) in addresses.iter().enumerate() {
             if i != j {
                 mesh.datagram(*address, heartbeat.clone()).await?;
--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the programs as separate processes.
 
 mod docs;
+mod peers;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/peers.rs
@@ -0,0 +1,26 @@
+//! Gateways that know each other.
+
+use nix::sys::signal::Signal;
+
+use crate::support::Platform;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_on_the_host_list_hear_each_other() {
+    let mut platform = Platform::start_gateways(3).await;
+    platform.promote();
+    for other in &mut platform.others {
+        other.process.wait_for_line("version 1 is in force");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn new_certificates_are_taken_up_without_a_stop() {
+    let mut platform = Platform::start_gateways(2).await;
+    platform.renew_identity();
+    platform.gateway.wait_for_line("new certificates are used");
+    platform.others[0]
+        .process
+        .wait_for_line("new certificates are used");
+    platform.gateway.signal(Signal::SIGTERM);
+    assert!(platform.gateway.wait().success());
+}
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -1,6 +1,7 @@
 //! Processes, a caller, and documents for the tests.
 
 mod caller;
+mod gateway;
 mod platform;
 mod process;
 
--- a/crates/turmericloft-cli/tests/testsuite/support/platform.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/platform.rs
@@ -1,20 +1,38 @@
 //! A whole installation as separate processes: stand-ins, gateway and reporter.
 
-use std::{fs, net::SocketAddr, path::PathBuf, process::Command};
+use std::{net::SocketAddr, process::Command, time::Duration};
 
+use http::Method;
 use tempfile::TempDir;
+use turmericloft::{
+    core::Name,
+    sources::{
+        host_list::{Host, HostList, HostRole, HostState},
+        http_client,
+    },
+};
 
-use super::Process;
+use super::{
+    Process,
+    gateway::{GatewayProcess, PlatformAddresses, start_gateway, write, write_identity},
+};
 
-/// Stand-ins, one backend server, one gateway and one reporter.
+/// Stand-ins, one backend server, gateways and one reporter.
 pub struct Platform {
     pub log_service: SocketAddr,
+    pub host_list: SocketAddr,
     pub backend: SocketAddr,
     pub callers: SocketAddr,
     pub admin: SocketAddr,
+    /// The first gateway, `gw-1`.
     pub gateway: Process,
+    /// Gateways `gw-2` and on.
+    pub others: Vec<GatewayProcess>,
     pub reporter: Process,
     _stand_ins: Vec<Process>,
+    /// The gateways' entries for the host list.
+    pub listed: Vec<Host>,
+    addresses: PlatformAddresses,
     folder: TempDir,
 }
 
@@ -37,31 +55,72 @@
             "host = \"gw-1\"\nenvironment = \"production\"\nlisten = \"{ANY_PORT}\"\n\
              log_service = \"{log_service}\"\n"
         );
-        let path = write(&folder, "reporter.toml", &reporter_settings);
+        let path = write(folder.path(), "reporter.toml", &reporter_settings);
         let args = ["--settings", path.to_str().expect("a text path")];
         let mut reporter = Process::start(env!("CARGO_BIN_EXE_turmericloft-reporter"), &args);
         let reporter_address = reporter.addresses()[0];
-        let gateway_settings = format!(
-            "host = \"gw-1\"\nzone = \"a\"\nenvironment = \"production\"\n\
-             listen = \"{ANY_PORT}\"\nadmin = \"{ANY_PORT}\"\nlog_service = \"{log_service}\"\n\
-             host_list = \"{host_list}\"\nreporter = \"{reporter_address}\"\n"
-        );
-        let path = write(&folder, "gateway.toml", &gateway_settings);
-        let args = ["--settings", path.to_str().expect("a text path")];
-        let mut gateway = Process::start(env!("CARGO_BIN_EXE_turmericloft-gateway"), &args);
-        let addresses = gateway.addresses();
+        let addresses = PlatformAddresses {
+            log_service,
+            host_list,
+            reporter: reporter_address,
+        };
+        write_identity(folder.path());
+        let gateway = start_gateway(folder.path(), "gw-1", &addresses);
         Self {
             log_service,
+            host_list,
             backend: backend_address,
-            callers: addresses[0],
-            admin: addresses[1],
-            gateway,
+            callers: gateway.callers,
+            admin: gateway.admin,
+            listed: vec![listed(&gateway)],
+            gateway: gateway.process,
+            others: Vec::new(),
             reporter,
             _stand_ins: vec![log, hosts, backend],
+            addresses,
             folder,
         }
     }
 
+    /// Starts everything with `count` gateways that are on the host list, and waits until all of
+    /// them have heard each other.
+    pub async fn start_gateways(count: usize) -> Self {
+        let mut platform = Self::start();
+        for number in 2..=count {
+            let name = format!("gw-{number}");
+            let gateway = start_gateway(platform.folder.path(), &name, &platform.addresses);
+            platform.listed.push(listed(&gateway));
+            platform.others.push(gateway);
+        }
+        platform.put_hosts(platform.listed.clone()).await;
+        let all_heard = format!("({} alive)", count - 1);
+        if count > 1 {
+            platform.gateway.wait_for_line(&all_heard);
+        }
+        for other in &mut platform.others {
+            other.process.wait_for_line(&all_heard);
+        }
+        platform
+    }
+
+    /// Replaces the host list.
+    pub async fn put_hosts(&self, hosts: Vec<Host>) {
+        let body = serde_json::to_vec(&HostList { hosts }).expect("a host list is JSON");
+        let limit = Duration::from_secs(10);
+        let put = http_client::call(self.host_list, Method::PUT, "/hosts", body.into(), limit);
+        assert!(
+            put.await
+                .expect("the host list answers")
+                .status
+                .is_success()
+        );
+    }
+
+    /// Writes a new identity for all gateways, under a new authority.
+    pub fn renew_identity(&self) {
+        write_identity(self.folder.path());
+    }
+
     /// Promotes a document with a lookup service and a booking service at the backend server.
     pub fn promote(&mut self) {
         let backend = self.backend;
@@ -91,7 +150,7 @@
 contracts = [{{ service = "calendar" }}, {{ service = "booking" }}]
 "#
         );
-        let path = write(&self.folder, "document.toml", &document);
+        let path = write(self.folder.path(), "document.toml", &document);
         let path = path.to_str().expect("a text path");
         self.turmericloft(&["promote", path, "--author", "anna"]);
         self.gateway.wait_for_line("is in force");
@@ -114,8 +173,12 @@
     }
 }
 
-fn write(folder: &TempDir, name: &str, text: &str) -> PathBuf {
-    let path = folder.path().join(name);
-    fs::write(&path, text).expect("the folder can be written");
-    path
+fn listed(gateway: &GatewayProcess) -> Host {
+    Host {
+        name: Name::new(&gateway.name).expect("the name is valid"),
+        zone: Name::new("a").expect("the name is valid"),
+        role: HostRole::Gateway,
+        address: gateway.peers,
+        state: HostState::Live,
+    }
 }
--- a/crates/turmericloft-standins/src/host_list/mod.rs
+++ b/crates/turmericloft-standins/src/host_list/mod.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
-use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
+use axum::{Json, Router, body::Bytes, extract::State, http::StatusCode, routing::get};
 use parking_lot::Mutex;
 use tokio::time::Instant;
 use turmericloft::sources::host_list::HostList;
@@ -64,6 +64,10 @@
     Ok(Json(shared.shown.clone()))
 }
 
-async fn replace(State(shared): State<Arc<Mutex<Shared>>>, Json(list): Json<HostList>) {
+async fn replace(State(shared): State<Arc<Mutex<Shared>>>, body: Bytes) -> StatusCode {
+    let Ok(list) = serde_json::from_slice(&body) else {
+        return StatusCode::BAD_REQUEST;
+    };
     HostListStandin { shared }.set(list);
+    StatusCode::NO_CONTENT
 }
--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod document;
 mod environment;
 mod host_id;
+pub mod membership;
 mod name;
 mod outcome;
 mod problem;
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -12,13 +12,16 @@
 mod listener;
 mod lookup;
 mod matched;
+mod peers;
 mod relayed_body;
 mod run;
 mod send_snapshots;
 mod service_state;
 mod shared;
+mod watch_hosts;
 
 pub use self::{
+    peers::{PeerRequestError, Peers, PeersError},
     run::{GatewayError, run_gateway},
     shared::{Gateway, InForce},
 };
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/peers.rs
@@ -0,0 +1,263 @@
+//! The other gateways: membership, and messages to and from them.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Weak},
+    time::{Duration, Instant},
+};
+
+use futures_util::future::{BoxFuture, join_all};
+use parking_lot::Mutex;
+use thiserror::Error;
+use tokio::time::{Instant as Tick, MissedTickBehavior, interval, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use super::shared::Gateway;
+use crate::{
+    core::{
+        HostId, Name,
+        membership::{HeardPeer, ListedPeer, Membership, PeerState},
+    },
+    sources::peer::{
+        Heartbeat, IdentityError, IdentityFiles, PeerDatagram, PeerError, PeerHandler,
+        PeerIdentity, PeerMesh, PeerReply, PeerRequest,
+    },
+    util::settings::PeerSettings,
+};
+
+/// Time between two heartbeats to a peer.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time allowed for a heartbeat to be sent, a new connection included.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// The other gateways as this one sees them.
+#[derive(Debug)]
+pub struct Peers {
+    gateway: Weak<Gateway>,
+    settings: PeerSettings,
+    mesh: Arc<PeerMesh>,
+    identity: Mutex<PeerIdentity>,
+    membership: Mutex<Membership>,
+}
+
+/// Why this gateway cannot listen for its peers.
+#[derive(Debug, Error)]
+pub enum PeersError {
+    /// Certificate, key or authorities cannot be used.
+    #[error("the identity for peers cannot be used")]
+    Identity(#[from] IdentityError),
+    /// The address cannot be opened.
+    #[error("peers cannot be listened for")]
+    Mesh(#[from] PeerError),
+}
+
+/// Why a request to a peer was not answered.
+#[derive(Debug, Error)]
+pub enum PeerRequestError {
+    /// The peer is neither on the host list nor heard.
+    #[error("no address is known for gateway {0}")]
+    Unknown(Name),
+    /// The peer gave no reply.
+    #[error("gateway {peer} gave no reply")]
+    Peer {
+        /// Name of the peer.
+        peer: Name,
+        /// Cause.
+        #[source]
+        source: PeerError,
+    },
+}
+
+impl Peers {
+    /// Listens for peers and makes them known to `gateway`.
+    pub fn start(gateway: &Arc<Gateway>, settings: PeerSettings) -> Result<Arc<Self>, PeersError> {
+        let identity = read_identity(&settings)?;
+        let mesh = PeerMesh::bind(gateway.host.clone(), settings.listen, &identity)?;
+        let peers = Arc::new(Self {
+            gateway: Arc::downgrade(gateway),
+            settings,
+            mesh,
+            identity: Mutex::new(identity),
+            membership: Mutex::new(Membership::new(gateway.host.name.clone())),
+        });
+        gateway.set_peers(Arc::clone(&peers));
+        let handler: Weak<Self> = Arc::downgrade(&peers);
+        peers.mesh.serve(handler);
+        Ok(peers)
+    }
+
+    /// Where this gateway listens for peers.
+    pub fn address(&self) -> SocketAddr {
+        self.mesh.address().unwrap_or(self.settings.listen)
+    }
+
+    /// Where a peer listens.
+    pub fn address_of(&self, peer: &Name) -> Option<SocketAddr> {
+        self.membership.lock().peer(peer).map(|p| p.address)
+    }
+
+    /// The newest incarnation heard of a peer.
+    pub fn incarnation_of(&self, peer: &Name) -> Option<u64> {
+        self.membership.lock().peer(peer)?.incarnation
+    }
+
+    /// Names of the peers that are alive at `now`.
+    pub fn alive(&self, now: Instant) -> Vec<Name> {
+        self.membership.lock().alive(now).cloned().collect()
+    }
+
+    /// State of all peers, by name.
+    pub fn states(&self) -> Vec<(Name, PeerState)> {
+        let membership = self.membership.lock();
+        let states = membership.peers();
+        states.map(|(n, p)| (n.clone(), p.clone())).collect()
+    }
+
+    /// Takes a new host list.
+    pub fn on_host_list(&self, now: Instant, listed: &[ListedPeer]) {
+        self.membership.lock().on_host_list(now, listed);
+    }
+
+    /// Sends a request to a peer and waits for the reply. The caller sets a deadline around it.
+    pub async fn request(
+        &self,
+        peer: &Name,
+        req: PeerRequest,
+    ) -> Result<PeerReply, PeerRequestError> {
+        let address = self
+            .address_of(peer)
+            .ok_or_else(|| PeerRequestError::Unknown(peer.clone()))?;
+        self.mesh
+            .request(address, req)
+            .await
+            .map_err(|source| PeerRequestError::Peer {
+                peer: peer.clone(),
+                source,
+            })
+    }
+
+    /// Sends a datagram to a peer; it may be lost.
+    pub async fn datagram(
+        &self,
+        peer: &Name,
+        message: PeerDatagram,
+    ) -> Result<(), PeerRequestError> {
+        let address = self
+            .address_of(peer)
+            .ok_or_else(|| PeerRequestError::Unknown(peer.clone()))?;
+        self.mesh
+            .datagram(address, message)
+            .await
+            .map_err(|source| PeerRequestError::Peer {
+                peer: peer.clone(),
+                source,
+            })
+    }
+
+    /// Tells all peers the version in force and whether this gateway leaves.
+    pub async fn send_heartbeats(&self) {
+        let Some(beat) = self.heartbeat() else {
+            return;
+        };
+        let deadline = Tick::now() + HEARTBEAT_TIMEOUT;
+        let known: Vec<SocketAddr> = {
+            let membership = self.membership.lock();
+            membership.peers().map(|(_, p)| p.address).collect()
+        };
+        let sends = known.into_iter().map(|address| {
+            let send = self.mesh.datagram(address, PeerDatagram::Heartbeat(beat));
+            timeout_at(deadline, send)
+        });
+        join_all(sends).await;
+    }
+
+    /// Reads certificate, key and authorities again and uses them for new connections, if they
+    /// have changed. Ones that cannot be used leave the present ones in place.
+    pub fn reload_identity(&self) -> Result<bool, PeersError> {
+        let read = read_identity(&self.settings)?;
+        let mut identity = self.identity.lock();
+        if *identity == read {
+            return Ok(false);
+        }
+        self.mesh.rotate(&read)?;
+        *identity = read;
+        Ok(true)
+    }
+
+    fn heartbeat(&self) -> Option<Heartbeat> {
+        let gateway = self.gateway.upgrade()?;
+        let version = gateway.in_force().map_or(0, |f| f.environment.version());
+        Some(Heartbeat {
+            version,
+            leaving: gateway.is_stopping(),
+            address: self.address(),
+        })
+    }
+
+    fn take_heartbeat(&self, from: &HostId, beat: &Heartbeat) {
+        let heard = HeardPeer {
+            address: beat.address,
+            version: beat.version,
+            leaving: beat.leaving,
+        };
+        let now = Instant::now();
+        let mut membership = self.membership.lock();
+        if membership.on_heartbeat(now, from, &heard) {
+            let alive = membership.alive(now).count();
+            log::info!("peer {from} is alive ({alive} alive)");
+        }
+    }
+}
+
+impl PeerHandler for Peers {
+    fn on_request(&self, from: HostId, req: PeerRequest) -> BoxFuture<'_, PeerReply> {
+        Box::pin(async move {
+            match req {
+                PeerRequest::Heartbeat(beat) => {
+                    self.take_heartbeat(&from, &beat);
+                    self.heartbeat()
+                        .map_or(PeerReply::Unsupported, PeerReply::Heartbeat)
+                }
+            }
+        })
+    }
+
+    fn on_datagram(&self, from: HostId, datagram: PeerDatagram) {
+        match datagram {
+            PeerDatagram::Heartbeat(beat) => self.take_heartbeat(&from, &beat),
+        }
+    }
+}
+
+/// Sends heartbeats and watches the identity's files until `ended`. At `stop` the peers are told
+/// at once that this gateway leaves.
+pub(super) async fn keep_in_touch(
+    peers: Arc<Peers>,
+    stop: CancellationToken,
+    ended: CancellationToken,
+) {
+    let mut tick = interval(HEARTBEAT_INTERVAL);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut told = false;
+    loop {
+        tokio::select! {
+            _ = tick.tick() => {}
+            () = stop.cancelled(), if !told => told = true,
+            () = ended.cancelled() => return,
+        }
+        peers.send_heartbeats().await;
+        match peers.reload_identity() {
+            Ok(false) => {}
+            Ok(true) => log::info!("new certificates are used for connections to peers"),
+            Err(_) => metrics::counter!("peer_identity_reload_failures").increment(1),
+        }
+    }
+}
+
+fn read_identity(settings: &PeerSettings) -> Result<PeerIdentity, IdentityError> {
+    PeerIdentity::read(&IdentityFiles {
+        certificate: &settings.certificate,
+        key: &settings.key,
+        authorities: &settings.authorities,
+    })
+}
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -6,7 +6,15 @@
 use tokio::{net::TcpListener, time::timeout};
 use tokio_util::sync::CancellationToken;
 
-use super::{admin, follow_config::follow, listener, send_snapshots, shared::Gateway};
+use super::{
+    admin,
+    follow_config::follow,
+    listener,
+    peers::{Peers, PeersError, keep_in_touch},
+    send_snapshots,
+    shared::Gateway,
+    watch_hosts::watch_hosts,
+};
 use crate::{
     core::HostId,
     sources::log_service::{HttpLog, LogService},
@@ -25,6 +33,9 @@
         #[source]
         source: io::Error,
     },
+    /// The other gateways cannot be met.
+    #[error("the other gateways cannot be met")]
+    Peers(#[from] PeersError),
     /// Requests were cut off at the deadline of the stop.
     #[error("requests in flight were cut off at the deadline of the stop")]
     CutOff,
@@ -37,16 +48,22 @@
 ) -> Result<(), GatewayError> {
     let callers = bind(settings.listen).await?;
     let admin = bind(settings.admin).await?;
-    log::info!(
-        "gateway {} listens on {} for callers and {} for operators",
-        settings.host,
-        local(&callers),
-        local(&admin),
-    );
     let gateway = Gateway::new(HostId {
         name: settings.host,
         incarnation: unix_ms(),
     });
+    let peers = settings.peers.map(|s| Peers::start(&gateway, s));
+    let peers = peers.transpose()?;
+    let for_peers = peers
+        .as_ref()
+        .map(|p| format!(" and {} for peers", p.address()));
+    log::info!(
+        "gateway {} listens on {} for callers and {} for operators{}",
+        gateway.host.name,
+        local(&callers),
+        local(&admin),
+        for_peers.unwrap_or_default(),
+    );
     let log: Arc<dyn LogService> = Arc::new(HttpLog::new(settings.log_service));
     let ended = CancellationToken::new();
     let follower = follow(
@@ -56,6 +73,14 @@
         ended.clone(),
     );
     tokio::spawn(follower);
+    tokio::spawn(watch_hosts(
+        Arc::clone(&gateway),
+        settings.host_list,
+        ended.clone(),
+    ));
+    if let Some(peers) = peers {
+        tokio::spawn(keep_in_touch(peers, stop.clone(), ended.clone()));
+    }
     let routes = admin::router(Arc::clone(&gateway));
     tokio::spawn(async move { axum::serve(admin, routes).await });
     let snapshots =
--- a/crates/turmericloft/src/ops/gateway/shared.rs
+++ b/crates/turmericloft/src/ops/gateway/shared.rs
@@ -1,16 +1,17 @@
 //! State shared by all tasks of a gateway.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
 };
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 
-use super::service_state::ServiceState;
+use super::{peers::Peers, service_state::ServiceState};
 use crate::core::{Environment, HostId, Name, counting::Ledger};
 
 /// A gateway: the environment in force, the state of each service, and the counts.
@@ -22,6 +23,8 @@
     pub ledger: Arc<Ledger>,
     in_force: ArcSwapOption<InForce>,
     stopping: AtomicBool,
+    peers: OnceLock<Arc<Peers>>,
+    leaving_endpoints: ArcSwap<HashSet<SocketAddr>>,
 }
 
 /// An environment with the live state of its services.
@@ -41,9 +44,38 @@
             ledger: Ledger::new(),
             in_force: ArcSwapOption::empty(),
             stopping: AtomicBool::new(false),
+            peers: OnceLock::new(),
+            leaving_endpoints: ArcSwap::default(),
         })
     }
 
+    /// The other gateways; none if this one acts alone.
+    pub fn peers(&self) -> Option<&Arc<Peers>> {
+        self.peers.get()
+    }
+
+    /// Makes the other gateways known, once.
+    pub(super) fn set_peers(&self, peers: Arc<Peers>) {
+        let _ = self.peers.set(peers);
+    }
+
+    /// Addresses of backend servers that the host list says are leaving. They get no new request.
+    pub fn leaving_endpoints(&self) -> Arc<HashSet<SocketAddr>> {
+        self.leaving_endpoints.load_full()
+    }
+
+    /// Replaces the addresses of leaving backend servers.
+    pub fn set_leaving_endpoints(&self, addresses: HashSet<SocketAddr>) {
+        if *self.leaving_endpoints() != addresses {
+            self.leaving_endpoints.store(Arc::new(addresses));
+        }
+    }
+
+    /// Whether the gateway is about to leave.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
     /// What is in force now.
     pub fn in_force(&self) -> Option<Arc<InForce>> {
         self.in_force.load_full()
@@ -79,7 +111,7 @@
 
     /// Whether the platform's balancer may send requests here.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.load(Ordering::Acquire) && self.in_force.load().is_some()
+        !self.is_stopping() && self.in_force.load().is_some()
     }
 
     /// Makes the gateway not ready, for good.
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/watch_hosts.rs
@@ -0,0 +1,63 @@
+//! Watching the platform's host list.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+
+use super::shared::Gateway;
+use crate::{
+    core::membership::ListedPeer,
+    sources::host_list::{Host, HostList, HostRole, HostState, fetch_host_list},
+};
+
+/// Time between two reads of the host list.
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Reads the host list until `stop`. While it cannot be read, the last one stays.
+pub(super) async fn watch_hosts(
+    gateway: Arc<Gateway>,
+    host_list: SocketAddr,
+    stop: CancellationToken,
+) {
+    let mut tick = interval(READ_INTERVAL);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    while stop.run_until_cancelled(tick.tick()).await.is_some() {
+        let read = stop.run_until_cancelled(fetch_host_list(host_list)).await;
+        match read {
+            Some(Ok(list)) => take(&gateway, &list),
+            Some(Err(_)) => metrics::counter!("host_list_read_failures").increment(1),
+            None => return,
+        }
+    }
+}
+
+fn take(gateway: &Gateway, list: &HostList) {
+    let hosts = list.hosts.iter();
+    let leaving = hosts
+        .filter(|h| h.role == HostRole::BackendServer && h.state == HostState::Leaving)
+        .map(|h| h.address)
+        .collect();
+    gateway.set_leaving_endpoints(leaving);
+    let Some(peers) = gateway.peers() else {
+        return;
+    };
+    let hosts = list.hosts.iter();
+    let listed: Vec<ListedPeer> = hosts
+        .filter(|h| h.role == HostRole::Gateway)
+        .map(listed_peer)
+        .collect();
+    peers.on_host_list(Instant::now(), &listed);
+}
+
+fn listed_peer(host: &Host) -> ListedPeer {
+    ListedPeer {
+        name: host.name.clone(),
+        address: host.address,
+        leaving: host.state == HostState::Leaving,
+    }
+}
--- a/crates/turmericloft/src/sources/peer/identity.rs
+++ b/crates/turmericloft/src/sources/peer/identity.rs
@@ -1,6 +1,10 @@
 //! Certificates and keys of a gateway.
 
-use std::sync::Arc;
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
 
 use quinn::{
     ClientConfig, ServerConfig, TransportConfig,
@@ -28,9 +32,29 @@
     pub authorities: String,
 }
 
+/// Files that hold a [`PeerIdentity`], each in PEM.
+#[derive(Clone, Copy, Debug)]
+pub struct IdentityFiles<'a> {
+    /// Certificate chain.
+    pub certificate: &'a Path,
+    /// Private key.
+    pub key: &'a Path,
+    /// Authorities.
+    pub authorities: &'a Path,
+}
+
 /// Why certificates or keys cannot be used.
 #[derive(Debug, Error)]
 pub enum IdentityError {
+    /// A file cannot be read.
+    #[error("cannot read {}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Cause.
+        #[source]
+        source: io::Error,
+    },
     /// A text is not PEM of the kind needed.
     #[error("a certificate or key cannot be read")]
     Pem(#[from] rustls_pki_types::pem::Error),
@@ -67,6 +91,15 @@
         })
     }
 
+    /// Reads an identity from files.
+    pub fn read(files: &IdentityFiles<'_>) -> Result<Self, IdentityError> {
+        Ok(Self {
+            certificate: read(files.certificate)?,
+            key: read(files.key)?,
+            authorities: read(files.authorities)?,
+        })
+    }
+
     pub(super) fn server_config(
         &self,
         transport: Arc<TransportConfig>,
@@ -116,3 +149,10 @@
         Ok(PrivateKeyDer::from_pem_slice(self.key.as_bytes())?)
     }
 }
+
+fn read(path: &Path) -> Result<String, IdentityError> {
+    fs::read_to_string(path).map_err(|source| IdentityError::Read {
+        path: path.to_owned(),
+        source,
+    })
+}
--- a/crates/turmericloft/src/sources/peer/mesh.rs
+++ b/crates/turmericloft/src/sources/peer/mesh.rs
@@ -10,7 +10,10 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use parking_lot::Mutex;
-use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream, TransportConfig, VarInt};
+use quinn::{
+    ClientConfig, Connection, Endpoint, Incoming, RecvStream, SendStream, ServerConfig,
+    TransportConfig, VarInt,
+};
 use serde::{Serialize, de::DeserializeOwned};
 
 use super::{
@@ -38,9 +41,11 @@
 }
 
 /// A gateway's side of the connections between gateways.
+#[derive(Debug)]
 pub struct PeerMesh {
     host: HostId,
     endpoint: Endpoint,
+    client: Mutex<ClientConfig>,
     connections: Mutex<HashMap<SocketAddr, Connection>>,
 }
 
@@ -51,19 +56,34 @@
         address: SocketAddr,
         identity: &PeerIdentity,
         handler: Weak<dyn PeerHandler>,
+    ) -> Result<Arc<Self>, PeerError> {
+        let mesh = Self::bind(host, address, identity)?;
+        mesh.serve(handler);
+        Ok(mesh)
+    }
+
+    /// Opens `address`; what arrives waits until [`PeerMesh::serve`].
+    pub fn bind(
+        host: HostId,
+        address: SocketAddr,
+        identity: &PeerIdentity,
     ) -> Result<Arc<Self>, PeerError> {
         let listen = |source: std::io::Error| PeerError::Listen { address, source };
         let (server, client) = configs(identity).map_err(|e| listen(std::io::Error::other(e)))?;
-        let mut endpoint = Endpoint::server(server, address).map_err(listen)?;
-        endpoint.set_default_client_config(client);
-        tokio::spawn(accept(endpoint.clone(), handler));
+        let endpoint = Endpoint::server(server, address).map_err(listen)?;
         Ok(Arc::new(Self {
             host,
             endpoint,
+            client: Mutex::new(client),
             connections: Mutex::default(),
         }))
     }
 
+    /// Gives what arrives to `handler` for as long as it lives.
+    pub fn serve(&self, handler: Weak<dyn PeerHandler>) {
+        tokio::spawn(accept(self.endpoint.clone(), handler));
+    }
+
     /// Address it listens on.
     pub fn address(&self) -> std::io::Result<SocketAddr> {
         self.endpoint.local_addr()
@@ -73,8 +93,7 @@
     pub fn rotate(&self, identity: &PeerIdentity) -> Result<(), IdentityError> {
         let (server, client) = configs(identity)?;
         self.endpoint.set_server_config(Some(server));
-        let mut endpoint = self.endpoint.clone();
-        endpoint.set_default_client_config(client);
+        *self.client.lock() = client;
         Ok(())
     }
 
@@ -119,9 +138,10 @@
             return Ok(connection);
         }
         let connect = |source: BoxError| PeerError::Connect { peer, source };
+        let client = self.client.lock().clone();
         let connecting = self
             .endpoint
-            .connect(peer, PEER_NAME)
+            .connect_with(client, peer, PEER_NAME)
             .map_err(|e| connect(e.into()))?;
         let connection = connecting.await.map_err(|e| connect(e.into()))?;
         self.connections.lock().insert(peer, connection.clone());
@@ -129,9 +149,7 @@
     }
 }
 
-fn configs(
-    identity: &PeerIdentity,
-) -> Result<(quinn::ServerConfig, quinn::ClientConfig), IdentityError> {
+fn configs(identity: &PeerIdentity) -> Result<(ServerConfig, ClientConfig), IdentityError> {
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()));
     transport.keep_alive_interval(Some(KEEP_ALIVE));
--- a/crates/turmericloft/src/sources/peer/message.rs
+++ b/crates/turmericloft/src/sources/peer/message.rs
@@ -1,5 +1,7 @@
 //! Messages between gateways.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::core::HostId;
@@ -43,4 +45,6 @@
     pub version: u64,
     /// Whether the gateway is about to leave.
     pub leaving: bool,
+    /// Where the gateway listens for peers.
+    pub address: SocketAddr,
 }
--- a/crates/turmericloft/src/sources/peer/mod.rs
+++ b/crates/turmericloft/src/sources/peer/mod.rs
@@ -9,7 +9,7 @@
 mod peer_error;
 
 pub use self::{
-    identity::{IdentityError, PeerIdentity},
+    identity::{IdentityError, IdentityFiles, PeerIdentity},
     mesh::{PeerHandler, PeerMesh},
     message::{Envelope, Heartbeat, PeerDatagram, PeerReply, PeerRequest},
     peer_error::PeerError,
--- a/crates/turmericloft/src/util/settings.rs
+++ b/crates/turmericloft/src/util/settings.rs
@@ -35,6 +35,9 @@
     pub host_list: SocketAddr,
     /// The reporter on this host.
     pub reporter: SocketAddr,
+    /// How it meets the other gateways; without it the gateway acts alone.
+    #[serde(default)]
+    pub peers: Option<PeerSettings>,
     /// Time for requests in flight to finish at a stop.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "stop_deadline_ms", default = "default_stop_deadline")]
@@ -44,6 +47,20 @@
     pub log_format: LogFormat,
 }
 
+/// How a gateway meets the other gateways. Files are read again when they change.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerSettings {
+    /// Where it listens for them, over UDP; the host list names this address.
+    pub listen: SocketAddr,
+    /// File with the certificate chain, in PEM.
+    pub certificate: PathBuf,
+    /// File with the private key, in PEM.
+    pub key: PathBuf,
+    /// File with the authorities whose certificates are believed, in PEM.
+    pub authorities: PathBuf,
+}
+
 /// Settings of a reporter.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/turmericloft/tests/testsuite/peer.rs
+++ b/crates/turmericloft/tests/testsuite/peer.rs
@@ -35,6 +35,14 @@
     PeerMesh::start(host, any_port, identity, handler).unwrap()
 }
 
+fn beat(mesh: &PeerMesh) -> Heartbeat {
+    Heartbeat {
+        version: 7,
+        leaving: false,
+        address: mesh.address().unwrap(),
+    }
+}
+
 #[tokio::test]
 async fn request_is_answered_by_a_peer_of_the_same_authority() {
     let identity = PeerIdentity::generate().unwrap();
@@ -43,10 +51,7 @@
         mesh("gw-a", &identity, &handler),
         mesh("gw-b", &identity, &handler),
     );
-    let beat = Heartbeat {
-        version: 7,
-        leaving: false,
-    };
+    let beat = beat(&a);
     let reply = a
         .request(b.address().unwrap(), PeerRequest::Heartbeat(beat))
         .await
@@ -59,13 +64,26 @@
     let handler = Arc::new(Echo);
     let a = mesh("gw-a", &PeerIdentity::generate().unwrap(), &handler);
     let b = mesh("gw-b", &PeerIdentity::generate().unwrap(), &handler);
-    let beat = Heartbeat {
-        version: 7,
-        leaving: false,
-    };
+    let beat = beat(&a);
     let e = a
         .request(b.address().unwrap(), PeerRequest::Heartbeat(beat))
         .await
         .unwrap_err();
     assert!(matches!(e, PeerError::Connect { .. }), "{e:?}");
 }
+
+#[tokio::test]
+async fn new_connections_use_the_identity_of_the_last_rotation() {
+    let (old, new) = (
+        PeerIdentity::generate().unwrap(),
+        PeerIdentity::generate().unwrap(),
+    );
+    let handler = Arc::new(Echo);
+    let (a, b) = (mesh("gw-a", &old, &handler), mesh("gw-b", &new, &handler));
+    a.rotate(&new).unwrap();
+    let reply = a
+        .request(b.address().unwrap(), PeerRequest::Heartbeat(beat(&a)))
+        .await
+        .unwrap();
+    assert_eq!(reply, PeerReply::Heartbeat(beat(&a)));
+}
