--- a/crates/turmericloft-bench/src/experiments/mod.rs
+++ b/crates/turmericloft-bench/src/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! One module an experiment: its flags in `Args`, its run in `exec`.
 
 pub mod overhead;
+pub mod routing;
 
 /// What an experiment ends with.
 pub type ExperimentResult = Result<(), Box<dyn std::error::Error>>;
--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/routing/case.rs
@@ -0,0 +1,172 @@
+//! Cases: what goes wrong, and at which load.
+
+use std::time::Duration;
+
+use clap::ValueEnum;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::{
+    Args,
+    fake_endpoint::{FakeEndpoint, Phase},
+};
+
+/// What goes wrong from the end of the warm-up on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Fault {
+    /// Nothing
+    Calm,
+    /// Each endpoint slows down for a few ms now and then
+    Noisy,
+    /// Some endpoints are slower by a factor
+    Straggler,
+    /// One endpoint answers at once with an error
+    FailFast,
+    /// Two endpoints say that they are leaving
+    Drain,
+    /// Two endpoints start, slow at first
+    ColdStart,
+    /// A third of the open connections go silent
+    Silent,
+    /// An availability zone is gone
+    ZoneLoss,
+    /// One caller adds as much as all endpoints can serve
+    Rush,
+    /// Load reports are 500 ms old, and a quarter of the endpoints always report no load
+    StaleReports,
+    /// More calls than the endpoints can serve
+    Overload,
+}
+
+/// One case: sizes, load and fault.
+#[derive(Clone, Debug)]
+pub struct Case {
+    pub fault: Fault,
+    pub load_percent: u32,
+    pub endpoints: usize,
+    pub slots: u32,
+    pub gateways: usize,
+    pub stragglers: usize,
+    pub slowdown: f64,
+    pub mean_work: Duration,
+    pub deadline: Duration,
+    pub warm_up: Duration,
+    pub end: Duration,
+}
+
+/// Availability zones.
+pub const ZONES: usize = 3;
+/// Endpoints that drain or start cold.
+pub const CHANGED_ENDPOINTS: usize = 2;
+/// Answers after which a cold endpoint has its full speed.
+pub const COLD_ANSWERS: u32 = 200;
+/// Factor of a cold endpoint's times of work.
+pub const COLD_SLOWDOWN: f64 = 4.0;
+/// Mean length of an endpoint's quiet phases, in seconds.
+const QUIET_S: f64 = 0.020;
+/// Mean length of an endpoint's noisy phases, in seconds.
+const NOISY_S: f64 = 0.005;
+/// Weights of the callers; each sends equally often.
+pub const CALLER_WEIGHTS: [u32; 8] = [1, 1, 1, 1, 2, 2, 4, 4];
+
+impl Case {
+    /// A case with the sizes of the command line.
+    pub fn new(args: &Args, fault: Fault, load_percent: u32) -> Self {
+        let warm_up = Duration::from_secs(2);
+        Self {
+            fault,
+            load_percent,
+            endpoints: args.endpoints,
+            slots: args.slots,
+            gateways: args.gateways,
+            stragglers: args.stragglers,
+            slowdown: args.slowdown,
+            mean_work: Duration::from_micros(args.work_us),
+            deadline: Duration::from_millis(args.deadline_ms),
+            warm_up,
+            end: warm_up + Duration::from_secs(args.seconds),
+        }
+    }
+
+    /// Name, as in `straggler-75`.
+    pub fn name(&self) -> String {
+        let fault = self.fault.to_possible_value();
+        let fault = fault.map_or_else(String::new, |v| v.get_name().to_owned());
+        format!("{fault}-{}", self.load_percent)
+    }
+
+    /// Calls a second that the endpoints can serve: without the fault, but for a noisy
+    /// neighbour's mean share of the processors.
+    pub fn capacity(&self) -> f64 {
+        let slots = self.endpoints as f64 * f64::from(self.slots);
+        let speed = if self.fault == Fault::Noisy {
+            (QUIET_S + NOISY_S / self.slowdown) / (QUIET_S + NOISY_S)
+        } else {
+            1.0
+        };
+        slots * speed / self.mean_work.as_secs_f64()
+    }
+
+    /// Calls a second that are offered, before a rush.
+    pub fn rate(&self) -> f64 {
+        self.capacity() * f64::from(self.load_percent) / 100.0
+    }
+
+    /// Calls a second that the rushing caller adds.
+    pub fn rush_rate(&self) -> f64 {
+        if self.fault == Fault::Rush {
+            self.capacity()
+        } else {
+            0.0
+        }
+    }
+
+    /// Zone of the `i`th gateway or endpoint.
+    pub fn zone(i: usize) -> usize {
+        i % ZONES
+    }
+
+    /// The endpoints at the start.
+    pub fn fake_endpoints(&self, seed: u64) -> Vec<FakeEndpoint> {
+        (0..self.endpoints)
+            .map(|i| FakeEndpoint::new(self.slots, self.phases(i, seed)))
+            .collect()
+    }
+
+    fn phases(&self, endpoint: usize, seed: u64) -> Vec<Phase> {
+        let (start, forever) = (self.warm_up.as_secs_f64(), f64::INFINITY);
+        let quiet = |until| Phase { until, factor: 1.0 };
+        match self.fault {
+            Fault::Straggler if endpoint < self.stragglers => vec![
+                quiet(start),
+                Phase {
+                    until: forever,
+                    factor: self.slowdown,
+                },
+            ],
+            Fault::Noisy => self.noisy_phases(endpoint, seed),
+            _ => vec![quiet(forever)],
+        }
+    }
+
+    fn noisy_phases(&self, endpoint: usize, seed: u64) -> Vec<Phase> {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ (endpoint as u64 + 1) << 32);
+        let mut draw = |mean: f64| -mean * (1.0 - rng.random::<f64>()).ln();
+        let end = self.end.as_secs_f64() + 1.0;
+        let mut phases = Vec::new();
+        let mut at = 0.0;
+        while at < end {
+            at += draw(QUIET_S);
+            phases.push(Phase {
+                until: at,
+                factor: 1.0,
+            });
+            at += draw(NOISY_S);
+            phases.push(Phase {
+                until: at,
+                factor: self.slowdown,
+            });
+        }
+        phases
+    }
+}
--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/routing/draws.rs
@@ -0,0 +1,71 @@
+//! Arrivals and times of work, the same for all variants.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::{case::CALLER_WEIGHTS, case::Case};
+
+/// One call as it is meant to start.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// Intended start.
+    pub at: Duration,
+    pub gateway: usize,
+    pub caller: usize,
+    /// Seconds of work of the first attempt.
+    pub work: f64,
+    /// Seconds of work of each further attempt.
+    pub extra_work: f64,
+}
+
+/// The caller that rushes.
+pub const RUSHING_CALLER: usize = 4;
+
+/// Poisson arrivals with exponential times of work.
+pub fn arrivals(case: &Case, seed: u64) -> Vec<Arrival> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut arrivals = stream(case, &mut rng, Duration::ZERO, case.rate(), None);
+    if case.rush_rate() > 0.0 {
+        let rush = stream(
+            case,
+            &mut rng,
+            case.warm_up,
+            case.rush_rate(),
+            Some(RUSHING_CALLER),
+        );
+        arrivals.extend(rush);
+        arrivals.sort_by_key(|a| a.at);
+    }
+    arrivals
+}
+
+fn stream(
+    case: &Case,
+    rng: &mut Pcg64Mcg,
+    start: Duration,
+    rate: f64,
+    caller: Option<usize>,
+) -> Vec<Arrival> {
+    let mean_work = case.mean_work.as_secs_f64();
+    let mut arrivals = Vec::new();
+    let mut at = start.as_secs_f64();
+    loop {
+        at += exponential(rng, 1.0 / rate);
+        if at >= case.end.as_secs_f64() {
+            return arrivals;
+        }
+        arrivals.push(Arrival {
+            at: Duration::from_secs_f64(at),
+            gateway: rng.random_range(0..case.gateways),
+            caller: caller.unwrap_or_else(|| rng.random_range(0..CALLER_WEIGHTS.len())),
+            work: exponential(rng, mean_work),
+            extra_work: exponential(rng, mean_work),
+        });
+    }
+}
+
+fn exponential(rng: &mut Pcg64Mcg, mean: f64) -> f64 {
+    -mean * (1.0 - rng.random::<f64>()).ln()
+}
--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/routing/fake_endpoint.rs
@@ -0,0 +1,153 @@
+//! A small fake of an endpoint: slots, a queue, and a speed that changes.
+
+use std::collections::VecDeque;
+
+/// Requests that may wait at an endpoint.
+const QUEUE: usize = 64;
+/// Spacing of the remembered loads, in seconds.
+const HISTORY_STEP_S: f64 = 0.01;
+/// Age of stale reports, in steps of the history.
+const STALE_STEPS: usize = 50;
+
+/// A time during which work takes `factor` times as long.
+#[derive(Clone, Copy, Debug)]
+pub struct Phase {
+    /// End, in seconds.
+    pub until: f64,
+    /// Factor of the times of work.
+    pub factor: f64,
+}
+
+/// How an endpoint behaves besides its speed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mood {
+    /// It works.
+    Working,
+    /// It answers at once with an error.
+    Failing,
+    /// Nothing reaches it.
+    Lost,
+    /// It works and says that it is leaving.
+    Draining,
+}
+
+/// An endpoint with slots and a queue. Attempts are named by their index.
+#[derive(Clone, Debug)]
+pub struct FakeEndpoint {
+    pub slots: u32,
+    pub mood: Mood,
+    /// Answers until full speed.
+    pub cold: u32,
+    /// Whether it always reports no load.
+    pub lies: bool,
+    pub stale: bool,
+    running: u32,
+    waiting: VecDeque<usize>,
+    phases: Vec<Phase>,
+    history: Vec<u32>,
+}
+
+impl FakeEndpoint {
+    pub fn new(slots: u32, phases: Vec<Phase>) -> Self {
+        Self {
+            slots,
+            mood: Mood::Working,
+            cold: 0,
+            lies: false,
+            stale: false,
+            running: 0,
+            waiting: VecDeque::new(),
+            phases,
+            history: Vec::new(),
+        }
+    }
+
+    /// Requests in it.
+    pub fn in_flight(&self) -> u32 {
+        self.running + self.waiting.len() as u32
+    }
+
+    /// Whether a slot is free.
+    pub fn has_free_slot(&self) -> bool {
+        self.running < self.slots
+    }
+
+    /// Requests that are worked on.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Takes an attempt; false if it is shed.
+    pub fn push(&mut self, attempt: usize) -> bool {
+        if self.waiting.len() >= QUEUE {
+            return false;
+        }
+        self.waiting.push_back(attempt);
+        true
+    }
+
+    /// The next attempt to work on, if a slot is free.
+    pub fn start_next(&mut self) -> Option<usize> {
+        if !self.has_free_slot() {
+            return None;
+        }
+        let attempt = self.waiting.pop_front()?;
+        self.running += 1;
+        Some(attempt)
+    }
+
+    /// Drops a cancelled attempt: one that waits, or one that is worked on.
+    pub fn cancel(&mut self, attempt: usize) {
+        match self.waiting.iter().position(|&a| a == attempt) {
+            Some(i) => drop(self.waiting.remove(i)),
+            None => self.running = self.running.saturating_sub(1),
+        }
+    }
+
+    /// An attempt is done.
+    pub fn finish(&mut self) {
+        self.running -= 1;
+        self.cold = self.cold.saturating_sub(1);
+    }
+
+    /// When `work` seconds that begin at `start` are done, in seconds.
+    pub fn finish_time(&self, start: f64, work: f64, cold_slowdown: f64) -> f64 {
+        let mut left = if self.cold > 0 {
+            work * cold_slowdown
+        } else {
+            work
+        };
+        let mut at = start;
+        let first = self.phases.partition_point(|p| p.until <= start);
+        for phase in &self.phases[first..] {
+            let needed = left * phase.factor;
+            if at + needed <= phase.until {
+                return at + needed;
+            }
+            left -= (phase.until - at) / phase.factor;
+            at = phase.until;
+        }
+        at + left
+    }
+
+    /// Remembers the load of this moment; called every step of the history.
+    pub fn remember(&mut self) {
+        self.history.push(self.in_flight());
+    }
+
+    /// Load that an answer reports, in requests.
+    pub fn report(&self, now: f64) -> u32 {
+        if self.lies {
+            return 0;
+        }
+        if !self.stale {
+            return self.in_flight();
+        }
+        let step = (now / HISTORY_STEP_S) as usize;
+        let past = step.saturating_sub(STALE_STEPS);
+        self.history.get(past).copied().unwrap_or_default()
+    }
+}
+
+/// Spacing of the remembered loads, in nanoseconds.
+pub const HISTORY_STEP_NS: u64 = (HISTORY_STEP_S * 1e9) as u64;
--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/routing/gateway_side.rs
@@ -0,0 +1,259 @@
+//! What gateways do in a simulated run: offer, send, end, hedge, retry, give up.
+
+use std::time::Duration;
+
+use turmericloft::core::{
+    admission::CallerLimits,
+    routing::{
+        CallChain, CallEnd, CallRequest, Decision, EndedCall, EndpointId, LoadReport, Offer,
+    },
+};
+
+use super::{
+    balancer::{Balancer, OurGateway},
+    calls::{Attempt, Ending, Reply},
+    case::CALLER_WEIGHTS,
+    fake_endpoint::Mood,
+    simulation::{Event, Simulation},
+};
+
+/// Latency that a baseline's connections are judged by.
+const BASELINE_USUAL: Duration = Duration::from_secs(60);
+
+impl Simulation<'_> {
+    /// Asks our policy about a new call.
+    pub(super) fn offer(&mut self, call: usize) {
+        let now = self.instant();
+        let arrival = self.arrivals[call];
+        let caller = self.callers[arrival.caller].clone();
+        let request = CallRequest {
+            caller: &caller,
+            weight: CALLER_WEIGHTS[arrival.caller],
+            cost: 1,
+            deadline: self.start + arrival.at + self.case.deadline,
+            limits: CallerLimits::default(),
+        };
+        let Some(gateway) = self.ours(arrival.gateway) else {
+            return;
+        };
+        match gateway.scheduler.offer(now, &request) {
+            Offer::Start(flow, endpoint) => {
+                self.calls[call].flow = Some(flow);
+                self.send_first(call, endpoint);
+            }
+            Offer::Wait(ticket) => {
+                gateway.waiting.insert(ticket, call);
+                self.calls[call].ticket = Some(ticket);
+            }
+            Offer::Refuse(_) => self.end_call(call, Ending::Refused(0.0)),
+        }
+        self.pump(arrival.gateway);
+    }
+
+    /// Carries out decisions on waiting calls.
+    pub(super) fn pump(&mut self, gateway: usize) {
+        let now = self.instant();
+        loop {
+            let Some(ours) = self.ours(gateway) else {
+                return;
+            };
+            let Some((ticket, decision)) = ours.scheduler.next(now) else {
+                return;
+            };
+            let Some(call) = ours.waiting.remove(&ticket) else {
+                continue;
+            };
+            self.calls[call].ticket = None;
+            match decision {
+                Decision::Start(endpoint) => {
+                    self.calls[call].flow = Some(ticket.flow());
+                    self.send_first(call, endpoint);
+                }
+                Decision::Refuse(_) => {
+                    let waited = self.age(call);
+                    self.end_call(call, Ending::Refused(waited));
+                }
+            }
+        }
+    }
+
+    fn send_first(&mut self, call: usize, endpoint: EndpointId) {
+        let gateway = self.arrivals[call].gateway;
+        self.send_to(call, endpoint);
+        if let Some(ours) = self.ours(gateway) {
+            let delay = ours.scheduler.hedge_delay();
+            self.after(delay, Event::Hedge(call));
+        }
+    }
+
+    fn send_to(&mut self, call: usize, endpoint: EndpointId) {
+        self.calls[call].tried.push(endpoint);
+        self.send(call, endpoint.0 as usize);
+    }
+
+    pub(super) fn hedge(&mut self, call: usize) {
+        if self.calls[call].ending.is_some() || self.calls[call].tried.len() > 1 {
+            return;
+        }
+        let now = self.instant();
+        let tried = self.calls[call].tried.clone();
+        let gateway = self.arrivals[call].gateway;
+        let hedge = self
+            .ours(gateway)
+            .and_then(|g| g.scheduler.hedge(now, CallChain::TOP, &tried));
+        if let Some(endpoint) = hedge {
+            self.send_to(call, endpoint);
+        }
+    }
+
+    pub(super) fn answer(&mut self, attempt: usize, reply: Reply, load: u32) {
+        let Attempt { call, open, .. } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        let end = match reply {
+            Reply::Done => CallEnd::Answered,
+            Reply::Failed => CallEnd::Failed,
+            Reply::Shed => CallEnd::Shed,
+        };
+        self.release_connection(attempt, true);
+        self.end_attempt(attempt, end, Some(load));
+        match reply {
+            Reply::Done => self.served(call),
+            Reply::Failed | Reply::Shed => self.retry_or_fail(call),
+        }
+        self.pump(self.attempts[attempt].gateway);
+    }
+
+    /// Gives up on an attempt that gets no answer, and tries again.
+    pub(super) fn give_up(&mut self, attempt: usize) {
+        let Attempt { call, gateway, .. } = self.attempts[attempt];
+        self.abandon(attempt, CallEnd::Abandoned);
+        self.retry_or_fail(call);
+        self.pump(gateway);
+    }
+
+    pub(super) fn deadline(&mut self, call: usize) {
+        if self.calls[call].ending.is_some() {
+            return;
+        }
+        let gateway = self.arrivals[call].gateway;
+        if let Some(ticket) = self.calls[call].ticket
+            && let Some(ours) = self.ours(gateway)
+        {
+            ours.scheduler.abandon(ticket);
+            ours.waiting.remove(&ticket);
+            let waited = self.age(call);
+            self.end_call(call, Ending::Refused(waited));
+            return;
+        }
+        self.end_call(call, Ending::Late);
+        self.abandon_all(call, CallEnd::Unreachable);
+        self.leave(call);
+        self.pump(gateway);
+    }
+
+    fn served(&mut self, call: usize) {
+        let latency = self.age(call);
+        self.end_call(call, Ending::Served(latency));
+        self.abandon_all(call, CallEnd::Abandoned);
+        self.leave(call);
+    }
+
+    fn retry_or_fail(&mut self, call: usize) {
+        if self.calls[call].ending.is_some() {
+            return;
+        }
+        let now = self.instant();
+        let gateway = self.arrivals[call].gateway;
+        let tried = self.calls[call].tried.clone();
+        let retry = self
+            .ours(gateway)
+            .and_then(|g| g.scheduler.retry(now, CallChain::TOP, &tried));
+        if let Some(endpoint) = retry {
+            return self.send_to(call, endpoint);
+        }
+        let attempts = &self.calls[call].attempts;
+        if !attempts.iter().any(|&a| self.attempts[a].open) {
+            self.end_call(call, Ending::Failed);
+            self.leave(call);
+        }
+    }
+
+    fn abandon_all(&mut self, call: usize, end: CallEnd) {
+        for i in 0..self.calls[call].attempts.len() {
+            let attempt = self.calls[call].attempts[i];
+            if self.attempts[attempt].open {
+                self.abandon(attempt, end);
+            }
+        }
+    }
+
+    fn abandon(&mut self, attempt: usize, end: CallEnd) {
+        self.release_connection(attempt, false);
+        self.end_attempt(attempt, end, None);
+        let way = self.way(attempt);
+        self.after(way, Event::Cancel(attempt));
+    }
+
+    fn end_attempt(&mut self, attempt: usize, end: CallEnd, load: Option<u32>) {
+        let now = self.instant();
+        let Attempt {
+            gateway,
+            endpoint,
+            sent,
+            ..
+        } = self.attempts[attempt];
+        self.attempts[attempt].open = false;
+        let started = self.start + Duration::from_nanos(sent);
+        let slots = self.endpoints[endpoint].slots;
+        let drain = load.is_some() && self.endpoints[endpoint].mood == Mood::Draining;
+        match &mut self.balancer {
+            Balancer::Ours(gateways) => gateways[gateway].scheduler.end(
+                now,
+                &EndedCall {
+                    endpoint: EndpointId(endpoint as u32),
+                    started,
+                    end,
+                    load: load.map(|in_flight| LoadReport { in_flight, slots }),
+                    drain,
+                },
+            ),
+            Balancer::Simple(gateways) => gateways[gateway].end(endpoint),
+            Balancer::Limit(_) => {}
+        }
+    }
+
+    fn leave(&mut self, call: usize) {
+        let gateway = self.arrivals[call].gateway;
+        if let Some(flow) = self.calls[call].flow.take()
+            && let Some(ours) = self.ours(gateway)
+        {
+            ours.scheduler.leave(flow);
+        }
+    }
+
+    /// Tells every gateway what the host list says.
+    pub(super) fn tell_leaving(&mut self, endpoint: usize, leaving: bool) {
+        if let Balancer::Ours(gateways) = &mut self.balancer {
+            let id = EndpointId(endpoint as u32);
+            gateways
+                .iter_mut()
+                .for_each(|g| g.scheduler.set_leaving(id, leaving));
+        }
+    }
+
+    /// Latency by which a gateway judges its connections.
+    pub(super) fn usual_latency(&mut self, gateway: usize) -> Duration {
+        self.ours(gateway).map_or(BASELINE_USUAL, |g| {
+            Duration::from_secs_f64(g.scheduler.endpoints().mean_latency())
+        })
+    }
+
+    fn ours(&mut self, gateway: usize) -> Option<&mut OurGateway> {
+        match &mut self.balancer {
+            Balancer::Ours(gateways) => gateways.get_mut(gateway),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/routing/mod.rs
@@ -0,0 +1,190 @@
+//! Routing policies under load and faults, in simulated time.
+//!
+//! Every variant of a case sees the same arrivals and times of work. The gateway's decision code
+//! runs unchanged over small fake endpoints; see [`simulation`].
+
+mod balancer;
+mod calls;
+mod case;
+mod connections;
+mod decision;
+mod draws;
+mod fake_endpoint;
+mod gateway_side;
+mod simulation;
+mod summary;
+
+use balancer::Policy;
+use case::{Case, Fault};
+use summary::Summary;
+
+use super::ExperimentResult;
+use crate::figure::{Figure, Printer};
+
+/// Compares routing policies in simulated time, with the same arrivals for all
+#[derive(Clone, Debug, clap::Args)]
+pub struct Args {
+    /// Policies; all of them when absent
+    #[arg(long, value_enum)]
+    policy: Vec<Policy>,
+    /// Loads in percent of the endpoints' capacity; a usual one for each case when absent
+    #[arg(long)]
+    load: Vec<u32>,
+    /// Cases; all of them, and the cost of a decision, when absent
+    #[arg(long, value_enum)]
+    case: Vec<Fault>,
+    /// Endpoints
+    #[arg(long, default_value_t = 16)]
+    endpoints: usize,
+    /// Slots of each endpoint
+    #[arg(long, default_value_t = 4)]
+    slots: u32,
+    /// Gateways
+    #[arg(long, default_value_t = 16)]
+    gateways: usize,
+    /// Slow endpoints in the straggler case
+    #[arg(long, default_value_t = 1)]
+    stragglers: usize,
+    /// Factor of the times of work of stragglers and in noisy phases
+    #[arg(long, default_value_t = 10.0)]
+    slowdown: f64,
+    /// Mean time of work on one call, in microseconds
+    #[arg(long, default_value_t = 5_000)]
+    work_us: u64,
+    /// Deadline of every call, in milliseconds
+    #[arg(long, default_value_t = 100)]
+    deadline_ms: u64,
+    /// Simulated time that is measured, in seconds
+    #[arg(long, default_value_t = 6)]
+    seconds: u64,
+}
+
+/// Every policy, in the order in which they are printed.
+const POLICIES: [Policy; 5] = [
+    Policy::Ours,
+    Policy::RoundRobin,
+    Policy::LeastOwn,
+    Policy::TwoChoices,
+    Policy::Limit,
+];
+
+/// Cases of the short set, with their loads in percent.
+const SHORT_SET: [(Fault, &[u32]); 11] = [
+    (Fault::Calm, &[60, 75, 90]),
+    (Fault::Noisy, &[60, 75]),
+    (Fault::Straggler, &[60, 75, 90]),
+    (Fault::FailFast, &[75]),
+    (Fault::Drain, &[75]),
+    (Fault::ColdStart, &[75]),
+    (Fault::Silent, &[75]),
+    (Fault::ZoneLoss, &[60]),
+    (Fault::Rush, &[75]),
+    (Fault::StaleReports, &[75]),
+    (Fault::Overload, &[120]),
+];
+
+/// One policy's figures.
+struct Variant {
+    policy: Policy,
+    summary: Summary,
+}
+
+/// Runs the experiment.
+pub async fn exec(args: Args, seed: u64, figures: &Printer) -> ExperimentResult {
+    for (fault, loads) in SHORT_SET {
+        if !args.case.is_empty() && !args.case.contains(&fault) {
+            continue;
+        }
+        let loads = if args.load.is_empty() {
+            loads
+        } else {
+            &args.load
+        };
+        for &load in loads {
+            measure(&args, &Case::new(&args, fault, load), seed, figures);
+        }
+    }
+    if args.case.is_empty() {
+        decision::exec(seed, figures)?;
+    }
+    Ok(())
+}
+
+fn measure(args: &Args, case: &Case, seed: u64, figures: &Printer) {
+    let arrivals = draws::arrivals(case, seed);
+    let from = case.warm_up.as_secs_f64();
+    let mut variants = Vec::new();
+    for policy in POLICIES {
+        if !args.policy.is_empty() && !args.policy.contains(&policy) {
+            continue;
+        }
+        let calls = simulation::run(policy, case, &arrivals, seed);
+        let summary = Summary::new(case, &arrivals, &calls, from);
+        print_all(case, policy, &summary.metrics(case), figures);
+        if case.fault == Fault::Silent {
+            let later = Summary::new(case, &arrivals, &calls, from + 1.0);
+            let share = later.in_time_share;
+            print_all(
+                case,
+                policy,
+                &[("in_time_share_after_1s", share, "share")],
+                figures,
+            );
+        }
+        variants.push(Variant { policy, summary });
+    }
+    print_ratios(case, &variants, figures);
+    if case.fault == Fault::Rush {
+        compare_with_calm(args, case, &variants, seed, figures);
+    }
+}
+
+fn print_ratios(case: &Case, variants: &[Variant], figures: &Printer) {
+    let p99 = |policy| {
+        let variant = variants.iter().find(|v| v.policy == policy)?;
+        Some(variant.summary.p99_ms)
+    };
+    let Some(ours) = p99(Policy::Ours) else {
+        return;
+    };
+    let baselines = [
+        ("p99_vs_two_choices_ratio", Policy::TwoChoices),
+        ("p99_vs_limit_ratio", Policy::Limit),
+    ];
+    for (metric, policy) in baselines {
+        if let Some(base) = p99(policy) {
+            print_all(
+                case,
+                Policy::Ours,
+                &[(metric, ours / base, "ratio")],
+                figures,
+            );
+        }
+    }
+}
+
+/// The other callers' 99th percentile in a rush, against the same load without it.
+fn compare_with_calm(args: &Args, case: &Case, variants: &[Variant], seed: u64, figures: &Printer) {
+    let calm = Case::new(args, Fault::Calm, case.load_percent);
+    let arrivals = draws::arrivals(&calm, seed);
+    for Variant { policy, summary } in variants {
+        let calls = simulation::run(*policy, &calm, &arrivals, seed);
+        let base = Summary::new(&calm, &arrivals, &calls, calm.warm_up.as_secs_f64());
+        let ratio = summary.others_p99_ms / base.others_p99_ms;
+        let metric = ("others_p99_vs_calm_ratio", ratio, "ratio");
+        print_all(case, *policy, &[metric], figures);
+    }
+}
+
+fn print_all(case: &Case, policy: Policy, metrics: &[(&str, f64, &str)], figures: &Printer) {
+    for &(metric, value, unit) in metrics {
+        figures.print(&Figure {
+            experiment: "routing",
+            case: &case.name(),
+            variant: &policy.name(),
+            metric,
+            value,
+            unit,
+        });
+    }
+}
--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/routing/simulation.rs
@@ -0,0 +1,414 @@
+//! An event loop in simulated time over the gateway's decision code.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    time::{Duration, Instant},
+};
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use turmericloft::core::Name;
+
+use super::{
+    balancer::{Balancer, Policy},
+    calls::{Attempt, Call, Ending, Place, Reply},
+    case::{CALLER_WEIGHTS, CHANGED_ENDPOINTS, COLD_ANSWERS, COLD_SLOWDOWN, Case, Fault, ZONES},
+    connections::Connections,
+    draws::Arrival,
+    fake_endpoint::{FakeEndpoint, HISTORY_STEP_NS, Mood},
+};
+
+/// One way within an availability zone.
+const NEAR: Duration = Duration::from_micros(100);
+/// One way between availability zones.
+const FAR: Duration = Duration::from_micros(500);
+/// Time to make a connection.
+const CONNECT: Duration = Duration::from_millis(1);
+/// Spacing of the checks for silent connections.
+const CHECK: Duration = Duration::from_millis(10);
+
+/// What happens at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Event {
+    Arrive(usize),
+    Fault,
+    AtEndpoint(usize),
+    Finish(usize),
+    Answer(usize, Reply, u32),
+    Cancel(usize),
+    Hedge(usize),
+    Deadline(usize),
+    Remember,
+    CheckConnections,
+}
+
+/// One run of one policy.
+pub(super) struct Simulation<'a> {
+    pub(super) case: &'a Case,
+    pub(super) arrivals: &'a [Arrival],
+    pub(super) callers: Vec<Name>,
+    pub(super) start: Instant,
+    pub(super) now: u64,
+    pub(super) balancer: Balancer,
+    pub(super) calls: Vec<Call>,
+    pub(super) attempts: Vec<Attempt>,
+    pub(super) endpoints: Vec<FakeEndpoint>,
+    connections: Vec<Vec<Connections>>,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    rng: Pcg64Mcg,
+}
+
+/// Runs a policy over the arrivals and gives the calls, in the same order.
+pub fn run(policy: Policy, case: &Case, arrivals: &[Arrival], seed: u64) -> Vec<Call> {
+    let start = Instant::now();
+    let mut simulation = Simulation {
+        case,
+        arrivals,
+        callers: caller_names(),
+        start,
+        now: 0,
+        balancer: Balancer::new(policy, case, start, seed),
+        calls: vec![Call::default(); arrivals.len()],
+        attempts: Vec::with_capacity(arrivals.len()),
+        endpoints: case.fake_endpoints(seed),
+        connections: vec![vec![Connections::default(); case.endpoints]; case.gateways],
+        events: BinaryHeap::new(),
+        sequence: 0,
+        rng: Pcg64Mcg::seed_from_u64(seed),
+    };
+    simulation.run();
+    simulation.calls
+}
+
+fn caller_names() -> Vec<Name> {
+    let names = (1..=CALLER_WEIGHTS.len()).map(|i| Name::new(&format!("caller-{i}")));
+    names.flatten().collect()
+}
+
+impl Simulation<'_> {
+    fn run(&mut self) {
+        self.prepare();
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.now = at;
+            self.handle(event);
+        }
+    }
+
+    fn prepare(&mut self) {
+        if !self.arrivals.is_empty() {
+            self.schedule(self.arrivals[0].at, Event::Arrive(0));
+        }
+        self.schedule(self.case.warm_up, Event::Fault);
+        if self.case.fault == Fault::StaleReports {
+            self.schedule(Duration::ZERO, Event::Remember);
+        }
+        if self.case.fault == Fault::Silent {
+            self.schedule(Duration::ZERO, Event::CheckConnections);
+        }
+        if self.case.fault == Fault::ColdStart {
+            (0..CHANGED_ENDPOINTS).for_each(|e| self.set_leaving(e, true));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(call) => self.arrive(call),
+            Event::Fault => self.fault(),
+            Event::AtEndpoint(attempt) => self.at_endpoint(attempt),
+            Event::Finish(attempt) => self.finish(attempt),
+            Event::Answer(attempt, reply, load) => self.answer(attempt, reply, load),
+            Event::Cancel(attempt) => self.cancel(attempt),
+            Event::Hedge(call) => self.hedge(call),
+            Event::Deadline(call) => self.deadline(call),
+            Event::Remember => self.remember(),
+            Event::CheckConnections => self.check_connections(),
+        }
+    }
+
+    fn arrive(&mut self, call: usize) {
+        if let Some(next) = self.arrivals.get(call + 1) {
+            self.schedule(next.at, Event::Arrive(call + 1));
+        }
+        let deadline = self.arrivals[call].at + self.case.deadline;
+        self.schedule(deadline, Event::Deadline(call));
+        match &mut self.balancer {
+            Balancer::Ours(_) => self.offer(call),
+            Balancer::Simple(_) => self.choose_simply(call),
+            Balancer::Limit(queue) => {
+                queue.push_back(call);
+                self.pump_limit();
+            }
+        }
+    }
+
+    fn choose_simply(&mut self, call: usize) {
+        let gateway = self.arrivals[call].gateway;
+        let endpoints = &self.endpoints;
+        let Balancer::Simple(gateways) = &mut self.balancer else {
+            return;
+        };
+        let usable = |e: usize| endpoints[e].mood != Mood::Draining;
+        match gateways[gateway].choose(usable) {
+            Some(endpoint) => self.send(call, endpoint),
+            None => self.end_call(call, Ending::Refused(0.0)),
+        }
+    }
+
+    /// Gives free slots to the calls that wait in the one queue of the limit.
+    pub(super) fn pump_limit(&mut self) {
+        loop {
+            let Balancer::Limit(queue) = &mut self.balancer else {
+                return;
+            };
+            let Some(&call) = queue.front() else {
+                return;
+            };
+            if self.calls[call].ending.is_some() {
+                queue.pop_front();
+                continue;
+            }
+            let free = self.endpoints.iter().enumerate();
+            let free = free.filter(|(_, e)| e.mood == Mood::Working && e.has_free_slot());
+            let Some((endpoint, _)) = free.min_by_key(|(_, e)| e.running()) else {
+                return;
+            };
+            queue.pop_front();
+            let waited = self.age(call);
+            if waited > self.case.deadline.as_secs_f64() / 2.0 {
+                self.end_call(call, Ending::Refused(waited));
+                continue;
+            }
+            let attempt = self.new_attempt(call, endpoint);
+            self.attempts[attempt].place = Place::Endpoint;
+            self.endpoints[endpoint].push(attempt);
+            self.start_work(endpoint);
+        }
+    }
+
+    fn new_attempt(&mut self, call: usize, endpoint: usize) -> usize {
+        let arrival = &self.arrivals[call];
+        let first = self.calls[call].attempts.is_empty();
+        let attempt = self.attempts.len();
+        self.attempts.push(Attempt {
+            call,
+            gateway: arrival.gateway,
+            endpoint,
+            sent: self.now,
+            work: if first {
+                arrival.work
+            } else {
+                arrival.extra_work
+            },
+            open: true,
+            place: Place::Network,
+        });
+        self.calls[call].attempts.push(attempt);
+        attempt
+    }
+
+    /// Sends an attempt over the network.
+    pub(super) fn send(&mut self, call: usize, endpoint: usize) {
+        let attempt = self.new_attempt(call, endpoint);
+        let mut way = self.way(attempt);
+        let mut arrives = self.endpoints[endpoint].mood != Mood::Lost;
+        if self.case.fault == Fault::Silent {
+            let now = self.instant();
+            let gateway = self.attempts[attempt].gateway;
+            let taken = self.connections[gateway][endpoint].take(now, attempt);
+            arrives &= !taken.silent;
+            if taken.new {
+                way += CONNECT;
+            }
+        }
+        if arrives {
+            self.after(way, Event::AtEndpoint(attempt));
+        }
+    }
+
+    fn at_endpoint(&mut self, attempt: usize) {
+        let Attempt { endpoint, open, .. } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        match self.endpoints[endpoint].mood {
+            Mood::Lost => return,
+            Mood::Failing => return self.reply(attempt, Reply::Failed),
+            Mood::Working | Mood::Draining => {}
+        }
+        if !self.endpoints[endpoint].push(attempt) {
+            return self.reply(attempt, Reply::Shed);
+        }
+        self.attempts[attempt].place = Place::Endpoint;
+        self.start_work(endpoint);
+    }
+
+    fn start_work(&mut self, endpoint: usize) {
+        while let Some(attempt) = self.endpoints[endpoint].start_next() {
+            let work = self.attempts[attempt].work;
+            let start = self.now as f64 / 1e9;
+            let done = self.endpoints[endpoint].finish_time(start, work, COLD_SLOWDOWN);
+            self.schedule(Duration::from_secs_f64(done), Event::Finish(attempt));
+        }
+    }
+
+    fn finish(&mut self, attempt: usize) {
+        let Attempt {
+            endpoint, place, ..
+        } = self.attempts[attempt];
+        if place != Place::Endpoint {
+            return;
+        }
+        self.reply(attempt, Reply::Done);
+        self.endpoints[endpoint].finish();
+        self.start_work(endpoint);
+        self.pump_limit();
+    }
+
+    fn reply(&mut self, attempt: usize, reply: Reply) {
+        let endpoint = &self.endpoints[self.attempts[attempt].endpoint];
+        let load = endpoint.report(self.now as f64 / 1e9);
+        let lost = endpoint.mood == Mood::Lost;
+        self.attempts[attempt].place = Place::Gone;
+        let way = match self.balancer {
+            // The one queue stands for a gateway at equal distance from all endpoints.
+            Balancer::Limit(_) => 2 * (NEAR + 2 * FAR) / 3,
+            _ => self.way(attempt),
+        };
+        if !lost {
+            self.after(way, Event::Answer(attempt, reply, load));
+        }
+    }
+
+    fn cancel(&mut self, attempt: usize) {
+        let Attempt {
+            endpoint, place, ..
+        } = self.attempts[attempt];
+        if place != Place::Endpoint {
+            return;
+        }
+        self.attempts[attempt].place = Place::Gone;
+        self.endpoints[endpoint].cancel(attempt);
+        self.start_work(endpoint);
+        self.pump_limit();
+    }
+
+    fn remember(&mut self) {
+        self.endpoints.iter_mut().for_each(FakeEndpoint::remember);
+        if self.now < self.case.end.as_nanos() as u64 {
+            self.after(Duration::from_nanos(HISTORY_STEP_NS), Event::Remember);
+        }
+    }
+
+    fn check_connections(&mut self) {
+        let now = self.instant();
+        for gateway in 0..self.case.gateways {
+            let usual = self.usual_latency(gateway);
+            for endpoint in 0..self.case.endpoints {
+                let silent = self.connections[gateway][endpoint].silent_attempts(now, usual);
+                for attempt in silent {
+                    self.give_up(attempt);
+                }
+            }
+        }
+        if self.now < self.case.end.as_nanos() as u64 {
+            self.after(CHECK, Event::CheckConnections);
+        }
+    }
+
+    fn fault(&mut self) {
+        match self.case.fault {
+            Fault::FailFast => self.endpoints[0].mood = Mood::Failing,
+            Fault::Drain => {
+                let leaving = self.endpoints.iter_mut().take(CHANGED_ENDPOINTS);
+                leaving.for_each(|e| e.mood = Mood::Draining);
+            }
+            Fault::ColdStart => (0..CHANGED_ENDPOINTS).for_each(|e| {
+                self.set_leaving(e, false);
+                self.endpoints[e].cold = COLD_ANSWERS;
+            }),
+            Fault::Silent => {
+                let all = self.connections.iter_mut().flatten();
+                all.for_each(|c| c.silence(&mut self.rng));
+            }
+            Fault::ZoneLoss => {
+                let lost = self.endpoints.iter_mut().skip(1).step_by(ZONES);
+                lost.for_each(|e| e.mood = Mood::Lost);
+            }
+            Fault::StaleReports => {
+                for (i, endpoint) in self.endpoints.iter_mut().enumerate() {
+                    endpoint.stale = true;
+                    endpoint.lies = i % 4 == 0;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn set_leaving(&mut self, endpoint: usize, leaving: bool) {
+        self.endpoints[endpoint].mood = if leaving {
+            Mood::Draining
+        } else {
+            Mood::Working
+        };
+        self.tell_leaving(endpoint, leaving);
+    }
+
+    /// Takes the connection of an ended attempt back, or closes it.
+    pub(super) fn release_connection(&mut self, attempt: usize, answered: bool) {
+        if self.case.fault != Fault::Silent {
+            return;
+        }
+        let now = self.instant();
+        let Attempt {
+            gateway,
+            endpoint,
+            sent,
+            ..
+        } = self.attempts[attempt];
+        let sent = self.start + Duration::from_nanos(sent);
+        let connections = &mut self.connections[gateway][endpoint];
+        if answered {
+            connections.answered(now, attempt, sent);
+        } else {
+            connections.close(attempt);
+        }
+    }
+
+    /// Ends a call, unless it has ended.
+    pub(super) fn end_call(&mut self, call: usize, ending: Ending) {
+        self.calls[call].ending.get_or_insert(ending);
+    }
+
+    /// Seconds since the intended start of a call.
+    pub(super) fn age(&self, call: usize) -> f64 {
+        self.now as f64 / 1e9 - self.arrivals[call].at.as_secs_f64()
+    }
+
+    /// One way between an attempt's gateway and endpoint.
+    pub(super) fn way(&self, attempt: usize) -> Duration {
+        let Attempt {
+            gateway, endpoint, ..
+        } = self.attempts[attempt];
+        if Case::zone(gateway) == Case::zone(endpoint) {
+            NEAR
+        } else {
+            FAR
+        }
+    }
+
+    pub(super) fn instant(&self) -> Instant {
+        self.start + Duration::from_nanos(self.now)
+    }
+
+    pub(super) fn after(&mut self, wait: Duration, event: Event) {
+        self.schedule(Duration::from_nanos(self.now) + wait, event);
+    }
+
+    fn schedule(&mut self, at: Duration, event: Event) {
+        self.sequence += 1;
+        let entry = (at.as_nanos() as u64, self.sequence, event);
+        self.events.push(Reverse(entry));
+    }
+}
--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/routing/summary.rs
@@ -0,0 +1,161 @@
+//! Figures of one run.
+
+use super::{
+    calls::{Call, Ending},
+    case::{CALLER_WEIGHTS, Case, Fault},
+    draws::{Arrival, RUSHING_CALLER},
+};
+
+/// Figures of one run, from the end of the warm-up on.
+#[derive(Clone, Debug, Default)]
+pub struct Summary {
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+    pub p999_ms: f64,
+    /// 99 in 100 of the callers that do not rush.
+    pub others_p99_ms: f64,
+    /// Calls answered by their deadline, of all calls.
+    pub in_time_share: f64,
+    /// Calls answered by their deadline, of those that were not refused.
+    pub admitted_in_time_share: f64,
+    pub refused_share: f64,
+    /// 99 in 100 refusals, from the intended start.
+    pub refusal_p99_ms: f64,
+    pub extra_calls_share: f64,
+    pub max_share_error: f64,
+    /// Calls answered in time, of those the endpoints can serve.
+    pub goodput_share: f64,
+}
+
+impl Summary {
+    /// Sums up the calls that were meant to start at `from` seconds or later.
+    pub fn new(case: &Case, arrivals: &[Arrival], calls: &[Call], from: f64) -> Self {
+        let measured = || {
+            let all = arrivals.iter().zip(calls);
+            all.filter(|(a, _)| a.at.as_secs_f64() >= from)
+        };
+        let total = measured().count() as f64;
+        let served = measured().filter(|(_, c)| is_served(c)).count() as f64;
+        let refused = measured().filter(|(_, c)| is_refused(c)).count() as f64;
+        let extra: usize = measured()
+            .map(|(_, c)| c.attempts.len().saturating_sub(1))
+            .sum();
+        let mut latencies: Vec<_> = measured()
+            .filter_map(|(_, c)| latency_ms(case, c))
+            .collect();
+        let mut others: Vec<_> = measured()
+            .filter(|(a, _)| a.caller != RUSHING_CALLER)
+            .filter_map(|(_, c)| latency_ms(case, c))
+            .collect();
+        let mut refusals: Vec<_> = measured().filter_map(|(_, c)| refusal_ms(c)).collect();
+        let seconds = case.end.as_secs_f64() - from;
+        Self {
+            p50_ms: quantile(&mut latencies, 0.5),
+            p99_ms: quantile(&mut latencies, 0.99),
+            p999_ms: quantile(&mut latencies, 0.999),
+            others_p99_ms: quantile(&mut others, 0.99),
+            in_time_share: served / total,
+            admitted_in_time_share: served / (total - refused),
+            refused_share: refused / total,
+            refusal_p99_ms: quantile(&mut refusals, 0.99),
+            extra_calls_share: extra as f64 / total,
+            max_share_error: max_share_error(measured()),
+            goodput_share: served / (seconds * case.capacity()),
+        }
+    }
+
+    /// Metrics with name, value and unit.
+    pub fn metrics(&self, case: &Case) -> Vec<(&'static str, f64, &'static str)> {
+        let mut metrics = vec![
+            ("p50_ms", self.p50_ms, "ms"),
+            ("p99_ms", self.p99_ms, "ms"),
+            ("p999_ms", self.p999_ms, "ms"),
+            ("in_time_share", self.in_time_share, "share"),
+            ("refused_share", self.refused_share, "share"),
+            ("extra_calls_share", self.extra_calls_share, "share"),
+            ("max_share_error", self.max_share_error, "share"),
+        ];
+        if case.fault == Fault::Rush {
+            metrics.push(("others_p99_ms", self.others_p99_ms, "ms"));
+        }
+        if matches!(case.fault, Fault::Rush | Fault::Overload) {
+            metrics.push(("goodput_share", self.goodput_share, "share"));
+            metrics.push(("refusal_p99_ms", self.refusal_p99_ms, "ms"));
+            let in_time = self.admitted_in_time_share;
+            metrics.push(("admitted_in_time_share", in_time, "share"));
+        }
+        metrics
+    }
+}
+
+fn is_served(call: &Call) -> bool {
+    matches!(call.ending, Some(Ending::Served(_)))
+}
+
+fn is_refused(call: &Call) -> bool {
+    matches!(call.ending, Some(Ending::Refused(_)))
+}
+
+/// Latency of an admitted call; one that was late counts with its deadline.
+fn latency_ms(case: &Case, call: &Call) -> Option<f64> {
+    match call.ending {
+        Some(Ending::Served(seconds)) => Some(seconds * 1e3),
+        Some(Ending::Late) => Some(case.deadline.as_secs_f64() * 1e3),
+        _ => None,
+    }
+}
+
+fn refusal_ms(call: &Call) -> Option<f64> {
+    match call.ending {
+        Some(Ending::Refused(seconds)) => Some(seconds * 1e3),
+        _ => None,
+    }
+}
+
+fn quantile(values: &mut [f64], q: f64) -> f64 {
+    if values.is_empty() {
+        return 0.0;
+    }
+    values.sort_by(f64::total_cmp);
+    let rank = (q * values.len() as f64).ceil() as usize;
+    values[rank.clamp(1, values.len()) - 1]
+}
+
+/// Largest relative difference between what a caller was served and its fair share: the weighted
+/// max-min share of all that was served.
+fn max_share_error<'a>(measured: impl Iterator<Item = (&'a Arrival, &'a Call)>) -> f64 {
+    let mut offered = [0.0; CALLER_WEIGHTS.len()];
+    let mut served = [0.0; CALLER_WEIGHTS.len()];
+    for (arrival, call) in measured {
+        offered[arrival.caller] += 1.0;
+        if is_served(call) {
+            served[arrival.caller] += 1.0;
+        }
+    }
+    let fair = fair_shares(&offered, served.iter().sum());
+    let errors = served.iter().zip(fair).map(|(s, f)| (s - f).abs() / f);
+    errors.fold(0.0, f64::max)
+}
+
+/// Weighted max-min shares of `capacity` for callers that offer so much.
+fn fair_shares(offered: &[f64], capacity: f64) -> Vec<f64> {
+    let mut shares = vec![0.0; offered.len()];
+    let mut left = capacity;
+    let mut open: Vec<usize> = (0..offered.len()).collect();
+    while !open.is_empty() && left > 1e-9 {
+        let weights: f64 = open.iter().map(|&i| f64::from(CALLER_WEIGHTS[i])).sum();
+        let share = |i: usize| left * f64::from(CALLER_WEIGHTS[i]) / weights;
+        let (content, others): (Vec<_>, Vec<_>) =
+            open.iter().partition(|&&i| offered[i] <= share(i));
+        if content.is_empty() {
+            others.iter().for_each(|&i| shares[i] = share(i));
+            break;
+        }
+        for &i in &content {
+            shares[i] = offered[i];
+        }
+        left -= content.iter().map(|&i| offered[i]).sum::<f64>();
+        open = others;
+    }
+    shares
+}
--- a/crates/turmericloft-bench/src/main.rs
+++ b/crates/turmericloft-bench/src/main.rs
@@ -10,7 +10,7 @@
 mod experiments;
 mod figure;
 
-use experiments::overhead;
+use experiments::{overhead, routing};
 
 /// Measures turmericloft against its own baselines on loopback
 #[derive(Debug, Parser)]
@@ -29,6 +29,7 @@
 #[derive(Debug, Subcommand)]
 enum Experiment {
     Overhead(overhead::Args),
+    Routing(routing::Args),
 }
 
 #[tokio::main]
@@ -37,6 +38,7 @@
     let figures = figure::Printer::new(cli.json);
     let result = match cli.experiment {
         Experiment::Overhead(args) => overhead::exec(args, cli.seed, &figures).await,
+        Experiment::Routing(args) => routing::exec(args, cli.seed, &figures).await,
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -1,5 +1,6 @@
 //! Types and decisions. Nothing here opens a socket, reads a clock or spawns a task.
 
+pub mod admission;
 pub mod config;
 pub mod counting;
 pub mod document;
--- a/crates/turmericloft/src/core/routing/mod.rs
+++ b/crates/turmericloft/src/core/routing/mod.rs
@@ -1,5 +1,27 @@
-//! Routing: which endpoint gets a request.
+//! Routing: which endpoint gets a call, and when a call gets a second one.
+//!
+//! [`ServiceScheduler`] is where to begin: it holds all decisions of one service on one gateway.
 
+mod call_chain;
+mod call_end;
+mod connection_progress;
+mod decayed_mean;
+mod endpoint_set;
+mod endpoint_state;
 mod endpoint_table;
+mod extra_call_budget;
+mod hedge_delay;
+mod load_report;
+mod service_scheduler;
 
-pub use self::endpoint_table::{EndpointTable, InFlight};
+pub use self::{
+    call_chain::CallChain,
+    call_end::{CallEnd, EndedCall},
+    connection_progress::ConnectionProgress,
+    endpoint_set::{EndpointId, EndpointSet, EndpointSettings},
+    endpoint_table::{EndpointTable, InFlight},
+    extra_call_budget::ExtraCallBudget,
+    hedge_delay::HedgeDelay,
+    load_report::{LoadReport, LoadReportError},
+    service_scheduler::{CallRequest, Decision, Offer, SchedulerSettings, ServiceScheduler},
+};
--- /dev/null
+++ b/crates/turmericloft/src/core/routing/service_scheduler.rs
@@ -0,0 +1,364 @@
+//! All decisions of one service on one gateway.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use rand_pcg::Pcg64Mcg;
+
+use super::{
+    CallChain, CallEnd, EndedCall, EndpointId, EndpointSet, EndpointSettings, ExtraCallBudget,
+    HedgeDelay, decayed_mean::DecayedMean,
+};
+use crate::core::{
+    Name,
+    admission::{
+        CallerLimits, ConcurrencyWindow, FairQueue, FlowId, Refusal, RefusalReason, Ticket,
+    },
+};
+
+/// Share of calls that are slow enough to be hedged.
+const HEDGED_SHARE: f64 = 0.04;
+/// Hedge delay before the first answers.
+const INITIAL_HEDGE_DELAY: Duration = Duration::from_millis(50);
+/// Hedge delays that a call needs after it was sent, for the deadline check.
+const CALL_HEDGE_DELAYS: f64 = 1.5;
+/// Share of the time left that a call may spend in the queue.
+const MAX_WAIT_SHARE: f64 = 0.5;
+/// Half-life of the rate at which calls end, in seconds.
+const RATE_HALF_LIFE_S: f64 = 0.25;
+/// Calls seen before the rate is trusted.
+const MIN_RATE_SAMPLES: f64 = 4.0;
+/// Shortest time to come back after a refusal.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Time after which a service without a live endpoint may have one.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
+
+/// What a document says about a service that matters for scheduling it.
+#[derive(Clone, Copy, Debug)]
+pub struct SchedulerSettings<'a> {
+    /// The endpoints.
+    pub endpoints: &'a [EndpointSettings],
+    /// Calls that may wait.
+    pub queue: u32,
+    /// Retries and hedges for each 100 calls.
+    pub extra_calls_percent: u32,
+}
+
+/// A call that asks to be sent.
+#[derive(Clone, Copy, Debug)]
+pub struct CallRequest<'a> {
+    /// Who asks.
+    pub caller: &'a Name,
+    /// The caller's weight.
+    pub weight: u32,
+    /// What the call counts for in fair sharing.
+    pub cost: u32,
+    /// When the caller needs the answer.
+    pub deadline: Instant,
+    /// Limits of the caller's contract.
+    pub limits: CallerLimits,
+}
+
+/// What happens with a new call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Offer {
+    /// It is sent now.
+    Start(FlowId, EndpointId),
+    /// It waits; [`ServiceScheduler::next`] decides on it later.
+    Wait(Ticket),
+    /// It is turned away.
+    Refuse(Refusal),
+}
+
+/// What happens with a call that waited.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Decision {
+    /// It is sent now.
+    Start(EndpointId),
+    /// It is turned away.
+    Refuse(Refusal),
+}
+
+/// All decisions of one service on one gateway: admission, order, endpoint, extra calls.
+///
+/// A call is offered once, and its flow released once with [`Self::leave`]. Each attempt that is
+/// sent is ended once with [`Self::end`]; after both, [`Self::next`] is asked until it has nothing
+/// more to say.
+#[derive(Debug)]
+pub struct ServiceScheduler {
+    epoch: Instant,
+    endpoints: EndpointSet,
+    queue: FairQueue,
+    evicted: VecDeque<Ticket>,
+    window: ConcurrencyWindow,
+    budget: ExtraCallBudget,
+    hedge_delay: HedgeDelay,
+    in_flight: u32,
+    ends: DecayedMean,
+    cost: DecayedMean,
+}
+
+impl ServiceScheduler {
+    /// A scheduler that knows nothing yet.
+    pub fn new(now: Instant, settings: &SchedulerSettings<'_>, rng: Pcg64Mcg) -> Self {
+        let endpoints = EndpointSet::new(now, settings.endpoints, rng);
+        Self::with_endpoints(now, settings, endpoints)
+    }
+
+    /// A scheduler for changed settings that keeps what is known about endpoints and latencies;
+    /// `known` gives each endpoint's place in the scheduler before.
+    pub fn carried_over(
+        &self,
+        now: Instant,
+        settings: &SchedulerSettings<'_>,
+        known: &[Option<EndpointId>],
+    ) -> Self {
+        let known: Vec<_> = settings
+            .endpoints
+            .iter()
+            .copied()
+            .zip(known.iter().copied())
+            .collect();
+        let endpoints = self.endpoints.carried_over(&known);
+        Self {
+            epoch: self.epoch,
+            hedge_delay: self.hedge_delay.clone(),
+            ..Self::with_endpoints(now, settings, endpoints)
+        }
+    }
+
+    fn with_endpoints(
+        now: Instant,
+        settings: &SchedulerSettings<'_>,
+        endpoints: EndpointSet,
+    ) -> Self {
+        let slots = settings.endpoints.iter().map(|e| e.slots).sum();
+        Self {
+            epoch: now,
+            endpoints,
+            queue: FairQueue::new(settings.queue as usize),
+            evicted: VecDeque::new(),
+            window: ConcurrencyWindow::new(slots),
+            budget: ExtraCallBudget::new(settings.extra_calls_percent),
+            hedge_delay: HedgeDelay::new(HEDGED_SHARE, INITIAL_HEDGE_DELAY),
+            in_flight: 0,
+            ends: DecayedMean::new(RATE_HALF_LIFE_S),
+            cost: DecayedMean::new(RATE_HALF_LIFE_S),
+        }
+    }
+
+    /// The endpoints.
+    pub fn endpoints(&self) -> &EndpointSet {
+        &self.endpoints
+    }
+
+    /// Calls sent and not ended.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Calls that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Limit of calls in flight.
+    pub fn window(&self) -> f64 {
+        self.window.limit()
+    }
+
+    /// Takes in what the host list says about an endpoint.
+    pub fn set_leaving(&mut self, endpoint: EndpointId, leaving: bool) {
+        self.endpoints.set_leaving(endpoint, leaving);
+    }
+
+    /// Decides on a new call.
+    pub fn offer(&mut self, now: Instant, call: &CallRequest<'_>) -> Offer {
+        let flow = self.queue.flow(call.caller, call.weight);
+        if let Err(refusal) = self.check(now, flow, call) {
+            return Offer::Refuse(refusal);
+        }
+        self.budget.add_call();
+        if self.queue.is_empty()
+            && let Some(endpoint) = self.start_any(now, &[])
+        {
+            self.queue.pass(flow, call.cost);
+            self.cost.add(self.seconds(now), f64::from(call.cost));
+            return Offer::Start(flow, endpoint);
+        }
+        if self.queue.is_full() {
+            match self.queue.evict_for(flow, call.cost) {
+                Some(ticket) => self.evicted.push_back(ticket),
+                None => return Offer::Refuse(self.refusal(now, flow, RefusalReason::QueueFull)),
+            }
+        }
+        Offer::Wait(self.queue.push(flow, call.cost, call.deadline))
+    }
+
+    /// Decides on the next waiting call, if there is one to decide on now.
+    pub fn next(&mut self, now: Instant) -> Option<(Ticket, Decision)> {
+        if let Some(ticket) = self.evicted.pop_front() {
+            let refusal = self.refusal(now, ticket.flow(), RefusalReason::QueueFull);
+            return Some((ticket, Decision::Refuse(refusal)));
+        }
+        if self.queue.is_empty() || !self.window.allows(self.in_flight) {
+            return None;
+        }
+        let endpoint = self.endpoints.choose(now, &[])?;
+        let call = self.queue.pop()?;
+        let usual = Duration::from_secs_f64(self.endpoints.mean_latency());
+        if now + usual > call.deadline {
+            self.queue.leave(call.ticket.flow());
+            let refusal = self.refusal(now, call.ticket.flow(), RefusalReason::Deadline);
+            return Some((call.ticket, Decision::Refuse(refusal)));
+        }
+        self.start(now, endpoint);
+        self.cost.add(self.seconds(now), f64::from(call.cost));
+        Some((call.ticket, Decision::Start(endpoint)))
+    }
+
+    /// Takes a waiting call out of the queue; its caller left or its time is over. Gives whether
+    /// it was still waiting.
+    pub fn abandon(&mut self, ticket: Ticket) -> bool {
+        self.queue.remove(ticket)
+    }
+
+    /// A call that was started has ended, with all its attempts.
+    pub fn leave(&mut self, flow: FlowId) {
+        self.queue.leave(flow);
+    }
+
+    /// Takes in an ended attempt.
+    pub fn end(&mut self, now: Instant, call: &EndedCall) {
+        if let Some(load) = call.load {
+            self.window.record(load, self.in_flight);
+        }
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.endpoints.end(now, call);
+        let latency = now.saturating_duration_since(call.started);
+        if matches!(call.end, CallEnd::Answered) {
+            self.hedge_delay.record(latency);
+            self.ends.add(self.seconds(now), 1.0);
+        }
+    }
+
+    /// Time after which an unanswered call is to be hedged.
+    pub fn hedge_delay(&self) -> Duration {
+        self.hedge_delay.get()
+    }
+
+    /// Takes an endpoint for the hedge of an idempotent call that is slow. There is none while
+    /// other calls wait, or when the budget is used up.
+    pub fn hedge(
+        &mut self,
+        now: Instant,
+        chain: CallChain,
+        tried: &[EndpointId],
+    ) -> Option<EndpointId> {
+        if !self.queue.is_empty() {
+            return None;
+        }
+        self.extra_call(now, chain, tried)
+    }
+
+    /// Takes an endpoint for a call that failed and may be sent again.
+    pub fn retry(
+        &mut self,
+        now: Instant,
+        chain: CallChain,
+        tried: &[EndpointId],
+    ) -> Option<EndpointId> {
+        self.extra_call(now, chain, tried)
+    }
+
+    /// Takes another endpoint for a call of which no byte was sent. It is no extra call.
+    pub fn resend(&mut self, now: Instant, tried: &[EndpointId]) -> Option<EndpointId> {
+        let endpoint = self.endpoints.choose(now, tried)?;
+        self.start(now, endpoint);
+        Some(endpoint)
+    }
+
+    fn extra_call(
+        &mut self,
+        now: Instant,
+        chain: CallChain,
+        tried: &[EndpointId],
+    ) -> Option<EndpointId> {
+        let allowed = chain.allows_extra_calls() && (tried.len() as u32) < CallChain::MAX_ATTEMPTS;
+        if !allowed || !self.budget.has_extra_call() {
+            return None;
+        }
+        let endpoint = self.endpoints.choose(now, tried)?;
+        self.budget.take();
+        self.start(now, endpoint);
+        Some(endpoint)
+    }
+
+    fn check(&mut self, now: Instant, flow: FlowId, call: &CallRequest<'_>) -> Result<(), Refusal> {
+        if !self.endpoints.has_live(now) {
+            return Err(Refusal {
+                reason: RefusalReason::NoEndpoint,
+                retry_after: NO_ENDPOINT_RETRY,
+            });
+        }
+        let open = self.queue.in_flight(flow) as usize + self.queue.waiting(flow);
+        if call.limits.in_flight.is_some_and(|n| open >= n as usize) {
+            return Err(self.refusal(now, flow, RefusalReason::InFlightLimit));
+        }
+        let left = call.deadline.saturating_duration_since(now).as_secs_f64();
+        let needed = self.hedge_delay.get().as_secs_f64() * CALL_HEDGE_DELAYS;
+        let wait = self.expected_wait(now, flow, call.cost);
+        if wait > 0.0 && (wait > left * MAX_WAIT_SHARE || wait + needed > left) {
+            return Err(self.refusal(now, flow, RefusalReason::Deadline));
+        }
+        self.queue
+            .take_rate(now, flow, &call.limits)
+            .map_err(|wait| Refusal {
+                reason: RefusalReason::RateLimit,
+                retry_after: wait.max(MIN_RETRY_AFTER),
+            })
+    }
+
+    /// Time that a new call of a caller would wait, in seconds.
+    fn expected_wait(&self, now: Instant, flow: FlowId, cost: u32) -> f64 {
+        if self.queue.is_empty() {
+            return 0.0;
+        }
+        let (ends, _) = self.ends.at(self.seconds(now));
+        if ends < MIN_RATE_SAMPLES {
+            return 0.0;
+        }
+        let calls_per_s = ends * std::f64::consts::LN_2 / RATE_HALF_LIFE_S;
+        let mean_cost = self.cost.mean_or(f64::from(cost)).max(1.0);
+        self.queue.cost_ahead(flow, cost) / (calls_per_s * mean_cost)
+    }
+
+    fn refusal(&self, now: Instant, flow: FlowId, reason: RefusalReason) -> Refusal {
+        let wait = self.expected_wait(now, flow, 1);
+        let wait = Duration::try_from_secs_f64(wait).unwrap_or(MIN_RETRY_AFTER);
+        Refusal {
+            reason,
+            retry_after: wait.max(MIN_RETRY_AFTER),
+        }
+    }
+
+    fn start_any(&mut self, now: Instant, tried: &[EndpointId]) -> Option<EndpointId> {
+        if !self.window.allows(self.in_flight) {
+            return None;
+        }
+        let endpoint = self.endpoints.choose(now, tried)?;
+        self.start(now, endpoint);
+        Some(endpoint)
+    }
+
+    fn start(&mut self, now: Instant, endpoint: EndpointId) {
+        self.endpoints.start(now, endpoint);
+        self.in_flight += 1;
+    }
+
+    fn seconds(&self, at: Instant) -> f64 {
+        at.saturating_duration_since(self.epoch).as_secs_f64()
+    }
+}
