--- a/crates/turmericloft-bench/src/experiments/mod.rs
+++ b/crates/turmericloft-bench/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod capacity;
 pub mod overhead;
+pub mod routing;
 
 /// What an experiment ends with.
 pub type ExperimentResult = Result<(), Box<dyn std::error::Error>>;
