Cut and silence connections of the stand-in backend server for real

Cause: the stand-in answered a crash with a status line and a body that failed, so a crash was seen as a begun answer, and crash_on cut no other connection. Change: the stand-in accepts its own connections; a crash closes them before a byte of the answer, crash_on closes all of them, and the new silence_open makes those open now silent for good while new ones work. The JSON control is as it was, with that one key more. Tests: four, from the connection's side; counts of runs are checked at the stand-in.

--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the programs as separate processes.
 
+mod standin_backend;
 mod support;
 mod whole_path;
--- a/crates/turmericloft-standins/src/backend/faults.rs
+++ b/crates/turmericloft-standins/src/backend/faults.rs
@@ -26,6 +26,9 @@
     pub silent: bool,
     /// Requests are run, but their connection is cut in place of an answer.
     pub crash_after_run: bool,
+    /// Connections open when this is set take requests, but neither run nor answer them; new
+    /// connections work.
+    pub silence_open: bool,
     /// Connections are cut before a request is run.
     pub crash_before_run: bool,
     /// The load header claims this many requests in flight.
@@ -46,6 +49,7 @@
             shed: false,
             drain: false,
             silent: false,
+            silence_open: false,
             crash_after_run: false,
             crash_before_run: false,
             reported_in_flight: None,
--- a/crates/turmericloft-standins/src/backend/mod.rs
+++ b/crates/turmericloft-standins/src/backend/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-in for a backend server.
 
+mod connections;
 mod faults;
 mod routes;
 mod runs;
--- a/crates/turmericloft-standins/src/backend/routes.rs
+++ b/crates/turmericloft-standins/src/backend/routes.rs
@@ -11,13 +11,12 @@
 };
 
 use axum::{
-    Json, Router,
-    body::{Body, Bytes},
-    extract::{DefaultBodyLimit, State},
-    http::{HeaderMap, HeaderValue, StatusCode, Uri},
+    Json,
+    body::{self, Body, Bytes},
+    http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri},
     response::{IntoResponse, Response},
-    routing::{get, put},
 };
+use hyper::body::Incoming;
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -26,7 +25,10 @@
     time::{Instant, sleep, timeout_at},
 };
 
-use super::{BackendFaults, RunCounts};
+use super::{
+    BackendFaults, RunCounts,
+    connections::{Connection, Connections},
+};
 use crate::{ServeError, Served};
 
 /// Header with the time left for a request, in milliseconds.
@@ -45,7 +47,8 @@
 }
 
 #[derive(Debug)]
-struct Shared {
+pub(super) struct Shared {
+    pub(super) connections: Connections,
     faults: Mutex<BackendFaults>,
     runs: Mutex<RunCounts>,
     rng: Mutex<Pcg64Mcg>,
@@ -61,6 +64,7 @@
     pub fn new(faults: BackendFaults, seed: u64) -> Self {
         let slots = Mutex::new(Arc::new(Semaphore::new(faults.slots)));
         let shared = Shared {
+            connections: Connections::default(),
             faults: Mutex::new(faults),
             runs: Mutex::default(),
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
@@ -74,13 +78,8 @@
 
     /// Serves at `address`.
     pub async fn serve(&self, address: SocketAddr) -> Result<Served, ServeError> {
-        let app = Router::new()
-            .route("/control", put(set_faults))
-            .route("/runs", get(runs))
-            .fallback(answer)
-            .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
-            .with_state(Arc::clone(&self.shared));
-        Served::start(address, app).await
+        let shared = Arc::clone(&self.shared);
+        Served::start_with(address, |listener| shared.accept(listener)).await
     }
 
     /// Replaces the behaviour.
@@ -94,41 +93,62 @@
     }
 }
 
-async fn set_faults(State(shared): State<Arc<Shared>>, Json(faults): Json<BackendFaults>) {
-    shared.set_faults(faults);
-}
-
-async fn runs(State(shared): State<Arc<Shared>>) -> Json<RunCounts> {
-    Json(shared.runs.lock().clone())
-}
+impl Shared {
+    /// Answers one request; `None` if its connection must be cut.
+    pub(super) async fn handle(
+        &self,
+        connection: &Connection,
+        req: Request<Incoming>,
+    ) -> Option<Response> {
+        let (head, body) = req.into_parts();
+        let control = head.uri.path() == "/control" && head.method == Method::PUT;
+        if !control && self.connections.is_silenced(connection) {
+            return pending().await;
+        }
+        let body = body::to_bytes(Body::new(body), MAX_BODY_BYTES).await.ok()?;
+        if control {
+            return Some(self.control(&body));
+        }
+        if head.uri.path() == "/runs" {
+            return Some(Json(self.runs.lock().clone()).into_response());
+        }
+        self.answer(&head.uri, &head.headers, body).await
+    }
 
-async fn answer(
-    State(shared): State<Arc<Shared>>,
-    uri: Uri,
-    headers: HeaderMap,
-    body: Bytes,
-) -> Response {
-    let faults = shared.faults.lock().clone();
-    shared.in_flight.fetch_add(1, Ordering::Relaxed);
-    let _in_flight = InFlight(&shared.in_flight);
-    let mut answer = shared.respond(&faults, &uri, &headers, body).await;
-    let load = faults
-        .reported_in_flight
-        .unwrap_or(shared.in_flight.load(Ordering::Relaxed));
-    let load = format!("{load}/{}", faults.slots);
-    if let Ok(load) = HeaderValue::from_str(&load) {
-        answer.headers_mut().insert(LOAD_HEADER, load);
+    fn control(&self, body: &[u8]) -> Response {
+        match serde_json::from_slice(body) {
+            Ok(faults) => {
+                self.set_faults(faults);
+                StatusCode::OK.into_response()
+            }
+            Err(e) => (StatusCode::UNPROCESSABLE_ENTITY, e.to_string()).into_response(),
+        }
     }
-    if faults.drain {
-        answer
-            .headers_mut()
-            .insert("drain", HeaderValue::from_static("true"));
+
+    async fn answer(&self, uri: &Uri, headers: &HeaderMap, body: Bytes) -> Option<Response> {
+        let faults = self.faults.lock().clone();
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        let _in_flight = InFlight(&self.in_flight);
+        let mut answer = self.respond(&faults, uri, headers, body).await?;
+        let load = faults
+            .reported_in_flight
+            .unwrap_or(self.in_flight.load(Ordering::Relaxed));
+        let load = format!("{load}/{}", faults.slots);
+        if let Ok(load) = HeaderValue::from_str(&load) {
+            answer.headers_mut().insert(LOAD_HEADER, load);
+        }
+        if faults.drain {
+            answer
+                .headers_mut()
+                .insert("drain", HeaderValue::from_static("true"));
+        }
+        Some(answer)
     }
-    answer
-}
 
-impl Shared {
     fn set_faults(&self, faults: BackendFaults) {
+        if faults.silence_open {
+            self.connections.silence_open();
+        }
         let mut current = self.faults.lock();
         if current.slots != faults.slots {
             *self.slots.lock() = Arc::new(Semaphore::new(faults.slots));
@@ -142,39 +162,43 @@
         uri: &Uri,
         headers: &HeaderMap,
         body: Bytes,
-    ) -> Response {
+    ) -> Option<Response> {
         if faults.fail_fast {
-            return (StatusCode::INTERNAL_SERVER_ERROR, "failing\n").into_response();
+            return Some((StatusCode::INTERNAL_SERVER_ERROR, "failing\n").into_response());
+        }
+        if faults.crash_before_run {
+            return None;
         }
         let crashes = |text: &String| String::from_utf8_lossy(&body).contains(text.as_str());
-        if faults.crash_before_run || faults.crash_on.as_ref().is_some_and(crashes) {
-            return cut_connection();
+        if faults.crash_on.as_ref().is_some_and(crashes) {
+            self.connections.cut_all();
+            return None;
         }
         let waiting = self
             .in_flight
             .load(Ordering::Relaxed)
             .saturating_sub(faults.slots);
         if faults.shed || waiting > faults.queue {
-            return not_started();
+            return Some(not_started());
         }
         let slots = Arc::clone(&self.slots.lock());
         let slot = timeout_at(deadline(headers), slots.acquire()).await;
         let Ok(Ok(_slot)) = slot else {
-            return not_started();
+            return Some(not_started());
         };
         self.run(faults, headers).await;
         if faults.silent {
             return pending().await;
         }
         if faults.crash_after_run {
-            return cut_connection();
+            return None;
         }
         let tag = headers.get("answer-tag").cloned();
         let mut answer = Response::new(Body::from(body_of(faults, uri, &body)));
         if let Some(tag) = tag {
             answer.headers_mut().insert("answer-tag", tag);
         }
-        answer
+        Some(answer)
     }
 
     async fn run(&self, faults: &BackendFaults, headers: &HeaderMap) {
@@ -219,10 +243,3 @@
     let headers = [(SHED_HEADER, "not-started")];
     (StatusCode::SERVICE_UNAVAILABLE, headers, "shed\n").into_response()
 }
-
-/// An answer whose body fails at once, which makes the server close the connection.
-fn cut_connection() -> Response {
-    let failure = std::io::Error::other("cut");
-    let body = futures_util::stream::once(async move { Err::<Bytes, _>(failure) });
-    Body::from_stream(body).into_response()
-}
--- a/crates/turmericloft-standins/src/serve.rs
+++ b/crates/turmericloft-standins/src/serve.rs
@@ -28,18 +28,29 @@
 impl Served {
     /// Serves `app` at `address`; with port 0 a free port is taken.
     pub async fn start(address: SocketAddr, app: Router) -> Result<Self, ServeError> {
+        Self::start_with(address, |listener| async move {
+            if let Err(e) = axum::serve(listener, app).into_future().await {
+                log::error!("a stand-in ended: {e}");
+            }
+        })
+        .await
+    }
+
+    /// Runs `serve` on a listener at `address`, for stand-ins that need their connections.
+    pub async fn start_with<F, S>(address: SocketAddr, serve: S) -> Result<Self, ServeError>
+    where
+        F: Future<Output = ()> + Send + 'static,
+        S: FnOnce(TcpListener) -> F,
+    {
         let error = |source| ServeError { address, source };
         let listener = TcpListener::bind(address).await.map_err(error)?;
         let local = listener.local_addr().map_err(error)?;
         let stop = CancellationToken::new();
         let stopped = stop.clone().cancelled_owned();
+        let serving = serve(listener);
         let task = tokio::spawn(async move {
             tokio::select! {
-                served = axum::serve(listener, app).into_future() => {
-                    if let Err(e) = served {
-                        log::error!("a stand-in ended: {e}");
-                    }
-                }
+                () = serving => {}
                 () = stopped => {}
             }
         });
