Decide guarded actions without I/O: ids, table, permits

Cause: a guarded action was sent on without any memory of it, so a resend ran it again. Change: core/guard holds issued ids (HMAC over id, caller and service; a previous secret is accepted), the sharded and bounded action table, and permits whose type says how far an action has come. A dropped permit ends its action: not-run before dispatch, unknown after it. An action that ended as not-run stays not-run for its key, so that a late copy can't make the answer false. Ruled out: telling not-run when a forward is lost; an earlier copy may have run at the executor.

--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -1,7 +1,7 @@
 //! Tests of the programs as separate processes.
 
-mod standin_backend;
 mod docs;
 mod load;
+mod standin_backend;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/crates/turmericloft/src/core/guard/action_id.rs
@@ -0,0 +1,105 @@
+//! Issued action ids.
+
+use base64::{Engine, engine::general_purpose::URL_SAFE_NO_PAD};
+use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::{ActionKey, ActionKeys};
+use crate::core::{HostId, Name};
+
+/// Longest text accepted as an id, in bytes.
+const MAX_TEXT_BYTES: usize = 256;
+
+/// Names one guarded action and the only gateway incarnation that may run it.
+///
+/// Its text form is base64 (URL-safe, unpadded) of the postcard encoding followed by an
+/// authenticator over the encoding, the caller and the service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ActionId {
+    /// The only gateway incarnation that may run the action.
+    pub executor: HostId,
+    /// Milliseconds since the Unix epoch, by the executor's clock, from which on the action is
+    /// not begun.
+    pub expires_ms: u64,
+    nonce: u128,
+}
+
+/// Why a text is not a usable action id.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum ActionIdError {
+    /// The text does not have an id's form.
+    #[error("the action id is malformed")]
+    Malformed,
+    /// The authenticator fits neither key, or the id was issued to another caller or service.
+    #[error("the action id was not issued to this caller for this service")]
+    NotGenuine,
+}
+
+impl ActionId {
+    /// A new id for an action of `executor`.
+    pub fn issue(executor: HostId, expires_ms: u64, rng: &mut impl Rng) -> Self {
+        Self {
+            executor,
+            expires_ms,
+            nonce: rng.random(),
+        }
+    }
+
+    /// Text form for `caller` and `service`.
+    pub fn to_text(&self, keys: &ActionKeys, caller: &Name, service: &Name) -> String {
+        let mut bytes = postcard::to_stdvec(self).unwrap_or_default();
+        let tag = keys.sign(&bytes, caller, service);
+        bytes.extend_from_slice(&tag);
+        URL_SAFE_NO_PAD.encode(bytes)
+    }
+
+    /// Reads the text form without checking its authenticator.
+    pub fn parse(text: &str) -> Result<Self, ActionIdError> {
+        Ok(split(text)?.0)
+    }
+
+    /// Reads the text form and checks that it was issued to `caller` for `service`.
+    pub fn verify(
+        text: &str,
+        keys: &ActionKeys,
+        caller: &Name,
+        service: &Name,
+    ) -> Result<Self, ActionIdError> {
+        let (id, bytes) = split(text)?;
+        let (payload, tag) = bytes.split_at(bytes.len() - ActionKeys::TAG_BYTES);
+        if keys.verify(payload, tag, caller, service) {
+            Ok(id)
+        } else {
+            Err(ActionIdError::NotGenuine)
+        }
+    }
+
+    /// Key of the action in the executor's table.
+    pub fn key(&self) -> ActionKey {
+        ActionKey::Issued {
+            incarnation: self.executor.incarnation,
+            nonce: self.nonce,
+        }
+    }
+}
+
+fn split(text: &str) -> Result<(ActionId, Vec<u8>), ActionIdError> {
+    if text.len() > MAX_TEXT_BYTES {
+        return Err(ActionIdError::Malformed);
+    }
+    let bytes = URL_SAFE_NO_PAD
+        .decode(text)
+        .map_err(|_| ActionIdError::Malformed)?;
+    let end = bytes
+        .len()
+        .checked_sub(ActionKeys::TAG_BYTES)
+        .ok_or(ActionIdError::Malformed)?;
+    let (id, rest) =
+        postcard::take_from_bytes(&bytes[..end]).map_err(|_| ActionIdError::Malformed)?;
+    if rest.is_empty() {
+        Ok((id, bytes))
+    } else {
+        Err(ActionIdError::Malformed)
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/guard/action_keys.rs
@@ -0,0 +1,92 @@
+//! Keys of the authenticator in action ids.
+
+use std::fmt;
+
+use hmac::{Hmac, KeyInit, Mac};
+use rand::{Rng, RngExt};
+use sha2::{Digest, Sha256, Sha512};
+
+use crate::core::Name;
+
+/// Length of a key: one block of SHA-256, in bytes.
+const KEY_BYTES: usize = 64;
+
+/// Signs and checks action ids with HMAC-SHA256.
+#[derive(Clone)]
+pub struct ActionKeys {
+    current: [u8; KEY_BYTES],
+    previous: Option<[u8; KEY_BYTES]>,
+    shared: bool,
+}
+
+impl ActionKeys {
+    /// Length of an authenticator, in bytes.
+    pub const TAG_BYTES: usize = 16;
+
+    /// Keys that all gateways of an environment derive from the same secret. The previous secret
+    /// is still accepted, so that secrets can be rotated host by host.
+    pub fn shared(secret: &str, previous: Option<&str>) -> Self {
+        let derive = |secret: &str| Sha512::digest(secret.as_bytes()).into();
+        Self {
+            current: derive(secret),
+            previous: previous.map(derive),
+            shared: true,
+        }
+    }
+
+    /// A key of this process alone. Other gateways cannot check its ids; the executor does.
+    pub fn own(rng: &mut impl Rng) -> Self {
+        Self {
+            current: rng.random(),
+            previous: None,
+            shared: false,
+        }
+    }
+
+    /// Whether ids of other gateways can be checked here.
+    pub fn is_shared(&self) -> bool {
+        self.shared
+    }
+
+    pub(super) fn sign(
+        &self,
+        payload: &[u8],
+        caller: &Name,
+        service: &Name,
+    ) -> [u8; Self::TAG_BYTES] {
+        let full = mac(&self.current, payload, caller, service)
+            .finalize()
+            .into_bytes();
+        let mut tag = [0; Self::TAG_BYTES];
+        tag.copy_from_slice(&full[..Self::TAG_BYTES]);
+        tag
+    }
+
+    pub(super) fn verify(&self, payload: &[u8], tag: &[u8], caller: &Name, service: &Name) -> bool {
+        let fits = |key| {
+            mac(key, payload, caller, service)
+                .verify_truncated_left(tag)
+                .is_ok()
+        };
+        fits(&self.current) || self.previous.as_ref().is_some_and(fits)
+    }
+}
+
+impl fmt::Debug for ActionKeys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ActionKeys").finish_non_exhaustive()
+    }
+}
+
+fn mac(key: &[u8; KEY_BYTES], payload: &[u8], caller: &Name, service: &Name) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new(&(*key).into());
+    for part in [
+        payload,
+        caller.as_str().as_bytes(),
+        service.as_str().as_bytes(),
+    ] {
+        mac.update(&(part.len() as u64).to_be_bytes());
+        mac.update(part);
+    }
+    mac
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/guard/action_table.rs
@@ -0,0 +1,229 @@
+//! The actions that this process may run, in shards.
+
+use std::{
+    collections::HashMap,
+    hash::{BuildHasher, RandomState},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use http::StatusCode;
+use parking_lot::Mutex;
+
+use super::{
+    ActionKey, FinalAnswer, Fingerprint, Permit, Received, Stage, TableLimits, Waiter,
+    entry::{Entry, State},
+};
+use crate::core::{Outcome, Problem, Step};
+
+/// Shards of the table; each has its own lock.
+const SHARDS: usize = 16;
+/// Time between two searches of a shard for entries to forget.
+const SWEEP_INTERVAL_MS: u64 = 2_000;
+
+/// Holds every action of this process from its acceptance until no copy of it can come.
+#[derive(Debug)]
+pub struct ActionTable<W> {
+    shards: [Mutex<Shard<W>>; SHARDS],
+    hasher: RandomState,
+    limits: TableLimits,
+    bytes: AtomicUsize,
+}
+
+#[derive(Debug)]
+struct Shard<W> {
+    entries: HashMap<ActionKey, Entry<W>>,
+    next_sweep_ms: u64,
+}
+
+/// One copy of a request, offered to the table.
+#[derive(Debug)]
+pub struct Offer<W> {
+    /// Key of the action.
+    pub key: ActionKey,
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Time from which on the action is not begun, in milliseconds since the Unix epoch.
+    pub expires_ms: u64,
+    /// Who gets the answer.
+    pub waiter: W,
+}
+
+/// What becomes of a copy.
+#[derive(Debug)]
+pub enum Offered<W: Waiter> {
+    /// It is the first: the action may be run with this permit. The waiter is kept.
+    Accepted(Permit<Received, W>),
+    /// The action is under way; the copy gets its answer.
+    Joined,
+    /// The action has ended; its answer was given to the waiter.
+    Answered,
+    /// The key belongs to another request. The action that has the key is not touched.
+    Conflict(W),
+    /// There is no room; the action was not begun here.
+    Full(W),
+    /// The time to begin has passed, and the action was certainly not begun.
+    Late(W),
+    /// The action is past the time for which actions are kept; it may have run.
+    Forgotten(W),
+}
+
+impl<W: Waiter> ActionTable<W> {
+    /// Time after an action's expiry for which it is still kept, in milliseconds.
+    pub const GRACE_MS: u64 = 30_000;
+
+    /// An empty table.
+    pub fn new(limits: TableLimits) -> Arc<Self> {
+        let shard = || Shard {
+            entries: HashMap::new(),
+            next_sweep_ms: 0,
+        };
+        Arc::new(Self {
+            shards: std::array::from_fn(|_| Mutex::new(shard())),
+            hasher: RandomState::new(),
+            limits,
+            bytes: AtomicUsize::new(0),
+        })
+    }
+
+    /// Decides what becomes of a copy of a request.
+    pub fn offer(self: &Arc<Self>, now_ms: u64, offer: Offer<W>) -> Offered<W> {
+        let mut shard = self.shard(&offer.key).lock();
+        self.sweep(&mut shard, now_ms);
+        if let Some(entry) = shard.entries.get_mut(&offer.key) {
+            if entry.fingerprint != offer.fingerprint {
+                return Offered::Conflict(offer.waiter);
+            }
+            return match &mut entry.state {
+                State::Open { waiters, .. } => {
+                    waiters.push(offer.waiter);
+                    Offered::Joined
+                }
+                State::Settled(answer) => {
+                    let answer = Arc::clone(answer);
+                    drop(shard);
+                    offer.waiter.settle(answer);
+                    Offered::Answered
+                }
+            };
+        }
+        let forget_ms = offer.expires_ms.saturating_add(Self::GRACE_MS);
+        if now_ms >= forget_ms {
+            return Offered::Forgotten(offer.waiter);
+        }
+        if now_ms >= offer.expires_ms {
+            return Offered::Late(offer.waiter);
+        }
+        if shard.entries.len() >= self.limits.actions.div_ceil(SHARDS) || !self.reserve(&offer.key)
+        {
+            return Offered::Full(offer.waiter);
+        }
+        let entry = Entry {
+            fingerprint: offer.fingerprint,
+            forget_ms,
+            state: State::Open {
+                stage: Stage::Received,
+                waiters: vec![offer.waiter],
+            },
+        };
+        shard.entries.insert(offer.key.clone(), entry);
+        drop(shard);
+        Offered::Accepted(Permit::new(Arc::clone(self), offer.key))
+    }
+
+    /// Actions held, with and without an answer.
+    pub fn len(&self) -> usize {
+        self.shards.iter().map(|s| s.lock().entries.len()).sum()
+    }
+
+    /// Whether no action is held.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Memory taken by actions and their answers, with what is reserved, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Bounds of the table.
+    pub fn limits(&self) -> &TableLimits {
+        &self.limits
+    }
+
+    pub(super) fn advance(&self, key: &ActionKey, to: Stage) {
+        let mut shard = self.shard(key).lock();
+        if let Some(Entry {
+            state: State::Open { stage, .. },
+            ..
+        }) = shard.entries.get_mut(key)
+        {
+            *stage = to;
+        }
+    }
+
+    pub(super) fn settle(&self, key: &ActionKey, answer: &Arc<FinalAnswer>) {
+        let mut shard = self.shard(key).lock();
+        let Some(entry) = shard.entries.get_mut(key) else {
+            return;
+        };
+        let settled = State::Settled(Arc::clone(answer));
+        let State::Open { waiters, .. } = std::mem::replace(&mut entry.state, settled) else {
+            return;
+        };
+        drop(shard);
+        self.bytes.fetch_add(answer.bytes(), Ordering::Relaxed);
+        self.bytes
+            .fetch_sub(self.limits.answer_bytes, Ordering::Relaxed);
+        for waiter in waiters {
+            waiter.settle(Arc::clone(answer));
+        }
+    }
+
+    /// Ends an action whose permit was dropped.
+    pub(super) fn abandon(&self, key: &ActionKey) {
+        let stage = match self.shard(key).lock().entries.get(key).map(|e| &e.state) {
+            Some(State::Open { stage, .. }) => *stage,
+            _ => return,
+        };
+        let (outcome, step) = match stage {
+            Stage::Received => (Outcome::NotRun, Step::Received),
+            Stage::Claimed => (Outcome::NotRun, Step::Claimed),
+            Stage::Dispatched => (Outcome::Unknown, Step::FirstByteSent),
+        };
+        let status = StatusCode::INTERNAL_SERVER_ERROR;
+        let p = Problem::new(status, outcome, step, "the action was given up");
+        self.settle(key, &Arc::new(FinalAnswer::of_problem(&p)));
+    }
+
+    fn shard(&self, key: &ActionKey) -> &Mutex<Shard<W>> {
+        &self.shards[self.hasher.hash_one(key) as usize % SHARDS]
+    }
+
+    fn reserve(&self, key: &ActionKey) -> bool {
+        let cost = Entry::<W>::overhead(key) + self.limits.answer_bytes;
+        let limit = self.limits.bytes;
+        let add = |used: usize| used.checked_add(cost).filter(|&sum| sum <= limit);
+        self.bytes
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
+            .is_ok()
+    }
+
+    fn sweep(&self, shard: &mut Shard<W>, now_ms: u64) {
+        if now_ms < shard.next_sweep_ms {
+            return;
+        }
+        shard.next_sweep_ms = now_ms + SWEEP_INTERVAL_MS;
+        let mut freed = 0;
+        shard.entries.retain(|key, entry| {
+            let keep = !entry.may_forget(now_ms);
+            if !keep {
+                freed += Entry::<W>::overhead(key) + entry.answer_bytes(self.limits.answer_bytes);
+            }
+            keep
+        });
+        self.bytes.fetch_sub(freed, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/guard/entry.rs
@@ -0,0 +1,39 @@
+//! One action in the table.
+
+use std::sync::Arc;
+
+use super::{ActionKey, FinalAnswer, Fingerprint, Stage};
+
+/// An action and what is known of it.
+#[derive(Debug)]
+pub(super) struct Entry<W> {
+    pub(super) fingerprint: Fingerprint,
+    /// Time from which on the entry may be forgotten, in milliseconds since the Unix epoch.
+    pub(super) forget_ms: u64,
+    pub(super) state: State<W>,
+}
+
+#[derive(Debug)]
+pub(super) enum State<W> {
+    Open { stage: Stage, waiters: Vec<W> },
+    Settled(Arc<FinalAnswer>),
+}
+
+impl<W> Entry<W> {
+    /// Memory that an entry takes besides its answer, in bytes.
+    pub(super) fn overhead(key: &ActionKey) -> usize {
+        key.bytes() + size_of::<Self>()
+    }
+
+    pub(super) fn may_forget(&self, now_ms: u64) -> bool {
+        matches!(self.state, State::Settled(_)) && now_ms >= self.forget_ms
+    }
+
+    /// Memory that the kept answer takes, or what is reserved for it.
+    pub(super) fn answer_bytes(&self, reserved: usize) -> usize {
+        match &self.state {
+            State::Open { .. } => reserved,
+            State::Settled(answer) => answer.bytes(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/guard/fingerprint.rs
@@ -0,0 +1,26 @@
+//! Fingerprints of requests.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// SHA-256 of a request's service, method, path with query, and body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Fingerprint([u8; 32]);
+
+impl Fingerprint {
+    /// Fingerprint of a request.
+    pub fn of(service: &str, method: &str, path_and_query: &str, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        let parts = [
+            service.as_bytes(),
+            method.as_bytes(),
+            path_and_query.as_bytes(),
+            body,
+        ];
+        for part in parts {
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        Self(hash.finalize().into())
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/guard/mod.rs
@@ -0,0 +1,33 @@
+//! Guarded actions: each runs at most once.
+//!
+//! Begin with [`ActionTable`]: it holds every action that this gateway may run, and
+//! [`ActionTable::offer`] decides what becomes of one copy of a request. A copy that may run gets
+//! a [`Permit`], whose type says how far the action has come. [`ActionId`] names the only gateway
+//! incarnation that may run an action; [`Placement`] says where a copy has to go.
+
+mod action_id;
+mod action_key;
+mod action_keys;
+mod action_table;
+mod entry;
+mod final_answer;
+mod fingerprint;
+mod permit;
+mod placement;
+mod stage;
+mod table_limits;
+mod waiter;
+
+pub use self::{
+    action_id::{ActionId, ActionIdError},
+    action_key::ActionKey,
+    action_keys::ActionKeys,
+    action_table::{ActionTable, Offer, Offered},
+    final_answer::FinalAnswer,
+    fingerprint::Fingerprint,
+    permit::{Claimed, Dispatched, Permit, Received},
+    placement::Placement,
+    stage::Stage,
+    table_limits::TableLimits,
+    waiter::Waiter,
+};
--- /dev/null
+++ b/crates/turmericloft/src/core/guard/permit.rs
@@ -0,0 +1,96 @@
+//! Permission to run one action, by stage.
+
+use std::{marker::PhantomData, sync::Arc};
+
+use super::{ActionKey, ActionTable, FinalAnswer, Stage, Waiter};
+
+/// Stage type: accepted by the executor.
+#[derive(Debug)]
+pub enum Received {}
+
+/// Stage type: the claim in the log is the action's own.
+#[derive(Debug)]
+pub enum Claimed {}
+
+/// Stage type: bytes may reach a backend server.
+#[derive(Debug)]
+pub enum Dispatched {}
+
+/// The only permission to run an action. It is not cloned, and each step takes it.
+///
+/// Dropped before it is settled, the action ends: as not-run while nothing was dispatched,
+/// otherwise as unknown.
+#[derive(Debug)]
+pub struct Permit<S, W: Waiter> {
+    held: Held<W>,
+    stage: PhantomData<S>,
+}
+
+#[derive(Debug)]
+struct Held<W: Waiter> {
+    table: Arc<ActionTable<W>>,
+    key: ActionKey,
+    settled: bool,
+}
+
+impl<S, W: Waiter> Permit<S, W> {
+    /// Key of the action.
+    pub fn key(&self) -> &ActionKey {
+        &self.held.key
+    }
+
+    /// Ends the action with its answer, which every waiting copy gets.
+    pub fn settle(mut self, answer: FinalAnswer) -> Arc<FinalAnswer> {
+        self.held.settled = true;
+        let answer = Arc::new(answer);
+        self.held.table.settle(&self.held.key, &answer);
+        answer
+    }
+
+    fn advance<T>(self, stage: Stage) -> Permit<T, W> {
+        self.held.table.advance(&self.held.key, stage);
+        Permit {
+            held: self.held,
+            stage: PhantomData,
+        }
+    }
+}
+
+impl<W: Waiter> Permit<Received, W> {
+    pub(super) fn new(table: Arc<ActionTable<W>>, key: ActionKey) -> Self {
+        Self {
+            held: Held {
+                table,
+                key,
+                settled: false,
+            },
+            stage: PhantomData,
+        }
+    }
+
+    /// The action's claim was read back as the first for its key.
+    pub fn claim(self) -> Permit<Claimed, W> {
+        self.advance(Stage::Claimed)
+    }
+
+    /// The action is about to be sent. Only an action whose id names its executor gets here
+    /// without a claim.
+    pub fn dispatch(self) -> Permit<Dispatched, W> {
+        self.advance(Stage::Dispatched)
+    }
+}
+
+impl<W: Waiter> Permit<Claimed, W> {
+    /// The action is about to be sent.
+    pub fn dispatch(self) -> Permit<Dispatched, W> {
+        self.advance(Stage::Dispatched)
+    }
+}
+
+impl<W: Waiter> Drop for Held<W> {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.table.abandon(&self.key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/guard/waiter.rs
@@ -0,0 +1,11 @@
+//! Who waits for the answer of an action.
+
+use std::sync::Arc;
+
+use super::FinalAnswer;
+
+/// One copy of a request that waits for the answer.
+pub trait Waiter: Send {
+    /// Takes the answer.
+    fn settle(self, answer: Arc<FinalAnswer>);
+}
--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -4,6 +4,7 @@
 pub mod counting;
 pub mod document;
 mod environment;
+pub mod guard;
 mod host_id;
 mod name;
 mod outcome;
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/guard/action_id.rs
@@ -0,0 +1,85 @@
+//! Issued ids.
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use turmericloft::core::{
+    Name,
+    guard::{ActionId, ActionIdError, ActionKeys, Placement},
+};
+
+use super::host;
+
+fn names() -> (Name, Name, Name) {
+    let name = |text| Name::new(text).unwrap();
+    (name("web"), name("booking"), name("deposit"))
+}
+
+fn id() -> ActionId {
+    ActionId::issue(host("gw-1", 7), 9_000, &mut Pcg64Mcg::seed_from_u64(1))
+}
+
+#[test]
+fn id_is_genuine_for_its_caller_and_service_only() {
+    let (web, booking, deposit) = names();
+    let keys = ActionKeys::shared("s", None);
+    let text = id().to_text(&keys, &web, &booking);
+    assert_eq!(ActionId::verify(&text, &keys, &web, &booking), Ok(id()));
+    let not_genuine = Err(ActionIdError::NotGenuine);
+    assert_eq!(ActionId::verify(&text, &keys, &web, &deposit), not_genuine);
+    assert_eq!(
+        ActionId::verify(&text, &keys, &booking, &booking),
+        not_genuine
+    );
+    let other = ActionKeys::shared("t", None);
+    assert_eq!(ActionId::verify(&text, &other, &web, &booking), not_genuine);
+}
+
+#[test]
+fn previous_secret_is_accepted_during_a_rotation() {
+    let (web, booking, _) = names();
+    let text = id().to_text(&ActionKeys::shared("old", None), &web, &booking);
+    let rotated = ActionKeys::shared("new", Some("old"));
+    assert!(ActionId::verify(&text, &rotated, &web, &booking).is_ok());
+    let finished = ActionKeys::shared("new", None);
+    assert!(ActionId::verify(&text, &finished, &web, &booking).is_err());
+}
+
+#[test]
+fn placement_follows_the_incarnation() {
+    let (own, older, newer) = (host("gw-1", 7), host("gw-1", 6), host("gw-1", 8));
+    let other = host("gw-2", 3);
+    assert_eq!(Placement::find(&own, &own, None), Placement::Here);
+    assert_eq!(Placement::find(&older, &own, None), Placement::Gone);
+    assert_eq!(Placement::find(&newer, &own, None), Placement::Peer(&newer));
+    assert_eq!(Placement::find(&other, &own, None), Placement::Peer(&other));
+    let replaced = host("gw-2", 4);
+    assert_eq!(
+        Placement::find(&other, &own, Some(&replaced)),
+        Placement::Gone
+    );
+    let lagging = host("gw-2", 2);
+    assert_eq!(
+        Placement::find(&other, &own, Some(&lagging)),
+        Placement::Peer(&other)
+    );
+}
+
+proptest! {
+    #[test]
+    fn changed_texts_are_not_genuine(at in 0_usize..60, with in "[A-Za-z0-9_-]") {
+        let (web, booking, _) = names();
+        let keys = ActionKeys::shared("s", None);
+        let text = id().to_text(&keys, &web, &booking);
+        let mut changed = text.clone();
+        let at = at % text.len();
+        changed.replace_range(at..=at, &with);
+        let genuine = ActionId::verify(&changed, &keys, &web, &booking).is_ok();
+        prop_assert_eq!(genuine, changed == text);
+    }
+
+    #[test]
+    fn any_text_is_read_or_rejected(text in ".{0,300}") {
+        let _ = ActionId::parse(&text);
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/guard/mod.rs
@@ -0,0 +1,50 @@
+//! Guarded actions: decisions without I/O.
+
+mod action_id;
+mod exploration;
+mod table;
+mod world;
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use turmericloft::core::{
+    HostId, Name, Outcome,
+    guard::{FinalAnswer, Waiter},
+};
+
+/// Answers that one caller got to the copies it sent.
+#[derive(Clone, Debug, Default)]
+pub struct Answers(Arc<Mutex<Vec<Arc<FinalAnswer>>>>);
+
+impl Answers {
+    pub fn all(&self) -> Vec<Arc<FinalAnswer>> {
+        self.0.lock().clone()
+    }
+
+    pub fn outcomes(&self) -> Vec<Outcome> {
+        self.0.lock().iter().map(|a| a.outcome).collect()
+    }
+}
+
+impl Waiter for Answers {
+    fn settle(self, answer: Arc<FinalAnswer>) {
+        self.0.lock().push(answer);
+    }
+}
+
+pub fn answer(outcome: Outcome, body: &str) -> FinalAnswer {
+    FinalAnswer {
+        outcome,
+        status: 200,
+        headers: Vec::new(),
+        body: body.to_owned().into(),
+    }
+}
+
+pub fn host(name: &str, incarnation: u64) -> HostId {
+    HostId {
+        name: Name::new(name).unwrap(),
+        incarnation,
+    }
+}
