--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -3,5 +3,6 @@
 mod docs;
 mod load;
 mod standin_backend;
+mod peers;
 mod support;
 mod whole_path;
--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod environment;
 pub mod guard;
 mod host_id;
+pub mod membership;
 mod name;
 mod outcome;
 mod problem;
