Settle promotions by id, follow the configuration through gaps, check every fault at once

Cause: judge() accepted the first record read as a base only at version 1, so that a gateway that started after older records had expired could never become ready; a promotion whose answer was lost ended in an error; check stopped at the first fault; documents reached production untried.

Change: - core/config: a Checkpoint (record, its offset, and the offset below which all was judged) is appended by gateways before records expire and handed to peers. `Follower` judges records in log order; one that starts late or fell behind the kept records seeks a checkpoint that covers all records no longer kept and replays from there. A running reader is never changed by one. Documents are stored compressed (deflate) within records. - ops: `trial`, `promote` (refuses digests that were not accepted in the trial environment), `settle`, `read_audit`, `read_status`. A lost answer is settled by reading back: accepted, rejected (also when another promotion has taken the version, since a later arrival can no longer be accepted), or undecided with the command that settles it. Nothing is appended twice. - gateway: follow_config reads the log, asks peers for a newer checkpoint after two looks in a row showed one, and appends checkpoints; tell_state writes a small record of the version in force into `acks.<environment>`, with jitter. - check: serde reads the document again and again, each unreadable value replaced by a stand-in, until all faults of shape are known; rules and warnings follow with line and key. New fields of documents need no change there. - CLI: trial, audit, status; exit codes 3 rejected, 4 undecided; `--format json`.

Ruled out: keeping the re-appended record in the form of a promotion (a fresh reader can't tell a loser that outlived its winner from an accepted record).

The log service and host list stand-ins take control bodies without a content type, and the log service can cut an append without effect or let a rival go first. The tests' Platform::promote now tries the document first.

--- /dev/null
+++ b/crates/turmericloft-cli/src/bin/turmericloft/commands/audit.rs
@@ -0,0 +1,69 @@
+//! `turmericloft audit`
+
+use std::{fmt::Write, net::SocketAddr};
+
+use turmericloft::{
+    core::Name,
+    ops::{self, Audit, AuditRow},
+    sources::log_service::HttpLog,
+    util::timestamp::format_ms,
+};
+
+use super::{CommandResult, Format, publish::short};
+
+/// Shows who changed what and when, and when each gateway had it in force
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// Address of the log service
+    #[arg(long)]
+    log_service: SocketAddr,
+    /// Environment
+    #[arg(long, default_value = "production")]
+    environment: String,
+    /// Promotions shown, the newest ones
+    #[arg(long, default_value_t = 20)]
+    last: usize,
+    /// How the result is printed
+    #[arg(long, value_enum, default_value_t)]
+    format: Format,
+}
+
+/// Runs the subcommand.
+pub async fn exec(args: Args) -> CommandResult {
+    let environment = Name::new(&args.environment)?;
+    let mut audit = ops::read_audit(&HttpLog::new(args.log_service), &environment).await?;
+    let left_out = audit.rows.len().saturating_sub(args.last);
+    audit.rows.drain(..left_out);
+    args.format.print(&audit, human)
+}
+
+fn human(audit: &Audit) -> String {
+    let mut text = String::new();
+    for row in &audit.rows {
+        text.push_str(&row_text(row));
+    }
+    if audit.unreadable > 0 {
+        let _ = writeln!(text, "{} records could not be read", audit.unreadable);
+    }
+    text
+}
+
+fn row_text(row: &AuditRow) -> String {
+    let promotion = &row.promotion;
+    let (at, author) = (format_ms(promotion.promoted_at_ms), &promotion.author);
+    let (version, to) = (promotion.version, short(&promotion.digest));
+    if !row.accepted {
+        return format!("{at} {author} version {version} rejected: {to}\n");
+    }
+    let from = row.from.map_or_else(|| "nothing".to_owned(), |d| short(&d));
+    let mut text = format!("{at} {author} version {version}: {from} -> {to}\n");
+    for told in &row.in_force {
+        let _ = writeln!(
+            text,
+            "    in force at {} {}",
+            told.host,
+            format_ms(told.at_ms)
+        );
+    }
+    text
+}
--- a/crates/turmericloft-cli/src/bin/turmericloft/commands/check.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft/commands/check.rs
@@ -1,26 +1,77 @@
 //! `turmericloft check`
 
-use std::{fs, path::PathBuf};
+use std::{fmt::Write, path::PathBuf};
 
-use turmericloft::core::document::Document;
+use serde::Serialize;
+use turmericloft::core::document::{Document, DocumentReport, check_document};
 
-use super::CommandResult;
+use super::{CommandResult, EndedWith, Format, publish::read_document_file};
 
-/// Reports faults of a document
+/// Reports every fault of a document, with line and key, and warns of dangers
+///
+/// Exit code: 0 without faults, 1 with faults.
 #[derive(Debug, clap::Args)]
 pub struct Args {
     /// The document
     document: PathBuf,
+    /// How the result is printed
+    #[arg(long, value_enum, default_value_t)]
+    format: Format,
+}
+
+#[derive(Serialize)]
+struct Checked {
+    document: PathBuf,
+    #[serde(flatten)]
+    report: DocumentReport,
+    #[serde(skip)]
+    text: String,
 }
 
 /// Runs the subcommand.
 pub async fn exec(args: Args) -> CommandResult {
-    let document = Document::parse(&fs::read_to_string(&args.document)?)?;
-    println!(
-        "{}: {} services, {} callers",
-        args.document.display(),
-        document.services.len(),
-        document.callers.len()
-    );
-    Ok(())
+    let text = read_document_file(&args.document)?;
+    let checked = Checked {
+        report: check_document(&text),
+        document: args.document,
+        text,
+    };
+    args.format.print(&checked, summary)?;
+    if checked.report.faults.is_empty() {
+        return Ok(());
+    }
+    Err(EndedWith {
+        code: 1,
+        message: faults(&checked),
+    }
+    .into())
+}
+
+fn summary(checked: &Checked) -> String {
+    let mut text = String::new();
+    let path = checked.document.display();
+    if let Ok(document) = Document::parse(&checked.text)
+        && checked.report.faults.is_empty()
+    {
+        let endpoints: usize = document.services.iter().map(|s| s.endpoints.len()).sum();
+        let (services, callers) = (document.services.len(), document.callers.len());
+        let _ = writeln!(
+            text,
+            "{path}: no faults; {services} services, {endpoints} endpoints, {callers} callers"
+        );
+    }
+    for warning in &checked.report.warnings {
+        let _ = writeln!(text, "warning: {warning}");
+    }
+    text
+}
+
+fn faults(checked: &Checked) -> String {
+    let count = checked.report.faults.len();
+    let plural = if count == 1 { "" } else { "s" };
+    let lines = checked.report.faults_text();
+    format!(
+        "{} has {count} fault{plural}\n{lines}",
+        checked.document.display()
+    )
 }
--- a/crates/turmericloft-cli/src/bin/turmericloft/commands/promote.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft/commands/promote.rs
@@ -1,42 +1,51 @@
 //! `turmericloft promote`
 
-use std::{fs, net::SocketAddr, path::PathBuf};
+use turmericloft::{core::Name, ops, sources::log_service::HttpLog, util::clock::unix_ms};
 
-use turmericloft::{
-    core::Name,
-    ops::{self, PromoteOptions},
-    sources::log_service::HttpLog,
-    util::clock::unix_ms,
+use super::{
+    CommandResult,
+    publish::{PublishArgs, differences, finish, options},
 };
 
-use super::CommandResult;
-
-/// Puts a document in force in an environment
+/// Puts a document in force in production, exactly as it was in force in the trial environment
+///
+/// Exit code: 0 accepted, or in force already; 1 failed, nothing was written; 2 wrong flags;
+/// 3 rejected, another document was first; 4 undecided, with the command that settles it.
 #[derive(Debug, clap::Args)]
 pub struct Args {
-    /// The document
-    document: PathBuf,
-    /// Address of the log service
-    #[arg(long)]
-    log_service: SocketAddr,
+    #[command(flatten)]
+    publish: PublishArgs,
     /// Environment
-    #[arg(long)]
+    #[arg(long, default_value = "production")]
     environment: String,
-    /// Name of the operator, for the audit trail
-    #[arg(long)]
-    author: String,
+    /// Environment in which documents are tried
+    #[arg(long, default_value = "trial")]
+    trial_environment: String,
 }
 
 /// Runs the subcommand.
 pub async fn exec(args: Args) -> CommandResult {
-    let options = PromoteOptions {
-        environment: Name::new(&args.environment)?,
-        author: Name::new(&args.author)?,
-        document: fs::read_to_string(&args.document)?,
-        promotion_id: format!("{:032x}", rand::random::<u128>()),
-    };
-    let log = HttpLog::new(args.log_service);
-    let version = ops::promote(&log, options, unix_ms()).await?;
-    println!("version {version} promoted to {}", args.environment);
-    Ok(())
+    let environment = Name::new(&args.environment)?;
+    let log = HttpLog::new(args.publish.log_service);
+    if let Some(id) = &args.publish.settle {
+        let promotion = ops::settle(&log, &environment, id).await?;
+        return finish(
+            &args.publish,
+            "promote",
+            &environment,
+            Vec::new(),
+            &promotion,
+        );
+    }
+    let trial_environment = Name::new(&args.trial_environment)?;
+    let options = options(&args.publish, &environment)?;
+    let differences = differences(&log, &options).await?;
+    let promotion = ops::promote(&log, options, &trial_environment, unix_ms()).await?;
+    finish(
+        &args.publish,
+        "promote",
+        &environment,
+        differences,
+        &promotion,
+    )
 }
--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the programs as separate processes.
 
+mod config_sessions;
 mod docs;
 mod peers;
 mod support;
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -2,7 +2,13 @@
 
 mod caller;
 mod gateway;
+mod operators;
 mod platform;
 mod process;
 
-pub use self::{caller::send, platform::Platform, process::Process};
+pub use self::{
+    caller::send,
+    operators::{Operators, rival_record},
+    platform::Platform,
+    process::Process,
+};
--- a/crates/turmericloft-cli/tests/testsuite/support/platform.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/platform.rs
@@ -1,6 +1,10 @@
 //! A whole installation as separate processes: stand-ins, gateway and reporter.
 
-use std::{net::SocketAddr, process::Command, time::Duration};
+use std::{
+    net::SocketAddr,
+    process::{Command, Output},
+    time::Duration,
+};
 
 use http::Method;
 use tempfile::TempDir;
@@ -152,18 +156,14 @@
         );
         let path = write(self.folder.path(), "document.toml", &document);
         let path = path.to_str().expect("a text path");
+        self.turmericloft(&["trial", path, "--author", "anna", "--environment", "trial"]);
         self.turmericloft(&["promote", path, "--author", "anna"]);
         self.gateway.wait_for_line("is in force");
     }
 
     /// Runs the command line against this installation and gives what it printed.
     pub fn turmericloft(&self, args: &[&str]) -> String {
-        let log_service = self.log_service.to_string();
-        let output = Command::new(env!("CARGO_BIN_EXE_turmericloft"))
-            .args(args)
-            .args(["--log-service", &log_service, "--environment", "production"])
-            .output()
-            .expect("the command line runs");
+        let output = self.try_turmericloft(args);
         let stderr = String::from_utf8_lossy(&output.stderr);
         assert!(
             output.status.success(),
@@ -171,6 +171,18 @@
         );
         String::from_utf8_lossy(&output.stdout).into_owned()
     }
+
+    /// Runs the command line against this installation, in production unless `args` say
+    /// otherwise.
+    pub fn try_turmericloft(&self, args: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_turmericloft"));
+        command.args(args);
+        command.args(["--log-service", &self.log_service.to_string()]);
+        if !args.contains(&"--environment") {
+            command.args(["--environment", "production"]);
+        }
+        command.output().expect("the command line runs")
+    }
 }
 
 fn listed(gateway: &GatewayProcess) -> Host {
--- a/crates/turmericloft-standins/src/log_service/routes.rs
+++ b/crates/turmericloft-standins/src/log_service/routes.rs
@@ -97,12 +97,20 @@
     Json(*shared.counts.lock())
 }
 
-async fn set_faults(State(shared): State<Arc<Shared>>, Json(faults): Json<LogFaults>) {
+async fn set_faults(State(shared): State<Arc<Shared>>, body: Bytes) -> StatusCode {
+    let Ok(faults) = serde_json::from_slice(&body) else {
+        return StatusCode::BAD_REQUEST;
+    };
     *shared.faults.lock() = faults;
+    StatusCode::NO_CONTENT
 }
 
-async fn set_retention(State(shared): State<Arc<Shared>>, Json(retention): Json<Retention>) {
-    shared.store.lock().retain(retention.records);
+async fn set_retention(State(shared): State<Arc<Shared>>, body: Bytes) -> StatusCode {
+    let Ok(Retention { records }) = serde_json::from_slice(&body) else {
+        return StatusCode::BAD_REQUEST;
+    };
+    shared.store.lock().retain(records);
+    StatusCode::NO_CONTENT
 }
 
 async fn append(
@@ -115,6 +123,12 @@
     if faults.down || take_one(&shared, |f| &mut f.reject_appends) {
         return unavailable();
     }
+    if take_one(&shared, |f| &mut f.lose_appends) {
+        return cut_connection();
+    }
+    if let Some(rival) = shared.take_rival() {
+        shared.append(&stream, rival.into());
+    }
     let offset = shared.append(&stream, body);
     if take_one(&shared, |f| &mut f.lose_answers) {
         return cut_connection();
@@ -144,6 +158,10 @@
 }
 
 impl Shared {
+    fn take_rival(&self) -> Option<Vec<u8>> {
+        self.faults.lock().rival_record.take()
+    }
+
     fn append(&self, stream: &str, body: Bytes) -> u64 {
         let mut counts = self.counts.lock();
         counts.appends += 1;
--- a/crates/turmericloft/src/core/config/acceptance.rs
+++ b/crates/turmericloft/src/core/config/acceptance.rs
@@ -1,7 +1,7 @@
 //! The rule that accepts configuration records. Every reader of the log decides alike.
 
-use super::ConfigRecord;
-use crate::core::document::{Digest, Document};
+use super::{Checkpoint, ConfigRecord, EntryError, LogEntry};
+use crate::core::document::{Document, DocumentError};
 
 /// The newest accepted record.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,6 +26,8 @@
         /// Version in force when this record was read.
         current: u64,
     },
+    /// A gateway's checkpoint; nothing changes for a reader that judged all records before it.
+    Checkpoint(Box<Checkpoint>),
     /// The bytes don't make a valid record.
     Malformed(String),
 }
@@ -33,28 +35,44 @@
 impl Accepted {
     /// Judges the record read at `offset`, with `current` in force.
     pub fn judge(current: Option<&Self>, offset: u64, bytes: &[u8]) -> Verdict {
-        let record: ConfigRecord = match serde_json::from_slice(bytes) {
-            Ok(record) => record,
-            Err(e) => return Verdict::Malformed(e.to_string()),
-        };
-        if Digest::of(record.document.as_bytes()) != record.digest {
-            return Verdict::Malformed("the digest does not fit the document".to_owned());
+        Self::judge_entry(current, offset, LogEntry::decode(bytes))
+    }
+
+    /// Judges an entry that was decoded, or that could not be.
+    pub fn judge_entry(
+        current: Option<&Self>,
+        offset: u64,
+        entry: Result<LogEntry, EntryError>,
+    ) -> Verdict {
+        match entry {
+            Ok(LogEntry::Promotion(record)) => Self::judge_promotion(current, offset, *record),
+            Ok(LogEntry::Checkpoint(checkpoint)) => Verdict::Checkpoint(checkpoint),
+            Err(e) => Verdict::Malformed(e.to_string()),
         }
+    }
+
+    fn judge_promotion(current: Option<&Self>, offset: u64, record: ConfigRecord) -> Verdict {
         let version = current.map_or(0, |a| a.record.version);
         if current.is_some_and(|a| a.record.promotion_id == record.promotion_id) {
             return Verdict::Repeated;
         }
         let parent = current.map(|a| a.record.digest);
-        if record.parent != parent || record.version != version + 1 {
+        if record.parent != parent || Some(record.version) != version.checked_add(1) {
             return Verdict::Lost { current: version };
         }
-        match Document::parse(&record.document) {
-            Ok(document) => Verdict::Accepted(Box::new(Self {
-                offset,
-                record,
-                document,
-            })),
+        match Self::read(offset, record) {
+            Ok(accepted) => Verdict::Accepted(Box::new(accepted)),
             Err(e) => Verdict::Malformed(e.to_string()),
         }
     }
+
+    /// Parses the document of a record that is known to be accepted.
+    pub(super) fn read(offset: u64, record: ConfigRecord) -> Result<Self, DocumentError> {
+        let document = Document::parse(&record.document)?;
+        Ok(Self {
+            offset,
+            record,
+            document,
+        })
+    }
 }
--- a/crates/turmericloft/src/core/config/mod.rs
+++ b/crates/turmericloft/src/core/config/mod.rs
@@ -1,9 +1,21 @@
 //! Configuration: records in the log service and the rule that accepts them.
+//!
+//! [`Accepted::judge`] is the rule. [`Follower`] applies it to a stream that expires, with help
+//! from checkpoints.
 
 mod acceptance;
+mod checkpoint;
+mod deflated;
+mod follower;
+mod gateway_record;
+mod log_entry;
 mod record;
 
 pub use self::{
     acceptance::{Accepted, Verdict},
-    record::ConfigRecord,
+    checkpoint::Checkpoint,
+    follower::{Follower, Judged, OffsetRecord, Page, PageOutcome},
+    gateway_record::{GatewayRecord, GatewayState},
+    log_entry::{EntryError, LogEntry},
+    record::{ConfigRecord, PromotionSummary},
 };
--- a/crates/turmericloft/src/core/document/digest.rs
+++ b/crates/turmericloft/src/core/document/digest.rs
@@ -3,14 +3,20 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use serde_with::{hex::Hex, serde_as};
 use sha2::Sha256;
+use thiserror::Error;
 
 /// SHA-256 of a document's bytes, written in hexadecimal.
-#[serde_as]
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Digest(#[serde_as(as = "Hex")] [u8; 32]);
+#[serde(try_from = "String", into = "String")]
+pub struct Digest([u8; 32]);
+
+/// A text is not a [`Digest`].
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("must be 64 hexadecimal digits, found {found} characters")]
+pub struct DigestError {
+    found: usize,
+}
 
 /// SHA-256 of a bearer token. Documents hold only hashes, never tokens.
 pub type TokenHash = Digest;
@@ -28,6 +34,23 @@
     }
 }
 
+impl TryFrom<String> for Digest {
+    type Error = DigestError;
+
+    fn try_from(text: String) -> Result<Self, DigestError> {
+        let mut bytes = [0; 32];
+        let found = text.chars().count();
+        hex::decode_to_slice(&text, &mut bytes).map_err(|_| DigestError { found })?;
+        Ok(Self(bytes))
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
+
 impl fmt::Display for Digest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&hex::encode(self.0))
--- a/crates/turmericloft/src/core/document/mod.rs
+++ b/crates/turmericloft/src/core/document/mod.rs
@@ -5,7 +5,9 @@
 
 mod budget;
 mod caller;
+mod check;
 mod contract;
+mod difference;
 mod digest;
 mod endpoint;
 mod environment_document;
@@ -16,8 +18,10 @@
 pub use self::{
     budget::MeasuringBudget,
     caller::Caller,
+    check::{DocumentReport, Finding, check_document},
     contract::Contract,
-    digest::{Digest, TokenHash},
+    difference::{Difference, difference},
+    digest::{Digest, DigestError, TokenHash},
     endpoint::Endpoint,
     environment_document::{Document, DocumentError},
     kind::{Handling, Kind},
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod dispatch;
 mod follow_config;
+mod followed_config;
 mod guarded;
 mod handle;
 mod listener;
@@ -18,9 +19,12 @@
 mod send_snapshots;
 mod service_state;
 mod shared;
+mod tell_state;
 mod watch_hosts;
 
 pub use self::{
+    follow_config::{ConfigPeers, ConfigSources, follow_config},
+    followed_config::FollowedConfig,
     peers::{PeerRequestError, Peers, PeersError},
     run::{GatewayError, run_gateway},
     shared::{Gateway, InForce},
--- a/crates/turmericloft/src/ops/gateway/peers.rs
+++ b/crates/turmericloft/src/ops/gateway/peers.rs
@@ -1,6 +1,7 @@
 //! The other gateways: membership, and messages to and from them.
 
 use std::{
+    cmp::Reverse,
     net::SocketAddr,
     sync::{Arc, Weak},
     time::{Duration, Instant},
@@ -9,14 +10,14 @@
 use futures_util::future::{BoxFuture, join_all};
 use parking_lot::Mutex;
 use thiserror::Error;
-use tokio::time::{Instant as Tick, MissedTickBehavior, interval, timeout_at};
+use tokio::time::{Instant as Tick, MissedTickBehavior, interval, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use super::shared::Gateway;
+use super::{follow_config::ConfigPeers, shared::Gateway};
 use crate::{
     core::{
         HostId, Name,
-        membership::{HeardPeer, ListedPeer, Membership, PeerState},
+        membership::{HeardPeer, ListedPeer, Liveness, Membership, PeerState},
     },
     sources::peer::{
         Heartbeat, IdentityError, IdentityFiles, PeerDatagram, PeerError, PeerHandler,
@@ -29,6 +30,10 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time allowed for a heartbeat to be sent, a new connection included.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Peers asked for a newer configuration record in one try.
+const CONFIG_PEERS: usize = 3;
+/// Time allowed to each of them.
+const CONFIG_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The other gateways as this one sees them.
 #[derive(Debug)]
@@ -184,6 +189,23 @@
         Ok(true)
     }
 
+    /// Heartbeats say from now on that this gateway leaves.
+    fn begin_stop(&self) {
+        if let Some(gateway) = self.gateway.upgrade() {
+            gateway.begin_stop();
+        }
+    }
+
+    /// Names of the peers whose version is above `have`, ones that are alive first, then by
+    /// version.
+    fn newest_first(&self, have: u64) -> Vec<Name> {
+        let now = Instant::now();
+        let mut newer = self.states();
+        newer.retain(|(_, p)| p.version > have);
+        newer.sort_by_key(|(_, p)| Reverse((p.liveness(now) == Liveness::Alive, p.version)));
+        newer.into_iter().map(|(name, _)| name).collect()
+    }
+
     fn heartbeat(&self) -> Option<Heartbeat> {
         let gateway = self.gateway.upgrade()?;
         let version = gateway.in_force().map_or(0, |f| f.environment.version());
@@ -218,6 +240,10 @@
                     self.heartbeat()
                         .map_or(PeerReply::Unsupported, PeerReply::Heartbeat)
                 }
+                PeerRequest::NewerConfig { have } => {
+                    let gateway = self.gateway.upgrade();
+                    PeerReply::Config(gateway.and_then(|g| g.config.newer_than(have)))
+                }
             }
         })
     }
@@ -229,6 +255,30 @@
     }
 }
 
+impl ConfigPeers for Peers {
+    fn have_newer(&self, have: u64) -> bool {
+        let membership = self.membership.lock();
+        membership.peers().any(|(_, p)| p.version > have)
+    }
+
+    fn fetch_newer(&self, have: u64) -> BoxFuture<'_, Option<Vec<u8>>> {
+        Box::pin(async move {
+            for peer in self.newest_first(have).iter().take(CONFIG_PEERS) {
+                let request = self.request(peer, PeerRequest::NewerConfig { have });
+                let reply = timeout(CONFIG_TIMEOUT, request).await;
+                if let Ok(Ok(PeerReply::Config(Some(bytes)))) = reply {
+                    return Some(bytes);
+                }
+            }
+            None
+        })
+    }
+
+    fn tell_newer(&self) -> BoxFuture<'_, ()> {
+        Box::pin(self.send_heartbeats())
+    }
+}
+
 /// Sends heartbeats and watches the identity's files until `ended`. At `stop` the peers are told
 /// at once that this gateway leaves.
 pub(super) async fn keep_in_touch(
@@ -242,7 +292,10 @@
     loop {
         tokio::select! {
             _ = tick.tick() => {}
-            () = stop.cancelled(), if !told => told = true,
+            () = stop.cancelled(), if !told => {
+                told = true;
+                peers.begin_stop();
+            }
             () = ended.cancelled() => return,
         }
         peers.send_heartbeats().await;
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -8,11 +8,12 @@
 
 use super::{
     admin,
-    follow_config::follow,
+    follow_config::{ConfigPeers, ConfigSources, follow_config},
     listener,
     peers::{Peers, PeersError, keep_in_touch},
     send_snapshots,
     shared::Gateway,
+    tell_state::tell_state,
     watch_hosts::watch_hosts,
 };
 use crate::{
@@ -66,13 +67,20 @@
     );
     let log: Arc<dyn LogService> = Arc::new(HttpLog::new(settings.log_service));
     let ended = CancellationToken::new();
-    let follower = follow(
+    let sources = ConfigSources {
+        log: Arc::clone(&log),
+        peers: peers.clone().map(|p| p as Arc<dyn ConfigPeers>),
+        environment: settings.environment.clone(),
+        seed: gateway.host.incarnation,
+    };
+    tokio::spawn(follow_config(Arc::clone(&gateway), sources, ended.clone()));
+    let state = tokio::spawn(tell_state(
         Arc::clone(&gateway),
         log,
         settings.environment,
-        ended.clone(),
-    );
-    tokio::spawn(follower);
+        settings.zone,
+        stop.clone(),
+    ));
     tokio::spawn(watch_hosts(
         Arc::clone(&gateway),
         settings.host_list,
@@ -92,7 +100,7 @@
     log::info!("gateway is stopping");
     let finished = timeout(settings.stop_deadline, serving).await;
     ended.cancel();
-    let _ = snapshots.await;
+    let _ = tokio::join!(snapshots, state);
     log::info!("gateway has stopped");
     finished.map(|_| ()).map_err(|_| GatewayError::CutOff)
 }
--- a/crates/turmericloft/src/ops/gateway/shared.rs
+++ b/crates/turmericloft/src/ops/gateway/shared.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 
-use super::{peers::Peers, service_state::ServiceState};
+use super::{followed_config::FollowedConfig, peers::Peers, service_state::ServiceState};
 use crate::core::{Environment, HostId, Name, counting::Ledger};
 
 /// A gateway: the environment in force, the state of each service, and the counts.
@@ -21,6 +21,8 @@
     pub host: HostId,
     /// Counts of all requests.
     pub ledger: Arc<Ledger>,
+    /// The configuration stream as far as it was followed.
+    pub config: FollowedConfig,
     in_force: ArcSwapOption<InForce>,
     stopping: AtomicBool,
     peers: OnceLock<Arc<Peers>>,
@@ -42,6 +44,7 @@
         Arc::new(Self {
             host,
             ledger: Ledger::new(),
+            config: FollowedConfig::new(),
             in_force: ArcSwapOption::empty(),
             stopping: AtomicBool::new(false),
             peers: OnceLock::new(),
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/tell_state.rs
@@ -0,0 +1,73 @@
+//! Writing to the log which version this gateway has in force.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use tokio::time::{Instant, sleep, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use super::shared::Gateway;
+use crate::{
+    core::{
+        Name,
+        config::{GatewayRecord, GatewayState},
+    },
+    sources::log_service::LogService,
+};
+
+/// Time between two records without a change.
+const RECORD_INTERVAL: Duration = Duration::from_secs(60);
+/// Longest pause before a change is written, in milliseconds: gateways don't write all at once,
+/// and changes that follow each other closely take one record.
+const MAX_PAUSE_MS: u64 = 2_000;
+
+/// Writes a record at each change and from time to time until `stop`, and then that this gateway
+/// leaves.
+pub(super) async fn tell_state(
+    gateway: Arc<Gateway>,
+    log: Arc<dyn LogService>,
+    environment: Name,
+    zone: Name,
+    stop: CancellationToken,
+) {
+    let stream = GatewayRecord::stream(&environment);
+    let mut rng: Pcg64Mcg = rand::SeedableRng::seed_from_u64(gateway.host.incarnation);
+    let mut version = gateway.config.watch_version();
+    loop {
+        let next = Instant::now() + RECORD_INTERVAL;
+        let changed = timeout_at(next, version.changed());
+        if stop.run_until_cancelled(changed).await.is_none() {
+            break;
+        }
+        let pause = Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS));
+        if stop.run_until_cancelled(sleep(pause)).await.is_none() {
+            break;
+        }
+        let record = record(&gateway, &zone, GatewayState::Running);
+        append(log.as_ref(), &stream, &record).await;
+    }
+    let record = record(&gateway, &zone, GatewayState::Leaving);
+    append(log.as_ref(), &stream, &record).await;
+}
+
+async fn append(log: &dyn LogService, stream: &str, record: &GatewayRecord) {
+    let Ok(body) = serde_json::to_vec(record) else {
+        return;
+    };
+    if log.append(stream, body).await.is_err() {
+        metrics::counter!("gateway_record_failures").increment(1);
+    }
+}
+
+fn record(gateway: &Gateway, zone: &Name, state: GatewayState) -> GatewayRecord {
+    let now = Instant::now().into_std();
+    GatewayRecord {
+        host: gateway.host.clone(),
+        zone: zone.clone(),
+        version: gateway.in_force().map_or(0, |f| f.environment.version()),
+        in_force_at_ms: gateway.config.in_force_at_ms(),
+        state,
+        peers_alive: gateway.peers().map_or(0, |p| p.alive(now).len() as u32),
+    }
+}
--- a/crates/turmericloft/src/ops/mod.rs
+++ b/crates/turmericloft/src/ops/mod.rs
@@ -1,11 +1,19 @@
 //! One function per operation that a user sees.
 
+mod audit;
+mod config_reader;
 pub mod gateway;
+mod gateway_records;
 mod promote;
+mod promotion;
 mod report;
 pub mod reporter;
+mod status;
 
 pub use self::{
-    promote::{PromoteError, PromoteOptions, promote},
+    audit::{Audit, AuditRow, InForceAt, read_audit},
+    promote::{PromoteOptions, promote, read_document, settle, trial},
+    promotion::{PromoteError, Promotion},
     report::{ReportError, read_report},
+    status::{GatewayCondition, GatewayStatus, Status, StatusError, read_status},
 };
--- a/crates/turmericloft/src/ops/promote.rs
+++ b/crates/turmericloft/src/ops/promote.rs
@@ -1,20 +1,25 @@
-//! Publishing a document.
+//! Putting a document in force: in the trial environment, and then unchanged in production.
 
 use std::time::Duration;
 
-use thiserror::Error;
+use tokio::time::{Instant, sleep};
 
+use super::{PromoteError, Promotion, config_reader::ConfigReader};
 use crate::{
     core::{
         Name,
-        config::{Accepted, ConfigRecord, Verdict},
-        document::{Digest, Document, DocumentError},
+        config::{ConfigRecord, Follower, Judged, Verdict},
+        document::{Digest, check_document},
     },
     sources::log_service::{LogError, LogService},
 };
 
-/// Records read from the log service at once.
-const PAGE_RECORDS: usize = 64;
+/// Pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time that a read may wait for a record.
+const READ_WAIT: Duration = Duration::from_secs(1);
+/// Seconds after which a gateway has appended an expired document again.
+const BASE_WAIT_S: u64 = 10;
 
 /// What to promote, where, and as whom.
 #[derive(Clone, Debug)]
@@ -27,59 +32,199 @@
     pub document: String,
     /// Drawn at random by the caller.
     pub promotion_id: String,
+    /// Time for a promotion whose answer was lost to be found in the log.
+    pub settle_within: Duration,
 }
 
-/// Why a promotion did not succeed.
-#[derive(Debug, Error)]
-pub enum PromoteError {
-    /// The document is not valid.
-    #[error("the document is not valid")]
-    Document(#[from] DocumentError),
-    /// The log service could not be read or written.
-    #[error("the log service failed")]
-    Log(#[from] LogError),
-    /// The record cannot be written down.
-    #[error("the record cannot be encoded")]
-    Encode(#[from] serde_json::Error),
+/// Puts a document in force in an environment in which documents are tried.
+pub async fn trial(
+    log: &dyn LogService,
+    options: PromoteOptions,
+    now_ms: u64,
+) -> Result<Promotion, PromoteError> {
+    publish(log, options, now_ms).await
 }
 
-/// Promotes a document and gives its version.
+/// Puts a document in force that was in force, with exactly these bytes, in `trial_environment`.
 pub async fn promote(
+    log: &dyn LogService,
+    options: PromoteOptions,
+    trial_environment: &Name,
+    now_ms: u64,
+) -> Result<Promotion, PromoteError> {
+    let digest = Digest::of(options.document.as_bytes());
+    if !was_accepted(log, trial_environment, digest).await? {
+        return Err(PromoteError::NotTried {
+            environment: trial_environment.clone(),
+            digest,
+        });
+    }
+    publish(log, options, now_ms).await
+}
+
+/// Finds out how an earlier promotion ended. Never writes.
+pub async fn settle(
+    log: &dyn LogService,
+    environment: &Name,
+    promotion_id: &str,
+) -> Result<Promotion, PromoteError> {
+    let version = version_of(promotion_id)?;
+    let mut reader = ConfigReader::from_first(log, environment);
+    let judged = reader.read_to_end(Duration::ZERO).await?;
+    let undecided = || Promotion::Undecided {
+        promotion_id: promotion_id.to_owned(),
+    };
+    let follower = reader.follower();
+    Ok(settled(&judged, follower, promotion_id, version).unwrap_or_else(undecided))
+}
+
+/// The document in force in an environment, if there is one.
+pub async fn read_document(
+    log: &dyn LogService,
+    environment: &Name,
+) -> Result<Option<String>, PromoteError> {
+    let mut reader = ConfigReader::near_end(log, environment).await?;
+    reader.read_to_end(Duration::ZERO).await?;
+    let accepted = reader.follower().accepted();
+    Ok(accepted.map(|a| a.record.document.clone()))
+}
+
+async fn publish(
     log: &dyn LogService,
     options: PromoteOptions,
     now_ms: u64,
-) -> Result<u64, PromoteError> {
-    Document::parse(&options.document)?;
-    let stream = ConfigRecord::stream(&options.environment);
-    let current = read_accepted(log, &stream).await?;
-    let record = ConfigRecord {
-        version: current.as_ref().map_or(0, |a| a.record.version) + 1,
-        parent: current.map(|a| a.record.digest),
-        promotion_id: options.promotion_id,
+) -> Result<Promotion, PromoteError> {
+    let report = check_document(&options.document);
+    if !report.faults.is_empty() {
+        return Err(PromoteError::Document(report.faults_text()));
+    }
+    let mut reader = ConfigReader::near_end(log, &options.environment).await?;
+    reader.read_to_end(Duration::ZERO).await?;
+    let follower = reader.follower();
+    if !follower.is_continuous() {
+        return Err(PromoteError::NoBase {
+            environment: options.environment,
+            wait_s: BASE_WAIT_S,
+        });
+    }
+    let settle_within = options.settle_within;
+    let record = next_record(follower, options, now_ms);
+    if record.parent == Some(record.digest) {
+        return Ok(Promotion::AlreadyInForce {
+            version: follower.version(),
+            digest: record.digest,
+        });
+    }
+    let appended = log.append(reader.stream(), serde_json::to_vec(&record)?);
+    match appended.await {
+        Err(e) if e.had_no_effect() => Err(e.into()),
+        _ => Ok(read_back(reader, &record, settle_within).await),
+    }
+}
+
+fn next_record(follower: &Follower, options: PromoteOptions, now_ms: u64) -> ConfigRecord {
+    let version = follower.version() + 1;
+    ConfigRecord {
+        version,
+        parent: follower.accepted().map(|a| a.record.digest),
+        promotion_id: format!("{version}-{}", options.promotion_id),
         author: options.author,
         promoted_at_ms: now_ms,
         digest: Digest::of(options.document.as_bytes()),
         document: options.document,
-    };
-    log.append(&stream, serde_json::to_vec(&record)?).await?;
-    Ok(record.version)
+    }
 }
 
-/// Reads a stream of records to its end and gives the accepted one.
-async fn read_accepted(log: &dyn LogService, stream: &str) -> Result<Option<Accepted>, LogError> {
-    let mut accepted = None;
-    let mut from = 0;
+/// Reads on until the record was judged, or can no longer be accepted. It is never appended
+/// again.
+async fn read_back(
+    mut reader: ConfigReader<'_>,
+    record: &ConfigRecord,
+    within: Duration,
+) -> Promotion {
+    let deadline = Instant::now() + within;
+    let mut judged: Vec<Judged> = Vec::new();
     loop {
-        let page = log.read(stream, from, PAGE_RECORDS, Duration::ZERO).await?;
-        let Some(last) = page.records.last() else {
-            return Ok(accepted);
-        };
-        from = last.offset + 1;
-        for record in &page.records {
-            let verdict = Accepted::judge(accepted.as_ref(), record.offset, &record.body);
-            if let Verdict::Accepted(new) = verdict {
-                accepted = Some(*new);
-            }
+        match reader.read_to_end(READ_WAIT).await {
+            Ok(more) => judged.extend(more),
+            Err(_) => sleep(RETRY_PAUSE).await,
+        }
+        let (id, version) = (record.promotion_id.as_str(), record.version);
+        if let Some(end) = settled(&judged, reader.follower(), id, version) {
+            return end;
         }
+        if Instant::now() >= deadline {
+            return Promotion::Undecided {
+                promotion_id: record.promotion_id.clone(),
+            };
+        }
+    }
+}
+
+/// How the promotion ended, if the records read so far decide it.
+fn settled(
+    judged: &[Judged],
+    follower: &Follower,
+    promotion_id: &str,
+    version: u64,
+) -> Option<Promotion> {
+    let accepted = judged
+        .iter()
+        .filter(|j| matches!(j.verdict, Verdict::Accepted(_)))
+        .filter_map(|j| j.promotion.as_ref());
+    let accepted: Vec<_> = accepted.collect();
+    if let Some(own) = accepted.iter().find(|p| p.promotion_id == promotion_id) {
+        return Some(Promotion::Accepted {
+            version: own.version,
+            digest: own.digest,
+        });
+    }
+    let current = follower.accepted().map(|a| a.record.summary());
+    if let Some(own) = current.as_ref().filter(|p| p.promotion_id == promotion_id) {
+        return Some(Promotion::Accepted {
+            version: own.version,
+            digest: own.digest,
+        });
     }
+    let winner = accepted.iter().find(|p| p.version == version).copied();
+    let winner = winner.or(current.as_ref().filter(|p| p.version == version));
+    if let Some(winner) = winner {
+        return Some(Promotion::Rejected {
+            winner: Some(winner.clone()),
+            current: follower.version(),
+        });
+    }
+    let judged_as_lost = judged.iter().any(|j| {
+        let own = j.promotion.as_ref();
+        own.is_some_and(|p| p.promotion_id == promotion_id)
+    });
+    judged_as_lost.then(|| Promotion::Rejected {
+        winner: None,
+        current: follower.version(),
+    })
+}
+
+/// Whether a document with this digest was accepted in an environment, as far as its log goes
+/// back.
+async fn was_accepted(
+    log: &dyn LogService,
+    environment: &Name,
+    digest: Digest,
+) -> Result<bool, LogError> {
+    let mut reader = ConfigReader::from_first(log, environment);
+    let judged = reader.read_to_end(Duration::ZERO).await?;
+    let in_force = reader.follower().accepted();
+    let now = in_force.is_some_and(|a| a.record.digest == digest);
+    let before = judged.iter().any(|j| match &j.verdict {
+        Verdict::Accepted(a) => a.record.digest == digest,
+        _ => false,
+    });
+    Ok(now || before)
+}
+
+fn version_of(promotion_id: &str) -> Result<u64, PromoteError> {
+    let version = promotion_id
+        .split_once('-')
+        .and_then(|(v, _)| v.parse().ok());
+    version.ok_or_else(|| PromoteError::PromotionId(promotion_id.to_owned()))
 }
--- a/crates/turmericloft/src/sources/log_service/record_page.rs
+++ b/crates/turmericloft/src/sources/log_service/record_page.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{base64::Base64, serde_as};
 
+use crate::core::config::{OffsetRecord, Page};
+
 /// A record as the log service keeps it.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,3 +35,24 @@
     /// Offset of the new record.
     pub offset: u64,
 }
+
+impl OffsetRecord for LogRecord {
+    fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    fn body(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+impl RecordPage {
+    /// The page as a follower takes it.
+    pub fn as_page(&self) -> Page<'_, LogRecord> {
+        Page {
+            first: self.first,
+            next: self.next,
+            records: &self.records,
+        }
+    }
+}
--- a/crates/turmericloft/src/sources/peer/message.rs
+++ b/crates/turmericloft/src/sources/peer/message.rs
@@ -20,6 +20,11 @@
 pub enum PeerRequest {
     /// Tells that the sender is alive.
     Heartbeat(Heartbeat),
+    /// Asks for the accepted configuration record if its version is above `have`.
+    NewerConfig {
+        /// Version that the sender has.
+        have: u64,
+    },
 }
 
 /// Answer to a request.
@@ -27,6 +32,8 @@
 pub enum PeerReply {
     /// The receiver's own state.
     Heartbeat(Heartbeat),
+    /// The accepted record as a checkpoint, encoded as in the log; none if it is not newer.
+    Config(Option<Vec<u8>>),
     /// The receiver does not answer such requests.
     Unsupported,
 }
--- a/crates/turmericloft/src/util/mod.rs
+++ b/crates/turmericloft/src/util/mod.rs
@@ -4,3 +4,4 @@
 pub mod error_chain;
 pub mod logging;
 pub mod settings;
+pub mod timestamp;
