--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod config_sessions;
 mod docs;
+mod load;
 mod peers;
 mod support;
 mod whole_path;
