Prove the rule over interleavings; leave out configuration records with any changed byte

Cause: the digest covered only the document; a checkpoint whose version was changed in transit or storage became the base of a late reader (`checkpoint_with_a_changed_byte_is_no_base` failed with version 9 in force, and passes now).

Change: entries end with a checksum of their JSON.

The tests in acceptance.rs encode records with the checksum now; their assertions are unchanged.

--- a/crates/turmericloft-cli/tests/testsuite/support/operators.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/operators.rs
@@ -73,7 +73,7 @@
         digest: Digest::of(document.as_bytes()),
         document,
     };
-    serde_json::to_vec(&record).expect("a record is JSON")
+    record.encode().expect("a record can be encoded")
 }
 
 fn document(slots: u32) -> String {
--- a/crates/turmericloft/src/core/config/log_entry.rs
+++ b/crates/turmericloft/src/core/config/log_entry.rs
@@ -1,5 +1,9 @@
 //! What a record of a configuration stream holds.
+//!
+//! It is JSON, followed by a line with the SHA-256 of that JSON, so that a record in which any
+//! byte has changed is left out.
 
+use serde::Serialize;
 use thiserror::Error;
 
 use super::{Checkpoint, ConfigRecord};
@@ -23,6 +27,9 @@
         /// Size, in bytes.
         found: usize,
     },
+    /// The record was changed or cut.
+    #[error("the checksum does not fit the record")]
+    Checksum,
     /// Neither a promotion nor a checkpoint.
     #[error("{0}")]
     Json(#[from] serde_json::Error),
@@ -40,9 +47,10 @@
         if bytes.len() > Self::MAX_BYTES {
             return Err(EntryError::TooLarge { found: bytes.len() });
         }
-        let entry = match serde_json::from_slice(bytes) {
+        let json = checked(bytes)?;
+        let entry = match serde_json::from_slice(json) {
             Ok(record) => Self::Promotion(Box::new(record)),
-            Err(e) => match serde_json::from_slice(bytes) {
+            Err(e) => match serde_json::from_slice(json) {
                 Ok(checkpoint) => Self::Checkpoint(Box::new(checkpoint)),
                 Err(_) => return Err(e.into()),
             },
@@ -61,3 +69,35 @@
         }
     }
 }
+
+impl ConfigRecord {
+    /// The promotion as it stands in the log.
+    pub fn encode(&self) -> Result<Vec<u8>, EntryError> {
+        encode(self)
+    }
+}
+
+impl Checkpoint {
+    /// The checkpoint as it stands in the log, or is handed to a peer.
+    pub fn encode(&self) -> Result<Vec<u8>, EntryError> {
+        encode(self)
+    }
+}
+
+fn encode<T: Serialize>(entry: &T) -> Result<Vec<u8>, EntryError> {
+    let mut bytes = serde_json::to_vec(entry)?;
+    let checksum = Digest::of(&bytes).to_string();
+    bytes.push(b'\n');
+    bytes.extend(checksum.as_bytes());
+    Ok(bytes)
+}
+
+fn checked(bytes: &[u8]) -> Result<&[u8], EntryError> {
+    let end = bytes.iter().rposition(|b| *b == b'\n');
+    let (json, checksum) = bytes.split_at(end.ok_or(EntryError::Checksum)?);
+    if Digest::of(json).to_string().as_bytes() == &checksum[1..] {
+        Ok(json)
+    } else {
+        Err(EntryError::Checksum)
+    }
+}
--- a/crates/turmericloft/src/ops/gateway/followed_config.rs
+++ b/crates/turmericloft/src/ops/gateway/followed_config.rs
@@ -46,7 +46,7 @@
             let follower = self.follower.lock();
             follower.checkpoint().filter(|c| c.record.version > have)?
         };
-        serde_json::to_vec(&checkpoint).ok()
+        checkpoint.encode().ok()
     }
 
     /// Version that is accepted here; zero if none is.
@@ -108,7 +108,7 @@
             let due = follower.checkpoint_due(now, first);
             due.then(|| follower.checkpoint()).flatten()?
         };
-        serde_json::to_vec(&checkpoint).ok()
+        checkpoint.encode().ok()
     }
 
     fn put_in_force(&self, gateway: &Gateway, accepted: Option<&Accepted>) {
--- a/crates/turmericloft/src/ops/promote.rs
+++ b/crates/turmericloft/src/ops/promote.rs
@@ -115,7 +115,7 @@
             digest: record.digest,
         });
     }
-    let appended = log.append(reader.stream(), serde_json::to_vec(&record)?);
+    let appended = log.append(reader.stream(), record.encode()?);
     match appended.await {
         Err(e) if e.had_no_effect() => Err(e.into()),
         _ => Ok(read_back(reader, &record, settle_within).await),
--- a/crates/turmericloft/src/ops/promotion.rs
+++ b/crates/turmericloft/src/ops/promotion.rs
@@ -4,7 +4,11 @@
 use thiserror::Error;
 
 use crate::{
-    core::{Name, config::PromotionSummary, document::Digest},
+    core::{
+        Name,
+        config::{EntryError, PromotionSummary},
+        document::Digest,
+    },
     sources::log_service::LogError,
 };
 
@@ -51,7 +55,7 @@
     Log(#[from] LogError),
     /// The record cannot be written down.
     #[error("the record cannot be encoded")]
-    Encode(#[from] serde_json::Error),
+    Encode(#[from] EntryError),
     /// The document was never in force in the trial environment.
     #[error(
         "this document was not in force in `{environment}`: its digest {digest} is not among the \
--- a/crates/turmericloft/tests/testsuite/acceptance.rs
+++ b/crates/turmericloft/tests/testsuite/acceptance.rs
@@ -22,7 +22,7 @@
 }
 
 fn judge(current: Option<&Accepted>, record: &ConfigRecord) -> Verdict {
-    Accepted::judge(current, 0, &serde_json::to_vec(record).unwrap())
+    Accepted::judge(current, 0, &record.encode().unwrap())
 }
 
 fn accept(current: Option<&Accepted>, record: &ConfigRecord) -> Accepted {
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/config/followed.rs
@@ -0,0 +1,135 @@
+//! A follower on streams that expire.
+
+use std::time::{Duration, Instant};
+
+use turmericloft::core::config::{Accepted, Checkpoint, ConfigRecord, Follower, Page, Verdict};
+
+use super::{documents::record, variants::ModelRecord};
+
+fn stream(bodies: &[Vec<u8>]) -> Vec<ModelRecord> {
+    let records = bodies.iter().zip(0..);
+    records
+        .map(|(body, offset)| ModelRecord {
+            offset,
+            body: body.clone(),
+        })
+        .collect()
+}
+
+fn bytes(record: &ConfigRecord) -> Vec<u8> {
+    record.encode().unwrap()
+}
+
+fn accept(parent: Option<&Accepted>, offset: u64, record: &ConfigRecord) -> Accepted {
+    match Accepted::judge(parent, offset, &bytes(record)) {
+        Verdict::Accepted(accepted) => *accepted,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+fn read(follower: &mut Follower, all: &[ModelRecord], first: u64) {
+    for _ in 0..4 {
+        let from = follower.read_from().max(first) as usize;
+        let page = Page {
+            first,
+            next: all.len() as u64,
+            records: &all[from.min(all.len())..],
+        };
+        follower.on_page(Instant::now(), &page);
+    }
+}
+
+/// Versions 1 and 2, a loser, a checkpoint of version 2 that covers the loser, version 3.
+fn sample() -> (Vec<ModelRecord>, Vec<Accepted>) {
+    let one = accept(None, 0, &record(None, "one", 1));
+    let two = accept(Some(&one), 1, &record(Some(&one), "two", 2));
+    let loser = record(Some(&one), "loser", 3);
+    let checkpoint = Checkpoint {
+        offset: 1,
+        judged: 3,
+        record: two.record.clone(),
+    };
+    let three = accept(Some(&two), 4, &record(Some(&two), "three", 4));
+    let all = stream(&[
+        bytes(&one.record),
+        bytes(&two.record),
+        bytes(&loser),
+        checkpoint.encode().unwrap(),
+        bytes(&three.record),
+    ]);
+    (all, vec![one, two, three])
+}
+
+#[test]
+fn late_reader_starts_from_a_checkpoint() {
+    let (all, _) = sample();
+    let mut late = Follower::new();
+    read(&mut late, &all, 3);
+    assert_eq!(late.version(), 3);
+    assert!(late.is_continuous());
+}
+
+#[test]
+fn late_reader_accepts_no_record_that_outlived_its_winner() {
+    let (all, _) = sample();
+    let mut late = Follower::new();
+    read(&mut late, &all[..3], 2);
+    assert_eq!((late.version(), late.is_continuous()), (0, false));
+}
+
+#[test]
+fn checkpoint_that_covers_too_little_is_no_base() {
+    let (all, _) = sample();
+    let mut late = Follower::new();
+    read(&mut late, &all, 4);
+    assert_eq!((late.version(), late.is_continuous()), (0, false));
+}
+
+#[test]
+fn reader_with_a_gap_keeps_its_version_until_a_peer_helps() {
+    let (all, accepted) = sample();
+    let mut lagging = Follower::new();
+    read(&mut lagging, &all[..1], 0);
+    read(&mut lagging, &all, 4);
+    assert_eq!((lagging.version(), lagging.is_continuous()), (1, false));
+    let mut peer = Follower::new();
+    read(&mut peer, &all, 0);
+    let handed = peer.checkpoint().unwrap().encode().unwrap();
+    assert!(lagging.on_peer(Instant::now(), &handed));
+    assert_eq!(lagging.accepted(), Some(&accepted[2]));
+    assert!(lagging.is_continuous());
+}
+
+#[test]
+fn older_or_damaged_checkpoint_of_a_peer_changes_nothing() {
+    let (all, _) = sample();
+    let mut reader = Follower::new();
+    read(&mut reader, &all, 0);
+    assert!(!reader.on_peer(Instant::now(), &all[3].body));
+    let mut damaged = reader.checkpoint().unwrap().encode().unwrap();
+    damaged.truncate(damaged.len() / 2);
+    assert!(!reader.on_peer(Instant::now(), &damaged));
+    assert_eq!(reader.version(), 3);
+}
+
+#[test]
+fn checkpoint_is_due_when_the_last_one_is_old_or_expired() {
+    let (all, _) = sample();
+    let mut reader = Follower::new();
+    read(&mut reader, &all, 0);
+    let now = Instant::now();
+    assert!(!reader.checkpoint_due(now, 3));
+    assert!(reader.checkpoint_due(now, 4));
+    assert!(reader.checkpoint_due(now + Duration::from_secs(600), 0));
+}
+
+#[test]
+fn checkpoint_with_a_changed_byte_is_no_base() {
+    let (mut all, _) = sample();
+    let text = String::from_utf8(all[3].body.clone()).unwrap();
+    all[3].body = text.replace("\"version\":2", "\"version\":9").into_bytes();
+    assert_ne!(text.as_bytes(), all[3].body);
+    let mut late = Follower::new();
+    read(&mut late, &all, 3);
+    assert_eq!((late.version(), late.is_continuous()), (0, false));
+}
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/config/model.rs
@@ -0,0 +1,273 @@
+//! A log that expires, operators that race, and readers that come, lag and go.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use proptest::prelude::{BoxedStrategy, Just, Strategy, any, prop_oneof};
+use turmericloft::core::{
+    config::{Accepted, ConfigRecord, Follower, Page, Verdict},
+    document::Digest,
+};
+
+use super::{
+    documents::record,
+    variants::{ModelRecord, Reader},
+};
+
+pub const READERS: usize = 4;
+pub const OPERATORS: usize = 3;
+
+/// One event.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// An operator reads the log and prepares a promotion.
+    Prepare(usize),
+    /// An operator's prepared promotion reaches the log; it may do so more than once.
+    Append(usize),
+    /// A reader reads a page of this many records.
+    Read(usize, usize),
+    /// A reader hands its accepted record to another.
+    HandOver(usize, usize),
+    /// A reader prepares a checkpoint.
+    Capture(usize),
+    /// A prepared checkpoint reaches the log.
+    AppendCheckpoint(usize),
+    /// A reader starts anew.
+    Restart(usize),
+    /// The oldest records expire.
+    Expire(usize),
+    /// Bytes that no reader can use are appended: an old record cut off or bent at a place.
+    AppendDamaged(usize, usize),
+    /// Any record of the past is appended again.
+    Replay(usize),
+}
+
+pub fn events() -> BoxedStrategy<Vec<Event>> {
+    let reader = 0..READERS;
+    let event = prop_oneof![
+        3 => (0..OPERATORS).prop_map(Event::Prepare),
+        3 => (0..OPERATORS).prop_map(Event::Append),
+        6 => (reader.clone(), 1..5_usize).prop_map(|(r, n)| Event::Read(r, n)),
+        2 => (reader.clone(), reader.clone()).prop_map(|(a, b)| Event::HandOver(a, b)),
+        1 => reader.clone().prop_map(Event::Capture),
+        1 => reader.clone().prop_map(Event::AppendCheckpoint),
+        1 => reader.prop_map(Event::Restart),
+        1 => (1..4_usize).prop_map(Event::Expire),
+        1 => (any::<usize>(), any::<usize>()).prop_map(|(a, b)| Event::AppendDamaged(a, b)),
+        1 => any::<usize>().prop_map(Event::Replay),
+        1 => Just(Event::Read(0, 4)),
+    ];
+    proptest::collection::vec(event, 1..80).boxed()
+}
+
+/// The state of the model, with the truth: every record judged as it was appended.
+pub struct Model<R> {
+    log: VecDeque<ModelRecord>,
+    next: u64,
+    past: Vec<Vec<u8>>,
+    prepared: Vec<Option<ConfigRecord>>,
+    captured: Vec<Option<Vec<u8>>>,
+    readers: Vec<R>,
+    truth: Option<Accepted>,
+    accepted: BTreeMap<u64, Digest>,
+    promotions: u32,
+}
+
+impl<R: Reader> Model<R> {
+    /// Runs all events, then lets everyone read to the end, and tells the first breach.
+    pub fn run(events: &[Event]) -> Result<(), String> {
+        let mut model = Self::new();
+        for event in events {
+            let before: Vec<u64> = model.readers.iter().map(version).collect();
+            model.apply(event);
+            let restarted = match event {
+                Event::Restart(r) => Some(*r),
+                _ => None,
+            };
+            model.check(&before, restarted)?;
+        }
+        model.settle()
+    }
+
+    fn new() -> Self {
+        Self {
+            log: VecDeque::new(),
+            next: 0,
+            past: Vec::new(),
+            prepared: vec![None; OPERATORS],
+            captured: vec![None; READERS],
+            readers: (0..READERS).map(|_| R::default()).collect(),
+            truth: None,
+            accepted: BTreeMap::new(),
+            promotions: 0,
+        }
+    }
+
+    fn apply(&mut self, event: &Event) {
+        match *event {
+            Event::Prepare(operator) => self.prepare(operator),
+            Event::Append(operator) => {
+                if let Some(record) = &self.prepared[operator] {
+                    self.append(record.encode().unwrap());
+                }
+            }
+            Event::Read(reader, limit) => self.read(reader, limit),
+            Event::HandOver(from, to) => self.hand_over(from, to),
+            Event::Capture(reader) => {
+                let reader_state = &self.readers[reader];
+                let checkpoint = reader_state.checkpoint();
+                let checkpoint = checkpoint.filter(|_| reader_state.is_continuous());
+                self.captured[reader] = checkpoint.map(|c| c.encode().unwrap());
+            }
+            Event::AppendCheckpoint(reader) => {
+                if let Some(bytes) = self.captured[reader].take() {
+                    self.append(bytes);
+                }
+            }
+            Event::Restart(reader) => {
+                self.readers[reader] = R::default();
+                let first = self.first();
+                self.readers[reader].begin(first, self.next);
+            }
+            Event::Expire(count) => drop(self.log.drain(..count.min(self.log.len()))),
+            Event::AppendDamaged(which, at) => self.append_damaged(which, at),
+            Event::Replay(which) => {
+                if !self.past.is_empty() {
+                    self.append(self.past[which % self.past.len()].clone());
+                }
+            }
+        }
+    }
+
+    fn first(&self) -> u64 {
+        self.next - self.log.len() as u64
+    }
+
+    fn append(&mut self, body: Vec<u8>) {
+        let offset = self.next;
+        if let Verdict::Accepted(new) = Accepted::judge(self.truth.as_ref(), offset, &body) {
+            self.accepted.insert(new.record.version, new.record.digest);
+            self.truth = Some(*new);
+        }
+        self.past.push(body.clone());
+        self.log.push_back(ModelRecord { offset, body });
+        self.next += 1;
+    }
+
+    fn append_damaged(&mut self, which: usize, at: usize) {
+        if self.past.is_empty() {
+            return;
+        }
+        let mut body = self.past[which % self.past.len()].clone();
+        if at.is_multiple_of(2) {
+            body.truncate(at % body.len().max(1));
+        } else if let Some(at) = at.checked_rem(body.len()) {
+            body[at] ^= 1;
+        }
+        self.append(body);
+    }
+
+    /// Prepares as `promote` does: on the accepted record, if the log still shows it.
+    fn prepare(&mut self, operator: usize) {
+        let mut view = Follower::new();
+        Reader::begin(&mut view, self.first(), self.next);
+        self.read_whole(&mut view);
+        self.promotions += 1;
+        let id = self.promotions;
+        self.prepared[operator] = view
+            .is_continuous()
+            .then(|| record(view.accepted(), &format!("p{id}"), id));
+    }
+
+    fn page(&self, from: u64, limit: usize) -> Vec<ModelRecord> {
+        let skipped = from.saturating_sub(self.first()) as usize;
+        self.log.iter().skip(skipped).take(limit).cloned().collect()
+    }
+
+    fn read(&mut self, reader: usize, limit: usize) {
+        let records = self.page(self.readers[reader].read_from(), limit);
+        let page = Page {
+            first: self.first(),
+            next: self.next,
+            records: &records,
+        };
+        self.readers[reader].on_page(&page);
+    }
+
+    fn read_whole<T: Reader>(&self, reader: &mut T) {
+        for _ in 0..self.log.len() * 4 + 4 {
+            let records = self.page(reader.read_from(), 16);
+            reader.on_page(&Page {
+                first: self.first(),
+                next: self.next,
+                records: &records,
+            });
+        }
+    }
+
+    fn hand_over(&mut self, from: usize, to: usize) {
+        let Some(checkpoint) = self.readers[from].checkpoint() else {
+            return;
+        };
+        let bytes = checkpoint.encode().unwrap();
+        self.readers[to].on_peer(&bytes);
+    }
+
+    fn check(&self, before: &[u64], restarted: Option<usize>) -> Result<(), String> {
+        for (i, reader) in self.readers.iter().enumerate() {
+            if version(reader) < before[i] && restarted != Some(i) {
+                return Err(format!("reader {i} fell from version {}", before[i]));
+            }
+            let Some(accepted) = reader.accepted() else {
+                continue;
+            };
+            let (version, digest) = (accepted.record.version, accepted.record.digest);
+            if self.accepted.get(&version) != Some(&digest) {
+                return Err(format!("reader {i} has a rejected version {version}"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Everyone reads to the end and hears from everyone: all that can decide agree with the
+    /// truth, and so do all others as soon as one can.
+    fn settle(&mut self) -> Result<(), String> {
+        let mut readers = std::mem::take(&mut self.readers);
+        readers.iter_mut().for_each(|r| self.read_whole(r));
+        self.readers = readers;
+        let newest = version_of(self.truth.as_ref());
+        let deciding = self.readers.iter().filter(|r| r.is_continuous());
+        if let Some(behind) = deciding.clone().find(|r| version(*r) != newest) {
+            return Err(format!(
+                "a reader ends with {} of {newest}",
+                version(behind)
+            ));
+        }
+        if deciding.count() > 0 {
+            self.spread()?;
+        }
+        Ok(())
+    }
+
+    fn spread(&mut self) -> Result<(), String> {
+        let before: Vec<u64> = self.readers.iter().map(version).collect();
+        for from in 0..READERS {
+            for to in 0..READERS {
+                self.hand_over(from, to);
+            }
+        }
+        self.check(&before, None)?;
+        let newest = version_of(self.truth.as_ref());
+        match self.readers.iter().find(|r| version(*r) != newest) {
+            Some(behind) => Err(format!("a reader stays at {} of {newest}", version(behind))),
+            None => Ok(()),
+        }
+    }
+}
+
+fn version<R: Reader>(reader: &R) -> u64 {
+    version_of(reader.accepted())
+}
+
+fn version_of(accepted: Option<&Accepted>) -> u64 {
+    accepted.map_or(0, |a| a.record.version)
+}
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/config/variants.rs
@@ -0,0 +1,162 @@
+//! Readers for the model: the real one, and broken ones that the same run must catch.
+
+use std::time::Instant;
+
+use turmericloft::core::config::{
+    Accepted, Checkpoint, Follower, LogEntry, OffsetRecord, Page, Verdict,
+};
+
+/// A record of the model's log.
+#[derive(Clone, Debug)]
+pub struct ModelRecord {
+    pub offset: u64,
+    pub body: Vec<u8>,
+}
+
+impl OffsetRecord for ModelRecord {
+    fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    fn body(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+/// What the model needs of a reader.
+pub trait Reader: Default {
+    fn begin(&mut self, first: u64, next: u64);
+    fn read_from(&self) -> u64;
+    fn on_page(&mut self, page: &Page<'_, ModelRecord>);
+    fn on_peer(&mut self, bytes: &[u8]);
+    fn accepted(&self) -> Option<&Accepted>;
+    fn is_continuous(&self) -> bool;
+    fn checkpoint(&self) -> Option<Checkpoint>;
+}
+
+impl Reader for Follower {
+    fn begin(&mut self, first: u64, next: u64) {
+        self.begin(first, next);
+    }
+
+    fn read_from(&self) -> u64 {
+        self.read_from()
+    }
+
+    fn on_page(&mut self, page: &Page<'_, ModelRecord>) {
+        self.on_page(Instant::now(), page);
+    }
+
+    fn on_peer(&mut self, bytes: &[u8]) {
+        self.on_peer(Instant::now(), bytes);
+    }
+
+    fn accepted(&self) -> Option<&Accepted> {
+        self.accepted()
+    }
+
+    fn is_continuous(&self) -> bool {
+        self.is_continuous()
+    }
+
+    fn checkpoint(&self) -> Option<Checkpoint> {
+        self.checkpoint()
+    }
+}
+
+/// Takes the first readable promotion after a gap as the accepted one.
+#[derive(Default)]
+pub struct FirstRecordIsBase {
+    accepted: Option<Accepted>,
+    next: u64,
+}
+
+impl Reader for FirstRecordIsBase {
+    fn begin(&mut self, _: u64, _: u64) {}
+
+    fn read_from(&self) -> u64 {
+        self.next
+    }
+
+    fn on_page(&mut self, page: &Page<'_, ModelRecord>) {
+        for record in page.records {
+            let gap = record.offset > self.next;
+            self.next = record.offset + 1;
+            match Accepted::judge(self.accepted.as_ref(), record.offset, &record.body) {
+                Verdict::Accepted(accepted) => self.accepted = Some(*accepted),
+                Verdict::Lost { .. } if gap => {
+                    self.accepted = as_base(record).or(self.accepted.take())
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn on_peer(&mut self, _: &[u8]) {}
+
+    fn accepted(&self) -> Option<&Accepted> {
+        self.accepted.as_ref()
+    }
+
+    fn is_continuous(&self) -> bool {
+        true
+    }
+
+    fn checkpoint(&self) -> Option<Checkpoint> {
+        None
+    }
+}
+
+fn as_base(record: &ModelRecord) -> Option<Accepted> {
+    let Ok(LogEntry::Promotion(promotion)) = LogEntry::decode(&record.body) else {
+        return None;
+    };
+    let mut first = promotion.clone();
+    first.version = 1;
+    first.parent = None;
+    let bytes = first.encode().unwrap();
+    match Accepted::judge(None, record.offset, &bytes) {
+        Verdict::Accepted(mut accepted) => {
+            accepted.record = *promotion;
+            Some(*accepted)
+        }
+        _ => None,
+    }
+}
+
+/// Takes whatever a peer hands over, also an older version.
+#[derive(Default)]
+pub struct TrustsAnyPeer(Follower);
+
+impl Reader for TrustsAnyPeer {
+    fn begin(&mut self, first: u64, next: u64) {
+        self.0.begin(first, next);
+    }
+
+    fn read_from(&self) -> u64 {
+        self.0.read_from()
+    }
+
+    fn on_page(&mut self, page: &Page<'_, ModelRecord>) {
+        self.0.on_page(Instant::now(), page);
+    }
+
+    fn on_peer(&mut self, bytes: &[u8]) {
+        let mut fresh = Follower::new();
+        if fresh.on_peer(Instant::now(), bytes) {
+            self.0 = fresh;
+        }
+    }
+
+    fn accepted(&self) -> Option<&Accepted> {
+        self.0.accepted()
+    }
+
+    fn is_continuous(&self) -> bool {
+        self.0.is_continuous()
+    }
+
+    fn checkpoint(&self) -> Option<Checkpoint> {
+        self.0.checkpoint()
+    }
+}
