Run actions with issued ids at their executor, and keep their answers

Cause: a resend through another gateway ran the action again. Change: /.turmericloft/action-ids issues an id, and a lookup brings one if it names a service in turmericloft-action-id-for. A request with an id is read whole and goes to the incarnation that the id names, which runs it in a task of its own and keeps the whole answer. An action is sent again only after a backend server shed it without starting it, at most three times. Without a reply of the executor the answer is unknown, also when this copy certainly did not arrive: an earlier copy may have come another way. Not yet: callers' own keys are held by one gateway only and not claimed in the log. Proof: a golden session over three gateways as processes (forwarding, kept answers, conflict, forged id, lost answer, shed action, killed executor) and a freeze by SIGSTOP between acceptance and dispatch. Runs are counted at the backend server. Elsewhere: caller_of in matched.rs, the two calls in handle.rs, [guard] in the settings, an arm in peers.rs, messages for peers; HOP_BY_HOP is visible to the module.

--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/guarded_freeze.rs
@@ -0,0 +1,66 @@
+//! A gateway that is frozen between the acceptance of an action and its dispatch.
+
+use std::net::SocketAddr;
+
+use futures_util::future::join;
+use nix::sys::signal::Signal;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+use crate::support::{Booking, Platform, runs};
+
+/// A booking whose body has not been sent yet.
+async fn begin(booking: &Booking, gateway: SocketAddr) -> TcpStream {
+    let head = format!(
+        "POST /booking/book HTTP/1.1\r\nhost: g\r\nauthorization: Bearer {}\r\n{}: {}\r\n\
+         run-tag: {}\r\ncontent-length: {}\r\nexpect: 100-continue\r\n\r\n",
+        Platform::TOKEN,
+        booking.name.0,
+        booking.name.1,
+        booking.tag,
+        booking.body.len(),
+    );
+    let mut stream = TcpStream::connect(gateway).await.expect("it listens");
+    stream.write_all(head.as_bytes()).await.expect("it reads");
+    let mut buf = [0; 64];
+    let n = stream.read(&mut buf).await.expect("it asks for the body");
+    assert!(buf[..n].starts_with(b"HTTP/1.1 100 "));
+    stream
+}
+
+async fn finish(mut stream: TcpStream, booking: &Booking) -> String {
+    let body = booking.body.as_bytes();
+    stream.write_all(body).await.expect("it reads");
+    let mut answer = vec![0; 4096];
+    let n = stream.read(&mut answer).await.expect("it answers");
+    String::from_utf8_lossy(&answer[..n]).into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_executor_runs_its_action_once_and_nobody_else_does() {
+    let mut platform = Platform::start_gateways(3).await;
+    platform.promote();
+    for other in &mut platform.others {
+        other.process.wait_for_line("is in force");
+    }
+    let gateways = platform.gateways();
+    let booking = Booking::issued_by(gateways[0], "frozen").await;
+    let accepted = begin(&booking, gateways[0]).await;
+    platform.gateway.signal(Signal::SIGSTOP);
+    let others = join(booking.send(gateways[1]), booking.send(gateways[2])).await;
+    for answer in [others.0, others.1] {
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.outcome(), "unknown", "{answer:?}");
+    }
+    assert_eq!(runs(platform.backend, "frozen").await, 0);
+    platform.gateway.signal(Signal::SIGCONT);
+    let answer = finish(accepted, &booking).await;
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    for gateway in &gateways {
+        let again = booking.send(*gateway).await.expect("an answer");
+        assert_eq!(again.status, 200, "{again:?}");
+    }
+    assert_eq!(runs(platform.backend, "frozen").await, 1);
+}
--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the programs as separate processes.
 
 mod docs;
+mod guarded_freeze;
+mod guarded_session;
 mod load;
-mod standin_backend;
 mod peers;
+mod standin_backend;
 mod support;
 mod whole_path;
--- a/crates/turmericloft-cli/tests/testsuite/support/gateway.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/gateway.rs
@@ -73,5 +73,6 @@
         let path = folder.join(key).with_extension("pem");
         let _ = writeln!(text, "{key} = \"{}\"", path.display());
     }
+    text.push_str("\n[guard]\nsecret = \"shared by the gateways of these tests\"\n");
     text
 }
--- a/crates/turmericloft-cli/tests/testsuite/support/platform.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/platform.rs
@@ -103,6 +103,12 @@
         platform
     }
 
+    /// Where callers reach the gateways, `gw-1` first.
+    pub fn gateways(&self) -> Vec<SocketAddr> {
+        let others = self.others.iter().map(|o| o.callers);
+        std::iter::once(self.callers).chain(others).collect()
+    }
+
     /// Replaces the host list.
     pub async fn put_hosts(&self, hosts: Vec<Host>) {
         let body = serde_json::to_vec(&HostList { hosts }).expect("a host list is JSON");
--- a/crates/turmericloft/src/core/guard/mod.rs
+++ b/crates/turmericloft/src/core/guard/mod.rs
@@ -8,6 +8,7 @@
 mod action_id;
 mod action_key;
 mod action_keys;
+mod action_request;
 mod action_table;
 mod entry;
 mod final_answer;
@@ -22,6 +23,7 @@
     action_id::{ActionId, ActionIdError},
     action_key::ActionKey,
     action_keys::ActionKeys,
+    action_request::ActionRequest,
     action_table::{ActionTable, Offer, Offered},
     final_answer::FinalAnswer,
     fingerprint::Fingerprint,
--- a/crates/turmericloft/src/ops/gateway/dispatch.rs
+++ b/crates/turmericloft/src/ops/gateway/dispatch.rs
@@ -16,7 +16,7 @@
 };
 
 /// Headers that belong to one connection and are not passed on.
-const HOP_BY_HOP: [HeaderName; 4] = [CONNECTION, TE, TRANSFER_ENCODING, UPGRADE];
+pub(super) const HOP_BY_HOP: [HeaderName; 4] = [CONNECTION, TE, TRANSFER_ENCODING, UPGRADE];
 /// Header with the time left for a request, in milliseconds.
 const DEADLINE_HEADER: HeaderName = HeaderName::from_static("deadline-ms");
 /// Time after which a service without a reachable endpoint may have one.
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/guarded/actions.rs
@@ -0,0 +1,63 @@
+//! What a gateway keeps of guarded actions.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::sync::oneshot;
+
+use crate::{
+    core::guard::{ActionKeys, ActionTable, FinalAnswer, TableLimits, Waiter},
+    util::settings::GuardSettings,
+};
+
+/// A copy of a request that waits for the answer of its action.
+#[derive(Debug)]
+pub(super) struct WaitingCopy(pub(super) oneshot::Sender<Arc<FinalAnswer>>);
+
+impl Waiter for WaitingCopy {
+    fn settle(self, answer: Arc<FinalAnswer>) {
+        let _ = self.0.send(answer);
+    }
+}
+
+/// The guarded actions of this gateway incarnation.
+#[derive(Debug)]
+pub struct Actions {
+    pub(super) table: Arc<ActionTable<WaitingCopy>>,
+    pub(super) keys: ActionKeys,
+    pub(super) id_lifetime: Duration,
+}
+
+impl Actions {
+    /// No actions yet.
+    pub fn new(settings: &GuardSettings) -> Self {
+        let previous = settings.previous_secret.as_deref();
+        let keys = match &settings.secret {
+            Some(secret) => ActionKeys::shared(secret, previous),
+            None => ActionKeys::own(&mut rand::rng()),
+        };
+        Self {
+            table: ActionTable::new(TableLimits {
+                actions: settings.actions,
+                bytes: settings.bytes,
+                answer_bytes: settings.answer_bytes,
+            }),
+            keys,
+            id_lifetime: settings.id_lifetime,
+        }
+    }
+
+    /// Actions kept.
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Whether no action is kept.
+    pub fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+
+    /// Memory that kept actions take, with what is reserved for answers, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.table.bytes()
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/guarded/counted_body.rs
@@ -0,0 +1,64 @@
+//! The body of a kept answer on its way to a caller.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+
+use crate::{
+    core::{Outcome, counting::OpenCount},
+    sources::backend::BodyError,
+};
+
+/// A body that is there already; its request counts as served once the body was taken, and as
+/// unfinished if it is dropped before.
+#[derive(Debug)]
+pub(super) struct CountedBody {
+    bytes: Bytes,
+    count: Option<OpenCount>,
+}
+
+impl CountedBody {
+    pub(super) fn new(bytes: Bytes, count: OpenCount) -> Self {
+        let mut body = Self {
+            bytes,
+            count: Some(count),
+        };
+        if body.bytes.is_empty() {
+            body.finish();
+        }
+        body
+    }
+
+    fn finish(&mut self) {
+        if let Some(count) = self.count.take() {
+            count.end(Outcome::Served);
+        }
+    }
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let bytes = std::mem::take(&mut self.bytes);
+        self.finish();
+        let frame = (!bytes.is_empty()).then(|| Ok(Frame::data(bytes)));
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.len() as u64)
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/guarded/ids.rs
@@ -0,0 +1,119 @@
+//! Issuing action ids.
+
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use crate::{
+    core::{
+        Name, Problem, Step,
+        document::{Caller, Handling},
+        guard::ActionId,
+    },
+    ops::gateway::{
+        answer::{AnswerBody, problem, refusal, whole},
+        matched::caller_of,
+        shared::{Gateway, InForce},
+    },
+    util::clock::unix_ms,
+};
+
+/// Header with an action id: of a request for a guarded action, and of an answer that brings one.
+pub(super) const ACTION_ID: HeaderName = HeaderName::from_static("turmericloft-action-id");
+/// Header of a lookup that names the service for which its answer shall bring an action id.
+const ACTION_ID_FOR: HeaderName = HeaderName::from_static("turmericloft-action-id-for");
+
+/// A new id, as it is answered.
+#[derive(Debug, Serialize)]
+struct IssuedId<'a> {
+    action_id: &'a str,
+    service: &'a Name,
+    expires_ms: u64,
+}
+
+/// Answers `/.turmericloft/action-ids?service=NAME` with a new id.
+pub(in crate::ops::gateway) fn issue_id(
+    gateway: &Gateway,
+    in_force: &InForce,
+    req: &Request<Incoming>,
+) -> Response<AnswerBody> {
+    let found = caller_of(in_force, req)
+        .and_then(|caller| Ok((caller, service_of(in_force, caller, query_service(req))?)));
+    let (caller, service) = match found {
+        Ok(found) => found,
+        Err(p) => return problem(&p),
+    };
+    let (text, expires_ms) = issue(gateway, caller, service);
+    let issued = IssuedId {
+        action_id: &text,
+        service,
+        expires_ms,
+    };
+    let mut answer = Response::new(whole(serde_json::to_vec(&issued).unwrap_or_default()));
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, json);
+    add(&mut answer, &text);
+    answer
+}
+
+/// Names the service for which a lookup asks for an id, if it may have one.
+pub(in crate::ops::gateway) fn issue_for_lookup(
+    gateway: &Gateway,
+    in_force: &InForce,
+    caller: &Caller,
+    req: &Request<Incoming>,
+) -> Option<HeaderValue> {
+    let asked = req.headers().get(ACTION_ID_FOR)?.to_str().ok();
+    let service = service_of(in_force, caller, asked).ok()?;
+    HeaderValue::from_str(&issue(gateway, caller, service).0).ok()
+}
+
+/// Puts an id on an answer.
+pub(in crate::ops::gateway) fn put_id<B>(answer: &mut Response<B>, id: Option<HeaderValue>) {
+    if let Some(id) = id {
+        answer.headers_mut().insert(ACTION_ID, id);
+    }
+}
+
+fn add<B>(answer: &mut Response<B>, text: &str) {
+    put_id(answer, HeaderValue::from_str(text).ok());
+}
+
+fn issue(gateway: &Gateway, caller: &Caller, service: &Name) -> (String, u64) {
+    let lifetime_ms = gateway.actions.id_lifetime.as_millis() as u64;
+    let expires_ms = unix_ms() + lifetime_ms;
+    let id = ActionId::issue(gateway.host.clone(), expires_ms, &mut rand::rng());
+    let text = id.to_text(&gateway.actions.keys, &caller.name, service);
+    (text, expires_ms)
+}
+
+fn query_service(req: &Request<Incoming>) -> Option<&str> {
+    let query = req.uri().query()?;
+    query.split('&').find_map(|p| p.strip_prefix("service="))
+}
+
+/// The service, if the caller may run guarded actions of it.
+fn service_of<'a>(
+    in_force: &'a InForce,
+    caller: &Caller,
+    asked: Option<&str>,
+) -> Result<&'a Name, Problem> {
+    let asked = asked.ok_or_else(|| {
+        let detail = "the query must name a service: ?service=NAME";
+        refusal(StatusCode::BAD_REQUEST, Step::Authenticated, detail)
+    })?;
+    let service = in_force.environment.service(asked).ok_or_else(|| {
+        let detail = "no such service";
+        refusal(StatusCode::NOT_FOUND, Step::Authenticated, detail)
+    })?;
+    let contract = caller.contract(&service.name);
+    let guarded = |c: &crate::core::document::Contract| {
+        let mut kinds = service.kinds.iter();
+        kinds.any(|k| k.handling == Handling::Guarded && c.allows(&k.name))
+    };
+    if contract.is_some_and(guarded) {
+        return Ok(&service.name);
+    }
+    let detail = "the caller has no contract for guarded actions of this service";
+    Err(refusal(StatusCode::FORBIDDEN, Step::Matched, detail))
+}
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/guarded/mod.rs
@@ -0,0 +1,22 @@
+//! Guarded actions: at most once.
+//!
+//! A request with an issued id goes to the gateway incarnation that the id names and is run
+//! there, in a task of its own, so that it ends and its answer is kept whether or not its caller
+//! still waits. [`answer`] serves a caller, [`answer_peer`] another gateway.
+
+mod actions;
+mod answer;
+mod buffer;
+mod collect;
+mod counted_body;
+mod execute;
+mod forward;
+mod ids;
+mod run_action;
+
+pub use self::actions::Actions;
+pub(super) use self::{
+    answer::answer,
+    forward::answer_peer,
+    ids::{issue_for_lookup, issue_id, put_id},
+};
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/guarded/run_action.rs
@@ -0,0 +1,151 @@
+//! One run of a guarded action.
+
+use std::{sync::Arc, time::Duration};
+
+use http::{Response, StatusCode, header::CONTENT_LENGTH};
+use tokio::time::timeout;
+
+use super::{
+    actions::WaitingCopy,
+    buffer::{to_pairs, to_request},
+    collect::{CollectError, collect},
+};
+use crate::{
+    core::{
+        Outcome, Problem, Step,
+        guard::{ActionRequest, Dispatched as AtBackend, FinalAnswer, Permit, Received},
+    },
+    ops::gateway::{
+        dispatch::{DispatchError, Dispatched, HOP_BY_HOP, dispatch},
+        matched::Matched,
+        shared::InForce,
+    },
+};
+
+/// Header of a 503 by which a backend server promises that it did not start the request.
+const SHED_HEADER: &str = "shed";
+/// Value of that header.
+const SHED_NOT_STARTED: &str = "not-started";
+/// Times that an action is sent, counting only those that a backend server provably didn't start.
+const MAX_SENDS: usize = 3;
+/// Time on top of the deadline after which an action without an answer is given up.
+const DEADLINE_GRACE: Duration = Duration::from_millis(250);
+/// Time after which a service that shed an action may take a new one.
+const SHED_RETRY: Duration = Duration::from_secs(1);
+
+/// Runs an action to its end and keeps its answer.
+pub(super) async fn run_action(
+    in_force: Arc<InForce>,
+    permit: Permit<Received, WaitingCopy>,
+    request: ActionRequest,
+    answer_limit: usize,
+) {
+    let Some(matched) = find(&in_force, &request) else {
+        let detail = "the service or kind is not in this gateway's document";
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let p = Problem::new(status, Outcome::NotRun, Step::Matched, detail);
+        permit.settle(FinalAnswer::of_problem(&p));
+        return;
+    };
+    let permit: Permit<AtBackend, _> = permit.dispatch();
+    let limit = matched.deadline() + DEADLINE_GRACE;
+    let sent = timeout(limit, send(&in_force, &matched, &request, answer_limit)).await;
+    let answer = match sent {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(p)) => FinalAnswer::of_problem(&p),
+        Err(_) => {
+            let detail = "no answer within the deadline; the action may still run";
+            FinalAnswer::of_problem(&unknown(Step::Sent, detail))
+        }
+    };
+    permit.settle(answer);
+}
+
+fn find<'a>(in_force: &'a InForce, request: &ActionRequest) -> Option<Matched<'a>> {
+    let environment = &in_force.environment;
+    let service = environment.service(request.service.as_str())?;
+    let callers = &environment.document().callers;
+    Some(Matched {
+        caller: callers.iter().find(|c| c.name == request.caller)?,
+        service,
+        kind: service.kinds.iter().find(|k| k.name == request.kind)?,
+        path: request.path().to_owned(),
+    })
+}
+
+/// Sends the action, and again while backend servers prove that they did not start it.
+async fn send(
+    in_force: &InForce,
+    matched: &Matched<'_>,
+    request: &ActionRequest,
+    answer_limit: usize,
+) -> Result<FinalAnswer, Problem> {
+    for _ in 0..MAX_SENDS {
+        let Ok(req) = to_request(request) else {
+            let status = StatusCode::BAD_REQUEST;
+            let detail = "the request cannot be passed on";
+            return Err(Problem::new(
+                status,
+                Outcome::NotRun,
+                Step::Received,
+                detail,
+            ));
+        };
+        let dispatched = dispatch(in_force, matched, req).await.map_err(failure)?;
+        if !was_shed(&dispatched.response) {
+            return whole_answer(dispatched, answer_limit).await;
+        }
+    }
+    let detail = "the service shed the action without starting it";
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let p = Problem::new(status, Outcome::NotRun, Step::AnswerBegun, detail);
+    Err(p.retry_after(SHED_RETRY))
+}
+
+fn was_shed<B>(response: &Response<B>) -> bool {
+    let header = response.headers().get(SHED_HEADER);
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && header.is_some_and(|v| v == SHED_NOT_STARTED)
+}
+
+async fn whole_answer(dispatched: Dispatched, limit: usize) -> Result<FinalAnswer, Problem> {
+    let (mut head, body) = dispatched.response.into_parts();
+    let body = collect(body, limit).await.map_err(|e| match e {
+        CollectError::TooLarge => {
+            let detail = format!("the action ran; its answer is larger than {limit} bytes");
+            unknown(Step::AnswerBegun, &detail)
+        }
+        CollectError::Broken(_) => {
+            unknown(Step::AnswerBegun, "the answer broke off; the action ran")
+        }
+    })?;
+    drop((dispatched.lease, dispatched.in_flight));
+    HOP_BY_HOP.iter().for_each(|name| {
+        head.headers.remove(name);
+    });
+    head.headers.remove(CONTENT_LENGTH);
+    Ok(FinalAnswer {
+        outcome: Outcome::Served,
+        status: head.status.as_u16(),
+        headers: to_pairs(&head.headers),
+        body,
+    })
+}
+
+fn failure(e: DispatchError) -> Problem {
+    match e {
+        DispatchError::NotStarted {
+            step,
+            detail,
+            retry_after,
+        } => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            Problem::new(status, Outcome::NotRun, step, detail).retry_after(retry_after)
+        }
+        DispatchError::MayHaveRun { source } => unknown(source.step, &source.to_string()),
+    }
+}
+
+fn unknown(step: Step, detail: &str) -> Problem {
+    Problem::new(StatusCode::BAD_GATEWAY, Outcome::Unknown, step, detail)
+}
--- a/crates/turmericloft/src/ops/gateway/handle.rs
+++ b/crates/turmericloft/src/ops/gateway/handle.rs
@@ -16,19 +16,30 @@
 /// Time after which a gateway without an environment may have one.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
 
+/// Where callers take new action ids.
+const ACTION_IDS_PATH: &str = "/.turmericloft/action-ids";
+
 /// Answers one request.
 pub(super) async fn handle(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<AnswerBody> {
     let Some(in_force) = gateway.in_force() else {
         return problem(&not_ready());
     };
+    if req.uri().path() == ACTION_IDS_PATH {
+        return guarded::issue_id(&gateway, &in_force, &req);
+    }
     let matched = match Matched::find(&in_force, &req) {
         Ok(matched) => matched,
         Err(p) => return problem(&p),
     };
     let count = gateway.ledger.admit(matched.count_key());
     match matched.kind.handling {
-        Handling::Idempotent => lookup::answer(&in_force, &matched, req, count).await,
-        Handling::Guarded => guarded::answer(&in_force, &matched, req, count).await,
+        Handling::Idempotent => {
+            let id = guarded::issue_for_lookup(&gateway, &in_force, matched.caller, &req);
+            let mut answer = lookup::answer(&in_force, &matched, req, count).await;
+            guarded::put_id(&mut answer, id);
+            answer
+        }
+        Handling::Guarded => guarded::answer(&gateway, &in_force, &matched, req, count).await,
     }
 }
 
--- a/crates/turmericloft/src/ops/gateway/matched.rs
+++ b/crates/turmericloft/src/ops/gateway/matched.rs
@@ -25,15 +25,7 @@
     /// Finds caller, service and kind, and checks the caller's contract.
     pub(super) fn find<B>(in_force: &'a InForce, req: &Request<B>) -> Result<Self, Problem> {
         let environment = &in_force.environment;
-        let caller = bearer_token(req.headers())
-            .and_then(|token| environment.caller(token))
-            .ok_or_else(|| {
-                refusal(
-                    StatusCode::UNAUTHORIZED,
-                    Step::Received,
-                    "unknown bearer token",
-                )
-            })?;
+        let caller = caller_of(in_force, req)?;
         let no_service = || {
             refusal(
                 StatusCode::NOT_FOUND,
@@ -83,6 +75,22 @@
     }
 }
 
+/// The caller whose token a request carries.
+pub(super) fn caller_of<'a, B>(
+    in_force: &'a InForce,
+    req: &Request<B>,
+) -> Result<&'a Caller, Problem> {
+    bearer_token(req.headers())
+        .and_then(|token| in_force.environment.caller(token))
+        .ok_or_else(|| {
+            refusal(
+                StatusCode::UNAUTHORIZED,
+                Step::Received,
+                "unknown bearer token",
+            )
+        })
+}
+
 fn bearer_token(headers: &HeaderMap) -> Option<&str> {
     headers
         .get(AUTHORIZATION)?
--- a/crates/turmericloft/src/ops/gateway/peers.rs
+++ b/crates/turmericloft/src/ops/gateway/peers.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant as Tick, MissedTickBehavior, interval, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use super::shared::Gateway;
+use super::{guarded, shared::Gateway};
 use crate::{
     core::{
         HostId, Name,
@@ -218,6 +218,10 @@
                     self.heartbeat()
                         .map_or(PeerReply::Unsupported, PeerReply::Heartbeat)
                 }
+                PeerRequest::Action(forwarded) => match self.gateway.upgrade() {
+                    Some(gateway) => guarded::answer_peer(&gateway, *forwarded).await,
+                    None => PeerReply::Unsupported,
+                },
             }
         })
     }
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -48,10 +48,11 @@
 ) -> Result<(), GatewayError> {
     let callers = bind(settings.listen).await?;
     let admin = bind(settings.admin).await?;
-    let gateway = Gateway::new(HostId {
+    let host = HostId {
         name: settings.host,
         incarnation: unix_ms(),
-    });
+    };
+    let gateway = Gateway::new(host, &settings.guard);
     let peers = settings.peers.map(|s| Peers::start(&gateway, s));
     let peers = peers.transpose()?;
     let for_peers = peers
--- a/crates/turmericloft/src/ops/gateway/shared.rs
+++ b/crates/turmericloft/src/ops/gateway/shared.rs
@@ -11,8 +11,11 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 
-use super::{peers::Peers, service_state::ServiceState};
-use crate::core::{Environment, HostId, Name, counting::Ledger};
+use super::{guarded::Actions, peers::Peers, service_state::ServiceState};
+use crate::{
+    core::{Environment, HostId, Name, counting::Ledger},
+    util::settings::GuardSettings,
+};
 
 /// A gateway: the environment in force, the state of each service, and the counts.
 #[derive(Debug)]
@@ -21,6 +24,8 @@
     pub host: HostId,
     /// Counts of all requests.
     pub ledger: Arc<Ledger>,
+    /// Guarded actions.
+    pub actions: Actions,
     in_force: ArcSwapOption<InForce>,
     stopping: AtomicBool,
     peers: OnceLock<Arc<Peers>>,
@@ -38,10 +43,11 @@
 
 impl Gateway {
     /// A gateway without an environment; not ready.
-    pub fn new(host: HostId) -> Arc<Self> {
+    pub fn new(host: HostId, guard: &GuardSettings) -> Arc<Self> {
         Arc::new(Self {
             host,
             ledger: Ledger::new(),
+            actions: Actions::new(guard),
             in_force: ArcSwapOption::empty(),
             stopping: AtomicBool::new(false),
             peers: OnceLock::new(),
--- a/crates/turmericloft/src/sources/peer/message.rs
+++ b/crates/turmericloft/src/sources/peer/message.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::HostId;
+use crate::core::{
+    HostId,
+    guard::{ActionRequest, FinalAnswer},
+};
 
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -20,6 +23,8 @@
 pub enum PeerRequest {
     /// Tells that the sender is alive.
     Heartbeat(Heartbeat),
+    /// Asks the executor of an issued id to run its action, or to tell how it ended.
+    Action(Box<ForwardedAction>),
 }
 
 /// Answer to a request.
@@ -27,6 +32,10 @@
 pub enum PeerReply {
     /// The receiver's own state.
     Heartbeat(Heartbeat),
+    /// The answer to a forwarded action.
+    Action(FinalAnswer),
+    /// The receiver is not the executor; it knows nothing of the action.
+    NotExecutor,
     /// The receiver does not answer such requests.
     Unsupported,
 }
@@ -48,3 +57,12 @@
     /// Where the gateway listens for peers.
     pub address: SocketAddr,
 }
+
+/// A request for a guarded action on its way to its executor.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForwardedAction {
+    /// Text form of the action's id.
+    pub id: String,
+    /// The request.
+    pub request: ActionRequest,
+}
--- a/crates/turmericloft/src/sources/peer/mod.rs
+++ b/crates/turmericloft/src/sources/peer/mod.rs
@@ -11,6 +11,6 @@
 pub use self::{
     identity::{IdentityError, IdentityFiles, PeerIdentity},
     mesh::{PeerHandler, PeerMesh},
-    message::{Envelope, Heartbeat, PeerDatagram, PeerReply, PeerRequest},
+    message::{Envelope, ForwardedAction, Heartbeat, PeerDatagram, PeerReply, PeerRequest},
     peer_error::PeerError,
 };
--- a/crates/turmericloft/src/util/settings.rs
+++ b/crates/turmericloft/src/util/settings.rs
@@ -38,6 +38,9 @@
     /// How it meets the other gateways; without it the gateway acts alone.
     #[serde(default)]
     pub peers: Option<PeerSettings>,
+    /// How guarded actions are kept.
+    #[serde(default)]
+    pub guard: GuardSettings,
     /// Time for requests in flight to finish at a stop.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "stop_deadline_ms", default = "default_stop_deadline")]
@@ -61,6 +64,41 @@
     pub authorities: PathBuf,
 }
 
+/// How a gateway keeps guarded actions.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GuardSettings {
+    /// Secret from which all gateways of the environment derive the key of action ids. Without
+    /// it each gateway has a key of its own, and only the executor can check an id.
+    pub secret: Option<String>,
+    /// Secret before the last rotation, still accepted.
+    pub previous_secret: Option<String>,
+    /// Time within which an issued id has to be used first.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "id_lifetime_ms")]
+    pub id_lifetime: Duration,
+    /// Actions kept.
+    pub actions: usize,
+    /// Memory for kept actions and their answers, in bytes.
+    pub bytes: usize,
+    /// Largest answer kept, in bytes.
+    pub answer_bytes: usize,
+}
+
+impl Default for GuardSettings {
+    fn default() -> Self {
+        Self {
+            secret: None,
+            previous_secret: None,
+            id_lifetime: Duration::from_secs(60),
+            actions: 200_000,
+            bytes: 64 << 20,
+            answer_bytes: 64 << 10,
+        }
+    }
+}
+
 /// Settings of a reporter.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/turmericloft/tests/testsuite/peer.rs
+++ b/crates/turmericloft/tests/testsuite/peer.rs
@@ -18,6 +18,7 @@
         Box::pin(async move {
             match req {
                 PeerRequest::Heartbeat(beat) => PeerReply::Heartbeat(beat),
+                _ => PeerReply::Unsupported,
             }
         })
     }
