--- a/crates/turmericloft-bench/src/main.rs
+++ b/crates/turmericloft-bench/src/main.rs
@@ -11,7 +11,7 @@
 mod figure;
 mod fit;
 
-use experiments::{capacity, overhead};
+use experiments::{capacity, overhead, routing};
 
 /// Measures turmericloft against its own baselines on loopback
 #[derive(Debug, Parser)]
@@ -31,6 +31,7 @@
 enum Experiment {
     Capacity(capacity::Args),
     Overhead(overhead::Args),
+    Routing(routing::Args),
 }
 
 #[tokio::main]
@@ -40,6 +41,7 @@
     let result = match cli.experiment {
         Experiment::Capacity(args) => capacity::exec(args, cli.seed, &figures).await,
         Experiment::Overhead(args) => overhead::exec(args, cli.seed, &figures).await,
+        Experiment::Routing(args) => routing::exec(args, cli.seed, &figures).await,
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
