Claim callers' own keys in the log before they are run

Cause: two gateways each ran an action with the same Idempotency-Key. Other gateways ask the holder, or answer unknown if it is gone. A claim that can't be settled is never dispatched: it is not-run only if every known gateway renounces the key for good and all claims of earlier incarnations were read, otherwise unknown. Records dropped unread leave new keys refused for the lifetime of a key. Ruled out: answering not-run from the outage alone; a copy may have run at a gateway whose claim was not read yet. The cost is a message to each peer for each key given up. Proof: index tests, and sessions over processes: concurrent copies at three gateways, lost append answers, outage (not-run stays so after it, at all gateways), killed holder. Elsewhere: start_claims in run.rs, arms in peers.rs, messages for peers.

--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod docs;
 mod guarded_freeze;
+mod guarded_keys;
 mod guarded_session;
 mod load;
 mod peers;
--- a/crates/turmericloft-cli/tests/testsuite/support/bookings.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/bookings.rs
@@ -4,17 +4,25 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, Request, Response, header::AUTHORIZATION};
+use http::{
+    Method, Request, Response,
+    header::{AUTHORIZATION, CONTENT_TYPE},
+};
 use http_body_util::{BodyExt, Full};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use serde_json::Value;
 use turmericloft::sources::http_client;
-use turmericloft_standins::backend::{BackendFaults, RunCounts};
+use turmericloft_standins::{
+    backend::{BackendFaults, RunCounts},
+    log_service::LogFaults,
+};
 
 use super::Platform;
 
 /// Header with an issued id.
-pub const ACTION_ID: &str = "turmericloft-action-id";
+const ACTION_ID: &str = "turmericloft-action-id";
+/// Header with the caller's own key.
+const KEY: &str = "idempotency-key";
 const LIMIT: Duration = Duration::from_secs(10);
 
 /// One booking as a caller sends it, any number of times.
@@ -45,6 +53,15 @@
         }
     }
 
+    /// A booking with the caller's own key.
+    pub fn with_key(key: &str) -> Self {
+        Self {
+            name: (KEY, key.to_owned()),
+            tag: key.to_owned(),
+            body: format!("party of {key}"),
+        }
+    }
+
     /// The same action with another body.
     pub fn with_body(&self, body: &str) -> Self {
         Self {
@@ -116,10 +133,22 @@
     control(backend, body).await;
 }
 
+/// Changes the log service's behaviour.
+pub async fn set_log(log_service: SocketAddr, faults: &LogFaults) {
+    let body = serde_json::to_vec(faults).expect("faults are JSON");
+    control(log_service, body).await;
+}
+
 async fn control(address: SocketAddr, body: Vec<u8>) {
-    let put = http_client::call(address, Method::PUT, "/control", body.into(), LIMIT);
-    let answer = put.await.expect("the stand-in answers");
-    assert!(answer.status.is_success(), "{answer:?}");
+    let req = Request::builder()
+        .method(Method::PUT)
+        .uri(format!("http://{address}/control"))
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .expect("the request is well formed");
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let answer = client.request(req).await.expect("the stand-in answers");
+    assert!(answer.status().is_success(), "{answer:?}");
 }
 
 fn header<B>(answer: &Response<B>, name: &str) -> Option<String> {
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -7,7 +7,7 @@
 mod process;
 
 pub use self::{
-    bookings::{Booking, runs, set_backend},
+    bookings::{Booking, BookingAnswer, runs, set_backend, set_log},
     caller::send,
     platform::Platform,
     process::Process,
--- a/crates/turmericloft/src/core/guard/mod.rs
+++ b/crates/turmericloft/src/core/guard/mod.rs
@@ -10,6 +10,8 @@
 mod action_keys;
 mod action_request;
 mod action_table;
+mod claim;
+mod claim_index;
 mod entry;
 mod final_answer;
 mod fingerprint;
@@ -25,9 +27,11 @@
     action_keys::ActionKeys,
     action_request::ActionRequest,
     action_table::{ActionTable, Offer, Offered},
+    claim::{ClaimBatch, ClaimDigest},
+    claim_index::{ClaimIndex, ClaimPage},
     final_answer::FinalAnswer,
     fingerprint::Fingerprint,
-    permit::{Claimed, Dispatched, Permit, Received},
+    permit::{Claimed, Dispatchable, Dispatched, Permit, Received},
     placement::Placement,
     stage::Stage,
     table_limits::TableLimits,
--- a/crates/turmericloft/src/core/guard/permit.rs
+++ b/crates/turmericloft/src/core/guard/permit.rs
@@ -16,6 +16,13 @@
 #[derive(Debug)]
 pub enum Dispatched {}
 
+/// Stages from which an action may be sent: an action with an issued id needs no claim.
+pub trait Dispatchable {}
+
+impl Dispatchable for Received {}
+
+impl Dispatchable for Claimed {}
+
 /// The only permission to run an action. It is not cloned, and each step takes it.
 ///
 /// Dropped before it is settled, the action ends: as not-run while nothing was dispatched,
@@ -72,15 +79,9 @@
     pub fn claim(self) -> Permit<Claimed, W> {
         self.advance(Stage::Claimed)
     }
-
-    /// The action is about to be sent. Only an action whose id names its executor gets here
-    /// without a claim.
-    pub fn dispatch(self) -> Permit<Dispatched, W> {
-        self.advance(Stage::Dispatched)
-    }
 }
 
-impl<W: Waiter> Permit<Claimed, W> {
+impl<S: Dispatchable, W: Waiter> Permit<S, W> {
     /// The action is about to be sent.
     pub fn dispatch(self) -> Permit<Dispatched, W> {
         self.advance(Stage::Dispatched)
--- a/crates/turmericloft/src/ops/gateway/guarded/actions.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/actions.rs
@@ -1,9 +1,13 @@
 //! What a gateway keeps of guarded actions.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use tokio::sync::oneshot;
 
+use super::claims::Claims;
 use crate::{
     core::guard::{ActionKeys, ActionTable, FinalAnswer, TableLimits, Waiter},
     util::settings::GuardSettings,
@@ -22,9 +26,15 @@
 /// The guarded actions of this gateway incarnation.
 #[derive(Debug)]
 pub struct Actions {
+    /// Actions with issued ids.
     pub(super) table: Arc<ActionTable<WaitingCopy>>,
+    /// Actions with callers' own keys. Apart, so that keys given up during an outage of the log
+    /// leave room for issued ids.
+    pub(super) keyed: Arc<ActionTable<WaitingCopy>>,
     pub(super) keys: ActionKeys,
     pub(super) id_lifetime: Duration,
+    pub(super) key_lifetime: Duration,
+    pub(super) claims: OnceLock<Arc<Claims>>,
 }
 
 impl Actions {
@@ -35,29 +45,33 @@
             Some(secret) => ActionKeys::shared(secret, previous),
             None => ActionKeys::own(&mut rand::rng()),
         };
+        let limits = TableLimits {
+            actions: settings.actions,
+            bytes: settings.bytes,
+            answer_bytes: settings.answer_bytes,
+        };
         Self {
-            table: ActionTable::new(TableLimits {
-                actions: settings.actions,
-                bytes: settings.bytes,
-                answer_bytes: settings.answer_bytes,
-            }),
+            table: ActionTable::new(limits),
+            keyed: ActionTable::new(limits),
             keys,
             id_lifetime: settings.id_lifetime,
+            key_lifetime: settings.key_lifetime,
+            claims: OnceLock::new(),
         }
     }
 
     /// Actions kept.
     pub fn len(&self) -> usize {
-        self.table.len()
+        self.table.len() + self.keyed.len()
     }
 
     /// Whether no action is kept.
     pub fn is_empty(&self) -> bool {
-        self.table.is_empty()
+        self.len() == 0
     }
 
     /// Memory that kept actions take, with what is reserved for answers, in bytes.
     pub fn bytes(&self) -> usize {
-        self.table.bytes()
+        self.table.bytes() + self.keyed.bytes()
     }
 }
--- a/crates/turmericloft/src/ops/gateway/guarded/answer.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/answer.rs
@@ -12,6 +12,7 @@
     execute::{Action, execute},
     forward::forward,
     ids::ACTION_ID,
+    keyed::answer_keyed,
 };
 use crate::{
     core::{
@@ -24,7 +25,6 @@
         matched::Matched,
         shared::{Gateway, InForce},
     },
-    util::clock::unix_ms,
 };
 
 /// Header with the caller's own key of a guarded action.
@@ -76,13 +76,7 @@
     }
     let key = caller_key(&req, matched)?;
     let request = buffer(matched, req).await?;
-    let lifetime_ms = gateway.actions.id_lifetime.as_millis() as u64;
-    let action = Action {
-        key,
-        expires_ms: unix_ms() + lifetime_ms,
-        request,
-    };
-    Ok(execute(gateway, in_force, action).await)
+    Ok(answer_keyed(gateway, in_force, key, request).await)
 }
 
 /// Reads an id and checks it, as far as this gateway can.
--- a/crates/turmericloft/src/ops/gateway/guarded/execute.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/execute.rs
@@ -63,12 +63,12 @@
     }
 }
 
-fn conflict() -> Problem {
+pub(super) fn conflict() -> Problem {
     let detail = "the key or action id belongs to another request";
     refusal(StatusCode::UNPROCESSABLE_ENTITY, Step::Received, detail)
 }
 
-fn full() -> Problem {
+pub(super) fn full() -> Problem {
     let detail = "no more actions can be kept; the action was not begun and may be sent again";
     refusal(StatusCode::SERVICE_UNAVAILABLE, Step::Received, detail).retry_after(FULL_RETRY)
 }
@@ -83,7 +83,7 @@
     Problem::new(StatusCode::GONE, Outcome::Unknown, Step::Received, detail)
 }
 
-fn given_up() -> FinalAnswer {
+pub(super) fn given_up() -> FinalAnswer {
     let status = StatusCode::INTERNAL_SERVER_ERROR;
     let detail = "the action's answer was lost";
     FinalAnswer::of_problem(&Problem::new(
--- a/crates/turmericloft/src/ops/gateway/guarded/forward.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/forward.rs
@@ -71,7 +71,7 @@
     PeerReply::Action(Arc::unwrap_or_clone(answer))
 }
 
-fn no_reply(executor: &HostId, why: &str) -> Arc<FinalAnswer> {
+pub(super) fn no_reply(executor: &HostId, why: &str) -> Arc<FinalAnswer> {
     let detail = format!("gateway {executor} gave no answer: {why}; the action may have run");
     let p = Problem::new(
         StatusCode::BAD_GATEWAY,
--- a/crates/turmericloft/src/ops/gateway/guarded/run_action.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/run_action.rs
@@ -13,7 +13,7 @@
 use crate::{
     core::{
         Outcome, Problem, Step,
-        guard::{ActionRequest, Dispatched as AtBackend, FinalAnswer, Permit, Received},
+        guard::{ActionRequest, Dispatchable, Dispatched as AtBackend, FinalAnswer, Permit},
     },
     ops::gateway::{
         dispatch::{DispatchError, Dispatched, HOP_BY_HOP, dispatch},
@@ -34,9 +34,9 @@
 const SHED_RETRY: Duration = Duration::from_secs(1);
 
 /// Runs an action to its end and keeps its answer.
-pub(super) async fn run_action(
+pub(super) async fn run_action<S: Dispatchable>(
     in_force: Arc<InForce>,
-    permit: Permit<Received, WaitingCopy>,
+    permit: Permit<S, WaitingCopy>,
     request: ActionRequest,
     answer_limit: usize,
 ) {
--- a/crates/turmericloft/src/ops/gateway/peers.rs
+++ b/crates/turmericloft/src/ops/gateway/peers.rs
@@ -222,6 +222,14 @@
                     Some(gateway) => guarded::answer_peer(&gateway, *forwarded).await,
                     None => PeerReply::Unsupported,
                 },
+                PeerRequest::FindAction(action) => match self.gateway.upgrade() {
+                    Some(gateway) => guarded::find_for_peer(&gateway, action).await,
+                    None => PeerReply::Unsupported,
+                },
+                PeerRequest::Renounce(action) => match self.gateway.upgrade() {
+                    Some(gateway) => guarded::renounce_for_peer(&gateway, action),
+                    None => PeerReply::Unsupported,
+                },
             }
         })
     }
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -9,7 +9,7 @@
 use super::{
     admin,
     follow_config::follow,
-    listener,
+    guarded, listener,
     peers::{Peers, PeersError, keep_in_touch},
     send_snapshots,
     shared::Gateway,
@@ -67,6 +67,7 @@
     );
     let log: Arc<dyn LogService> = Arc::new(HttpLog::new(settings.log_service));
     let ended = CancellationToken::new();
+    guarded::start_claims(&gateway, Arc::clone(&log), &settings.environment, &ended);
     let follower = follow(
         Arc::clone(&gateway),
         log,
--- a/crates/turmericloft/src/sources/peer/message.rs
+++ b/crates/turmericloft/src/sources/peer/message.rs
@@ -6,7 +6,7 @@
 
 use crate::core::{
     HostId,
-    guard::{ActionRequest, FinalAnswer},
+    guard::{ActionKey, ActionRequest, FinalAnswer, Fingerprint},
 };
 
 /// A message with its sender.
@@ -25,6 +25,10 @@
     Heartbeat(Heartbeat),
     /// Asks the executor of an issued id to run its action, or to tell how it ended.
     Action(Box<ForwardedAction>),
+    /// Asks the holder of a caller's own key how its action ended. Never runs it.
+    FindAction(ActionRef),
+    /// Asks the receiver never to run an action from now on.
+    Renounce(ActionRef),
 }
 
 /// Answer to a request.
@@ -36,6 +40,10 @@
     Action(FinalAnswer),
     /// The receiver is not the executor; it knows nothing of the action.
     NotExecutor,
+    /// The receiver had nothing of the action, and will never run it.
+    Renounced(HostId),
+    /// The receiver may have run the action, or knows who may have.
+    NotRenounced,
     /// The receiver does not answer such requests.
     Unsupported,
 }
@@ -66,3 +74,14 @@
     /// The request.
     pub request: ActionRequest,
 }
+
+/// An action with its caller's own key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ActionRef {
+    /// The gateway meant.
+    pub holder: HostId,
+    /// Key of the action.
+    pub key: ActionKey,
+    /// Fingerprint of its request.
+    pub fingerprint: Fingerprint,
+}
--- a/crates/turmericloft/src/sources/peer/mod.rs
+++ b/crates/turmericloft/src/sources/peer/mod.rs
@@ -11,6 +11,8 @@
 pub use self::{
     identity::{IdentityError, IdentityFiles, PeerIdentity},
     mesh::{PeerHandler, PeerMesh},
-    message::{Envelope, ForwardedAction, Heartbeat, PeerDatagram, PeerReply, PeerRequest},
+    message::{
+        ActionRef, Envelope, ForwardedAction, Heartbeat, PeerDatagram, PeerReply, PeerRequest,
+    },
     peer_error::PeerError,
 };
--- a/crates/turmericloft/src/util/settings.rs
+++ b/crates/turmericloft/src/util/settings.rs
@@ -78,9 +78,14 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "id_lifetime_ms")]
     pub id_lifetime: Duration,
-    /// Actions kept.
+    /// Time for which a caller's own key is remembered after its first use.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "key_lifetime_ms")]
+    pub key_lifetime: Duration,
+    /// Actions kept, each for issued ids and for callers' own keys.
     pub actions: usize,
-    /// Memory for kept actions and their answers, in bytes.
+    /// Memory for kept actions and their answers, in bytes, each for issued ids and for callers'
+    /// own keys.
     pub bytes: usize,
     /// Largest answer kept, in bytes.
     pub answer_bytes: usize,
@@ -92,8 +97,9 @@
             secret: None,
             previous_secret: None,
             id_lifetime: Duration::from_secs(60),
+            key_lifetime: Duration::from_secs(600),
             actions: 200_000,
-            bytes: 64 << 20,
+            bytes: 32 << 20,
             answer_bytes: 64 << 10,
         }
     }
--- a/crates/turmericloft/tests/testsuite/guard/mod.rs
+++ b/crates/turmericloft/tests/testsuite/guard/mod.rs
@@ -1,6 +1,7 @@
 //! Guarded actions: decisions without I/O.
 
 mod action_id;
+mod claims;
 mod exploration;
 mod table;
 mod world;
