--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -2,6 +2,9 @@
 
 mod config_sessions;
 mod docs;
+mod guarded_freeze;
+mod guarded_keys;
+mod guarded_session;
 mod load;
 mod peers;
 mod standin_backend;
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -1,5 +1,6 @@
 //! Processes, a caller, and documents for the tests.
 
+mod bookings;
 mod caller;
 mod gateway;
 mod operators;
@@ -7,6 +8,7 @@
 mod process;
 
 pub use self::{
+    bookings::{Booking, BookingAnswer, runs, set_backend, set_log},
     caller::send,
     operators::{Operators, rival_record},
     platform::Platform,
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/guarded/actions.rs
@@ -0,0 +1,77 @@
+//! What a gateway keeps of guarded actions.
+
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
+
+use tokio::sync::oneshot;
+
+use super::claims::Claims;
+use crate::{
+    core::guard::{ActionKeys, ActionTable, FinalAnswer, TableLimits, Waiter},
+    util::settings::GuardSettings,
+};
+
+/// A copy of a request that waits for the answer of its action.
+#[derive(Debug)]
+pub(super) struct WaitingCopy(pub(super) oneshot::Sender<Arc<FinalAnswer>>);
+
+impl Waiter for WaitingCopy {
+    fn settle(self, answer: Arc<FinalAnswer>) {
+        let _ = self.0.send(answer);
+    }
+}
+
+/// The guarded actions of this gateway incarnation.
+#[derive(Debug)]
+pub struct Actions {
+    /// Actions with issued ids.
+    pub(super) table: Arc<ActionTable<WaitingCopy>>,
+    /// Actions with callers' own keys. Apart, so that keys given up during an outage of the log
+    /// leave room for issued ids.
+    pub(super) keyed: Arc<ActionTable<WaitingCopy>>,
+    pub(super) keys: ActionKeys,
+    pub(super) id_lifetime: Duration,
+    pub(super) key_lifetime: Duration,
+    pub(super) claims: OnceLock<Arc<Claims>>,
+}
+
+impl Actions {
+    /// No actions yet.
+    pub fn new(settings: &GuardSettings) -> Self {
+        let previous = settings.previous_secret.as_deref();
+        let keys = match &settings.secret {
+            Some(secret) => ActionKeys::shared(secret, previous),
+            None => ActionKeys::own(&mut rand::rng()),
+        };
+        let limits = TableLimits {
+            actions: settings.actions,
+            bytes: settings.bytes,
+            answer_bytes: settings.answer_bytes,
+        };
+        Self {
+            table: ActionTable::new(limits),
+            keyed: ActionTable::new(limits),
+            keys,
+            id_lifetime: settings.id_lifetime,
+            key_lifetime: settings.key_lifetime,
+            claims: OnceLock::new(),
+        }
+    }
+
+    /// Actions kept.
+    pub fn len(&self) -> usize {
+        self.table.len() + self.keyed.len()
+    }
+
+    /// Whether no action is kept.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Memory that kept actions take, with what is reserved for answers, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.table.bytes() + self.keyed.bytes()
+    }
+}
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -9,7 +9,7 @@
 use super::{
     admin,
     follow_config::{ConfigPeers, ConfigSources, follow_config},
-    listener,
+    guarded, listener,
     peers::{Peers, PeersError, keep_in_touch},
     send_snapshots,
     shared::Gateway,
@@ -49,10 +49,11 @@
 ) -> Result<(), GatewayError> {
     let callers = bind(settings.listen).await?;
     let admin = bind(settings.admin).await?;
-    let gateway = Gateway::new(HostId {
+    let host = HostId {
         name: settings.host,
         incarnation: unix_ms(),
-    });
+    };
+    let gateway = Gateway::new(host, &settings.guard);
     let peers = settings.peers.map(|s| Peers::start(&gateway, s));
     let peers = peers.transpose()?;
     let for_peers = peers
@@ -74,6 +75,7 @@
         seed: gateway.host.incarnation,
     };
     tokio::spawn(follow_config(Arc::clone(&gateway), sources, ended.clone()));
+    guarded::start_claims(&gateway, Arc::clone(&log), &settings.environment, &ended);
     let state = tokio::spawn(tell_state(
         Arc::clone(&gateway),
         log,
--- a/crates/turmericloft/src/ops/gateway/shared.rs
+++ b/crates/turmericloft/src/ops/gateway/shared.rs
@@ -11,8 +11,13 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 
-use super::{followed_config::FollowedConfig, peers::Peers, service_state::ServiceState};
-use crate::core::{Environment, HostId, Name, counting::Ledger};
+use super::{
+    followed_config::FollowedConfig, guarded::Actions, peers::Peers, service_state::ServiceState,
+};
+use crate::{
+    core::{Environment, HostId, Name, counting::Ledger},
+    util::settings::GuardSettings,
+};
 
 /// A gateway: the environment in force, the state of each service, and the counts.
 #[derive(Debug)]
@@ -23,6 +28,8 @@
     pub ledger: Arc<Ledger>,
     /// The configuration stream as far as it was followed.
     pub config: FollowedConfig,
+    /// Guarded actions.
+    pub actions: Actions,
     in_force: ArcSwapOption<InForce>,
     stopping: AtomicBool,
     peers: OnceLock<Arc<Peers>>,
@@ -40,11 +47,12 @@
 
 impl Gateway {
     /// A gateway without an environment; not ready.
-    pub fn new(host: HostId) -> Arc<Self> {
+    pub fn new(host: HostId, guard: &GuardSettings) -> Arc<Self> {
         Arc::new(Self {
             host,
             ledger: Ledger::new(),
             config: FollowedConfig::new(),
+            actions: Actions::new(guard),
             in_force: ArcSwapOption::empty(),
             stopping: AtomicBool::new(false),
             peers: OnceLock::new(),
