Let the gateway decide with the service scheduler

Cause: the gateway sent each request to the endpoint with the fewest own requests, without queue, limits, retries or hedges.

Change: dispatch admits a call through ServiceScheduler (fair queue, contract limits, refusal at once with Retry-After), sends it with the time left and its place in the call chain, goes elsewhere while unsent or shed, retries and hedges idempotent calls within the service's budget, cancels the losers, and retires connections that owe an answer while others to the endpoint answer. A changed document keeps what was learned about endpoints; an unchanged service keeps its state.

Elsewhere: Gateway::new takes the host's zone (ops/gateway/shared.rs, run.rs). Document fields are unchanged: queue, extra_calls_percent, weight, requests_per_s and in_flight are now in use; requests_per_s is applied by each gateway alone until the number of gateways is known.

--- a/crates/turmericloft-bench/src/experiments/routing/balancer.rs
+++ b/crates/turmericloft-bench/src/experiments/routing/balancer.rs
@@ -91,6 +91,7 @@
         let endpoints: Vec<_> = (0..case.endpoints)
             .map(|e| EndpointSettings {
                 slots: case.slots,
+                in_flight: case.slots,
                 same_zone: Case::zone(e) == Case::zone(gateway),
             })
             .collect();
--- a/crates/turmericloft-bench/src/experiments/routing/decision.rs
+++ b/crates/turmericloft-bench/src/experiments/routing/decision.rs
@@ -79,6 +79,7 @@
             let settings: Vec<_> = (0..count)
                 .map(|e| EndpointSettings {
                     slots: 6,
+                    in_flight: 6,
                     same_zone: e % 3 == 0,
                 })
                 .collect();
--- a/crates/turmericloft/src/core/admission/refusal.rs
+++ b/crates/turmericloft/src/core/admission/refusal.rs
@@ -28,3 +28,18 @@
     /// Time after which a new try makes sense.
     pub retry_after: Duration,
 }
+
+impl RefusalReason {
+    /// The reason as the caller is told it.
+    pub fn detail(self) -> &'static str {
+        match self {
+            Self::RateLimit => "the caller sends more requests a second than its contract allows",
+            Self::InFlightLimit => {
+                "the caller has as many requests in flight as its contract allows"
+            }
+            Self::Deadline => "the request could not be answered by its deadline",
+            Self::QueueFull => "the queue is full and the caller waits with more than its share",
+            Self::NoEndpoint => "no endpoint of the service takes new requests",
+        }
+    }
+}
--- a/crates/turmericloft/src/core/routing/connection_progress.rs
+++ b/crates/turmericloft/src/core/routing/connection_progress.rs
@@ -39,6 +39,16 @@
         self.owes_since = None;
     }
 
+    /// Since when the connection owes an answer.
+    pub fn owes_since(&self) -> Option<Instant> {
+        self.owes_since
+    }
+
+    /// Whether bytes moved after `moment`.
+    pub fn moved_after(&self, moment: Instant) -> bool {
+        self.moved > moment
+    }
+
     /// Whether the connection is to be retired: it owes an answer and moved nothing for several
     /// usual latencies, while another connection to the endpoint answered a request that was sent
     /// after this one's.
--- a/crates/turmericloft/src/core/routing/endpoint_set.rs
+++ b/crates/turmericloft/src/core/routing/endpoint_set.rs
@@ -22,8 +22,6 @@
 const INITIAL_LATENCY_S: f64 = 0.01;
 /// Mean latencies after which a report has lost most of its worth.
 const REPORT_LIFE_LATENCIES: f64 = 2.0;
-/// Round trip to another availability zone beyond that within one, in seconds.
-const ZONE_DISTANCE_S: f64 = 0.000_8;
 
 /// Index of an endpoint in its set.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -34,6 +32,8 @@
 pub struct EndpointSettings {
     /// Requests it works on at the same time.
     pub slots: u32,
+    /// Requests that this gateway may have in flight at it: its share of the connections.
+    pub in_flight: u32,
     /// Whether it is in the gateway's availability zone.
     pub same_zone: bool,
 }
@@ -51,10 +51,7 @@
 impl EndpointSet {
     /// A set in which nothing is known yet. Ties are broken by `rng`.
     pub fn new(now: Instant, settings: &[EndpointSettings], rng: Pcg64Mcg) -> Self {
-        let endpoints = settings
-            .iter()
-            .map(|s| EndpointState::new(s.slots, distance(s)))
-            .collect();
+        let endpoints = settings.iter().map(EndpointState::new).collect();
         Self {
             epoch: now,
             endpoints,
@@ -71,8 +68,8 @@
             .map(|(s, before)| {
                 let before = before.and_then(|id| self.endpoints.get(id.0 as usize));
                 match before {
-                    Some(state) => state.carried_over(s.slots, distance(s)),
-                    None => EndpointState::new(s.slots, distance(s)),
+                    Some(state) => state.carried_over(s),
+                    None => EndpointState::new(s),
                 }
             })
             .collect();
@@ -215,11 +212,3 @@
         at.saturating_duration_since(self.epoch).as_secs_f64()
     }
 }
-
-fn distance(settings: &EndpointSettings) -> f64 {
-    if settings.same_zone {
-        0.0
-    } else {
-        ZONE_DISTANCE_S
-    }
-}
--- a/crates/turmericloft/src/core/routing/endpoint_state.rs
+++ b/crates/turmericloft/src/core/routing/endpoint_state.rs
@@ -1,7 +1,9 @@
 //! What a gateway knows about one endpoint.
 
-use super::{CallEnd, EndedCall, decayed_mean::DecayedMean};
+use super::{CallEnd, EndedCall, EndpointSettings, decayed_mean::DecayedMean};
 
+/// Round trip to another availability zone beyond that within one, in seconds.
+const ZONE_DISTANCE_S: f64 = 0.000_8;
 /// Half-life of latency samples, in seconds.
 const LATENCY_HALF_LIFE_S: f64 = 1.0;
 /// Weight of the service's mean latency against an endpoint's own samples, in samples.
@@ -40,8 +42,10 @@
 #[derive(Clone, Debug)]
 pub(super) struct EndpointState {
     pub(super) slots: u32,
+    /// Own requests that may be in flight.
+    limit: u32,
     /// Round trip beyond that of the nearest endpoints, in seconds.
-    pub(super) distance: f64,
+    distance: f64,
     pub(super) in_flight: u32,
     pub(super) leaving: bool,
     starts: f64,
@@ -57,10 +61,11 @@
 }
 
 impl EndpointState {
-    pub(super) fn new(slots: u32, distance: f64) -> Self {
+    pub(super) fn new(settings: &EndpointSettings) -> Self {
         Self {
-            slots,
-            distance,
+            slots: settings.slots.max(1),
+            limit: settings.in_flight.min(settings.slots).max(1),
+            distance: distance(settings),
             in_flight: 0,
             leaving: false,
             starts: 0.0,
@@ -77,10 +82,12 @@
     }
 
     /// The same knowledge for a new table, without the requests in flight of the old one.
-    pub(super) fn carried_over(&self, slots: u32, distance: f64) -> Self {
+    pub(super) fn carried_over(&self, settings: &EndpointSettings) -> Self {
+        let new = Self::new(settings);
         Self {
-            slots,
-            distance,
+            slots: new.slots,
+            limit: new.limit,
+            distance: new.distance,
             in_flight: 0,
             starts: 0.0,
             ..self.clone()
@@ -89,7 +96,11 @@
 
     /// Forgets all but the requests in flight.
     pub(super) fn forget(&mut self) {
-        let new = Self::new(self.slots, self.distance);
+        let new = Self::new(&EndpointSettings {
+            slots: self.slots,
+            in_flight: self.limit,
+            same_zone: self.distance == 0.0,
+        });
         *self = Self {
             in_flight: self.in_flight,
             starts: self.starts,
@@ -111,9 +122,9 @@
         let limit = if on_trial {
             1
         } else if self.answers < WARM_ANSWERS {
-            self.slots.min(1 + self.answers / ANSWERS_PER_COLD_SLOT)
+            self.limit.min(1 + self.answers / ANSWERS_PER_COLD_SLOT)
         } else {
-            self.slots
+            self.limit
         };
         self.in_flight < limit
     }
@@ -200,3 +211,11 @@
         self.ejections += 1;
     }
 }
+
+fn distance(settings: &EndpointSettings) -> f64 {
+    if settings.same_zone {
+        0.0
+    } else {
+        ZONE_DISTANCE_S
+    }
+}
--- a/crates/turmericloft/src/core/routing/mod.rs
+++ b/crates/turmericloft/src/core/routing/mod.rs
@@ -8,7 +8,6 @@
 mod decayed_mean;
 mod endpoint_set;
 mod endpoint_state;
-mod endpoint_table;
 mod extra_call_budget;
 mod hedge_delay;
 mod load_report;
@@ -19,7 +18,6 @@
     call_end::{CallEnd, EndedCall},
     connection_progress::ConnectionProgress,
     endpoint_set::{EndpointId, EndpointSet, EndpointSettings},
-    endpoint_table::{EndpointTable, InFlight},
     extra_call_budget::ExtraCallBudget,
     hedge_delay::HedgeDelay,
     load_report::{LoadReport, LoadReportError},
--- a/crates/turmericloft/src/core/routing/service_scheduler.rs
+++ b/crates/turmericloft/src/core/routing/service_scheduler.rs
@@ -225,6 +225,11 @@
         self.queue.remove(ticket)
     }
 
+    /// The refusal of a call whose deadline passed while it waited.
+    pub fn deadline_refusal(&self, now: Instant, ticket: Ticket) -> Refusal {
+        self.refusal(now, ticket.flow(), RefusalReason::Deadline)
+    }
+
     /// A call that was started has ended, with all its attempts.
     pub fn leave(&mut self, flow: FlowId) {
         self.queue.leave(flow);
--- a/crates/turmericloft/src/ops/gateway/dispatch.rs
+++ b/crates/turmericloft/src/ops/gateway/dispatch.rs
@@ -9,18 +9,28 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use super::{matched::Matched, shared::InForce};
+use smallvec::SmallVec;
+
+use super::{
+    attempts::{Attempts, DEADLINE_HEADER},
+    in_flight::InFlight,
+    matched::Matched,
+    replay::Replay,
+    service_state::now,
+    shared::InForce,
+};
 use crate::{
-    core::{Step, routing::InFlight},
-    sources::backend::{ConnectionLease, RequestBody, SendError},
+    core::{
+        Step,
+        admission::{CallerLimits, Refusal},
+        document::Handling,
+        routing::{CallChain, CallRequest},
+    },
+    sources::backend::{BodyError, ConnectionLease, RequestBody, SendError},
 };
 
 /// Headers that belong to one connection and are not passed on.
 const HOP_BY_HOP: [HeaderName; 4] = [CONNECTION, TE, TRANSFER_ENCODING, UPGRADE];
-/// Header with the time left for a request, in milliseconds.
-const DEADLINE_HEADER: HeaderName = HeaderName::from_static("deadline-ms");
-/// Time after which a service without a reachable endpoint may have one.
-const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
 
 /// An answer whose body is still arriving, with all that is held until it is whole.
 #[derive(Debug)]
@@ -49,48 +59,76 @@
     },
 }
 
-/// Sends a request to an endpoint of its service. It goes to another endpoint only while it was
-/// certainly not started.
+/// Sends a request to an endpoint of its service, when its turn has come. A guarded action goes to
+/// another endpoint only while it was certainly not started.
 pub(super) async fn dispatch(
     in_force: &InForce,
     matched: &Matched<'_>,
-    mut req: Request<RequestBody>,
+    req: Request<RequestBody>,
 ) -> Result<Dispatched, DispatchError> {
     let state = &in_force.services[&matched.service.name];
-    let deadline_ms = matched.deadline().as_millis() as u64;
-    req.headers_mut()
-        .insert(DEADLINE_HEADER, deadline_ms.into());
-    let mut excluded = Vec::new();
-    while let Some(in_flight) = state.table.choose(&excluded) {
-        let address = in_flight.address();
-        let Some(pool) = state.pool(address) else {
-            break;
-        };
-        match pool.send(req).await {
-            Ok(answer) => {
-                return Ok(Dispatched {
-                    response: answer.response,
-                    lease: answer.lease,
-                    in_flight,
-                });
-            }
-            Err(SendError {
-                unsent: Some(unsent),
-                ..
-            }) => {
-                excluded.push(address);
-                req = *unsent;
-            }
-            Err(source) => return Err(DispatchError::MayHaveRun { source }),
-        }
-    }
-    Err(DispatchError::NotStarted {
-        step: Step::Connected,
-        detail: "no endpoint of the service can be reached".to_owned(),
-        retry_after: NO_ENDPOINT_RETRY,
+    let deadline = now() + time_left(matched, &req);
+    let chain = CallChain::from_headers(req.headers());
+    let replay = Replay::new(req).await.map_err(|e| unreadable(&e))?;
+    let call = CallRequest {
+        caller: &matched.caller.name,
+        weight: matched.caller.weight,
+        cost: matched.kind.weight,
+        deadline,
+        limits: limits(matched),
+    };
+    let (call, first) = state.admit(&call).await.map_err(refused)?;
+    let attempts = Attempts {
+        state,
+        replay,
+        chain,
+        idempotent: matched.kind.handling == Handling::Idempotent,
+        deadline,
+        tried: SmallVec::new(),
+    };
+    let (attempt, answer) = attempts.run(first).await?;
+    Ok(Dispatched {
+        response: answer.response,
+        lease: answer.lease,
+        in_flight: InFlight::new(attempt, call),
     })
 }
 
+/// The shorter of the service's deadline and the one that came with the request.
+fn time_left(matched: &Matched<'_>, req: &Request<RequestBody>) -> Duration {
+    let given = req.headers().get(DEADLINE_HEADER);
+    let given = given.and_then(|v| v.to_str().ok()?.parse().ok());
+    let given = given.map_or(Duration::MAX, Duration::from_millis);
+    matched.deadline().min(given)
+}
+
+/// Limits of the caller's contract on one gateway. The rate holds for all gateways together, among
+/// which the platform's balancer spreads the requests evenly.
+fn limits(matched: &Matched<'_>) -> CallerLimits {
+    let contract = matched.caller.contract(&matched.service.name);
+    let rate = contract.and_then(|c| c.requests_per_s);
+    CallerLimits {
+        requests_per_s: rate.map(f64::from),
+        in_flight: contract.and_then(|c| c.in_flight),
+    }
+}
+
+fn refused(refusal: Refusal) -> DispatchError {
+    DispatchError::NotStarted {
+        step: Step::Queued,
+        detail: refusal.reason.detail().to_owned(),
+        retry_after: refusal.retry_after,
+    }
+}
+
+fn unreadable(e: &BodyError) -> DispatchError {
+    DispatchError::NotStarted {
+        step: Step::Received,
+        detail: format!("the request's body broke off: {e}"),
+        retry_after: Duration::ZERO,
+    }
+}
+
 /// The request as a backend server gets it: its own path, no credentials, no headers of the
 /// caller's connection.
 pub(super) fn to_backend(req: Request<Incoming>, path: &str) -> Request<RequestBody> {
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -5,14 +5,17 @@
 
 mod admin;
 mod answer;
+mod attempts;
 mod dispatch;
 mod follow_config;
 mod guarded;
 mod handle;
+mod in_flight;
 mod listener;
 mod lookup;
 mod matched;
 mod relayed_body;
+mod replay;
 mod run;
 mod send_snapshots;
 mod service_state;
--- a/crates/turmericloft/src/ops/gateway/relayed_body.rs
+++ b/crates/turmericloft/src/ops/gateway/relayed_body.rs
@@ -9,8 +9,9 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 
+use super::in_flight::InFlight;
 use crate::{
-    core::{Outcome, counting::OpenCount, routing::InFlight},
+    core::{Outcome, counting::OpenCount},
     sources::backend::{BodyError, ConnectionLease},
 };
 
@@ -65,6 +66,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(open) = &mut self.open {
+            open.lease.bytes_moved();
+        }
         if frame.is_none() || self.body.is_end_stream() {
             self.finish();
         }
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -43,10 +43,11 @@
         local(&callers),
         local(&admin),
     );
-    let gateway = Gateway::new(HostId {
+    let host = HostId {
         name: settings.host,
         incarnation: unix_ms(),
-    });
+    };
+    let gateway = Gateway::new(host, settings.zone);
     let log: Arc<dyn LogService> = Arc::new(HttpLog::new(settings.log_service));
     let ended = CancellationToken::new();
     let follower = follow(
--- a/crates/turmericloft/src/ops/gateway/service_state.rs
+++ b/crates/turmericloft/src/ops/gateway/service_state.rs
@@ -1,42 +1,290 @@
 //! Live state of one service on a gateway.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::HashMap,
+    fmt,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use smallvec::SmallVec;
+use tokio::sync::oneshot;
 
+use super::in_flight::{AdmittedCall, Attempt};
 use crate::{
-    core::{document::Service, routing::EndpointTable},
+    core::{
+        Name,
+        admission::{FlowId, Refusal, Ticket},
+        document::{Endpoint, Service},
+        routing::{
+            CallChain, CallRequest, Decision, EndedCall, EndpointId, EndpointSettings, Offer,
+            SchedulerSettings, ServiceScheduler,
+        },
+    },
     sources::backend::ConnectionPool,
 };
 
-/// Endpoints of a service with their connections.
-#[derive(Debug)]
+/// Most gateways that share an endpoint's connections.
+const MAX_GATEWAYS: u32 = 17;
+
+/// A call that may be sent, with its first attempt; or its refusal.
+pub(super) type Admission = Result<(AdmittedCall, Attempt), Refusal>;
+
+/// Decisions and connections of one service.
 pub struct ServiceState {
-    /// Chooses endpoints.
-    pub table: EndpointTable,
-    pools: HashMap<SocketAddr, Arc<ConnectionPool>>,
+    service: Service,
+    scheduling: Mutex<Scheduling>,
+    pools: Vec<Arc<ConnectionPool>>,
+}
+
+struct Scheduling {
+    scheduler: ServiceScheduler,
+    waiting: HashMap<Ticket, oneshot::Sender<Admission>>,
+}
+
+/// A call in the queue; it leaves the queue when dropped.
+struct WaitingCall {
+    state: Arc<ServiceState>,
+    ticket: Ticket,
+    rx: oneshot::Receiver<Admission>,
 }
 
 impl ServiceState {
-    /// State for a service; connections to endpoints that it had before are kept.
-    pub fn new(service: &Service, before: Option<&Self>) -> Self {
-        let pools = service
+    /// State for a service as seen from `zone`. An unchanged service keeps its state; a changed
+    /// one keeps connections and what is known about its endpoints.
+    pub fn following(service: &Service, zone: &Name, before: Option<&Arc<Self>>) -> Arc<Self> {
+        if let Some(same) = before.filter(|b| b.service == *service) {
+            return Arc::clone(same);
+        }
+        let place = |e: &Endpoint| {
+            let endpoints = &before?.service.endpoints;
+            endpoints.iter().position(|b| b.address == e.address)
+        };
+        let places: Vec<_> = service.endpoints.iter().map(place).collect();
+        let pools = service.endpoints.iter().zip(&places).map(|(e, place)| {
+            let kept = before.zip(*place).map(|(b, i)| Arc::clone(&b.pools[i]));
+            kept.unwrap_or_else(|| ConnectionPool::new(e.address))
+        });
+        let state = Self {
+            service: service.clone(),
+            scheduling: Mutex::new(Scheduling {
+                scheduler: scheduler(service, zone, before, &places),
+                waiting: HashMap::new(),
+            }),
+            pools: pools.collect(),
+        };
+        Arc::new(state)
+    }
+
+    /// Connections to an endpoint.
+    pub(super) fn pool(&self, endpoint: EndpointId) -> &Arc<ConnectionPool> {
+        &self.pools[endpoint.0 as usize]
+    }
+
+    /// Address of an endpoint.
+    pub(super) fn address(&self, endpoint: EndpointId) -> SocketAddr {
+        self.service.endpoints[endpoint.0 as usize].address
+    }
+
+    /// Takes in what the host list says about the endpoint at `address`.
+    pub fn set_leaving(self: &Arc<Self>, address: SocketAddr, leaving: bool) {
+        let place = self
+            .service
             .endpoints
             .iter()
-            .map(|e| {
-                let kept = before.and_then(|b| b.pools.get(&e.address)).cloned();
-                (
-                    e.address,
-                    kept.unwrap_or_else(|| ConnectionPool::new(e.address)),
-                )
-            })
-            .collect();
-        Self {
-            table: EndpointTable::new(&service.endpoints),
-            pools,
+            .position(|e| e.address == address);
+        if let Some(i) = place {
+            let id = EndpointId(i as u32);
+            self.scheduling.lock().scheduler.set_leaving(id, leaving);
+            self.decide_on_waiting();
         }
     }
 
-    /// Connections to the endpoint at `address`.
-    pub fn pool(&self, address: SocketAddr) -> Option<&Arc<ConnectionPool>> {
-        self.pools.get(&address)
+    /// Admits a call: at once, after waiting in the queue until its deadline, or not at all.
+    pub(super) async fn admit(self: &Arc<Self>, call: &CallRequest<'_>) -> Admission {
+        let now = now();
+        let waiting = {
+            let mut scheduling = self.scheduling.lock();
+            match scheduling.scheduler.offer(now, call) {
+                Offer::Start(flow, endpoint) => return Ok(self.started(now, flow, endpoint)),
+                Offer::Refuse(refusal) => return Err(refusal),
+                Offer::Wait(ticket) => {
+                    let (tx, rx) = oneshot::channel();
+                    scheduling.waiting.insert(ticket, tx);
+                    WaitingCall {
+                        state: Arc::clone(self),
+                        ticket,
+                        rx,
+                    }
+                }
+            }
+        };
+        self.decide_on_waiting();
+        waiting.decision(call.deadline).await
+    }
+
+    /// Time after which an unanswered call is to be hedged, and the usual latency.
+    pub(super) fn delays(&self) -> Delays {
+        let scheduling = self.scheduling.lock();
+        let usual = scheduling.scheduler.endpoints().mean_latency();
+        Delays {
+            hedge: scheduling.scheduler.hedge_delay(),
+            usual_latency: Duration::from_secs_f64(usual),
+        }
+    }
+
+    /// An attempt to hedge a slow call with, if there may be one.
+    pub(super) fn hedge(
+        self: &Arc<Self>,
+        chain: CallChain,
+        tried: &[EndpointId],
+    ) -> Option<Attempt> {
+        let now = now();
+        let endpoint = self.scheduling.lock().scheduler.hedge(now, chain, tried)?;
+        Some(self.attempt(now, endpoint))
+    }
+
+    /// An attempt to try a failed call again with, if there may be one.
+    pub(super) fn retry(
+        self: &Arc<Self>,
+        chain: CallChain,
+        tried: &[EndpointId],
+    ) -> Option<Attempt> {
+        let now = now();
+        let endpoint = self.scheduling.lock().scheduler.retry(now, chain, tried)?;
+        Some(self.attempt(now, endpoint))
+    }
+
+    /// An attempt at another endpoint for a call of which no byte was sent.
+    pub(super) fn resend(self: &Arc<Self>, tried: &[EndpointId]) -> Option<Attempt> {
+        let now = now();
+        let endpoint = self.scheduling.lock().scheduler.resend(now, tried)?;
+        Some(self.attempt(now, endpoint))
+    }
+
+    pub(super) fn end(self: &Arc<Self>, now: Instant, ended: &EndedCall) {
+        self.scheduling.lock().scheduler.end(now, ended);
+        self.decide_on_waiting();
+    }
+
+    pub(super) fn leave(self: &Arc<Self>, flow: FlowId) {
+        self.scheduling.lock().scheduler.leave(flow);
     }
+
+    /// Tells waiting calls what was decided. Nothing is told under the lock: a call whose caller
+    /// has left gives back what it was granted.
+    fn decide_on_waiting(self: &Arc<Self>) {
+        let mut decided: SmallVec<[_; 4]> = SmallVec::new();
+        {
+            let now = now();
+            let mut scheduling = self.scheduling.lock();
+            while let Some((ticket, decision)) = scheduling.scheduler.next(now) {
+                let admission = match decision {
+                    Decision::Start(endpoint) => Ok(self.started(now, ticket.flow(), endpoint)),
+                    Decision::Refuse(refusal) => Err(refusal),
+                };
+                decided.push((scheduling.waiting.remove(&ticket), admission));
+            }
+        }
+        for (tx, admission) in decided {
+            if let Some(tx) = tx {
+                let _ = tx.send(admission);
+            }
+        }
+    }
+
+    fn started(
+        self: &Arc<Self>,
+        now: Instant,
+        flow: FlowId,
+        endpoint: EndpointId,
+    ) -> (AdmittedCall, Attempt) {
+        let call = AdmittedCall::new(Arc::clone(self), flow);
+        (call, self.attempt(now, endpoint))
+    }
+
+    fn attempt(self: &Arc<Self>, now: Instant, endpoint: EndpointId) -> Attempt {
+        Attempt::new(Arc::clone(self), endpoint, now)
+    }
+}
+
+/// Delays of a service as they are now.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Delays {
+    /// Time after which an unanswered call is to be hedged.
+    pub(super) hedge: Duration,
+    /// Mean latency.
+    pub(super) usual_latency: Duration,
+}
+
+impl WaitingCall {
+    async fn decision(mut self, deadline: Instant) -> Admission {
+        let decided = tokio::time::timeout_at(deadline.into(), &mut self.rx).await;
+        if let Ok(Ok(admission)) = decided {
+            return admission;
+        }
+        let scheduling = self.state.scheduling.lock();
+        let refusal = scheduling.scheduler.deadline_refusal(now(), self.ticket);
+        drop(scheduling);
+        Err(refusal)
+    }
+}
+
+impl Drop for WaitingCall {
+    fn drop(&mut self) {
+        let mut scheduling = self.state.scheduling.lock();
+        scheduling.scheduler.abandon(self.ticket);
+        scheduling.waiting.remove(&self.ticket);
+    }
+}
+
+impl fmt::Debug for ServiceState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ServiceState")
+            .field("service", &self.service.name)
+            .finish_non_exhaustive()
+    }
+}
+
+fn scheduler(
+    service: &Service,
+    zone: &Name,
+    before: Option<&Arc<ServiceState>>,
+    places: &[Option<usize>],
+) -> ServiceScheduler {
+    let endpoints: Vec<_> = service
+        .endpoints
+        .iter()
+        .map(|e| EndpointSettings {
+            slots: e.slots,
+            in_flight: (e.connections / MAX_GATEWAYS).max(1),
+            same_zone: e.zone == *zone,
+        })
+        .collect();
+    let settings = SchedulerSettings {
+        endpoints: &endpoints,
+        queue: service.queue,
+        extra_calls_percent: service.extra_calls_percent,
+    };
+    match before {
+        Some(before) => {
+            let known = places.iter().map(|i| i.map(|i| EndpointId(i as u32)));
+            let known: Vec<_> = known.collect();
+            let scheduling = before.scheduling.lock();
+            scheduling.scheduler.carried_over(now(), &settings, &known)
+        }
+        None => {
+            let rng = Pcg64Mcg::seed_from_u64(rand::random());
+            ServiceScheduler::new(now(), &settings, rng)
+        }
+    }
+}
+
+/// The present time; it can be paused in tests.
+pub(super) fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
 }
--- a/crates/turmericloft/src/ops/gateway/shared.rs
+++ b/crates/turmericloft/src/ops/gateway/shared.rs
@@ -18,6 +18,8 @@
 pub struct Gateway {
     /// This host.
     pub host: HostId,
+    /// Availability zone of this host.
+    pub zone: Name,
     /// Counts of all requests.
     pub ledger: Arc<Ledger>,
     in_force: ArcSwapOption<InForce>,
@@ -35,9 +37,10 @@
 
 impl Gateway {
     /// A gateway without an environment; not ready.
-    pub fn new(host: HostId) -> Arc<Self> {
+    pub fn new(host: HostId, zone: Name) -> Arc<Self> {
         Arc::new(Self {
             host,
+            zone,
             ledger: Ledger::new(),
             in_force: ArcSwapOption::empty(),
             stopping: AtomicBool::new(false),
@@ -64,10 +67,8 @@
             .iter()
             .map(|s| {
                 let kept = current.as_ref().and_then(|c| c.services.get(&s.name));
-                (
-                    s.name.clone(),
-                    Arc::new(ServiceState::new(s, kept.map(AsRef::as_ref))),
-                )
+                let state = ServiceState::following(s, &self.zone, kept);
+                (s.name.clone(), state)
             })
             .collect();
         self.in_force.store(Some(Arc::new(InForce {
--- a/crates/turmericloft/src/sources/backend/mod.rs
+++ b/crates/turmericloft/src/sources/backend/mod.rs
@@ -1,11 +1,13 @@
 //! Backend servers: connections to endpoints.
 
+mod connection;
 mod connection_pool;
 mod send_error;
 
 pub use self::{
-    connection_pool::{BackendAnswer, ConnectionLease, ConnectionPool},
-    send_error::SendError,
+    connection::ConnectionLease,
+    connection_pool::{BackendAnswer, ConnectionPool, SendLimits},
+    send_error::{GivenUp, SendError},
 };
 
 /// Body of a request on its way to a backend server.
--- a/crates/turmericloft/src/sources/backend/send_error.rs
+++ b/crates/turmericloft/src/sources/backend/send_error.rs
@@ -22,6 +22,17 @@
     pub source: BodyError,
 }
 
+/// Why an answer was not waited for any longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum GivenUp {
+    /// The connection moved no bytes while others to the same endpoint did.
+    #[error("the connection has gone silent")]
+    SilentConnection,
+    /// The time allowed for the request is over.
+    #[error("there was no answer by the deadline")]
+    Deadline,
+}
+
 impl SendError {
     /// Whether the backend server certainly did not start the request.
     pub fn not_started(&self) -> bool {
