--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod docs;
 mod load;
+mod peers;
 mod support;
 mod whole_path;
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -14,14 +14,17 @@
 mod listener;
 mod lookup;
 mod matched;
+mod peers;
 mod relayed_body;
 mod replay;
 mod run;
 mod send_snapshots;
 mod service_state;
 mod shared;
+mod watch_hosts;
 
 pub use self::{
+    peers::{PeerRequestError, Peers, PeersError},
     run::{GatewayError, run_gateway},
     shared::{Gateway, InForce},
 };
--- a/crates/turmericloft/src/ops/gateway/service_state.rs
+++ b/crates/turmericloft/src/ops/gateway/service_state.rs
@@ -1,7 +1,7 @@
 //! Live state of one service on a gateway.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     fmt,
     net::SocketAddr,
     sync::Arc,
@@ -90,18 +90,16 @@
         self.service.endpoints[endpoint.0 as usize].address
     }
 
-    /// Takes in what the host list says about the endpoint at `address`.
-    pub fn set_leaving(self: &Arc<Self>, address: SocketAddr, leaving: bool) {
-        let place = self
-            .service
-            .endpoints
-            .iter()
-            .position(|e| e.address == address);
-        if let Some(i) = place {
-            let id = EndpointId(i as u32);
-            self.scheduling.lock().scheduler.set_leaving(id, leaving);
-            self.decide_on_waiting();
+    /// Takes in which addresses the host list says are leaving.
+    pub fn set_leaving(self: &Arc<Self>, leaving: &HashSet<SocketAddr>) {
+        {
+            let scheduler = &mut self.scheduling.lock().scheduler;
+            for (i, endpoint) in self.service.endpoints.iter().enumerate() {
+                let id = EndpointId(i as u32);
+                scheduler.set_leaving(id, leaving.contains(&endpoint.address));
+            }
         }
+        self.decide_on_waiting();
     }
 
     /// Admits a call: at once, after waiting in the queue until its deadline, or not at all.
