Test drain, fail-fast, shed and silent connections with real processes

Cause found by the drain test: a cold endpoint beside an idle warm one never got a request, since its extra load kept it behind for good (500 lookups, none sent to it). Change: one decision in 16 tries an idle cold endpoint.

--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -3,5 +3,6 @@
 mod docs;
 mod load;
 mod peers;
+mod routing;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/routing.rs
@@ -0,0 +1,211 @@
+//! Routing by a gateway process when backend servers leave, fail or lose connections.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, header::CONTENT_TYPE};
+use http_body_util::Full;
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use serde_json::Value;
+use turmericloft::{
+    core::{Name, document::Digest},
+    sources::{
+        host_list::{Host, HostRole, HostState},
+        http_client::call,
+    },
+};
+
+use crate::support::{Platform, Process, SilentLink, send};
+
+/// Requests or rounds after which a test gives up on something that should have happened.
+const MANY: usize = 500;
+/// Time allowed to a stand-in.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A document with one service of lookups and one of guarded actions at these endpoints, with the
+/// usual budget of extra calls.
+fn document(endpoints: &[SocketAddr]) -> String {
+    document_with_extra_calls(endpoints, 5)
+}
+
+fn document_with_extra_calls(endpoints: &[SocketAddr], extra_calls_percent: u32) -> String {
+    let token = Digest::of(Platform::TOKEN.as_bytes());
+    let endpoints: Vec<_> = endpoints
+        .iter()
+        .map(|e| format!(r#"{{ address = "{e}", zone = "a", slots = 4, connections = 250 }}"#))
+        .collect();
+    let endpoints = endpoints.join(", ");
+    format!(
+        r#"schema = 1
+
+[[zones]]
+name = "a"
+region = "south"
+
+[[services]]
+name = "calendar"
+deadline_ms = 20000
+extra_calls_percent = {extra_calls_percent}
+kinds = [{{ name = "lookup", method = "GET", handling = "idempotent" }}]
+endpoints = [{endpoints}]
+
+[[services]]
+name = "booking"
+deadline_ms = 20000
+kinds = [{{ name = "book", method = "POST", handling = "guarded" }}]
+endpoints = [{endpoints}]
+
+[[callers]]
+name = "web"
+token_sha256 = "{token}"
+contracts = [{{ service = "calendar" }}, {{ service = "booking" }}]
+"#
+    )
+}
+
+fn start_backend() -> (Process, SocketAddr) {
+    let mut backend = Process::start(env!("CARGO_BIN_EXE_turmericloft-standin"), &["backend"]);
+    let address = backend.addresses()[0];
+    (backend, address)
+}
+
+async fn set_behaviour(backend: SocketAddr, behaviour: &'static str) {
+    let req = Request::put(format!("http://{backend}/control"))
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from_static(behaviour.as_bytes())))
+        .expect("the request is well formed");
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let answer = client.request(req).await.expect("the stand-in answers");
+    assert_eq!(answer.status(), 200);
+}
+
+async fn runs(backend: SocketAddr) -> u64 {
+    let answer = call(backend, Method::GET, "/runs", Bytes::new(), CALL_TIMEOUT).await;
+    let body = answer.expect("the stand-in answers").body;
+    let runs: Value = serde_json::from_slice(&body).expect("the stand-in answers JSON");
+    runs["total"].as_u64().expect("a count")
+}
+
+async fn lookup(gateway: SocketAddr) -> u16 {
+    let path = "/calendar/free";
+    let answer = send(gateway, Platform::TOKEN, Method::GET, path, &[]).await;
+    answer.status
+}
+
+async fn book(gateway: SocketAddr, key: &str) -> u16 {
+    let headers = [("idempotency-key", key)];
+    let path = "/booking/book";
+    let answer = send(gateway, Platform::TOKEN, Method::POST, path, &headers).await;
+    answer.status
+}
+
+/// Sends lookups until a whole round of them ran elsewhere than at `left`.
+async fn look_up_until_unused(gateway: SocketAddr, left: SocketAddr) {
+    for _ in 0..MANY {
+        let before = runs(left).await;
+        for _ in 0..20 {
+            assert_eq!(lookup(gateway).await, 200);
+        }
+        if runs(left).await == before {
+            return;
+        }
+    }
+    panic!("the leaving endpoint still gets requests");
+}
+
+fn backend_server(name: &str, address: SocketAddr, state: HostState) -> Host {
+    Host {
+        name: Name::new(name).expect("the name is valid"),
+        zone: Name::new("a").expect("the name is valid"),
+        role: HostRole::BackendServer,
+        address,
+        state,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_endpoint_gets_no_new_request_after_its_signal() {
+    let mut platform = Platform::start();
+    let (_second, second) = start_backend();
+    let first = platform.backend;
+    // Without hedges each lookup waits for its answer, and so for the signal on it.
+    platform.promote_document(&document_with_extra_calls(&[first, second], 0));
+    let gateway = platform.callers;
+    set_behaviour(first, r#"{"drain": true}"#).await;
+    let mut sent = 0;
+    while runs(first).await == 0 {
+        assert_eq!(lookup(gateway).await, 200);
+        sent += 1;
+        assert!(sent < MANY, "the first endpoint never got a request");
+    }
+    for _ in 0..50 {
+        assert_eq!(lookup(gateway).await, 200);
+    }
+    assert_eq!(runs(first).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_the_host_list_calls_leaving_gets_no_new_request() {
+    let mut platform = Platform::start();
+    let (_second, second) = start_backend();
+    let first = platform.backend;
+    platform.promote_document(&document(&[first, second]));
+    let gateway = platform.callers;
+    let states = [
+        (HostState::Leaving, HostState::Live, first),
+        (HostState::Live, HostState::Leaving, second),
+    ];
+    for (first_state, second_state, left) in states {
+        let hosts = vec![
+            backend_server("calendar-1", first, first_state),
+            backend_server("calendar-2", second, second_state),
+        ];
+        platform.put_hosts(hosts).await;
+        look_up_until_unused(gateway, left).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lookups_are_served_while_an_endpoint_fails_at_once() {
+    let mut platform = Platform::start();
+    let (_second, second) = start_backend();
+    let first = platform.backend;
+    platform.promote_document(&document(&[first, second]));
+    set_behaviour(first, r#"{"fail_fast": true}"#).await;
+    for _ in 0..100 {
+        assert_eq!(lookup(platform.callers).await, 200);
+    }
+    assert_eq!(runs(second).await, 100);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_guarded_action_that_was_shed_runs_once_elsewhere() {
+    let mut platform = Platform::start();
+    let (_second, second) = start_backend();
+    let first = platform.backend;
+    platform.promote_document(&document(&[first, second]));
+    set_behaviour(first, r#"{"shed": true}"#).await;
+    for i in 0..5 {
+        assert_eq!(book(platform.callers, &format!("key-{i}")).await, 200);
+    }
+    assert_eq!(runs(first).await, 0);
+    assert_eq!(runs(second).await, 5);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_on_a_silent_connection_is_answered_over_another() {
+    let mut platform = Platform::start();
+    let link = SilentLink::start(platform.backend).await;
+    // The only endpoint: a lookup can be rescued by a new connection alone.
+    platform.promote_document(&document(&[link.address]));
+    let gateway = platform.callers;
+    for _ in 0..10 {
+        assert_eq!(lookup(gateway).await, 200);
+    }
+    link.silence_open_connections();
+    let stuck = tokio::spawn(lookup(gateway));
+    while !stuck.is_finished() {
+        assert_eq!(lookup(gateway).await, 200);
+    }
+    assert_eq!(stuck.await.expect("the lookup ends"), 200);
+}
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -4,5 +4,6 @@
 mod gateway;
 mod platform;
 mod process;
+mod silent_link;
 
-pub use self::{caller::send, platform::Platform, process::Process};
+pub use self::{caller::send, platform::Platform, process::Process, silent_link::SilentLink};
--- a/crates/turmericloft-cli/tests/testsuite/support/platform.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/platform.rs
@@ -150,7 +150,12 @@
 contracts = [{{ service = "calendar" }}, {{ service = "booking" }}]
 "#
         );
-        let path = write(self.folder.path(), "document.toml", &document);
+        self.promote_document(&document);
+    }
+
+    /// Promotes a document and waits until it is in force.
+    pub fn promote_document(&mut self, document: &str) {
+        let path = write(self.folder.path(), "document.toml", document);
         let path = path.to_str().expect("a text path");
         self.turmericloft(&["promote", path, "--author", "anna"]);
         self.gateway.wait_for_line("is in force");
--- a/crates/turmericloft/src/core/routing/endpoint_set.rs
+++ b/crates/turmericloft/src/core/routing/endpoint_set.rs
@@ -16,6 +16,8 @@
 const MAX_CONSIDERED: usize = 32;
 /// Largest share of the endpoints that may be ejected at once.
 const MAX_EJECTED_SHARE: f64 = 0.5;
+/// One in so many decisions tries a cold endpoint, so that it warms up beside idle warm ones.
+const COLD_TRIAL_INTERVAL: u32 = 16;
 /// Half-life of the service's means, in seconds.
 const MEANS_HALF_LIFE_S: f64 = 1.0;
 /// Latency assumed before the first answer, in seconds.
@@ -138,6 +140,11 @@
         }
         let now = self.seconds(now);
         let first = self.rng.random_range(0..self.endpoints.len());
+        if self.rng.random_ratio(1, COLD_TRIAL_INTERVAL)
+            && let Some(cold) = self.cold(now, first, excluded)
+        {
+            return Some(cold);
+        }
         self.best(now, first, excluded, false)
             .or_else(|| self.best(now, first, excluded, true))
     }
@@ -166,6 +173,20 @@
         }
     }
 
+    /// An endpoint that has answered little and has no request in flight.
+    fn cold(&self, now: f64, first: usize, excluded: &[EndpointId]) -> Option<EndpointId> {
+        let n = self.endpoints.len();
+        let candidates = (first..first + n.min(MAX_CONSIDERED)).map(|i| i % n);
+        let idle_and_cold = |&i: &usize| {
+            let e = &self.endpoints[i];
+            e.is_cold() && e.in_flight == 0 && !e.is_draining(now) && !e.is_ejected(now)
+        };
+        let ids = candidates
+            .filter(idle_and_cold)
+            .map(|i| EndpointId(i as u32));
+        ids.into_iter().find(|id| !excluded.contains(id))
+    }
+
     fn best(
         &self,
         now: f64,
--- a/crates/turmericloft/src/core/routing/endpoint_state.rs
+++ b/crates/turmericloft/src/core/routing/endpoint_state.rs
@@ -112,6 +112,11 @@
         self.leaving || now < self.drained_until
     }
 
+    /// Whether few answers of it were seen.
+    pub(super) fn is_cold(&self) -> bool {
+        self.answers < WARM_ANSWERS
+    }
+
     pub(super) fn is_ejected(&self, now: f64) -> bool {
         now < self.ejected_until
     }
@@ -121,7 +126,7 @@
         let on_trial = self.ejections > 0 && self.failures > 0;
         let limit = if on_trial {
             1
-        } else if self.answers < WARM_ANSWERS {
+        } else if self.is_cold() {
             self.limit.min(1 + self.answers / ANSWERS_PER_COLD_SLOT)
         } else {
             self.limit
--- a/crates/turmericloft/src/core/routing/service_scheduler.rs
+++ b/crates/turmericloft/src/core/routing/service_scheduler.rs
@@ -265,17 +265,29 @@
         if !self.queue.is_empty() {
             return None;
         }
-        self.extra_call(now, chain, tried)
+        if !self.may_have_extra_call(chain, tried) {
+            return None;
+        }
+        let endpoint = self.endpoints.choose(now, tried)?;
+        self.start_extra(now, endpoint);
+        Some(endpoint)
     }
 
-    /// Takes an endpoint for a call that failed and may be sent again.
+    /// Takes an endpoint for a call that failed and may be sent again: one that was not tried, if
+    /// there is one.
     pub fn retry(
         &mut self,
         now: Instant,
         chain: CallChain,
         tried: &[EndpointId],
     ) -> Option<EndpointId> {
-        self.extra_call(now, chain, tried)
+        if !self.may_have_extra_call(chain, tried) {
+            return None;
+        }
+        let untried = self.endpoints.choose(now, tried);
+        let endpoint = untried.or_else(|| self.endpoints.choose(now, &[]))?;
+        self.start_extra(now, endpoint);
+        Some(endpoint)
     }
 
     /// Takes another endpoint for a call of which no byte was sent. It is no extra call.
@@ -285,20 +297,14 @@
         Some(endpoint)
     }
 
-    fn extra_call(
-        &mut self,
-        now: Instant,
-        chain: CallChain,
-        tried: &[EndpointId],
-    ) -> Option<EndpointId> {
-        let allowed = chain.allows_extra_calls() && (tried.len() as u32) < CallChain::MAX_ATTEMPTS;
-        if !allowed || !self.budget.has_extra_call() {
-            return None;
-        }
-        let endpoint = self.endpoints.choose(now, tried)?;
+    fn may_have_extra_call(&self, chain: CallChain, tried: &[EndpointId]) -> bool {
+        let attempts_left = (tried.len() as u32) < CallChain::MAX_ATTEMPTS;
+        chain.allows_extra_calls() && attempts_left && self.budget.has_extra_call()
+    }
+
+    fn start_extra(&mut self, now: Instant, endpoint: EndpointId) {
         self.budget.take();
         self.start(now, endpoint);
-        Some(endpoint)
     }
 
     fn check(&mut self, now: Instant, flow: FlowId, call: &CallRequest<'_>) -> Result<(), Refusal> {
--- a/crates/turmericloft/src/ops/gateway/dispatch.rs
+++ b/crates/turmericloft/src/ops/gateway/dispatch.rs
@@ -16,7 +16,7 @@
     in_flight::InFlight,
     matched::Matched,
     replay::Replay,
-    service_state::now,
+    service_state::{ServiceState, now},
     shared::InForce,
 };
 use crate::{
@@ -75,7 +75,7 @@
         weight: matched.caller.weight,
         cost: matched.kind.weight,
         deadline,
-        limits: limits(matched),
+        limits: limits(state, matched),
     };
     let (call, first) = state.admit(&call).await.map_err(refused)?;
     let attempts = Attempts {
@@ -104,11 +104,11 @@
 
 /// Limits of the caller's contract on one gateway. The rate holds for all gateways together, among
 /// which the platform's balancer spreads the requests evenly.
-fn limits(matched: &Matched<'_>) -> CallerLimits {
+fn limits(state: &ServiceState, matched: &Matched<'_>) -> CallerLimits {
     let contract = matched.caller.contract(&matched.service.name);
     let rate = contract.and_then(|c| c.requests_per_s);
     CallerLimits {
-        requests_per_s: rate.map(f64::from),
+        requests_per_s: rate.map(|r| state.own_rate(r)),
         in_flight: contract.and_then(|c| c.in_flight),
     }
 }
--- a/crates/turmericloft/src/ops/gateway/service_state.rs
+++ b/crates/turmericloft/src/ops/gateway/service_state.rs
@@ -4,7 +4,10 @@
     collections::{HashMap, HashSet},
     fmt,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -39,6 +42,7 @@
     service: Service,
     scheduling: Mutex<Scheduling>,
     pools: Vec<Arc<ConnectionPool>>,
+    gateways: AtomicU32,
 }
 
 struct Scheduling {
@@ -76,6 +80,7 @@
                 waiting: HashMap::new(),
             }),
             pools: pools.collect(),
+            gateways: AtomicU32::new(1),
         };
         Arc::new(state)
     }
@@ -102,6 +107,16 @@
         self.decide_on_waiting();
     }
 
+    /// Takes in how many gateways share the callers' rates.
+    pub fn set_gateways(&self, n: u32) {
+        self.gateways.store(n, Ordering::Release);
+    }
+
+    /// This gateway's part of a rate that holds for all gateways together.
+    pub(super) fn own_rate(&self, rate: u32) -> f64 {
+        f64::from(rate) / f64::from(self.gateways.load(Ordering::Acquire))
+    }
+
     /// Admits a call: at once, after waiting in the queue until its deadline, or not at all.
     pub(super) async fn admit(self: &Arc<Self>, call: &CallRequest<'_>) -> Admission {
         let now = now();
--- a/crates/turmericloft/src/ops/gateway/shared.rs
+++ b/crates/turmericloft/src/ops/gateway/shared.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
 };
 
@@ -27,6 +27,7 @@
     stopping: AtomicBool,
     peers: OnceLock<Arc<Peers>>,
     leaving_endpoints: ArcSwap<HashSet<SocketAddr>>,
+    live_gateways: AtomicU32,
 }
 
 /// An environment with the live state of its services.
@@ -49,6 +50,7 @@
             stopping: AtomicBool::new(false),
             peers: OnceLock::new(),
             leaving_endpoints: ArcSwap::default(),
+            live_gateways: AtomicU32::new(1),
         })
     }
 
@@ -75,12 +77,23 @@
         }
     }
 
-    /// Tells the services in force which of their endpoints are leaving.
+    /// Number of gateways that share callers' rates, this one included.
+    pub fn set_live_gateways(&self, n: u32) {
+        if self.live_gateways.swap(n.max(1), Ordering::AcqRel) != n.max(1) {
+            self.tell_services();
+        }
+    }
+
+    /// Tells the services in force what the host list says.
     fn tell_services(&self) {
         let leaving = self.leaving_endpoints();
         let in_force = self.in_force();
         let services = in_force.iter().flat_map(|f| f.services.values());
-        services.for_each(|s| s.set_leaving(&leaving));
+        let gateways = self.live_gateways.load(Ordering::Acquire);
+        for service in services {
+            service.set_leaving(&leaving);
+            service.set_gateways(gateways);
+        }
     }
 
     /// Whether the gateway is about to leave.
--- a/crates/turmericloft/src/ops/gateway/watch_hosts.rs
+++ b/crates/turmericloft/src/ops/gateway/watch_hosts.rs
@@ -43,6 +43,9 @@
         .map(|h| h.address)
         .collect();
     gateway.set_leaving_endpoints(leaving);
+    let hosts = list.hosts.iter();
+    let live = hosts.filter(|h| h.role == HostRole::Gateway && h.state == HostState::Live);
+    gateway.set_live_gateways(live.count() as u32);
     let Some(peers) = gateway.peers() else {
         return;
     };
