--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 mod load;
 mod peers;
 mod routing;
+mod standin_backend;
 mod support;
 mod whole_path;
--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod counting;
 pub mod document;
 mod environment;
+pub mod guard;
 mod host_id;
 pub mod membership;
 mod name;
