Keep the concurrency window near its use, and let it recover faster

Cause: the window stood at all slots of the service while calm, so a rush flooded the endpoints before it shrank; after a burst it grew by 0.05 calls an answer, and calls waited in the gateway beside idle endpoints.

Change: start at 8 calls, shrink towards twice the use, grow by 0.25 an answer.

--- a/crates/turmericloft/src/core/admission/concurrency_window.rs
+++ b/crates/turmericloft/src/core/admission/concurrency_window.rs
@@ -17,22 +17,24 @@
 impl ConcurrencyWindow {
     /// Calls that are always allowed.
     const MIN: f64 = 1.0;
-    /// Increase per answer of an endpoint with a free slot, in calls.
-    const INCREASE: f64 = 0.05;
+    /// Window that is kept while little of it is used, in calls.
+    const IDLE: f64 = 8.0;
+    /// Increase per answer while endpoints have room, in calls.
+    const INCREASE: f64 = 0.25;
     /// Largest relative decrease per answer.
     const DECREASE: f64 = 0.05;
     /// Reported load above which the window shrinks, as a share of the slots.
     const TARGET_LOAD: f64 = 1.5;
     /// Weight of one answer in the mean reported load.
     const LOAD_WEIGHT: f64 = 1.0 / 32.0;
-    /// The window grows only while this share of it is used.
+    /// The window grows only while this share of it is used, and shrinks below it.
     const USED_SHARE: f64 = 0.5;
 
-    /// A window that starts at `max` calls, and never grows beyond.
+    /// A window that never grows beyond `max` calls.
     pub fn new(max: u32) -> Self {
         let max = f64::from(max).max(Self::MIN);
         Self {
-            limit: max,
+            limit: max.min(Self::IDLE),
             max,
             load: 0.0,
         }
@@ -53,13 +55,16 @@
         let share = f64::from(load.in_flight) / f64::from(load.slots.max(1));
         self.load += (share - self.load) * Self::LOAD_WEIGHT;
         let excess = self.load - Self::TARGET_LOAD;
+        let used = f64::from(in_flight) / Self::USED_SHARE;
         if excess > 0.0 {
             let factor = 1.0 - Self::DECREASE * excess.min(1.0);
             // A window much larger than its use would shrink without effect.
-            let used = f64::from(in_flight) / Self::USED_SHARE;
             self.limit = (self.limit.min(used) * factor).max(Self::MIN);
-        } else if f64::from(in_flight) >= self.limit * Self::USED_SHARE {
+        } else if used >= self.limit {
             self.limit = (self.limit + Self::INCREASE).min(self.max);
+        } else if self.limit > Self::IDLE {
+            // A window far above its use would let a sudden rush flood the endpoints.
+            self.limit = (self.limit - Self::INCREASE).max(Self::IDLE);
         }
     }
 }
