--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod guarded_session;
 mod load;
 mod peers;
+mod routing;
 mod standin_backend;
 mod support;
 mod whole_path;
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -6,6 +6,7 @@
 mod operators;
 mod platform;
 mod process;
+mod silent_link;
 
 pub use self::{
     bookings::{Booking, BookingAnswer, runs, set_backend, set_log},
@@ -13,4 +14,5 @@
     operators::{Operators, rival_record},
     platform::Platform,
     process::Process,
+    silent_link::SilentLink,
 };
