Count latency and steps, publish in rounds, and report with completeness

Cause: the reporter appended every row each second without regard to a budget, a report could not tell a loss from a quiet host, and there were neither times nor steps nor periods.

--- a/crates/turmericloft-cli/src/bin/turmericloft/commands/report.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft/commands/report.rs
@@ -1,12 +1,17 @@
 //! `turmericloft report`
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
-use strum::IntoEnumIterator;
+use clap::builder::{PossibleValuesParser, TypedValueParser};
+use strum::VariantNames;
 use turmericloft::{
-    core::{Name, Outcome},
-    ops,
+    core::{Name, counting::report::GroupBy},
+    ops::{
+        self, ReportOptions,
+        report::{ReportFormat, parse_period},
+    },
     sources::log_service::HttpLog,
+    util::clock::unix_ms,
 };
 
 use super::CommandResult;
@@ -20,22 +25,37 @@
     /// Environment
     #[arg(long)]
     environment: String,
+    /// What lines stand for
+    #[arg(long, default_value = "caller", value_parser = by_parser())]
+    by: GroupBy,
+    /// Time before now to report on, as in `15m` or `2h`; all that is kept without it
+    #[arg(long, value_parser = parse_period)]
+    period: Option<Duration>,
+    /// How the report is written
+    #[arg(long, default_value = "text", value_parser = format_parser())]
+    format: ReportFormat,
+    /// Adds the steps at which requests ended that were not served
+    #[arg(long)]
+    explain: bool,
 }
 
 /// Runs the subcommand.
 pub async fn exec(args: Args) -> CommandResult {
-    let environment = Name::new(&args.environment)?;
-    let rows = ops::read_report(&HttpLog::new(args.log_service), &environment).await?;
-    for row in rows {
-        let key = &row.key;
-        print!(
-            "{} {} {} admitted={}",
-            key.caller, key.service, key.kind, row.admitted
-        );
-        for outcome in Outcome::iter() {
-            print!(" {outcome}={}", row.ended_with(outcome));
-        }
-        println!();
-    }
+    let options = ReportOptions {
+        environment: Name::new(&args.environment)?,
+        by: args.by,
+        period: args.period,
+    };
+    let log = HttpLog::new(args.log_service);
+    let report = ops::read_report(&log, &options, unix_ms()).await?;
+    print!("{}", args.format.render(&report, args.explain)?);
     Ok(())
 }
+
+fn by_parser() -> impl TypedValueParser<Value = GroupBy> {
+    PossibleValuesParser::new(GroupBy::VARIANTS).try_map(|text| text.parse::<GroupBy>())
+}
+
+fn format_parser() -> impl TypedValueParser<Value = ReportFormat> {
+    PossibleValuesParser::new(ReportFormat::VARIANTS).try_map(|text| text.parse::<ReportFormat>())
+}
--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/gateway_crash.rs
@@ -0,0 +1,66 @@
+//! A gateway that is killed: the reporter keeps its counts and the report says what may miss.
+
+use std::net::SocketAddr;
+
+use http::Method;
+use nix::sys::signal::Signal;
+
+use crate::support::{Platform, send};
+
+/// Asks the reporter until it holds a count of one served request.
+async fn wait_until_held(reporter: SocketAddr) {
+    loop {
+        let summary = send(reporter, "", Method::GET, "/summary", &[]).await;
+        if summary
+            .body
+            .contains(r#""name":"web","in_flight":0,"admitted":1"#)
+        {
+            return;
+        }
+    }
+}
+
+async fn look_up(platform: &Platform) {
+    let token = Platform::TOKEN;
+    let path = "/calendar/free?day=5";
+    let answer = send(platform.callers, token, Method::GET, path, &[]).await;
+    assert_eq!(answer.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn counts_of_a_killed_gateway_are_published_and_marked_incomplete() {
+    let mut platform = Platform::start();
+    platform.promote();
+    look_up(&platform).await;
+    wait_until_held(platform.reporter_address).await;
+    platform.gateway.signal(Signal::SIGKILL);
+    assert!(!platform.gateway.wait().success());
+    platform.restart_gateway();
+    look_up(&platform).await;
+    look_up(&platform).await;
+    platform.gateway.signal(Signal::SIGTERM);
+    assert!(platform.gateway.wait().success());
+    platform.reporter.signal(Signal::SIGTERM);
+    assert!(platform.reporter.wait().success());
+    let report = platform.turmericloft(&["report", "--format", "csv"]);
+    snapbox::assert_data_eq!(
+        report,
+        snapbox::str![[r#"
+name,share_percent,carried,admitted,served,refused,not_run,unknown,unfinished,in_flight,p50_us,p95_us,p99_us,timed_percent,resolution,completeness
+web,100.0,0,3,3,0,0,0,0,0,[..],incomplete
+total,100.0,0,3,3,0,0,0,0,0,[..],incomplete
+
+"#]]
+    );
+    let report = platform.turmericloft(&["report"]);
+    snapbox::assert_data_eq!(
+        report,
+        snapbox::str![[r#"
+production: who got what, by caller
+period: all that is kept, to [..]
+counts: incomplete; true counts may be higher
+  gw-1, [..]: ended without its last counts; some are missing
+...
+"#]]
+    );
+}
--- a/crates/turmericloft-cli/tests/testsuite/support/platform.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/platform.rs
@@ -14,6 +14,7 @@
     pub admin: SocketAddr,
     pub gateway: Process,
     pub reporter: Process,
+    pub reporter_address: SocketAddr,
     _stand_ins: Vec<Process>,
     folder: TempDir,
 }
@@ -46,9 +47,8 @@
              listen = \"{ANY_PORT}\"\nadmin = \"{ANY_PORT}\"\nlog_service = \"{log_service}\"\n\
              host_list = \"{host_list}\"\nreporter = \"{reporter_address}\"\n"
         );
-        let path = write(&folder, "gateway.toml", &gateway_settings);
-        let args = ["--settings", path.to_str().expect("a text path")];
-        let mut gateway = Process::start(env!("CARGO_BIN_EXE_turmericloft-gateway"), &args);
+        write(&folder, "gateway.toml", &gateway_settings);
+        let mut gateway = start_gateway(&folder);
         let addresses = gateway.addresses();
         Self {
             log_service,
@@ -57,11 +57,21 @@
             admin: addresses[1],
             gateway,
             reporter,
+            reporter_address,
             _stand_ins: vec![log, hosts, backend],
             folder,
         }
     }
 
+    /// Starts the gateway again in place of the one that ended, and waits until it is ready.
+    pub fn restart_gateway(&mut self) {
+        self.gateway = start_gateway(&self.folder);
+        let addresses = self.gateway.addresses();
+        self.callers = addresses[0];
+        self.admin = addresses[1];
+        self.gateway.wait_for_line("is in force");
+    }
+
     /// Promotes a document with a lookup service and a booking service at the backend server.
     pub fn promote(&mut self) {
         let backend = self.backend;
@@ -114,6 +124,12 @@
     }
 }
 
+fn start_gateway(folder: &TempDir) -> Process {
+    let path = folder.path().join("gateway.toml");
+    let args = ["--settings", path.to_str().expect("a text path")];
+    Process::start(env!("CARGO_BIN_EXE_turmericloft-gateway"), &args)
+}
+
 fn write(folder: &TempDir, name: &str, text: &str) -> PathBuf {
     let path = folder.path().join(name);
     fs::write(&path, text).expect("the folder can be written");
--- a/crates/turmericloft-cli/tests/testsuite/whole_path.rs
+++ b/crates/turmericloft-cli/tests/testsuite/whole_path.rs
@@ -49,12 +49,14 @@
     assert!(platform.gateway.wait().success());
     platform.reporter.signal(Signal::SIGTERM);
     assert!(platform.reporter.wait().success());
-    let report = platform.turmericloft(&["report"]);
+    let report = platform.turmericloft(&["report", "--by", "kind", "--format", "csv"]);
     snapbox::assert_data_eq!(
         report,
         snapbox::str![[r#"
-web booking book admitted=1 served=1 refused=0 not-run=0 unknown=0 unfinished=0
-web calendar lookup admitted=1 served=1 refused=0 not-run=0 unknown=0 unfinished=0
+name,share_percent,carried,admitted,served,refused,not_run,unknown,unfinished,in_flight,p50_us,p95_us,p99_us,timed_percent,resolution,completeness
+booking/book,50.0,0,1,1,0,0,0,0,0,[..],exact
+calendar/lookup,50.0,0,1,1,0,0,0,0,0,[..],exact
+total,100.0,0,2,2,0,0,0,0,0,[..],exact
 
 "#]]
     );
--- a/crates/turmericloft/src/core/counting/count_key.rs
+++ b/crates/turmericloft/src/core/counting/count_key.rs
@@ -14,3 +14,22 @@
     /// The kind of request.
     pub kind: Name,
 }
+
+impl CountKey {
+    /// Caller of rows that sum what lies beyond the limit of rows.
+    pub const OVERFLOW_CALLER: &'static str = "overflow-callers";
+
+    /// Whether the key is of a row that sums what lies beyond the limit of rows.
+    pub fn is_overflow(&self) -> bool {
+        self.caller.as_str() == Self::OVERFLOW_CALLER
+    }
+
+    /// The key of the row that sums this one with others beyond the limit of rows.
+    pub(super) fn into_overflow(self) -> Self {
+        let caller = Name::new(Self::OVERFLOW_CALLER);
+        Self {
+            caller: caller.unwrap_or(self.caller),
+            ..self
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/counting/held_counts.rs
@@ -0,0 +1,85 @@
+//! What a reporter holds of one incarnation of its gateway.
+
+use std::collections::HashMap;
+
+use super::{CountKey, CountRow, Latency, Snapshot};
+use crate::core::HostId;
+
+/// The newest known counts of one incarnation, and which snapshot brought each row.
+#[derive(Clone, Debug)]
+pub struct HeldCounts {
+    host: HostId,
+    sequence: u64,
+    taken_at_ms: u64,
+    last: bool,
+    rows: HashMap<CountKey, HeldRow>,
+}
+
+#[derive(Clone, Debug)]
+struct HeldRow {
+    row: CountRow,
+    sequence: u64,
+}
+
+impl HeldCounts {
+    /// Nothing held yet.
+    pub fn new(host: HostId) -> Self {
+        Self {
+            host,
+            sequence: 0,
+            taken_at_ms: 0,
+            last: false,
+            rows: HashMap::new(),
+        }
+    }
+
+    /// Takes a snapshot unless it is old or builds on one that is not held.
+    pub fn apply(&mut self, snapshot: Snapshot) {
+        if snapshot.sequence <= self.sequence || snapshot.since > self.sequence {
+            return;
+        }
+        let sequence = snapshot.sequence;
+        for row in snapshot.rows {
+            self.rows.insert(row.key.clone(), HeldRow { row, sequence });
+        }
+        self.sequence = sequence;
+        self.taken_at_ms = snapshot.taken_at_ms;
+        self.last = snapshot.last;
+    }
+
+    /// The incarnation.
+    pub fn host(&self) -> &HostId {
+        &self.host
+    }
+
+    /// Sequence of the newest snapshot held; 0 without one.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Time of the newest snapshot held, in milliseconds since the Unix epoch.
+    pub fn taken_at_ms(&self) -> u64 {
+        self.taken_at_ms
+    }
+
+    /// Whether the incarnation counts no more.
+    pub fn is_last(&self) -> bool {
+        self.last
+    }
+
+    /// Rows that snapshots after the one numbered `since` brought, in the order of their keys.
+    pub fn changed_after(&self, since: u64) -> Vec<&CountRow> {
+        let held = self.rows.values().filter(|h| h.sequence > since);
+        let mut rows: Vec<_> = held.map(|h| &h.row).collect();
+        rows.sort_by(|a, b| a.key.cmp(&b.key));
+        rows
+    }
+
+    /// Memory held, in bytes, without the text of names.
+    pub fn memory_bytes(&self) -> usize {
+        let rows = self.rows.len() * (size_of::<CountKey>() + size_of::<HeldRow>());
+        let steps = |h: &HeldRow| size_of_val(h.row.tally.steps.as_slice());
+        let variable = |h: &HeldRow| Latency::memory_bytes(&h.row.tally.latency) + steps(h);
+        rows + self.rows.values().map(variable).sum::<usize>()
+    }
+}
--- a/crates/turmericloft/src/core/counting/ledger.rs
+++ b/crates/turmericloft/src/core/counting/ledger.rs
@@ -3,67 +3,130 @@
 use std::{
     collections::HashMap,
     hash::{BuildHasher, RandomState},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Instant,
 };
 
 use parking_lot::Mutex;
 
-use super::{CountKey, CountRow, OpenCount, Snapshot};
-use crate::core::{HostId, Outcome};
+use super::{CountKey, CountRow, Counter, OpenCount, Resolution, Snapshot};
+use crate::core::HostId;
 
 /// Shards of the counters; each has its own lock.
 const SHARDS: usize = 16;
+/// Rows counted one by one.
+const DEFAULT_ROW_LIMIT: usize = 32_768;
 
 /// Counts every admitted request by caller, service, kind and outcome.
+///
+/// Beyond its limit of rows, requests of further keys are summed by service and kind under the
+/// caller [`CountKey::OVERFLOW_CALLER`].
 #[derive(Debug)]
 pub struct Ledger {
-    shards: [Mutex<HashMap<CountKey, CountRow>>; SHARDS],
+    shards: [Mutex<Shard>; SHARDS],
     hasher: RandomState,
+    row_limit: usize,
+    rows: AtomicUsize,
+    state: Arc<LedgerState>,
+}
+
+#[derive(Debug, Default)]
+struct Shard {
+    counters: HashMap<CountKey, Arc<Counter>>,
+    requests: u64,
+}
+
+/// What all counters of a ledger share.
+#[derive(Debug)]
+pub(super) struct LedgerState {
+    /// Sequence of the next snapshot.
+    pub(super) sequence: AtomicU64,
+    /// Whether times are taken.
+    pub(super) timed: AtomicBool,
 }
 
 impl Ledger {
     /// An empty ledger.
     pub fn new() -> Arc<Self> {
+        Self::with_row_limit(DEFAULT_ROW_LIMIT)
+    }
+
+    /// An empty ledger that counts up to `row_limit` keys one by one.
+    pub fn with_row_limit(row_limit: usize) -> Arc<Self> {
         Arc::new(Self {
             shards: Default::default(),
             hasher: RandomState::new(),
+            row_limit,
+            rows: AtomicUsize::new(0),
+            state: Arc::new(LedgerState {
+                sequence: AtomicU64::new(1),
+                timed: AtomicBool::new(true),
+            }),
         })
     }
 
-    /// Counts a request as admitted. It counts as unfinished unless the result is ended.
-    pub fn admit(self: &Arc<Self>, key: CountKey) -> OpenCount {
-        self.update(&key, |row| row.admitted += 1);
-        OpenCount::new(Arc::clone(self), key)
+    /// Counts a request as admitted, without its time. It counts as unfinished unless the
+    /// result is ended.
+    pub fn admit(&self, key: CountKey) -> OpenCount {
+        OpenCount::new(self.counter(key), None)
     }
 
-    /// All counts so far.
-    pub fn snapshot(&self, host: HostId, sequence: u64, now_ms: u64) -> Snapshot {
-        let mut rows: Vec<_> = Vec::new();
+    /// Counts a request as admitted at `now`.
+    pub fn admit_at(&self, key: CountKey, now: Instant) -> OpenCount {
+        let timed = self.state.timed.load(Ordering::Relaxed);
+        OpenCount::new(self.counter(key), timed.then_some(now))
+    }
+
+    /// Counts from now on with this resolution.
+    pub fn set_resolution(&self, resolution: Resolution) {
+        let timed = resolution.has_latency();
+        self.state.timed.store(timed, Ordering::Relaxed);
+    }
+
+    /// Rows that changed after the snapshot numbered `since`; all of them if it is 0.
+    pub fn snapshot(&self, host: HostId, since: u64, now_ms: u64) -> Snapshot {
+        let sequence = self.state.sequence.fetch_add(1, Ordering::AcqRel);
+        let mut rows: Vec<CountRow> = Vec::new();
         for shard in &self.shards {
-            rows.extend(shard.lock().values().cloned());
+            let counters: Vec<_> = shard.lock().counters.values().cloned().collect();
+            rows.extend(counters.iter().filter_map(|c| c.changed_after(since)));
         }
-        rows.sort_by(|a, b| a.key.cmp(&b.key));
         Snapshot {
             host,
             sequence,
+            since,
             taken_at_ms: now_ms,
+            last: false,
             rows,
         }
     }
 
-    pub(super) fn end(&self, key: &CountKey, outcome: Outcome) {
-        self.update(key, |row| row.ended[outcome as usize] += 1);
+    /// Requests admitted so far.
+    pub fn requests(&self) -> u64 {
+        self.shards.iter().map(|s| s.lock().requests).sum()
     }
 
-    fn update(&self, key: &CountKey, change: impl FnOnce(&mut CountRow)) {
-        let shard = self.hasher.hash_one(key) as usize % SHARDS;
-        let mut rows = self.shards[shard].lock();
-        match rows.get_mut(key) {
-            Some(row) => change(row),
-            None => change(
-                rows.entry(key.clone())
-                    .or_insert_with(|| CountRow::new(key.clone())),
-            ),
+    fn counter(&self, key: CountKey) -> Arc<Counter> {
+        let mut shard = self.shard(&key).lock();
+        if let Some(counter) = shard.counters.get(&key).map(Arc::clone) {
+            shard.requests += 1;
+            return counter;
         }
+        if !key.is_overflow() && self.rows.load(Ordering::Relaxed) >= self.row_limit {
+            drop(shard);
+            return self.counter(key.into_overflow());
+        }
+        self.rows.fetch_add(1, Ordering::Relaxed);
+        shard.requests += 1;
+        let counter = Counter::new(key.clone(), Arc::clone(&self.state));
+        shard.counters.insert(key, Arc::clone(&counter));
+        counter
+    }
+
+    fn shard(&self, key: &CountKey) -> &Mutex<Shard> {
+        &self.shards[self.hasher.hash_one(key) as usize % SHARDS]
     }
 }
--- a/crates/turmericloft/src/core/counting/mod.rs
+++ b/crates/turmericloft/src/core/counting/mod.rs
@@ -1,12 +1,39 @@
 //! Counting: who got what.
+//!
+//! A gateway counts in its [`Ledger`] and sends each [`Snapshot`] to the reporter of its host,
+//! which keeps [`HeldCounts`]. The reporter's [`Publisher`] cuts them into [`RoundPart`] records
+//! for the log service. [`report`] makes a report of the records of all hosts. The [`Governor`]
+//! keeps all of this within the document's budget.
 
 mod count_key;
 mod count_row;
+mod counter;
+mod governor;
+mod held_counts;
+mod latency;
 mod ledger;
 mod open_count;
+mod publisher;
+pub mod report;
+mod resolution;
+mod round_part;
 mod snapshot;
+mod step_count;
+mod tally;
 
+use self::counter::Counter;
 pub use self::{
-    count_key::CountKey, count_row::CountRow, ledger::Ledger, open_count::OpenCount,
-    snapshot::Snapshot,
+    count_key::CountKey,
+    count_row::CountRow,
+    governor::{Governor, MeasuredCost},
+    held_counts::HeldCounts,
+    latency::{Latency, LatencyBucket, LatencyError},
+    ledger::Ledger,
+    open_count::OpenCount,
+    publisher::Publisher,
+    resolution::Resolution,
+    round_part::{RoundError, RoundHead, RoundPart},
+    snapshot::{Snapshot, SnapshotMessage, SnapshotReply},
+    step_count::StepCount,
+    tally::Tally,
 };
--- /dev/null
+++ b/crates/turmericloft/src/core/counting/report/incarnation_history.rs
@@ -0,0 +1,104 @@
+//! What the log service has of one incarnation.
+
+use std::collections::BTreeMap;
+
+use crate::core::counting::{CountKey, CountRow, RoundHead, RoundPart};
+
+/// Rounds of one incarnation by sequence. Parts may come in any order, any number of times.
+#[derive(Clone, Debug, Default)]
+pub(super) struct IncarnationHistory {
+    rounds: BTreeMap<RoundKey, Round>,
+}
+
+/// A round is told apart by what it builds on, too: a reporter that was started again may cut
+/// the same snapshot in another way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct RoundKey {
+    sequence: u64,
+    follows: u64,
+    parts: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Round {
+    head: RoundHead,
+    parts: BTreeMap<u32, Vec<CountRow>>,
+}
+
+/// Counts of an incarnation as of its newest known round.
+#[derive(Clone, Debug, Default)]
+pub(super) struct IncarnationState {
+    /// Newest round taken in; `None` before the first.
+    pub(super) head: Option<RoundHead>,
+    /// Cumulative counts.
+    pub(super) rows: BTreeMap<CountKey, CountRow>,
+}
+
+impl IncarnationHistory {
+    pub(super) fn add(&mut self, part: RoundPart) {
+        let key = RoundKey {
+            sequence: part.round.sequence,
+            follows: part.round.follows,
+            parts: part.round.parts,
+        };
+        let round = self.rounds.entry(key).or_insert_with(|| Round {
+            head: part.round,
+            parts: BTreeMap::new(),
+        });
+        round.parts.insert(part.part, part.rows);
+    }
+
+    /// Calls `see` with the counts known at each of `moments`, which ascend.
+    pub(super) fn at_each(&self, moments: &[u64], mut see: impl FnMut(&IncarnationState)) {
+        let mut state = IncarnationState::default();
+        let mut rounds = self.rounds.values().filter(|r| r.is_whole()).peekable();
+        for &moment in moments {
+            while let Some(round) = rounds.next_if(|r| r.head.taken_at_ms <= moment) {
+                state.take(round);
+            }
+            see(&state);
+        }
+    }
+
+    /// The newest counts known.
+    pub(super) fn newest(&self) -> IncarnationState {
+        let mut found = IncarnationState::default();
+        self.at_each(&[u64::MAX], |state| found = state.clone());
+        found
+    }
+
+    /// The first counts that are known whole.
+    pub(super) fn first(&self) -> IncarnationState {
+        let mut state = IncarnationState::default();
+        let whole = |r: &&Round| r.is_whole() && r.head.follows == 0;
+        if let Some(round) = self.rounds.values().find(whole) {
+            state.take(round);
+        }
+        state
+    }
+}
+
+impl IncarnationState {
+    /// Time as of which the counts are exact; 0 if nothing is known.
+    pub(super) fn as_of_ms(&self) -> u64 {
+        self.head.as_ref().map_or(0, |h| h.taken_at_ms)
+    }
+
+    /// Takes a round in, unless it builds on one that is missing.
+    fn take(&mut self, round: &Round) {
+        let known = self.head.as_ref().map_or(0, |h| h.sequence);
+        if round.head.follows > known || round.head.sequence < known {
+            return;
+        }
+        for row in round.parts.values().flatten() {
+            self.rows.insert(row.key.clone(), row.clone());
+        }
+        self.head = Some(round.head.clone());
+    }
+}
+
+impl Round {
+    fn is_whole(&self) -> bool {
+        self.parts.len() == self.head.parts as usize
+    }
+}
--- a/crates/turmericloft/src/ops/gateway/answer.rs
+++ b/crates/turmericloft/src/ops/gateway/answer.rs
@@ -1,5 +1,7 @@
 //! Answers that the gateway makes itself.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use http::{
     HeaderValue, Response, StatusCode,
@@ -38,7 +40,7 @@
 
 /// Counts the end of a request and answers with the problem.
 pub(super) fn end(count: OpenCount, p: &Problem) -> Response<AnswerBody> {
-    count.end(p.outcome);
+    count.end_at(p.outcome, p.step, Instant::now());
     problem(p)
 }
 
--- a/crates/turmericloft/src/ops/gateway/handle.rs
+++ b/crates/turmericloft/src/ops/gateway/handle.rs
@@ -1,6 +1,9 @@
 //! The path of one request.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -25,7 +28,7 @@
         Ok(matched) => matched,
         Err(p) => return problem(&p),
     };
-    let count = gateway.ledger.admit(matched.count_key());
+    let count = gateway.ledger.admit_at(matched.count_key(), Instant::now());
     match matched.kind.handling {
         Handling::Idempotent => lookup::answer(&in_force, &matched, req, count).await,
         Handling::Guarded => guarded::answer(&in_force, &matched, req, count).await,
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod answer;
+mod counting_cost;
 mod dispatch;
 mod follow_config;
 mod guarded;
--- a/crates/turmericloft/src/ops/gateway/relayed_body.rs
+++ b/crates/turmericloft/src/ops/gateway/relayed_body.rs
@@ -3,6 +3,7 @@
 use std::{
     pin::Pin,
     task::{Context, Poll, ready},
+    time::Instant,
 };
 
 use bytes::Bytes;
@@ -10,7 +11,7 @@
 use hyper::body::Incoming;
 
 use crate::{
-    core::{Outcome, counting::OpenCount, routing::InFlight},
+    core::{Outcome, Step, counting::OpenCount, routing::InFlight},
     sources::backend::{BodyError, ConnectionLease},
 };
 
@@ -31,7 +32,8 @@
 }
 
 impl RelayedBody {
-    pub(super) fn new(body: Incoming, relay: Relay) -> Self {
+    pub(super) fn new(body: Incoming, mut relay: Relay) -> Self {
+        relay.count.reach(Step::AnswerBegun);
         let mut relayed = Self {
             body,
             open: Some(relay),
@@ -49,7 +51,7 @@
             in_flight,
         }) = self.open.take()
         {
-            count.end(Outcome::Served);
+            count.end_at(Outcome::Served, Step::Relayed, Instant::now());
             drop(lease);
             drop(in_flight);
         }
--- a/crates/turmericloft/src/ops/mod.rs
+++ b/crates/turmericloft/src/ops/mod.rs
@@ -2,10 +2,10 @@
 
 pub mod gateway;
 mod promote;
-mod report;
+pub mod report;
 pub mod reporter;
 
 pub use self::{
     promote::{PromoteError, PromoteOptions, promote},
-    report::{ReportError, read_report},
+    report::{ReportError, ReportOptions, read_history, read_report},
 };
--- /dev/null
+++ b/crates/turmericloft/src/ops/report/json.rs
@@ -0,0 +1,13 @@
+//! Reports as JSON.
+
+use super::ReportError;
+use crate::core::counting::report::Report;
+
+/// Writes a report as one JSON object.
+pub(super) fn render(report: &Report) -> Result<String, ReportError> {
+    let text = serde_json::to_string_pretty(report).map_err(|e| ReportError::Render {
+        format: "JSON",
+        source: e.into(),
+    })?;
+    Ok(text + "\n")
+}
--- /dev/null
+++ b/crates/turmericloft/src/ops/report/read.rs
@@ -0,0 +1,94 @@
+//! Reading the records of all gateways.
+
+use std::time::Duration;
+
+use thiserror::Error;
+
+use crate::{
+    core::{
+        Name,
+        counting::{
+            RoundPart,
+            report::{GroupBy, History, Period, Report},
+        },
+    },
+    sources::log_service::{LogError, LogService},
+};
+
+/// Records read from the log service at once.
+const PAGE_RECORDS: usize = 256;
+
+/// What to report on.
+#[derive(Clone, Debug)]
+pub struct ReportOptions {
+    /// Environment.
+    pub environment: Name,
+    /// What lines stand for.
+    pub by: GroupBy,
+    /// Time before now that is reported on; all that is kept if `None`.
+    pub period: Option<Duration>,
+}
+
+/// Why no report could be made.
+#[derive(Debug, Error)]
+pub enum ReportError {
+    /// The log service could not be read.
+    #[error("the log service failed")]
+    Log(#[from] LogError),
+    /// The report cannot be written in the format asked for.
+    #[error("the report cannot be written as {format}")]
+    Render {
+        /// The format.
+        format: &'static str,
+        /// Cause.
+        #[source]
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
+}
+
+/// Reads all records and makes a report of a period that ends now.
+pub async fn read_report(
+    log: &dyn LogService,
+    options: &ReportOptions,
+    now_ms: u64,
+) -> Result<Report, ReportError> {
+    let history = read_history(log, &options.environment, now_ms).await?;
+    let period_ms = options.period.map(|p| p.as_millis() as u64);
+    let period = Period {
+        from_ms: period_ms.map_or(0, |ms| now_ms.saturating_sub(ms)),
+        to_ms: now_ms,
+    };
+    Ok(Report::build(
+        &history,
+        &options.environment,
+        options.by,
+        period,
+    ))
+}
+
+/// Reads all records that the log service still keeps.
+pub async fn read_history(
+    log: &dyn LogService,
+    environment: &Name,
+    now_ms: u64,
+) -> Result<History, ReportError> {
+    let stream = RoundPart::stream(environment);
+    let mut history = History::default();
+    let mut from = 0;
+    loop {
+        let page = log
+            .read(&stream, from, PAGE_RECORDS, Duration::ZERO)
+            .await?;
+        if page.first > from {
+            let kept_from_ms = page.records.first().map_or(now_ms, |r| r.appended_at_ms);
+            history.note_dropped(kept_from_ms);
+        }
+        let Some(last) = page.records.last() else {
+            return Ok(history);
+        };
+        from = last.offset + 1;
+        for record in &page.records {
+            history.add_record(&record.body, record.appended_at_ms);
+        }
+    }
+}
--- a/crates/turmericloft/src/ops/reporter/mod.rs
+++ b/crates/turmericloft/src/ops/reporter/mod.rs
@@ -1,31 +1,29 @@
-//! Running a reporter: keeps the newest snapshot of its gateway and publishes it.
+//! Running a reporter: keeps the counts of its gateway and publishes them.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+mod cost_meter;
+mod publish;
+mod routes;
+mod shared;
+mod summary;
+
+use std::{io, net::SocketAddr, sync::Arc};
 
-use axum::{
-    Router,
-    body::Bytes,
-    extract::State,
-    http::StatusCode,
-    routing::{get, put},
-};
-use parking_lot::Mutex;
 use thiserror::Error;
-use tokio::{
-    net::TcpListener,
-    time::{MissedTickBehavior, interval},
-};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+pub use self::{
+    cost_meter::CostScope,
+    publish::{PublishError, publish},
+    shared::ReporterState,
+    summary::{HeldIncarnation, Summary},
+};
 use crate::{
-    core::counting::Snapshot,
+    core::counting::RoundPart,
     sources::log_service::{HttpLog, LogService},
     util::settings::ReporterSettings,
 };
 
-/// Time between two appends to the log service.
-const PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Why a reporter ended.
 #[derive(Debug, Error)]
 pub enum ReporterError {
@@ -41,17 +39,32 @@
     /// The listener failed.
     #[error("the listener failed")]
     Serve(#[source] io::Error),
+    /// Counts could not be published before the end.
+    #[error("counts are lost")]
+    Publish(#[from] PublishError),
 }
 
-#[derive(Debug, Default)]
-struct Newest {
-    snapshot: Mutex<Option<Snapshot>>,
+/// Runs a reporter beside other work of this process until `stop`; what it holds is published
+/// before it ends.
+pub async fn run_reporter(
+    settings: ReporterSettings,
+    stop: CancellationToken,
+) -> Result<(), ReporterError> {
+    run(settings, stop, CostScope::OwnWork).await
 }
 
-/// Runs a reporter until `stop`; what it holds is published before it ends.
-pub async fn run_reporter(
+/// The same in a process of its own, whose whole processor time counts as the cost of measuring.
+pub async fn run_reporter_process(
+    settings: ReporterSettings,
+    stop: CancellationToken,
+) -> Result<(), ReporterError> {
+    run(settings, stop, CostScope::Process).await
+}
+
+async fn run(
     settings: ReporterSettings,
     stop: CancellationToken,
+    scope: CostScope,
 ) -> Result<(), ReporterError> {
     let address = settings.listen;
     let listener = TcpListener::bind(address)
@@ -59,54 +72,16 @@
         .map_err(|source| ReporterError::Listen { address, source })?;
     let local = listener.local_addr().map_err(ReporterError::Serve)?;
     log::info!("reporter {} listens on {local}", settings.host);
-    let newest = Arc::new(Newest::default());
-    let publisher = tokio::spawn(publish(Arc::clone(&newest), settings, stop.clone()));
-    let app = Router::new()
-        .route("/snapshot", put(put_snapshot))
-        .route("/live", get(|| async { "live\n" }))
-        .with_state(newest);
+    let state = ReporterState::new(scope);
+    let log: Arc<dyn LogService> = Arc::new(HttpLog::new(settings.log_service));
+    let stream = RoundPart::stream(&settings.environment);
+    let publisher = tokio::spawn(publish(Arc::clone(&state), log, stream, stop.clone()));
+    let app = routes::router(state);
     let served = axum::serve(listener, app)
         .with_graceful_shutdown(stop.cancelled_owned())
         .await;
-    let _ = publisher.await;
-    served.map_err(ReporterError::Serve)
-}
-
-async fn put_snapshot(State(newest): State<Arc<Newest>>, body: Bytes) -> StatusCode {
-    let Ok(snapshot) = postcard::from_bytes::<Snapshot>(&body) else {
-        return StatusCode::BAD_REQUEST;
-    };
-    let mut kept = newest.snapshot.lock();
-    let newer = |k: &Snapshot| {
-        (k.host.incarnation, k.sequence) < (snapshot.host.incarnation, snapshot.sequence)
-    };
-    if kept.as_ref().is_none_or(newer) {
-        *kept = Some(snapshot);
-    }
-    StatusCode::NO_CONTENT
-}
-
-async fn publish(newest: Arc<Newest>, settings: ReporterSettings, stop: CancellationToken) {
-    let log = HttpLog::new(settings.log_service);
-    let stream = Snapshot::stream(&settings.environment);
-    let mut tick = interval(PUBLISH_INTERVAL);
-    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut published = None;
-    loop {
-        tokio::select! {
-            _ = tick.tick() => {}
-            () = stop.cancelled() => {}
-        }
-        let snapshot = newest.snapshot.lock().clone();
-        let fresh = snapshot.filter(|s| published.as_ref() != Some(&s.rows));
-        if let Some(snapshot) = fresh {
-            let bytes = postcard::to_stdvec(&snapshot).unwrap_or_default();
-            if log.append(&stream, bytes).await.is_ok() {
-                published = Some(snapshot.rows);
-            }
-        }
-        if stop.is_cancelled() {
-            return;
-        }
+    if let Ok(published) = publisher.await {
+        published?;
     }
+    served.map_err(ReporterError::Serve)
 }
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/counting/ledger.rs
@@ -0,0 +1,148 @@
+//! Counters of a gateway.
+
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use turmericloft::core::{
+    HostId, Outcome, Step,
+    counting::{CountKey, HeldCounts, Latency, Ledger, Resolution, Snapshot, StepCount},
+};
+
+use super::world::{key, name};
+
+fn snapshot(ledger: &Ledger, since: u64) -> Snapshot {
+    let host = HostId {
+        name: name("gw-1"),
+        incarnation: 1,
+    };
+    ledger.snapshot(host, since, 1)
+}
+
+#[test]
+fn a_dropped_request_is_unfinished_at_the_step_it_reached() {
+    let ledger = Ledger::new();
+    let mut count = ledger.admit(key("anna"));
+    count.reach(Step::AnswerBegun);
+    drop(count);
+    let rows = snapshot(&ledger, 0).rows;
+    let expected = StepCount {
+        outcome: Outcome::Unfinished,
+        step: Step::AnswerBegun,
+        requests: 1,
+    };
+    assert_eq!(rows[0].tally.ended_with(Outcome::Unfinished), 1);
+    assert_eq!(rows[0].tally.steps, [expected]);
+}
+
+#[test]
+fn only_served_requests_are_timed_and_only_at_full_resolution() {
+    let ledger = Ledger::new();
+    let start = Instant::now();
+    let end = start + Duration::from_millis(7);
+    let serve = |outcome| {
+        let count = ledger.admit_at(key("anna"), start);
+        count.end_at(outcome, Step::Relayed, end);
+    };
+    serve(Outcome::Served);
+    serve(Outcome::Refused);
+    ledger.set_resolution(Resolution::Counts);
+    serve(Outcome::Served);
+    let tally = &snapshot(&ledger, 0).rows[0].tally;
+    assert_eq!(tally.ended_with(Outcome::Served), 2);
+    assert_eq!(tally.latency.requests(), 1);
+    let p50 = tally.latency.quantile(0.5).expect("one time");
+    assert!((p50.as_secs_f64() / 0.007 - 1.0).abs() < 0.07, "{p50:?}");
+}
+
+#[test]
+fn requests_beyond_the_row_limit_are_summed_by_service_and_kind() {
+    let ledger = Ledger::with_row_limit(2);
+    for caller in ["anna", "bo", "cleo", "dan", "anna"] {
+        ledger.admit(key(caller)).end(Outcome::Served);
+    }
+    let rows = snapshot(&ledger, 0).rows;
+    let admitted = |caller: &str| {
+        let row = rows.iter().find(|r| r.key == key(caller));
+        row.map_or(0, |r| r.tally.admitted)
+    };
+    assert_eq!(rows.len(), 3);
+    assert_eq!(admitted("anna"), 2);
+    assert_eq!(admitted("bo"), 1);
+    assert_eq!(admitted(CountKey::OVERFLOW_CALLER), 2);
+    assert_eq!(ledger.requests(), 5);
+}
+
+#[test]
+fn a_snapshot_has_only_what_changed_after_the_one_that_is_held() {
+    let ledger = Ledger::new();
+    ledger.admit(key("anna")).end(Outcome::Served);
+    let first = snapshot(&ledger, 0);
+    ledger.admit(key("bo")).end(Outcome::Served);
+    let second = snapshot(&ledger, first.sequence);
+    assert_eq!(second.rows.len(), 1);
+    assert_eq!(second.rows[0].key, key("bo"));
+    assert!(snapshot(&ledger, second.sequence).rows.is_empty());
+}
+
+#[test]
+fn a_snapshot_that_builds_on_one_not_held_is_not_taken() {
+    let ledger = Ledger::new();
+    ledger.admit(key("anna")).end(Outcome::Served);
+    let first = snapshot(&ledger, 0);
+    ledger.admit(key("bo")).end(Outcome::Served);
+    let second = snapshot(&ledger, first.sequence);
+    let mut held = HeldCounts::new(first.host.clone());
+    held.apply(second.clone());
+    assert_eq!(held.sequence(), 0);
+    held.apply(first.clone());
+    held.apply(second.clone());
+    held.apply(first);
+    assert_eq!(held.sequence(), second.sequence);
+    assert_eq!(held.changed_after(0).len(), 2);
+}
+
+#[test]
+fn threads_that_count_while_snapshots_are_taken_lose_nothing() {
+    const THREADS: usize = 4;
+    const REQUESTS: u64 = 2_000;
+    let ledger = Ledger::new();
+    let workers: Vec<_> = (0..THREADS)
+        .map(|i| {
+            let ledger = Arc::clone(&ledger);
+            thread::spawn(move || {
+                let caller = ["anna", "bo"][i % 2];
+                for _ in 0..REQUESTS {
+                    ledger.admit(key(caller)).end(Outcome::Served);
+                }
+            })
+        })
+        .collect();
+    let mut held = HeldCounts::new(snapshot(&ledger, 0).host);
+    while !workers.iter().all(thread::JoinHandle::is_finished) {
+        held.apply(snapshot(&ledger, held.sequence()));
+    }
+    held.apply(snapshot(&ledger, held.sequence()));
+    let admitted = held.changed_after(0).into_iter().map(|r| r.tally.admitted);
+    assert_eq!(admitted.sum::<u64>(), THREADS as u64 * REQUESTS);
+}
+
+#[test]
+fn times_survive_encoding_and_subtraction() {
+    let mut latency = Latency::default();
+    for us in [3, 40, 500, 6_000, 70_000, 800_000] {
+        latency.record(Duration::from_micros(us));
+    }
+    let bytes = postcard_bytes(&latency);
+    let decoded: Latency = postcard::from_bytes(&bytes).expect("the bytes are whole");
+    assert_eq!(decoded, latency);
+    let earlier = latency.clone();
+    latency.record(Duration::from_secs(9));
+    assert_eq!(latency.since(&earlier).requests(), 1);
+}
+
+fn postcard_bytes(latency: &Latency) -> Vec<u8> {
+    postcard::to_stdvec(latency).expect("times can be encoded")
+}
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the library.
 
 mod acceptance;
+mod counting;
 mod parsers;
 mod peer;
