--- a/crates/turmericloft-bench/src/main.rs
+++ b/crates/turmericloft-bench/src/main.rs
@@ -9,8 +9,9 @@
 
 mod experiments;
 mod figure;
+mod fit;
 
-use experiments::overhead;
+use experiments::{capacity, overhead, routing};
 
 /// Measures turmericloft against its own baselines on loopback
 #[derive(Debug, Parser)]
@@ -28,7 +29,9 @@
 
 #[derive(Debug, Subcommand)]
 enum Experiment {
+    Capacity(capacity::Args),
     Overhead(overhead::Args),
+    Routing(routing::Args),
 }
 
 #[tokio::main]
@@ -36,7 +39,9 @@
     let cli = Cli::parse();
     let figures = figure::Printer::new(cli.json);
     let result = match cli.experiment {
+        Experiment::Capacity(args) => capacity::exec(args, cli.seed, &figures).await,
         Experiment::Overhead(args) => overhead::exec(args, cli.seed, &figures).await,
+        Experiment::Routing(args) => routing::exec(args, cli.seed, &figures).await,
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/turmericloft/tests/testsuite/counting/reports.rs
+++ b/crates/turmericloft/tests/testsuite/counting/reports.rs
@@ -164,6 +164,33 @@
     );
 }
 
+#[test]
+fn rounds_that_build_on_dropped_ones_are_not_counted() {
+    let served = (Outcome::Served, Step::Relayed);
+    let mut world = World::new();
+    for _ in 0..10 {
+        request(&mut world, "parents-web", "calendar", 3, served);
+    }
+    world.run(20);
+    world.expire_log();
+    request(&mut world, "road-app", "calendar", 3, served);
+    world.run(60);
+    let from_ms = world.now_ms();
+    request(&mut world, "parents-web", "calendar", 3, served);
+    world.run(60);
+    let report = world.report_since(from_ms, GroupBy::Caller);
+    assert_eq!(report.completeness, Completeness::Incomplete);
+    assert_eq!(report.total.admitted, 0);
+    // Every row is published again within 10 minutes; from then on periods are exact.
+    world.run(600);
+    let from_ms = world.now_ms();
+    request(&mut world, "parents-web", "calendar", 3, served);
+    world.run(10);
+    let report = world.report_since(from_ms, GroupBy::Caller);
+    assert_eq!(report.completeness, Completeness::Exact);
+    assert_eq!(report.total.admitted, 1);
+}
+
 #[test]
 fn a_line_says_which_share_of_its_times_is_known() {
     let mut world = session(false);
