--- a/crates/turmericloft-bench/src/experiments/mod.rs
+++ b/crates/turmericloft-bench/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod capacity;
 pub mod overhead;
+pub mod reporting;
 pub mod routing;
 
 /// What an experiment ends with.
--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/reporting/counting_cost.rs
@@ -0,0 +1,85 @@
+//! Cost of counting one request: loops with and without counting, in turn.
+
+use std::{
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use cpu_time::ThreadTime;
+use turmericloft::core::{
+    Name, Outcome, Step,
+    counting::{CountKey, Ledger},
+};
+
+/// Requests in one block.
+const BLOCK_REQUESTS: u32 = 500;
+/// Blocks with and blocks without counting.
+const BLOCKS: usize = 400;
+
+/// Cost of counting one request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CountingCost {
+    /// Median time that counting adds to a request.
+    pub(super) added_p50: Duration,
+    /// Processor time that counting adds to a request.
+    pub(super) processor: Duration,
+}
+
+impl CountingCost {
+    /// Runs both loops in turn.
+    pub(super) fn measure() -> Self {
+        let ledger = Ledger::new();
+        let keys = keys();
+        let (mut on, mut off) = (Samples::default(), Samples::default());
+        for _ in 0..BLOCKS {
+            off.add(&keys, |key, now| {
+                black_box((key, now));
+            });
+            on.add(&keys, |key, now| {
+                let count = ledger.admit_at(key, now);
+                count.end_at(Outcome::Served, Step::Relayed, Instant::now());
+            });
+        }
+        let requests = BLOCK_REQUESTS * BLOCKS as u32;
+        let processor = on.processor.saturating_sub(off.processor);
+        Self {
+            added_p50: on.median().saturating_sub(off.median()),
+            processor: processor / requests,
+        }
+    }
+}
+
+#[derive(Default)]
+struct Samples {
+    elapsed: Vec<Duration>,
+    processor: Duration,
+}
+
+impl Samples {
+    fn add(&mut self, keys: &[CountKey], mut request: impl FnMut(CountKey, Instant)) {
+        let processor = ThreadTime::now();
+        let start = Instant::now();
+        for i in 0..BLOCK_REQUESTS as usize {
+            request(keys[i % keys.len()].clone(), start);
+        }
+        self.elapsed.push(start.elapsed() / BLOCK_REQUESTS);
+        self.processor += processor.elapsed();
+    }
+
+    fn median(&mut self) -> Duration {
+        self.elapsed.sort();
+        self.elapsed[self.elapsed.len() / 2]
+    }
+}
+
+fn keys() -> Vec<CountKey> {
+    let name = |text: String| Name::new(&text).ok();
+    let key = |i: usize| {
+        Some(CountKey {
+            caller: name(format!("caller-{i}"))?,
+            service: name(format!("service-{}", i % 4))?,
+            kind: name("lookup".to_owned())?,
+        })
+    };
+    (0..200).filter_map(key).collect()
+}
--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/reporting/node.rs
@@ -0,0 +1,227 @@
+//! The counting side of one node: a ledger, its snapshots, a reporter and a log service.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use http::Method;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use turmericloft::{
+    core::{
+        HostId, Name,
+        counting::{
+            Ledger, Resolution, Snapshot, SnapshotMessage, SnapshotReply,
+            report::{GroupBy, Report},
+        },
+        document::MeasuringBudget,
+    },
+    ops::{ReportOptions, read_report, reporter::run_reporter},
+    sources::{http_client::call, log_service::HttpLog},
+    util::{clock::unix_ms, logging::LogFormat, settings::ReporterSettings},
+};
+use turmericloft_standins::{
+    Served,
+    log_service::{LogCounts, LogStandin},
+};
+
+use super::{CountingCost, MeasuredThread, seconds};
+
+/// Time between two tries to hand over the last snapshot.
+const LAST_TRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time allowed for the reporter's answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes of one append besides the record, as the reporter reckons.
+const APPEND_OVERHEAD_BYTES: u64 = 400;
+
+type BoxError = Box<dyn std::error::Error>;
+
+/// A node under measurement.
+pub(super) struct Node {
+    pub(super) ledger: Arc<Ledger>,
+    budget: MeasuringBudget,
+    environment: Name,
+    log: LogStandin,
+    served: Served,
+    snapshots: MeasuredThread,
+    reporter: MeasuredThread,
+}
+
+/// What a node spent up to one moment.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct NodeCost {
+    at: Instant,
+    processor: Duration,
+    counts: LogCounts,
+}
+
+/// What a node spent a second between two moments.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct NodeRates {
+    pub(super) core_share: f64,
+    pub(super) bytes_per_s: f64,
+    pub(super) appends_per_s: f64,
+}
+
+impl Node {
+    /// Starts all parts.
+    pub(super) async fn start(budget: MeasuringBudget) -> Result<Self, BoxError> {
+        let log = LogStandin::default();
+        let served = log.serve("127.0.0.1:0".parse()?).await?;
+        let environment = Name::new("bench")?;
+        let listen = free_address()?;
+        let reporter = start_reporter(environment.clone(), listen, served.address)?;
+        let ledger = Ledger::new();
+        let sender = SnapshotSender {
+            ledger: Arc::clone(&ledger),
+            host: HostId {
+                name: Name::new("gw-1")?,
+                incarnation: unix_ms(),
+            },
+            budget,
+            reporter: listen,
+        };
+        let snapshots = MeasuredThread::start(|stop| sender.run(stop));
+        Ok(Self {
+            ledger,
+            budget,
+            environment,
+            log,
+            served,
+            snapshots,
+            reporter,
+        })
+    }
+
+    /// What was spent so far on counting, snapshots and the reporter.
+    pub(super) fn cost(&self, counting: &CountingCost) -> NodeCost {
+        let requests = self.ledger.requests();
+        let counted = counting.processor.mul_f64(requests as f64);
+        NodeCost {
+            at: Instant::now(),
+            processor: counted + self.snapshots.processor() + self.reporter.processor(),
+            counts: self.log.counts(),
+        }
+    }
+
+    /// The budget that the node keeps to.
+    pub(super) fn budget(&self) -> MeasuringBudget {
+        self.budget
+    }
+
+    /// Stops the gateway's side, then the reporter, and reads the report back.
+    pub(super) async fn end(self) -> Result<Report, BoxError> {
+        self.snapshots.end().await?;
+        self.reporter.end().await?;
+        read_back(self.served.address, self.environment).await
+    }
+}
+
+impl NodeCost {
+    /// What was spent a second since `earlier`.
+    pub(super) fn since(&self, earlier: &Self) -> NodeRates {
+        let elapsed = seconds(self.at.duration_since(earlier.at));
+        let appends = self.counts.appends - earlier.counts.appends;
+        let bytes = self.counts.appended_bytes - earlier.counts.appended_bytes;
+        let processor = self.processor.saturating_sub(earlier.processor);
+        NodeRates {
+            core_share: processor.as_secs_f64() / elapsed,
+            bytes_per_s: (bytes + appends * APPEND_OVERHEAD_BYTES) as f64 / elapsed,
+            appends_per_s: appends as f64 / elapsed,
+        }
+    }
+}
+
+/// An address that is free now.
+pub(super) fn free_address() -> std::io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+/// Starts a reporter on a measured thread.
+pub(super) fn start_reporter(
+    environment: Name,
+    listen: SocketAddr,
+    log_service: SocketAddr,
+) -> Result<MeasuredThread, BoxError> {
+    let settings = ReporterSettings {
+        host: Name::new("gw-1")?,
+        environment,
+        listen,
+        log_service,
+        log_format: LogFormat::Text,
+    };
+    Ok(MeasuredThread::start(|stop| async move {
+        if let Err(e) = run_reporter(settings, stop).await {
+            log::error!("the reporter failed: {e}");
+        }
+    }))
+}
+
+/// Reads the report of everything from the log service.
+pub(super) async fn read_back(
+    log_service: SocketAddr,
+    environment: Name,
+) -> Result<Report, BoxError> {
+    let options = ReportOptions {
+        environment,
+        by: GroupBy::Service,
+        period: None,
+    };
+    Ok(read_report(&HttpLog::new(log_service), &options, unix_ms()).await?)
+}
+
+/// Takes snapshots and sends them, as a gateway does.
+struct SnapshotSender {
+    ledger: Arc<Ledger>,
+    host: HostId,
+    budget: MeasuringBudget,
+    reporter: SocketAddr,
+}
+
+impl SnapshotSender {
+    async fn run(self, stop: CancellationToken) {
+        let mut held = 0;
+        let mut resolution = Resolution::default();
+        while !stop.is_cancelled() {
+            let snapshot = self.ledger.snapshot(self.host.clone(), held, unix_ms());
+            if let Some(reply) = self.send(snapshot).await {
+                (held, resolution) = (reply.held, reply.resolution);
+            }
+            tokio::select! {
+                () = sleep(resolution.snapshot_interval()) => {}
+                () = stop.cancelled() => {}
+            }
+        }
+        loop {
+            let last = self.ledger.snapshot(self.host.clone(), 0, unix_ms());
+            let sequence = last.sequence;
+            let reply = self.send(last.into_last()).await;
+            if reply.is_some_and(|r| r.held >= sequence) {
+                return;
+            }
+            sleep(LAST_TRY_PAUSE).await;
+        }
+    }
+
+    async fn send(&self, snapshot: Snapshot) -> Option<SnapshotReply> {
+        let message = SnapshotMessage {
+            snapshot,
+            budget: Some(self.budget),
+            core_share: 0.0,
+        };
+        let body = postcard::to_stdvec(&message).ok()?.into();
+        let answer = call(
+            self.reporter,
+            Method::PUT,
+            "/snapshot",
+            body,
+            ANSWER_TIMEOUT,
+        );
+        let answer = answer.await.ok()?;
+        let reply: SnapshotReply = postcard::from_bytes(&answer.body).ok()?;
+        self.ledger.set_resolution(reply.resolution);
+        Some(reply)
+    }
+}
--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/reporting/rush.rs
@@ -0,0 +1,56 @@
+//! Case `rush`: ten times the usual requests, under a budget.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+use turmericloft::core::document::MeasuringBudget;
+
+use super::{
+    Args, CountedLoad, CountingCost, ExperimentResult, LoadShape, Node, NodeCost, Printer, print,
+    print_count_error,
+};
+
+const CASE: &str = "rush";
+/// Time at the usual rate.
+const BEFORE: Duration = Duration::from_secs(8);
+/// How many times the usual rate.
+const RUSH_FACTOR: f64 = 10.0;
+const SHAPE: LoadShape = LoadShape {
+    callers: 500,
+    services: 8,
+    services_per_caller: 3,
+};
+
+/// Runs the case.
+pub(super) async fn run(
+    args: &Args,
+    seed: u64,
+    cost: &CountingCost,
+    figures: &Printer,
+) -> ExperimentResult {
+    let node = Node::start(MeasuringBudget::default()).await?;
+    let base = args.rush_base_rate;
+    let load = CountedLoad::start(node.ledger.clone(), SHAPE, base, seed)?;
+    sleep(BEFORE).await;
+    load.set_rate(base * RUSH_FACTOR);
+    let start = node.cost(cost);
+    sleep(Duration::from_secs(args.rush_seconds)).await;
+    let end = node.cost(cost);
+    load.set_rate(base);
+    let own = load.end();
+    print_overrun(figures, &node, &start, &end);
+    let report = node.end().await?;
+    print_count_error(figures, CASE, &report, own);
+    Ok(())
+}
+
+fn print_overrun(figures: &Printer, node: &Node, start: &NodeCost, end: &NodeCost) {
+    let (rates, budget) = (end.since(start), node.budget());
+    let core = rates.core_share / budget.core_share;
+    let bytes = rates.bytes_per_s / budget.bytes_per_s as f64;
+    let overrun = (core.max(bytes) - 1.0).max(0.0);
+    print(figures, CASE, "budget_overrun_share", overrun, "share");
+    print(figures, CASE, "core_share", rates.core_share, "cores");
+    print(figures, CASE, "bytes_per_s", rates.bytes_per_s, "B/s");
+    print(figures, CASE, "appends_per_s", rates.appends_per_s, "1/s");
+}
--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/reporting/steady.rs
@@ -0,0 +1,226 @@
+//! Case `steady`: a gateway, its reporter and real calls at today's size.
+
+use std::time::{Duration, Instant};
+
+use http::Method;
+use tokio::time::sleep;
+use turmericloft::{
+    core::{Name, counting::report::Report, document::Digest},
+    ops::{self, PromoteOptions, gateway::run_gateway},
+    sources::{http_client::call, log_service::HttpLog},
+    util::{clock::unix_ms, logging::LogFormat, settings::GatewaySettings},
+};
+use turmericloft_standins::{
+    Served,
+    backend::{BackendFaults, BackendStandin},
+    load::{Call, CallKey, LoadPlan, LoadResults, run_load},
+    log_service::LogStandin,
+};
+
+use super::{
+    Args, CountingCost, ExperimentResult, MeasuredThread, Printer,
+    node::{free_address, read_back, start_reporter},
+    print, print_count_error, seconds,
+};
+
+const CASE: &str = "steady";
+const CALLERS: usize = 60;
+const SERVICES: [&str; 4] = ["calendar", "booking", "deposit", "dispatch"];
+const SLOTS: usize = 64;
+/// Bytes of one append besides the record, as the reporter reckons.
+const APPEND_OVERHEAD_BYTES: u64 = 400;
+/// Time between two questions whether the gateway is ready.
+const READY_PAUSE: Duration = Duration::from_millis(50);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+type BoxError = Box<dyn std::error::Error>;
+
+/// Runs the case.
+pub(super) async fn run(
+    args: &Args,
+    seed: u64,
+    cost: &CountingCost,
+    figures: &Printer,
+) -> ExperimentResult {
+    let node = GatewayNode::start(seed).await?;
+    let mut plan = LoadPlan::new(calls(), args.steady_rate, seed);
+    plan.duration = Duration::from_secs(args.steady_seconds);
+    plan.connections = SLOTS;
+    let (gateway, reporter) = (node.gateway.processor(), node.reporter.processor());
+    let counts = node.log.counts();
+    let start = Instant::now();
+    let results = run_load(&[node.callers], plan).await;
+    let elapsed = seconds(start.elapsed());
+    let sent = results.total().sent.max(1) as f64;
+    let gateway_us = (node.gateway.processor() - gateway).as_secs_f64() * 1e6 / sent;
+    let reporter = node.reporter.processor() - reporter;
+    let counted = node.log.counts();
+    let appends = counted.appends - counts.appends;
+    let bytes = counted.appended_bytes - counts.appended_bytes;
+    let bytes = bytes + appends * APPEND_OVERHEAD_BYTES;
+    let counting_us = cost.processor.as_secs_f64() * 1e6;
+    let added_us = cost.added_p50.as_secs_f64() * 1e6;
+    print(
+        figures,
+        CASE,
+        "cpu_share",
+        counting_us / gateway_us,
+        "share",
+    );
+    print(figures, CASE, "added_p50_us", added_us, "us");
+    print(figures, CASE, "counting_us", counting_us, "us");
+    print(figures, CASE, "gateway_us", gateway_us, "us");
+    let reporter_share = reporter.as_secs_f64() / elapsed;
+    print(
+        figures,
+        CASE,
+        "reporter_core_share",
+        reporter_share,
+        "cores",
+    );
+    print(figures, CASE, "bytes_per_s", bytes as f64 / elapsed, "B/s");
+    print(
+        figures,
+        CASE,
+        "appends_per_s",
+        appends as f64 / elapsed,
+        "1/s",
+    );
+    let report = node.end().await?;
+    print_count_error(figures, CASE, &report, own_count(&results));
+    Ok(())
+}
+
+/// Calls that the load saw answered or broken; each was admitted, because each is allowed.
+fn own_count(results: &LoadResults) -> u64 {
+    results.total().sent
+}
+
+/// A gateway and a reporter on threads of their own, with stand-ins.
+struct GatewayNode {
+    callers: std::net::SocketAddr,
+    gateway: MeasuredThread,
+    reporter: MeasuredThread,
+    log: LogStandin,
+    environment: Name,
+    log_served: Served,
+    _backend: Served,
+}
+
+impl GatewayNode {
+    async fn start(seed: u64) -> Result<Self, BoxError> {
+        let log = LogStandin::default();
+        let log_served = log.serve("127.0.0.1:0".parse()?).await?;
+        let faults = BackendFaults {
+            slots: SLOTS,
+            ..BackendFaults::default()
+        };
+        let backend = BackendStandin::new(faults, seed);
+        let backend = backend.serve("127.0.0.1:0".parse()?).await?;
+        let environment = Name::new("bench")?;
+        let listen = free_address()?;
+        let reporter = start_reporter(environment.clone(), listen, log_served.address)?;
+        let settings = GatewaySettings {
+            host: Name::new("gw-1")?,
+            zone: Name::new("a")?,
+            environment: environment.clone(),
+            listen: free_address()?,
+            admin: free_address()?,
+            log_service: log_served.address,
+            host_list: free_address()?,
+            reporter: listen,
+            peers: None,
+            stop_deadline: Duration::from_secs(5),
+            log_format: LogFormat::Text,
+        };
+        let (callers, admin) = (settings.listen, settings.admin);
+        let gateway = MeasuredThread::start(|stop| async move {
+            if let Err(e) = run_gateway(settings, stop).await {
+                log::error!("the gateway failed: {e}");
+            }
+        });
+        promote(&environment, &log_served, &backend).await?;
+        wait_until_ready(admin).await;
+        Ok(Self {
+            callers,
+            gateway,
+            reporter,
+            log,
+            environment,
+            log_served,
+            _backend: backend,
+        })
+    }
+
+    async fn end(self) -> Result<Report, BoxError> {
+        self.gateway.end().await?;
+        self.reporter.end().await?;
+        read_back(self.log_served.address, self.environment).await
+    }
+}
+
+async fn promote(environment: &Name, log: &Served, backend: &Served) -> ExperimentResult {
+    let options = PromoteOptions {
+        environment: environment.clone(),
+        author: Name::new("bench")?,
+        document: document(backend),
+        promotion_id: "bench".to_owned(),
+    };
+    ops::promote(&HttpLog::new(log.address), options, unix_ms()).await?;
+    Ok(())
+}
+
+async fn wait_until_ready(admin: std::net::SocketAddr) {
+    loop {
+        let answer = call(
+            admin,
+            Method::GET,
+            "/ready",
+            bytes::Bytes::new(),
+            CALL_TIMEOUT,
+        )
+        .await;
+        if answer.is_ok_and(|a| a.status.is_success()) {
+            return;
+        }
+        sleep(READY_PAUSE).await;
+    }
+}
+
+fn document(backend: &Served) -> String {
+    let mut text = "schema = 1\n[[zones]]\nname = \"a\"\nregion = \"south\"\n".to_owned();
+    for service in SERVICES {
+        text += &format!(
+            "[[services]]\nname = \"{service}\"\ndeadline_ms = 2000\n\
+             kinds = [{{ name = \"lookup\", method = \"GET\", handling = \"idempotent\" }}]\n\
+             endpoints = [{{ address = \"{}\", zone = \"a\", slots = {SLOTS}, connections = 250 }}]\n",
+            backend.address
+        );
+    }
+    for i in 0..CALLERS {
+        let token = Digest::of(format!("token-{i}").as_bytes());
+        let contracts = SERVICES.map(|s| format!("{{ service = \"{s}\" }}"));
+        text += &format!(
+            "[[callers]]\nname = \"caller-{i}\"\ntoken_sha256 = \"{token}\"\n\
+             contracts = [{}]\n",
+            contracts.join(", ")
+        );
+    }
+    text
+}
+
+fn calls() -> Vec<Call> {
+    let mut calls = Vec::new();
+    for i in 0..CALLERS {
+        for service in SERVICES {
+            let mut call = Call::get(&format!("/{service}/free"), &format!("token-{i}"));
+            call.key = CallKey {
+                caller: format!("caller-{i}"),
+                service: service.to_owned(),
+                kind: "lookup".to_owned(),
+            };
+            calls.push(call);
+        }
+    }
+    calls
+}
--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/reporting/two_year.rs
@@ -0,0 +1,57 @@
+//! Case `two-year`: one node at the size expected in two years.
+
+use std::{fs, time::Duration};
+
+use tokio::time::sleep;
+use turmericloft::core::document::MeasuringBudget;
+
+use super::{
+    Args, CountedLoad, CountingCost, ExperimentResult, LoadShape, Node, Printer, print,
+    print_count_error,
+};
+
+const CASE: &str = "two-year";
+/// Time for the first snapshots and the governor to settle.
+const SETTLING_TIME: Duration = Duration::from_secs(5);
+/// Bytes of one page of memory.
+const PAGE_BYTES: f64 = 4096.0;
+const MIB: f64 = 1_048_576.0;
+
+/// Runs the case.
+pub(super) async fn run(
+    args: &Args,
+    seed: u64,
+    cost: &CountingCost,
+    figures: &Printer,
+) -> ExperimentResult {
+    let before_mib = resident_mib();
+    let node = Node::start(MeasuringBudget::default()).await?;
+    let shape = LoadShape {
+        callers: args.two_year_callers,
+        services: args.two_year_services,
+        services_per_caller: args.services_per_caller,
+    };
+    let load = CountedLoad::start(node.ledger.clone(), shape, args.two_year_rate, seed)?;
+    sleep(SETTLING_TIME).await;
+    let start = node.cost(cost);
+    sleep(Duration::from_secs(args.two_year_seconds)).await;
+    let end = node.cost(cost);
+    let memory_mib = resident_mib() - before_mib;
+    let own = load.end();
+    let rates = end.since(&start);
+    print(figures, CASE, "core_share", rates.core_share, "cores");
+    print(figures, CASE, "memory_mb", memory_mib, "MiB");
+    print(figures, CASE, "bytes_per_s", rates.bytes_per_s, "B/s");
+    print(figures, CASE, "appends_per_s", rates.appends_per_s, "1/s");
+    let report = node.end().await?;
+    print_count_error(figures, CASE, &report, own);
+    Ok(())
+}
+
+/// Memory of this process that is resident.
+fn resident_mib() -> f64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1);
+    let pages: f64 = pages.and_then(|p| p.parse().ok()).unwrap_or_default();
+    pages * PAGE_BYTES / MIB
+}
--- a/crates/turmericloft-bench/src/main.rs
+++ b/crates/turmericloft-bench/src/main.rs
@@ -11,7 +11,7 @@
 mod figure;
 mod fit;
 
-use experiments::{capacity, overhead, routing};
+use experiments::{capacity, overhead, reporting, routing};
 
 /// Measures turmericloft against its own baselines on loopback
 #[derive(Debug, Parser)]
@@ -31,6 +31,7 @@
 enum Experiment {
     Capacity(capacity::Args),
     Overhead(overhead::Args),
+    Reporting(reporting::Args),
     Routing(routing::Args),
 }
 
@@ -41,6 +42,7 @@
     let result = match cli.experiment {
         Experiment::Capacity(args) => capacity::exec(args, cli.seed, &figures).await,
         Experiment::Overhead(args) => overhead::exec(args, cli.seed, &figures).await,
+        Experiment::Reporting(args) => reporting::exec(args, cli.seed, &figures).await,
         Experiment::Routing(args) => routing::exec(args, cli.seed, &figures).await,
     };
     match result {
--- a/crates/turmericloft/src/core/counting/counter.rs
+++ b/crates/turmericloft/src/core/counting/counter.rs
@@ -7,7 +7,7 @@
 
 use parking_lot::Mutex;
 
-use super::{CountKey, CountRow, Tally, ledger::LedgerState};
+use super::{CountKey, CountRow, Latency, Tally, ledger::LedgerState};
 use crate::core::{Outcome, Step};
 
 /// Counts of one key under their own lock, so that a row is always consistent in itself.
@@ -41,6 +41,10 @@
         self.update(|tally| tally.end(outcome, step, elapsed));
     }
 
+    pub(super) fn drop_latency(&self) {
+        self.counted.lock().row.tally.latency = Latency::default();
+    }
+
     /// The row, if it changed after the snapshot numbered `since`.
     pub(super) fn changed_after(&self, since: u64) -> Option<CountRow> {
         let counted = self.counted.lock();
--- a/crates/turmericloft/src/core/counting/governor.rs
+++ b/crates/turmericloft/src/core/counting/governor.rs
@@ -5,12 +5,15 @@
 use super::Resolution;
 use crate::core::document::MeasuringBudget;
 
-/// Time for which the cost must stay low before the resolution becomes finer again.
+/// Time for which the cost must stay low before the resolution becomes finer again. It doubles
+/// each time that the finer resolution turns out to be over budget.
 const RECOVERY_TIME: Duration = Duration::from_secs(30);
+/// Longest such time.
+const MAX_RECOVERY_TIME: Duration = Duration::from_secs(3_600);
 /// Share of the budget below which the cost counts as low.
 const RECOVERY_SHARE: f64 = 0.5;
 /// Time within which a change of resolution shows in the measured cost.
-const SETTLING_TIME: Duration = Duration::from_secs(2);
+const SETTLING_TIME: Duration = Duration::from_secs(6);
 
 /// What measuring cost on one host lately.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -30,6 +33,8 @@
     resolution: Resolution,
     low_since: Option<Instant>,
     settles_at: Option<Instant>,
+    recovery_time: Duration,
+    became_finer_at: Option<Instant>,
 }
 
 impl MeasuredCost {
@@ -49,6 +54,8 @@
             resolution: Resolution::default(),
             low_since: None,
             settles_at: None,
+            recovery_time: RECOVERY_TIME,
+            became_finer_at: None,
         }
     }
 
@@ -65,19 +72,31 @@
         let share = cost.share_of(budget);
         if share > 1.0 {
             self.low_since = None;
+            self.lengthen_recovery(now);
             self.change_to(self.resolution.coarser(), now);
         } else if share > RECOVERY_SHARE {
             self.low_since = None;
         } else {
             let since = *self.low_since.get_or_insert(now);
-            if now.saturating_duration_since(since) >= RECOVERY_TIME {
+            if now.saturating_duration_since(since) >= self.recovery_time {
                 self.low_since = Some(now);
+                self.became_finer_at = Some(now);
                 self.change_to(self.resolution.finer(), now);
             }
         }
         self.resolution
     }
 
+    fn lengthen_recovery(&mut self, now: Instant) {
+        let tried = self.became_finer_at.take();
+        let failed = tried.is_some_and(|at| now.saturating_duration_since(at) < RECOVERY_TIME);
+        self.recovery_time = if failed {
+            (self.recovery_time * 2).min(MAX_RECOVERY_TIME)
+        } else {
+            RECOVERY_TIME
+        };
+    }
+
     fn change_to(&mut self, resolution: Option<Resolution>, now: Instant) {
         if let Some(resolution) = resolution {
             self.resolution = resolution;
--- a/crates/turmericloft/src/core/counting/held_counts.rs
+++ b/crates/turmericloft/src/core/counting/held_counts.rs
@@ -75,6 +75,13 @@
         rows
     }
 
+    /// Drops the times of all rows.
+    pub fn drop_latency(&mut self) {
+        for held in self.rows.values_mut() {
+            held.row.tally.latency = Latency::default();
+        }
+    }
+
     /// Memory held, in bytes, without the text of names.
     pub fn memory_bytes(&self) -> usize {
         let rows = self.rows.len() * (size_of::<CountKey>() + size_of::<HeldRow>());
--- a/crates/turmericloft/src/core/counting/ledger.rs
+++ b/crates/turmericloft/src/core/counting/ledger.rs
@@ -80,20 +80,20 @@
         OpenCount::new(self.counter(key), timed.then_some(now))
     }
 
-    /// Counts from now on with this resolution.
+    /// Counts from now on with this resolution. Times that are no longer taken are dropped.
     pub fn set_resolution(&self, resolution: Resolution) {
         let timed = resolution.has_latency();
-        self.state.timed.store(timed, Ordering::Relaxed);
+        let before = self.state.timed.swap(timed, Ordering::Relaxed);
+        if before && !timed {
+            self.counters().for_each(|c| c.drop_latency());
+        }
     }
 
     /// Rows that changed after the snapshot numbered `since`; all of them if it is 0.
     pub fn snapshot(&self, host: HostId, since: u64, now_ms: u64) -> Snapshot {
         let sequence = self.state.sequence.fetch_add(1, Ordering::AcqRel);
-        let mut rows: Vec<CountRow> = Vec::new();
-        for shard in &self.shards {
-            let counters: Vec<_> = shard.lock().counters.values().cloned().collect();
-            rows.extend(counters.iter().filter_map(|c| c.changed_after(since)));
-        }
+        let rows = self.counters().filter_map(|c| c.changed_after(since));
+        let rows: Vec<CountRow> = rows.collect();
         Snapshot {
             host,
             sequence,
@@ -109,6 +109,14 @@
         self.shards.iter().map(|s| s.lock().requests).sum()
     }
 
+    /// All counters, locking one shard at a time and none while a counter is used.
+    fn counters(&self) -> impl Iterator<Item = Arc<Counter>> {
+        self.shards.iter().flat_map(|shard| {
+            let counters: Vec<_> = shard.lock().counters.values().cloned().collect();
+            counters
+        })
+    }
+
     fn counter(&self, key: CountKey) -> Arc<Counter> {
         let mut shard = self.shard(&key).lock();
         if let Some(counter) = shard.counters.get(&key).map(Arc::clone) {
--- a/crates/turmericloft/src/core/counting/mod.rs
+++ b/crates/turmericloft/src/core/counting/mod.rs
@@ -27,7 +27,7 @@
     count_row::CountRow,
     governor::{Governor, MeasuredCost},
     held_counts::HeldCounts,
-    latency::{Latency, LatencyBucket, LatencyError},
+    latency::Latency,
     ledger::Ledger,
     open_count::OpenCount,
     publisher::Publisher,
--- a/crates/turmericloft/src/core/counting/publisher.rs
+++ b/crates/turmericloft/src/core/counting/publisher.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{CountRow, HeldCounts, Resolution, RoundHead, RoundPart, Snapshot, SnapshotReply};
-use crate::core::document::MeasuringBudget;
+use crate::core::{HostId, document::MeasuringBudget};
 
 /// Least time between two appends.
 const APPEND_INTERVAL: Duration = Duration::from_secs(1);
@@ -18,7 +18,7 @@
 /// Records waiting for the log service, in bytes, beyond which no further round is cut.
 const QUEUE_BYTES: usize = 256 << 10;
 /// Rows of one record, in bytes as estimated.
-const PART_BYTES: usize = 4 << 10;
+const PART_BYTES: usize = 2 << 10;
 /// Estimated bytes of a row and its names, without steps and times.
 const ROW_BYTES: usize = 32;
 /// Estimated bytes of one step or one bucket of times.
@@ -87,6 +87,10 @@
 
     /// Counts and publishes from now on with this resolution and budget.
     pub fn set_pace(&mut self, resolution: Resolution, budget: &MeasuringBudget) {
+        if self.resolution.has_latency() && !resolution.has_latency() {
+            let counts = self.incarnations.iter_mut().map(|p| &mut p.counts);
+            counts.for_each(HeldCounts::drop_latency);
+        }
         self.resolution = resolution;
         self.bytes_per_s = budget.bytes_per_s.max(1);
     }
@@ -180,17 +184,27 @@
         held
     }
 
-    /// Drops the oldest incarnation beyond the limit once all of it is published.
+    /// Drops the oldest incarnation beyond the limit that has ended and is published.
     fn forget_oldest(&mut self) {
-        let Some(oldest) = self.incarnations.first() else {
+        if self.incarnations.len() <= HELD_INCARNATIONS {
             return;
+        }
+        let is_over = |p: &Published| {
+            let published = p.sequence == p.counts.sequence();
+            published && (p.counts.is_last() || self.is_superseded(p.counts.host()))
         };
-        let published = oldest.sequence == oldest.counts.sequence();
-        if published && self.incarnations.len() > HELD_INCARNATIONS {
-            self.incarnations.remove(0);
+        if let Some(oldest) = self.incarnations.iter().position(is_over) {
+            self.incarnations.remove(oldest);
         }
     }
 
+    /// Whether a later incarnation of the same gateway is held.
+    fn is_superseded(&self, host: &HostId) -> bool {
+        self.held()
+            .map(HeldCounts::host)
+            .any(|h| h.name == host.name && h.incarnation > host.incarnation)
+    }
+
     fn is_cut_due(&self, now: Instant) -> bool {
         let since = |interval| {
             self.last_cut
--- a/crates/turmericloft/src/core/counting/report/incarnation_history.rs
+++ b/crates/turmericloft/src/core/counting/report/incarnation_history.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::core::counting::{CountKey, CountRow, RoundHead, RoundPart};
+use crate::core::counting::{CountKey, CountRow, Latency, Resolution, RoundHead, RoundPart};
 
 /// Rounds of one incarnation by sequence. Parts may come in any order, any number of times.
 #[derive(Clone, Debug, Default)]
@@ -30,8 +30,12 @@
 pub(super) struct IncarnationState {
     /// Newest round taken in; `None` before the first.
     pub(super) head: Option<RoundHead>,
-    /// Cumulative counts.
+    /// Coarsest resolution of the rounds taken in since the moment before.
+    pub(super) coarsest: Resolution,
+    /// Cumulative counts, with the times that were dropped since.
     pub(super) rows: BTreeMap<CountKey, CountRow>,
+    /// Times of rows that were dropped when the resolution became coarser.
+    dropped: BTreeMap<CountKey, Latency>,
 }
 
 impl IncarnationHistory {
@@ -57,6 +61,10 @@
                 state.take(round);
             }
             see(&state);
+            state.coarsest = state
+                .head
+                .as_ref()
+                .map_or_else(Resolution::default, |h| h.resolution);
         }
     }
 
@@ -84,6 +92,22 @@
         self.head.as_ref().map_or(0, |h| h.taken_at_ms)
     }
 
+    /// Replaces a row; times that it no longer has are kept.
+    fn take_row(&mut self, mut row: CountRow) {
+        if let Some(known) = self.rows.get(&row.key) {
+            let dropped = self.dropped.get(&row.key).cloned().unwrap_or_default();
+            let shown = known.tally.latency.since(&dropped).unwrap_or_default();
+            if row.tally.latency.since(&shown).is_none() {
+                let dropped = self.dropped.entry(row.key.clone()).or_default();
+                dropped.add(&shown);
+            }
+        }
+        if let Some(dropped) = self.dropped.get(&row.key) {
+            row.tally.latency.add(dropped);
+        }
+        self.rows.insert(row.key.clone(), row);
+    }
+
     /// Takes a round in, unless it builds on one that is missing.
     fn take(&mut self, round: &Round) {
         let known = self.head.as_ref().map_or(0, |h| h.sequence);
@@ -91,8 +115,9 @@
             return;
         }
         for row in round.parts.values().flatten() {
-            self.rows.insert(row.key.clone(), row.clone());
+            self.take_row(row.clone());
         }
+        self.coarsest = self.coarsest.max(round.head.resolution);
         self.head = Some(round.head.clone());
     }
 }
--- a/crates/turmericloft/src/core/counting/report/period_counts.rs
+++ b/crates/turmericloft/src/core/counting/report/period_counts.rs
@@ -59,14 +59,14 @@
         if let Some(reason) = known.gap_at_end(period, end) {
             self.note_gap(known, reason);
         }
-        let Some(head) = &end.head else {
+        if end.head.is_none() {
             return;
-        };
+        }
         let base = known.base(period, start);
         if let Some(reason) = base.gap {
             self.note_gap(known, reason);
         }
-        self.resolution = self.resolution.max(head.resolution);
+        self.resolution = self.resolution.max(end.coarsest);
         if known.is_running() {
             let as_of_ms = end.as_of_ms();
             self.as_of_ms = Some(self.as_of_ms.map_or(as_of_ms, |ms| ms.min(as_of_ms)));
--- a/crates/turmericloft/src/core/counting/resolution.rs
+++ b/crates/turmericloft/src/core/counting/resolution.rs
@@ -6,7 +6,7 @@
 use strum::{Display, EnumIter, IntoStaticStr};
 
 /// Levels of resolution, finest first. Counts stay exact at every level; first the times are
-/// left out, then publications come further apart.
+/// left out, then snapshots and publications come further apart.
 #[derive(
     Clone,
     Copy,
@@ -43,6 +43,16 @@
         self == Self::Full
     }
 
+    /// Time between two snapshots of a gateway.
+    pub fn snapshot_interval(self) -> Duration {
+        match self {
+            Self::Full => Duration::from_millis(500),
+            Self::Counts => Duration::from_secs(1),
+            Self::SlowCounts => Duration::from_secs(2),
+            Self::SparseCounts => Duration::from_secs(5),
+        }
+    }
+
     /// Time between two publications.
     pub fn interval(self) -> Duration {
         match self {
--- a/crates/turmericloft/src/core/counting/tally.rs
+++ b/crates/turmericloft/src/core/counting/tally.rs
@@ -74,7 +74,7 @@
             counted.requests -= before.map_or(0, |s| s.requests).min(counted.requests);
         }
         later.steps.retain(|s| s.requests > 0);
-        later.latency = self.latency.since(&earlier.latency);
+        later.latency = self.latency.since(&earlier.latency).unwrap_or_default();
         later
     }
 
--- a/crates/turmericloft/src/ops/gateway/send_snapshots.rs
+++ b/crates/turmericloft/src/ops/gateway/send_snapshots.rs
@@ -3,18 +3,16 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http::Method;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 use super::{counting_cost::CountingCost, shared::Gateway};
 use crate::{
-    core::counting::{Snapshot, SnapshotMessage, SnapshotReply},
+    core::counting::{Resolution, Snapshot, SnapshotMessage, SnapshotReply},
     sources::http_client::call,
     util::clock::unix_ms,
 };
 
-/// Time between two snapshots.
-const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time allowed for the reporter's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Tries to hand over the last snapshot.
@@ -22,28 +20,27 @@
 /// Time between two such tries.
 const LAST_TRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Sends a snapshot at each interval, and a last one at `stop`.
+/// Sends snapshots as often as the resolution asks for, and a last one at `stop`.
 pub(super) async fn send_snapshots(
     gateway: Arc<Gateway>,
     reporter: SocketAddr,
     stop: CancellationToken,
 ) {
-    let mut tick = interval(SNAPSHOT_INTERVAL);
-    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut sender = Sender {
         cost: CountingCost::calibrate(Instant::now().into_std()),
         gateway,
         reporter,
         held: 0,
+        resolution: Resolution::default(),
     };
-    loop {
-        tokio::select! {
-            _ = tick.tick() => {}
-            () = stop.cancelled() => break,
-        }
+    while !stop.is_cancelled() {
         let held = sender.held;
         let snapshot = sender.snapshot(held);
         sender.send(snapshot).await;
+        tokio::select! {
+            () = sleep(sender.resolution.snapshot_interval()) => {}
+            () = stop.cancelled() => {}
+        }
     }
     sender.send_last().await;
 }
@@ -54,6 +51,7 @@
     cost: CountingCost,
     /// Newest snapshot that the reporter holds.
     held: u64,
+    resolution: Resolution,
 }
 
 impl Sender {
@@ -95,6 +93,7 @@
             return false;
         };
         self.held = reply.held;
+        self.resolution = reply.resolution;
         self.gateway.ledger.set_resolution(reply.resolution);
         reply.held >= sequence
     }
--- a/crates/turmericloft/src/ops/reporter/publish.rs
+++ b/crates/turmericloft/src/ops/reporter/publish.rs
@@ -11,6 +11,8 @@
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(250);
+/// Time between two comparisons of the cost with the budget.
+const GOVERN_INTERVAL: Duration = Duration::from_secs(1);
 /// Time allowed for one append.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time allowed for publishing what is left at the end.
@@ -34,14 +36,17 @@
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut reachable = true;
+    let mut governed_at: Option<Instant> = None;
     loop {
         tokio::select! {
             _ = tick.tick() => {}
             () = stop.cancelled() => break,
         }
-        let now = Instant::now().into_std();
-        state.govern(now);
-        let Some(record) = state.next(now) else {
+        if governed_at.is_none_or(|at| at.elapsed() >= GOVERN_INTERVAL) {
+            state.govern(Instant::now().into_std());
+            governed_at = Some(Instant::now());
+        }
+        let Some(record) = state.next(Instant::now().into_std()) else {
             continue;
         };
         let appended = append(&state, log.as_ref(), &stream, record).await;
--- a/crates/turmericloft/src/ops/reporter/shared.rs
+++ b/crates/turmericloft/src/ops/reporter/shared.rs
@@ -11,6 +11,9 @@
     document::MeasuringBudget,
 };
 
+/// Processes of a host that hold every row: the gateway and its reporter.
+const HOLDERS: u64 = 2;
+
 /// What a reporter holds and what it costs.
 #[derive(Debug)]
 pub struct ReporterState {
@@ -63,7 +66,7 @@
         inner.cost = MeasuredCost {
             core_share: inner.meter.core_share(now) + inner.gateway_core_share,
             bytes_per_s: inner.publisher.bytes_needed_per_s(),
-            memory_bytes: inner.publisher.memory_bytes() as u64,
+            memory_bytes: HOLDERS * inner.publisher.memory_bytes() as u64,
         };
         let resolution = inner.governor.decide(now, &inner.cost, &inner.budget);
         inner.publisher.set_pace(resolution, &inner.budget);
--- a/crates/turmericloft/tests/testsuite/counting/governor.rs
+++ b/crates/turmericloft/tests/testsuite/counting/governor.rs
@@ -89,3 +89,27 @@
         assert_eq!(decided, Resolution::Counts, "{over:?}");
     }
 }
+
+#[test]
+fn a_finer_resolution_that_fails_is_tried_again_later_and_later() {
+    let start = Instant::now();
+    let mut governor = Governor::new();
+    let mut tries = Vec::new();
+    let mut before = Resolution::Full;
+    for second in 0..600 {
+        let now = start + Duration::from_secs(second);
+        let share = if before == Resolution::Full {
+            0.02
+        } else {
+            0.002
+        };
+        let decided = governor.decide(now, &cost(share), &BUDGET);
+        if decided == Resolution::Full && before != Resolution::Full {
+            tries.push(second);
+        }
+        before = decided;
+    }
+    let waits: Vec<_> = tries.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(waits.len() >= 3, "{tries:?}");
+    assert!(waits.is_sorted_by(|a, b| a < b), "{tries:?}");
+}
