--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod config_sessions;
 mod docs;
+mod gateway_crash;
 mod guarded_freeze;
 mod guarded_keys;
 mod guarded_session;
--- a/crates/turmericloft-cli/tests/testsuite/support/platform.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/platform.rs
@@ -33,6 +33,7 @@
     /// Gateways `gw-2` and on.
     pub others: Vec<GatewayProcess>,
     pub reporter: Process,
+    pub reporter_address: SocketAddr,
     _stand_ins: Vec<Process>,
     /// The gateways' entries for the host list.
     pub listed: Vec<Host>,
@@ -80,12 +81,22 @@
             gateway: gateway.process,
             others: Vec::new(),
             reporter,
+            reporter_address,
             _stand_ins: vec![log, hosts, backend],
             addresses,
             folder,
         }
     }
 
+    /// Starts the first gateway again in place of the one that ended, and waits until it is ready.
+    pub fn restart_gateway(&mut self) {
+        let gateway = start_gateway(self.folder.path(), "gw-1", &self.addresses);
+        self.callers = gateway.callers;
+        self.admin = gateway.admin;
+        self.gateway = gateway.process;
+        self.gateway.wait_for_line("is in force");
+    }
+
     /// Starts everything with `count` gateways that are on the host list, and waits until all of
     /// them have heard each other.
     pub async fn start_gateways(count: usize) -> Self {
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod answer;
 mod attempts;
+mod counting_cost;
 mod dispatch;
 mod follow_config;
 mod followed_config;
--- a/crates/turmericloft/src/ops/gateway/relayed_body.rs
+++ b/crates/turmericloft/src/ops/gateway/relayed_body.rs
@@ -3,6 +3,7 @@
 use std::{
     pin::Pin,
     task::{Context, Poll, ready},
+    time::Instant,
 };
 
 use bytes::Bytes;
@@ -11,7 +12,7 @@
 
 use super::in_flight::InFlight;
 use crate::{
-    core::{Outcome, counting::OpenCount},
+    core::{Outcome, Step, counting::OpenCount},
     sources::backend::{BodyError, ConnectionLease},
 };
 
@@ -32,7 +33,8 @@
 }
 
 impl RelayedBody {
-    pub(super) fn new(body: Incoming, relay: Relay) -> Self {
+    pub(super) fn new(body: Incoming, mut relay: Relay) -> Self {
+        relay.count.reach(Step::AnswerBegun);
         let mut relayed = Self {
             body,
             open: Some(relay),
@@ -50,7 +52,7 @@
             in_flight,
         }) = self.open.take()
         {
-            count.end(Outcome::Served);
+            count.end_at(Outcome::Served, Step::Relayed, Instant::now());
             drop(lease);
             drop(in_flight);
         }
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod acceptance;
 mod config;
+mod counting;
 mod guard;
 mod parsers;
 mod peer;
