Forget expired actions in all shards when the table has no room

Cause: a shard forgot its expired actions only when a key fell into it, so that the memory they held kept other shards from taking new ones; the test of the bound passed or failed by the table's random hash.

Ruled out: a fixed hash, which would hide the fault.

--- a/crates/turmericloft/src/core/counting/ledger.rs
+++ b/crates/turmericloft/src/core/counting/ledger.rs
@@ -92,8 +92,7 @@
     /// Rows that changed after the snapshot numbered `since`; all of them if it is 0.
     pub fn snapshot(&self, host: HostId, since: u64, now_ms: u64) -> Snapshot {
         let sequence = self.state.sequence.fetch_add(1, Ordering::AcqRel);
-        let rows = self.counters().filter_map(|c| c.changed_after(since));
-        let rows: Vec<CountRow> = rows.collect();
+        let rows = self.rows_after(since);
         Snapshot {
             host,
             sequence,
@@ -104,12 +103,23 @@
         }
     }
 
+    /// All rows, without making a snapshot of them.
+    pub fn rows(&self) -> Vec<CountRow> {
+        self.rows_after(0)
+    }
+
     /// Requests admitted so far.
     pub fn requests(&self) -> u64 {
         self.shards.iter().map(|s| s.lock().requests).sum()
     }
 
     /// All counters, locking one shard at a time and none while a counter is used.
+    fn rows_after(&self, since: u64) -> Vec<CountRow> {
+        self.counters()
+            .filter_map(|c| c.changed_after(since))
+            .collect()
+    }
+
     fn counters(&self) -> impl Iterator<Item = Arc<Counter>> {
         self.shards.iter().flat_map(|shard| {
             let counters: Vec<_> = shard.lock().counters.values().cloned().collect();
--- a/crates/turmericloft/src/core/guard/action_table.rs
+++ b/crates/turmericloft/src/core/guard/action_table.rs
@@ -90,6 +90,9 @@
 
     /// Decides what becomes of a copy of a request.
     pub fn offer(self: &Arc<Self>, now_ms: u64, offer: Offer<W>) -> Offered<W> {
+        if !self.has_room(&offer.key) {
+            self.forget_expired(now_ms);
+        }
         let mut shard = self.shard(&offer.key).lock();
         self.sweep(&mut shard, now_ms);
         if let Some(entry) = shard.entries.get_mut(&offer.key) {
@@ -133,6 +136,13 @@
         Offered::Accepted(Permit::new(Arc::clone(self), offer.key))
     }
 
+    /// Forgets the actions of which no copy can come any more, in all shards.
+    pub fn forget_expired(&self, now_ms: u64) {
+        for shard in &self.shards {
+            self.sweep(&mut shard.lock(), now_ms);
+        }
+    }
+
     /// Actions held, with and without an answer.
     pub fn len(&self) -> usize {
         self.shards.iter().map(|s| s.lock().entries.len()).sum()
@@ -202,10 +212,19 @@
         &self.shards[self.hasher.hash_one(key) as usize % SHARDS]
     }
 
-    fn reserve(&self, key: &ActionKey) -> bool {
+    fn has_room(&self, key: &ActionKey) -> bool {
+        self.with(key, self.bytes()).is_some()
+    }
+
+    /// Memory with one more action, if the limit allows it.
+    fn with(&self, key: &ActionKey, used: usize) -> Option<usize> {
         let cost = Entry::<W>::overhead(key) + self.limits.answer_bytes;
-        let limit = self.limits.bytes;
-        let add = |used: usize| used.checked_add(cost).filter(|&sum| sum <= limit);
+        used.checked_add(cost)
+            .filter(|&sum| sum <= self.limits.bytes)
+    }
+
+    fn reserve(&self, key: &ActionKey) -> bool {
+        let add = |used: usize| self.with(key, used);
         self.bytes
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
             .is_ok()
