Answer every bad input with a problem, and never leave a slow sender on a slot

The HTTP library answers an unreadable head with a bare status and drops a slow sender without any answer, and a body was handed on before any of it was there. Now a stream layer below HTTP puts a problem in place of the bare status and of the silent close, and lingers after a refusal so that the answer is not lost to a reset. Bodies up to 64 KiB are read whole before an endpoint is chosen, so 413 and 408 are then certainly not run; longer ones are streamed under the same limits. Requests turned away before admission count in /metrics by reason. A second signal, or the stop deadline, cuts off what is in flight and the exit code 4 says so.

Every answer now carries Via, which tells it from a bare status. Ruled out: parsing heads ourselves, and buffering whole bodies.

--- a/crates/turmericloft-cli/src/bin/turmericloft-gateway/main.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft-gateway/main.rs
@@ -4,18 +4,28 @@
 
 use clap::Parser;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio_util::sync::CancellationToken;
 use turmericloft::{
-    ops::gateway::run_gateway,
+    ops::gateway::{GatewayError, Stop, run_gateway},
     util::{
         error_chain, logging,
         settings::{self, GatewaySettings},
     },
 };
 
+/// Exit code of a stop that cut off requests in flight.
+const CUT_OFF: u8 = 4;
+const EXIT_CODES: &str = "Exit codes:
+  0  every request in flight was finished
+  1  the gateway could not run
+  2  wrong use of the command line
+  4  requests in flight were cut off; their number is in the message";
+
 /// Runs a gateway until SIGTERM or SIGINT
+///
+/// The first signal stops it gracefully: it is no longer ready, accepts nothing new and finishes
+/// what is in flight. A second signal, or the stop deadline of the settings, cuts off the rest.
 #[derive(Debug, Parser)]
-#[command(name = "turmericloft-gateway", version)]
+#[command(name = "turmericloft-gateway", version, after_help = EXIT_CODES)]
 struct Cli {
     /// Settings of this process, in TOML
     #[arg(long)]
@@ -28,7 +38,10 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprint!("{}", error_chain::render(e.as_ref()));
-            ExitCode::FAILURE
+            match e.downcast_ref() {
+                Some(GatewayError::CutOff { .. }) => CUT_OFF.into(),
+                _ => ExitCode::FAILURE,
+            }
         }
     }
 }
@@ -36,16 +49,18 @@
 async fn run(cli: Cli) -> Result<(), Box<dyn std::error::Error>> {
     let settings: GatewaySettings = settings::load(&cli.settings)?;
     logging::start(settings.log_format)?;
-    let stop = CancellationToken::new();
+    let stop = Stop::default();
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
     let running = tokio::spawn(run_gateway(settings, stop.clone()));
     tokio::spawn(async move {
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
+        for step in [stop.graceful, stop.now] {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+            step.cancel();
         }
-        stop.cancel();
     });
     Ok(running.await??)
 }
--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the programs as separate processes.
 
+mod bad_input;
 mod docs;
+mod early_close;
 mod load;
 mod support;
 mod whole_path;
--- a/crates/turmericloft-cli/tests/testsuite/support/caller.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/caller.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http::{Method, Request, header::AUTHORIZATION};
+use http::{
+    Method, Request,
+    header::{AUTHORIZATION, CONTENT_TYPE},
+};
 use http_body_util::{BodyExt, Full};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 
@@ -29,11 +32,31 @@
     for (name, value) in headers {
         req = req.header(*name, *value);
     }
-    let req = req
-        .body(Full::new(Bytes::new()))
-        .expect("the request is well formed");
-    let client = Client::builder(TokioExecutor::new()).build_http();
-    let answer = client.request(req).await.expect("the gateway answers");
+    exchange(req.body(Full::default()), false).await
+}
+
+/// Sends a GET over HTTP/2.
+pub async fn get_over_http2(gateway: SocketAddr, token: &str, path: &str) -> CallerAnswer {
+    let req = Request::get(format!("http://{gateway}{path}"))
+        .header(AUTHORIZATION, format!("Bearer {token}"))
+        .body(Full::default());
+    exchange(req, true).await
+}
+
+/// Replaces what is at `path` by a JSON text.
+pub async fn put_json(address: SocketAddr, path: &str, json: &str) -> CallerAnswer {
+    let req = Request::put(format!("http://{address}{path}"))
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(json.to_owned().into()));
+    exchange(req, false).await
+}
+
+async fn exchange(req: http::Result<Request<Full<Bytes>>>, http2: bool) -> CallerAnswer {
+    let req = req.expect("the request is well formed");
+    let client = Client::builder(TokioExecutor::new())
+        .http2_only(http2)
+        .build_http();
+    let answer = client.request(req).await.expect("the server answers");
     let status = answer.status().as_u16();
     let body = answer
         .into_body()
--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/support/eventually.rs
@@ -0,0 +1,12 @@
+//! Waiting for what another process does in its own time.
+
+/// Asks again until the answer is there. Each question is a round trip to another process, so
+/// this neither spins nor depends on a duration.
+pub async fn eventually<T, F: Future<Output = Option<T>>>(mut ask: impl FnMut() -> F) -> T {
+    loop {
+        if let Some(answer) = ask().await {
+            return answer;
+        }
+        tokio::task::yield_now().await;
+    }
+}
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -1,7 +1,15 @@
 //! Processes, a caller, and documents for the tests.
 
 mod caller;
+mod eventually;
 mod platform;
 mod process;
+mod raw_caller;
 
-pub use self::{caller::send, platform::Platform, process::Process};
+pub use self::{
+    caller::{get_over_http2, send},
+    eventually::eventually,
+    platform::Platform,
+    process::Process,
+    raw_caller::RawCaller,
+};
--- a/crates/turmericloft-cli/tests/testsuite/support/platform.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/platform.rs
@@ -4,7 +4,7 @@
 
 use tempfile::TempDir;
 
-use super::Process;
+use super::{Process, caller::put_json};
 
 /// Stand-ins, one backend server, one gateway and one reporter.
 pub struct Platform {
@@ -26,6 +26,11 @@
 
     /// Starts everything and waits until the gateway listens. Nothing is promoted yet.
     pub fn start() -> Self {
+        Self::start_with("")
+    }
+
+    /// The same, with further lines in the gateway's settings.
+    pub fn start_with(gateway_lines: &str) -> Self {
         let folder = TempDir::new().expect("a folder for settings");
         let mut log = Process::start(env!("CARGO_BIN_EXE_turmericloft-standin"), &["log"]);
         let mut hosts = Process::start(env!("CARGO_BIN_EXE_turmericloft-standin"), &["hosts"]);
@@ -44,7 +49,7 @@
         let gateway_settings = format!(
             "host = \"gw-1\"\nzone = \"a\"\nenvironment = \"production\"\n\
              listen = \"{ANY_PORT}\"\nadmin = \"{ANY_PORT}\"\nlog_service = \"{log_service}\"\n\
-             host_list = \"{host_list}\"\nreporter = \"{reporter_address}\"\n"
+             host_list = \"{host_list}\"\nreporter = \"{reporter_address}\"\n{gateway_lines}"
         );
         let path = write(&folder, "gateway.toml", &gateway_settings);
         let args = ["--settings", path.to_str().expect("a text path")];
@@ -62,11 +67,29 @@
         }
     }
 
-    /// Promotes a document with a lookup service and a booking service at the backend server.
+    /// Starts everything with the document of [`Self::promote`] in force.
+    pub fn start_promoted() -> Self {
+        let mut platform = Self::start();
+        platform.promote();
+        platform
+    }
+
+    /// Replaces the behaviour of the backend server; `behaviour` is JSON.
+    pub async fn backend_behaves(&self, behaviour: &str) {
+        let answer = put_json(self.backend, "/control", behaviour).await;
+        assert_eq!(answer.status, 200, "{behaviour} is no behaviour");
+    }
+
+    /// Promotes [`Self::document`].
     pub fn promote(&mut self) {
+        self.promote_document(&self.document());
+    }
+
+    /// A document with a lookup service and a booking service at the backend server.
+    pub fn document(&self) -> String {
         let backend = self.backend;
         let token = turmericloft::core::document::Digest::of(Self::TOKEN.as_bytes());
-        let document = format!(
+        format!(
             r#"schema = 1
 
 [[zones]]
@@ -90,8 +113,12 @@
 token_sha256 = "{token}"
 contracts = [{{ service = "calendar" }}, {{ service = "booking" }}]
 "#
-        );
-        let path = write(&self.folder, "document.toml", &document);
+        )
+    }
+
+    /// Promotes a document.
+    pub fn promote_document(&mut self, document: &str) {
+        let path = write(&self.folder, "document.toml", document);
         let path = path.to_str().expect("a text path");
         self.turmericloft(&["promote", path, "--author", "anna"]);
         self.gateway.wait_for_line("is in force");
--- a/crates/turmericloft-cli/tests/testsuite/whole_path.rs
+++ b/crates/turmericloft-cli/tests/testsuite/whole_path.rs
@@ -3,7 +3,7 @@
 use http::Method;
 use nix::sys::signal::Signal;
 
-use crate::support::{Platform, send};
+use crate::support::{Platform, get_over_http2, send};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn lookup_and_guarded_action_are_served_and_reported() {
@@ -59,3 +59,19 @@
 "#]]
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_over_http2_is_served_and_refused() {
+    let platform = Platform::start_promoted();
+    let gateway = platform.callers;
+    let served = get_over_http2(gateway, Platform::TOKEN, "/calendar/free").await;
+    assert_eq!(served.status, 200);
+    assert!(served.body.starts_with("/free "), "{}", served.body);
+    let refused = get_over_http2(gateway, "wrong", "/calendar/free").await;
+    snapbox::assert_data_eq!(
+        refused.body,
+        snapbox::str![[
+            r#"{"status":401,"title":"Unauthorized","outcome":"refused","step":"received","detail":"unknown bearer token"}"#
+        ]]
+    );
+}
--- a/crates/turmericloft/src/ops/gateway/admin.rs
+++ b/crates/turmericloft/src/ops/gateway/admin.rs
@@ -3,14 +3,26 @@
 use std::sync::Arc;
 
 use axum::{Router, extract::State, http::StatusCode, routing::get};
+use metrics::{counter, gauge};
+use strum::IntoEnumIterator;
 
 use super::shared::Gateway;
+use crate::{
+    core::Outcome,
+    util::{
+        clock::unix_ms,
+        metrics_recorder,
+        metrics_table::{ADMITTED, CONFIG_VERSION, ENDED, READY},
+    },
+};
 
 /// Routes of the admin address.
 pub(super) fn router(gateway: Arc<Gateway>) -> Router {
+    metrics_recorder::install();
     Router::new()
         .route("/live", get(|| async { "live\n" }))
         .route("/ready", get(ready))
+        .route("/metrics", get(metrics))
         .with_state(gateway)
 }
 
@@ -21,3 +33,20 @@
         (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
     }
 }
+
+async fn metrics(State(gateway): State<Arc<Gateway>>) -> String {
+    let version = gateway.in_force().map_or(0, |f| f.environment.version());
+    gauge!(CONFIG_VERSION.name).set(version as f64);
+    gauge!(READY.name).set(f64::from(u8::from(gateway.is_ready())));
+    let rows = gateway
+        .ledger
+        .snapshot(gateway.host.clone(), 0, unix_ms())
+        .rows;
+    counter!(ADMITTED.name).absolute(rows.iter().map(|r| r.admitted).sum());
+    for outcome in Outcome::iter() {
+        let label: &'static str = outcome.into();
+        let ended = rows.iter().map(|r| r.ended_with(outcome)).sum();
+        counter!(ENDED.name, "outcome" => label).absolute(ended);
+    }
+    metrics_recorder::install().render()
+}
--- a/crates/turmericloft/src/ops/gateway/answer.rs
+++ b/crates/turmericloft/src/ops/gateway/answer.rs
@@ -15,7 +15,7 @@
 /// Body of an answer to a caller.
 pub(super) type AnswerBody = UnsyncBoxBody<Bytes, BodyError>;
 
-/// A problem as an answer.
+/// A problem as an answer; it also stands in the extensions of the answer.
 pub(super) fn problem(problem: &Problem) -> Response<AnswerBody> {
     let body = serde_json::to_vec(problem).unwrap_or_default();
     let mut answer = Response::new(whole(body));
@@ -26,6 +26,7 @@
     if let Some(seconds) = problem.retry_after_seconds() {
         headers.insert(RETRY_AFTER, seconds.into());
     }
+    answer.extensions_mut().insert(problem.clone());
     answer
 }
 
--- a/crates/turmericloft/src/ops/gateway/dispatch.rs
+++ b/crates/turmericloft/src/ops/gateway/dispatch.rs
@@ -6,7 +6,6 @@
     HeaderName, HeaderValue, Request, Response, Uri, Version,
     header::{AUTHORIZATION, CONNECTION, HOST, TE, TRANSFER_ENCODING, UPGRADE},
 };
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use super::{matched::Matched, shared::InForce};
@@ -93,7 +92,7 @@
 
 /// The request as a backend server gets it: its own path, no credentials, no headers of the
 /// caller's connection.
-pub(super) fn to_backend(req: Request<Incoming>, path: &str) -> Request<RequestBody> {
+pub(super) fn to_backend(req: Request<RequestBody>, path: &str) -> Request<RequestBody> {
     let (mut head, body) = req.into_parts();
     let query = head
         .uri
@@ -111,5 +110,5 @@
     head.headers
         .entry(HOST)
         .or_insert(HeaderValue::from_static("backend"));
-    Request::from_parts(head, body.map_err(Into::into).boxed_unsync())
+    Request::from_parts(head, body)
 }
--- a/crates/turmericloft/src/ops/gateway/guarded.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded.rs
@@ -1,9 +1,5 @@
 //! Guarded actions: at most once.
 
-use http::{HeaderName, Request, Response, StatusCode};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
-
 use super::{
     answer::{AnswerBody, end},
     dispatch::{DispatchError, dispatch, to_backend},
@@ -11,7 +7,12 @@
     relayed_body::{Relay, RelayedBody},
     shared::InForce,
 };
-use crate::core::{Outcome, Problem, Step, counting::OpenCount};
+use crate::{
+    core::{Outcome, Problem, Step, counting::OpenCount},
+    sources::backend::RequestBody,
+};
+use http::{HeaderName, Request, Response, StatusCode};
+use http_body_util::BodyExt;
 
 /// Header with the caller's own key of a guarded action.
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
@@ -20,7 +21,7 @@
 pub(super) async fn answer(
     in_force: &InForce,
     matched: &Matched<'_>,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
     count: OpenCount,
 ) -> Response<AnswerBody> {
     if !req.headers().contains_key(IDEMPOTENCY_KEY) {
--- a/crates/turmericloft/src/ops/gateway/handle.rs
+++ b/crates/turmericloft/src/ops/gateway/handle.rs
@@ -2,33 +2,70 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header::VIA};
 use hyper::body::Incoming;
 
 use super::{
-    answer::{AnswerBody, problem, refusal},
+    answer::{AnswerBody, end, problem, refusal},
     guarded, lookup,
     matched::Matched,
+    metrics::Unadmitted,
+    request_body::{BodyLimits, ReceivedBody},
     shared::Gateway,
 };
 use crate::core::{Problem, Step, document::Handling};
 
 /// Time after which a gateway without an environment may have one.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+/// Value of the `Via` header of every answer.
+const VIA_VALUE: HeaderValue = HeaderValue::from_static("1.1 turmericloft");
 
-/// Answers one request.
-pub(super) async fn handle(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<AnswerBody> {
+/// Answers one request. `body_pause` is the longest time without a byte of its body.
+pub(super) async fn handle(
+    gateway: Arc<Gateway>,
+    req: Request<Incoming>,
+    body_pause: Duration,
+) -> Response<AnswerBody> {
+    let mut answer = respond(&gateway, req, body_pause).await;
+    answer.headers_mut().append(VIA, VIA_VALUE);
+    answer
+}
+
+async fn respond(
+    gateway: &Gateway,
+    req: Request<Incoming>,
+    body_pause: Duration,
+) -> Response<AnswerBody> {
     let Some(in_force) = gateway.in_force() else {
+        Unadmitted::NotReady.count();
         return problem(&not_ready());
     };
     let matched = match Matched::find(&in_force, &req) {
         Ok(matched) => matched,
-        Err(p) => return problem(&p),
+        Err(not_admitted) => {
+            not_admitted.reason.count();
+            return problem(&not_admitted.problem);
+        }
     };
     let count = gateway.ledger.admit(matched.count_key());
-    match matched.kind.handling {
+    let handling = matched.kind.handling;
+    let limits = BodyLimits {
+        bytes: matched.service.body_bytes,
+        pause: body_pause,
+    };
+    let (head, body) = req.into_parts();
+    let received = match ReceivedBody::read(body, limits).await {
+        Ok(received) => received,
+        Err(fault) => return end(count, &fault.before_dispatch(handling)),
+    };
+    let req = Request::from_parts(head, received.body);
+    let answer = match handling {
         Handling::Idempotent => lookup::answer(&in_force, &matched, req, count).await,
         Handling::Guarded => guarded::answer(&in_force, &matched, req, count).await,
+    };
+    match (received.fault.get(), answer.extensions().get::<Problem>()) {
+        (Some(fault), Some(p)) => problem(&fault.problem(p.outcome, p.step)),
+        _ => answer,
     }
 }
 
--- a/crates/turmericloft/src/ops/gateway/listener.rs
+++ b/crates/turmericloft/src/ops/gateway/listener.rs
@@ -1,62 +1,133 @@
 //! Accepting callers' connections.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
-use hyper::service::service_fn;
+use http::{Request, Response};
+use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
 };
+use metrics::{counter, gauge};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use super::{handle::handle, shared::Gateway};
-
-/// Time a caller has to send the head of a request.
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
-/// Largest head of a request, in bytes.
-const MAX_HEADER_BYTES: usize = 64 << 10;
-
-/// Serves callers until `stop`, then lets requests in flight finish.
-pub(super) async fn serve(listener: TcpListener, gateway: Arc<Gateway>, stop: CancellationToken) {
-    let graceful = GracefulShutdown::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => serve_connection(stream, &gateway, &graceful),
-                Err(e) => log::warn!("a connection could not be accepted: {e}"),
+use super::{
+    caller_stream::{CallerLimits, CallerStream},
+    connection_state::{ConnectionState, OpenBody},
+    handle::handle,
+    shared::Gateway,
+};
+use crate::util::{
+    metrics_table::{CONNECTIONS, OPEN_CONNECTIONS},
+    settings::GatewaySettings,
+};
+
+/// Time between two pings on an HTTP/2 connection.
+const HTTP2_PING_INTERVAL: Duration = Duration::from_secs(30);
+
+/// The callers' side of a gateway.
+#[derive(Debug)]
+pub(super) struct Callers {
+    gateway: Arc<Gateway>,
+    limits: CallerLimits,
+    body_pause: Duration,
+    open: Arc<AtomicUsize>,
+    cut: CancellationToken,
+}
+
+impl Callers {
+    pub(super) fn new(gateway: Arc<Gateway>, settings: &GatewaySettings) -> Arc<Self> {
+        Arc::new(Self {
+            gateway,
+            limits: CallerLimits {
+                head: settings.head_timeout,
+                idle: settings.idle_timeout,
+                head_bytes: settings.max_head_bytes,
             },
-            () = stop.cancelled() => break,
-        }
+            body_pause: settings.body_pause,
+            open: Arc::default(),
+            cut: CancellationToken::new(),
+        })
     }
-    drop(listener);
-    graceful.shutdown().await;
-}
 
-fn serve_connection(stream: TcpStream, gateway: &Arc<Gateway>, graceful: &GracefulShutdown) {
-    let _ = stream.set_nodelay(true);
-    let gateway = Arc::clone(gateway);
-    let service = service_fn(move |req| {
-        let gateway = Arc::clone(&gateway);
-        async move { Ok::<_, std::convert::Infallible>(handle(gateway, req).await) }
-    });
-    let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_TIMEOUT)
-        .max_buf_size(MAX_HEADER_BYTES);
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .max_header_list_size(MAX_HEADER_BYTES as u32);
-    let connection = builder
-        .serve_connection(TokioIo::new(stream), service)
-        .into_owned();
-    let connection = graceful.watch(connection);
-    tokio::spawn(async move {
-        if let Err(e) = connection.await {
-            log::debug!("a caller's connection ended: {e}");
+    /// Serves callers until `stop`, then lets requests in flight finish.
+    pub(super) async fn serve(self: Arc<Self>, listener: TcpListener, stop: CancellationToken) {
+        let graceful = GracefulShutdown::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => self.serve_connection(stream, &graceful),
+                    Err(e) => log::warn!("a connection could not be accepted: {e}"),
+                },
+                () = stop.cancelled() => break,
+            }
         }
-    });
+        drop(listener);
+        graceful.shutdown().await;
+    }
+
+    /// Ends all connections at once and gives the number of requests that were in flight.
+    pub(super) fn cut(&self) -> usize {
+        let requests = self.open.load(Ordering::Acquire);
+        self.cut.cancel();
+        requests
+    }
+
+    fn serve_connection(self: &Arc<Self>, stream: TcpStream, graceful: &GracefulShutdown) {
+        let _ = stream.set_nodelay(true);
+        let state = Arc::new(ConnectionState::new(Arc::clone(&self.open)));
+        let stream = CallerStream::new(stream, Arc::clone(&state), self.limits);
+        let callers = Arc::clone(self);
+        let service = service_fn(move |req| {
+            let (callers, state) = (Arc::clone(&callers), Arc::clone(&state));
+            async move { Ok::<_, Infallible>(callers.answer(&state, req).await) }
+        });
+        let connection = self
+            .builder()
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        let connection = graceful.watch(connection);
+        let cut = self.cut.clone();
+        counter!(CONNECTIONS.name).increment(1);
+        gauge!(OPEN_CONNECTIONS.name).increment(1);
+        tokio::spawn(async move {
+            tokio::select! {
+                ended = connection => if let Err(e) = ended {
+                    log::debug!("a caller's connection ended: {e}");
+                },
+                () = cut.cancelled() => {}
+            }
+            gauge!(OPEN_CONNECTIONS.name).decrement(1);
+        });
+    }
+
+    async fn answer(
+        &self,
+        state: &Arc<ConnectionState>,
+        req: Request<Incoming>,
+    ) -> Response<OpenBody> {
+        let open = state.begin();
+        let answer = handle(Arc::clone(&self.gateway), req, self.body_pause).await;
+        state.set_refused(answer.status().is_client_error());
+        answer.map(|body| open.body(body))
+    }
+
+    fn builder(&self) -> auto::Builder<TokioExecutor> {
+        let mut builder = auto::Builder::new(TokioExecutor::new());
+        builder.http1().max_buf_size(self.limits.head_bytes);
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .keep_alive_interval(HTTP2_PING_INTERVAL)
+            .max_header_list_size(self.limits.head_bytes as u32);
+        builder
+    }
 }
--- a/crates/turmericloft/src/ops/gateway/lookup.rs
+++ b/crates/turmericloft/src/ops/gateway/lookup.rs
@@ -1,9 +1,5 @@
 //! Requests that may be repeated.
 
-use http::{Request, Response, StatusCode};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
-
 use super::{
     answer::{AnswerBody, end},
     dispatch::{DispatchError, dispatch, to_backend},
@@ -11,13 +7,18 @@
     relayed_body::{Relay, RelayedBody},
     shared::InForce,
 };
-use crate::core::{Outcome, Problem, counting::OpenCount};
+use crate::{
+    core::{Outcome, Problem, counting::OpenCount},
+    sources::backend::RequestBody,
+};
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
 
 /// Sends a request to a backend server and streams the answer back.
 pub(super) async fn answer(
     in_force: &InForce,
     matched: &Matched<'_>,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
     count: OpenCount,
 ) -> Response<AnswerBody> {
     match dispatch(in_force, matched, to_backend(req, &matched.path)).await {
--- a/crates/turmericloft/src/ops/gateway/matched.rs
+++ b/crates/turmericloft/src/ops/gateway/matched.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, Request, StatusCode, header::AUTHORIZATION};
 
-use super::{answer::refusal, shared::InForce};
+use super::{answer::refusal, metrics::Unadmitted, shared::InForce};
 use crate::core::{
     Problem, Step,
     counting::CountKey,
@@ -21,21 +21,39 @@
     pub(super) path: String,
 }
 
+/// A request that is turned away before it is admitted.
+#[derive(Debug)]
+pub(super) struct NotAdmitted {
+    pub(super) reason: Unadmitted,
+    pub(super) problem: Problem,
+}
+
+impl NotAdmitted {
+    fn new(reason: Unadmitted, status: StatusCode, step: Step, detail: &str) -> Self {
+        Self {
+            reason,
+            problem: refusal(status, step, detail),
+        }
+    }
+}
+
 impl<'a> Matched<'a> {
     /// Finds caller, service and kind, and checks the caller's contract.
-    pub(super) fn find<B>(in_force: &'a InForce, req: &Request<B>) -> Result<Self, Problem> {
+    pub(super) fn find<B>(in_force: &'a InForce, req: &Request<B>) -> Result<Self, NotAdmitted> {
         let environment = &in_force.environment;
         let caller = bearer_token(req.headers())
             .and_then(|token| environment.caller(token))
             .ok_or_else(|| {
-                refusal(
+                NotAdmitted::new(
+                    Unadmitted::UnknownToken,
                     StatusCode::UNAUTHORIZED,
                     Step::Received,
                     "unknown bearer token",
                 )
             })?;
         let no_service = || {
-            refusal(
+            NotAdmitted::new(
+                Unadmitted::UnknownService,
                 StatusCode::NOT_FOUND,
                 Step::Authenticated,
                 "no such service",
@@ -47,7 +65,8 @@
             .ok_or_else(no_service)?;
         let path = route.path.to_owned();
         let kind = service.kind(req.method().as_str(), &path).ok_or_else(|| {
-            refusal(
+            NotAdmitted::new(
+                Unadmitted::UnknownService,
                 StatusCode::NOT_FOUND,
                 Step::Authenticated,
                 "the service has no such kind",
@@ -58,7 +77,9 @@
             .is_some_and(|c| c.allows(&kind.name));
         if !allowed {
             let detail = "the caller has no contract for this service and kind";
-            return Err(refusal(StatusCode::FORBIDDEN, Step::Matched, detail));
+            let status = StatusCode::FORBIDDEN;
+            let reason = Unadmitted::NoContract;
+            return Err(NotAdmitted::new(reason, status, Step::Matched, detail));
         }
         Ok(Self {
             caller,
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -5,6 +5,9 @@
 
 mod admin;
 mod answer;
+mod body_fault;
+mod caller_stream;
+mod connection_state;
 mod dispatch;
 mod follow_config;
 mod guarded;
@@ -12,13 +15,16 @@
 mod listener;
 mod lookup;
 mod matched;
+mod metrics;
+mod raw_answer;
 mod relayed_body;
+mod request_body;
 mod run;
 mod send_snapshots;
 mod service_state;
 mod shared;
 
 pub use self::{
-    run::{GatewayError, run_gateway},
+    run::{GatewayError, Stop, run_gateway},
     shared::{Gateway, InForce},
 };
--- /dev/null
+++ b/crates/turmericloft/src/ops/gateway/request_body.rs
@@ -0,0 +1,175 @@
+//! The body of a caller's request on its way to a backend server.
+
+use std::{
+    collections::VecDeque,
+    pin::Pin,
+    sync::{Arc, OnceLock},
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::{Instant, Sleep, sleep, timeout};
+
+use super::body_fault::BodyFault;
+use crate::sources::backend::{BodyError, RequestBody};
+
+/// Bytes of a body that are read before anything is sent to a backend server. A body that ends
+/// within them never holds a slot while its caller is slow, and is whole when it is sent.
+const READ_AHEAD_BYTES: u64 = 64 << 10;
+
+/// What a service and a gateway allow.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BodyLimits {
+    /// Largest body, in bytes.
+    pub(super) bytes: u64,
+    /// Longest time without a byte.
+    pub(super) pause: Duration,
+}
+
+/// A body that is ready to be sent, and the fault that may still end it.
+pub(super) struct ReceivedBody {
+    pub(super) body: RequestBody,
+    pub(super) fault: Arc<OnceLock<BodyFault>>,
+}
+
+/// The rest of a body that is longer than what is read ahead.
+struct StreamedBody {
+    read_ahead: VecDeque<Bytes>,
+    rest: Incoming,
+    left: u64,
+    limits: BodyLimits,
+    pause: Pin<Box<Sleep>>,
+    fault: Arc<OnceLock<BodyFault>>,
+}
+
+impl ReceivedBody {
+    /// Reads the beginning of a body; a short body is read to its end.
+    pub(super) async fn read(mut body: Incoming, limits: BodyLimits) -> Result<Self, BodyFault> {
+        let too_large = BodyFault::TooLarge {
+            limit: limits.bytes,
+        };
+        if body.size_hint().lower() > limits.bytes {
+            return Err(too_large);
+        }
+        let mut read_ahead = VecDeque::new();
+        let mut read = 0;
+        while !body.is_end_stream() && read < READ_AHEAD_BYTES {
+            let Some(data) = next_data(&mut body, limits.pause).await? else {
+                break;
+            };
+            read += data.len() as u64;
+            if read > limits.bytes {
+                return Err(too_large);
+            }
+            read_ahead.push_back(data);
+        }
+        Ok(Self::of(body, read_ahead, limits))
+    }
+
+    fn of(rest: Incoming, mut read_ahead: VecDeque<Bytes>, limits: BodyLimits) -> Self {
+        let fault = Arc::default();
+        if rest.is_end_stream() && read_ahead.len() <= 1 {
+            let whole = read_ahead.pop_front().unwrap_or_default();
+            let body = Full::new(whole).map_err(|never| match never {});
+            return Self {
+                body: body.boxed_unsync(),
+                fault,
+            };
+        }
+        let read: u64 = read_ahead.iter().map(|b| b.len() as u64).sum();
+        let streamed = StreamedBody {
+            read_ahead,
+            rest,
+            left: limits.bytes - read,
+            limits,
+            pause: Box::pin(sleep(limits.pause)),
+            fault: Arc::clone(&fault),
+        };
+        Self {
+            body: streamed.boxed_unsync(),
+            fault,
+        }
+    }
+}
+
+/// The next bytes of a body; `None` at its end.
+async fn next_data(body: &mut Incoming, pause: Duration) -> Result<Option<Bytes>, BodyFault> {
+    loop {
+        let frame = timeout(pause, body.frame())
+            .await
+            .map_err(|_| BodyFault::TooSlow { pause })?;
+        match frame {
+            None => return Ok(None),
+            Some(Err(_)) => return Err(BodyFault::BrokenOff),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    return Ok(Some(data));
+                }
+            }
+        }
+    }
+}
+
+impl StreamedBody {
+    fn fail(&self, fault: BodyFault) -> BodyError {
+        (*self.fault.get_or_init(|| fault)).into()
+    }
+
+    fn count(&mut self, frame: Frame<Bytes>) -> Result<Frame<Bytes>, BodyError> {
+        let bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
+        let limit = self.limits.bytes;
+        self.left = self
+            .left
+            .checked_sub(bytes)
+            .ok_or_else(|| self.fail(BodyFault::TooLarge { limit }))?;
+        Ok(frame)
+    }
+}
+
+impl Body for StreamedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(data) = self.read_ahead.pop_front() {
+            return Poll::Ready(Some(Ok(Frame::data(data))));
+        }
+        let limit = self.limits.pause;
+        match Pin::new(&mut self.rest).poll_frame(cx) {
+            Poll::Ready(frame) => {
+                self.pause.as_mut().reset(Instant::now() + limit);
+                let frame = frame.map(|f| match f {
+                    Ok(frame) => self.count(frame),
+                    Err(_) => Err(self.fail(BodyFault::BrokenOff)),
+                });
+                Poll::Ready(frame)
+            }
+            Poll::Pending => self.pause.as_mut().poll(cx).map(|()| {
+                let fault = BodyFault::TooSlow { pause: limit };
+                Some(Err(self.fail(fault)))
+            }),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.read_ahead.is_empty() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let ahead: u64 = self.read_ahead.iter().map(|b| b.len() as u64).sum();
+        let rest = self.rest.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(ahead + rest.lower());
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(ahead + upper);
+        }
+        hint
+    }
+}
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -3,10 +3,10 @@
 use std::{io, net::SocketAddr, sync::Arc};
 
 use thiserror::Error;
-use tokio::{net::TcpListener, time::timeout};
+use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
 
-use super::{admin, follow_config::follow, listener, send_snapshots, shared::Gateway};
+use super::{admin, follow_config::follow, listener::Callers, send_snapshots, shared::Gateway};
 use crate::{
     core::HostId,
     sources::log_service::{HttpLog, LogService},
@@ -25,26 +25,46 @@
         #[source]
         source: io::Error,
     },
-    /// Requests were cut off at the deadline of the stop.
-    #[error("requests in flight were cut off at the deadline of the stop")]
-    CutOff,
+    /// Requests were cut off by the deadline of the stop or a second signal.
+    #[error("{requests} requests in flight were cut off")]
+    CutOff {
+        /// Requests that had no whole answer.
+        requests: usize,
+    },
+}
+
+/// When a gateway ends.
+#[derive(Clone, Debug, Default)]
+pub struct Stop {
+    /// Nothing new is accepted; what is in flight finishes.
+    pub graceful: CancellationToken,
+    /// What is still in flight is cut off.
+    pub now: CancellationToken,
+}
+
+impl From<CancellationToken> for Stop {
+    fn from(graceful: CancellationToken) -> Self {
+        let now = CancellationToken::new();
+        Self { graceful, now }
+    }
 }
 
 /// Runs a gateway until `stop`, then finishes what is in flight.
 pub async fn run_gateway(
     settings: GatewaySettings,
-    stop: CancellationToken,
+    stop: impl Into<Stop>,
 ) -> Result<(), GatewayError> {
-    let callers = bind(settings.listen).await?;
+    let stop = stop.into();
+    let listener = bind(settings.listen).await?;
     let admin = bind(settings.admin).await?;
     log::info!(
         "gateway {} listens on {} for callers and {} for operators",
         settings.host,
-        local(&callers),
+        local(&listener),
         local(&admin),
     );
     let gateway = Gateway::new(HostId {
-        name: settings.host,
+        name: settings.host.clone(),
         incarnation: unix_ms(),
     });
     let log: Arc<dyn LogService> = Arc::new(HttpLog::new(settings.log_service));
@@ -52,7 +72,7 @@
     let follower = follow(
         Arc::clone(&gateway),
         log,
-        settings.environment,
+        settings.environment.clone(),
         ended.clone(),
     );
     tokio::spawn(follower);
@@ -61,15 +81,27 @@
     let snapshots =
         send_snapshots::send_snapshots(Arc::clone(&gateway), settings.reporter, ended.clone());
     let snapshots = tokio::spawn(snapshots);
-    let serving = tokio::spawn(listener::serve(callers, Arc::clone(&gateway), stop.clone()));
-    stop.cancelled().await;
+    let callers = Callers::new(Arc::clone(&gateway), &settings);
+    let serving = Arc::clone(&callers).serve(listener, stop.graceful.clone());
+    let mut serving = tokio::spawn(serving);
+    stop.graceful.cancelled().await;
     gateway.begin_stop();
     log::info!("gateway is stopping");
-    let finished = timeout(settings.stop_deadline, serving).await;
+    let requests = tokio::select! {
+        _ = &mut serving => 0,
+        () = sleep(settings.stop_deadline) => callers.cut(),
+        () = stop.now.cancelled() => callers.cut(),
+    };
+    if requests > 0 {
+        let _ = serving.await;
+    }
     ended.cancel();
     let _ = snapshots.await;
     log::info!("gateway has stopped");
-    finished.map(|_| ()).map_err(|_| GatewayError::CutOff)
+    match requests {
+        0 => Ok(()),
+        requests => Err(GatewayError::CutOff { requests }),
+    }
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
--- /dev/null
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -0,0 +1,102 @@
+//! Every metric that a process of turmericloft exposes.
+
+use strum::Display;
+
+/// Kind of a metric.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum MetricKind {
+    /// Only grows.
+    Counter,
+    /// Goes up and down.
+    Gauge,
+}
+
+/// A metric as documented.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Metric {
+    /// Name in the exposition.
+    pub name: &'static str,
+    /// Kind.
+    pub kind: MetricKind,
+    /// Unit of the value.
+    pub unit: &'static str,
+    /// Labels, each with a bounded set of values.
+    pub labels: &'static [&'static str],
+    /// What it says.
+    pub meaning: &'static str,
+}
+
+/// Requests turned away before admission.
+pub const UNADMITTED: Metric = Metric {
+    name: "turmericloft_unadmitted_requests_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &["reason"],
+    meaning: "Requests turned away before they were admitted, by reason; no report counts them",
+};
+
+/// Requests admitted.
+pub const ADMITTED: Metric = Metric {
+    name: "turmericloft_admitted_requests_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &[],
+    meaning: "Requests admitted, ended or not",
+};
+
+/// Requests ended.
+pub const ENDED: Metric = Metric {
+    name: "turmericloft_ended_requests_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &["outcome"],
+    meaning: "Admitted requests that have ended, by outcome",
+};
+
+/// Connections accepted.
+pub const CONNECTIONS: Metric = Metric {
+    name: "turmericloft_caller_connections_total",
+    kind: MetricKind::Counter,
+    unit: "connections",
+    labels: &[],
+    meaning: "Connections accepted from callers",
+};
+
+/// Connections open.
+pub const OPEN_CONNECTIONS: Metric = Metric {
+    name: "turmericloft_open_caller_connections",
+    kind: MetricKind::Gauge,
+    unit: "connections",
+    labels: &[],
+    meaning: "Connections from callers that are open",
+};
+
+/// Version in force.
+pub const CONFIG_VERSION: Metric = Metric {
+    name: "turmericloft_config_version",
+    kind: MetricKind::Gauge,
+    unit: "version",
+    labels: &[],
+    meaning: "Version of the document in force; 0 without one",
+};
+
+/// Readiness.
+pub const READY: Metric = Metric {
+    name: "turmericloft_ready",
+    kind: MetricKind::Gauge,
+    unit: "boolean",
+    labels: &[],
+    meaning: "1 while the platform's balancer may send requests here, else 0",
+};
+
+/// All metrics, in the order of the documentation.
+pub const ALL: [Metric; 7] = [
+    ADMITTED,
+    ENDED,
+    UNADMITTED,
+    CONNECTIONS,
+    OPEN_CONNECTIONS,
+    CONFIG_VERSION,
+    READY,
+];
--- a/crates/turmericloft/src/util/mod.rs
+++ b/crates/turmericloft/src/util/mod.rs
@@ -3,4 +3,6 @@
 pub mod clock;
 pub mod error_chain;
 pub mod logging;
+pub mod metrics_recorder;
+pub mod metrics_table;
 pub mod settings;
--- a/crates/turmericloft/src/util/settings.rs
+++ b/crates/turmericloft/src/util/settings.rs
@@ -39,6 +39,21 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "stop_deadline_ms", default = "default_stop_deadline")]
     pub stop_deadline: Duration,
+    /// Time from the first byte of a request's head to its end.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "head_timeout_ms", default = "default_head_timeout")]
+    pub head_timeout: Duration,
+    /// Longest time without a byte of a request's body.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "body_pause_ms", default = "default_body_pause")]
+    pub body_pause: Duration,
+    /// Time after which a caller's connection without a request is closed.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "idle_timeout_ms", default = "default_idle_timeout")]
+    pub idle_timeout: Duration,
+    /// Largest head of a request, in bytes.
+    #[serde(default = "default_max_head_bytes")]
+    pub max_head_bytes: usize,
     /// How log lines are written.
     #[serde(default)]
     pub log_format: LogFormat,
@@ -96,6 +111,22 @@
     })
 }
 
+fn default_head_timeout() -> Duration {
+    Duration::from_secs(10)
+}
+
+fn default_body_pause() -> Duration {
+    Duration::from_secs(10)
+}
+
+fn default_idle_timeout() -> Duration {
+    Duration::from_secs(75)
+}
+
+fn default_max_head_bytes() -> usize {
+    64 << 10
+}
+
 fn default_stop_deadline() -> Duration {
     Duration::from_secs(20)
 }
