Measure what the gateway adds, in turmericloft-bench overhead

Direct calls and calls through the gateway alternate in one run; the gateway's tasks have threads of their own, whose processor time the kernel counts. A first form with a backend server that slept for 0 us showed no added time at all, because the timer's tick of 1 ms hid it; the stand-in now skips a sleep of zero (the only change outside the bench, installation and settings). The added time is the median over rounds of the difference of the quantiles within a round, because pooled p99 of a shared machine moved by a millisecond between runs.

--- a/crates/turmericloft-standins/src/backend/routes.rs
+++ b/crates/turmericloft-standins/src/backend/routes.rs
@@ -189,7 +189,10 @@
         } else {
             mean
         };
-        sleep(Duration::from_micros(us as u64)).await;
+        let work = Duration::from_micros(us as u64);
+        if !work.is_zero() {
+            sleep(work).await;
+        }
     }
 }
 
--- a/crates/turmericloft-standins/src/lib.rs
+++ b/crates/turmericloft-standins/src/lib.rs
@@ -3,8 +3,9 @@
 
 pub mod backend;
 pub mod host_list;
+pub mod installation;
 pub mod load;
 pub mod log_service;
 mod serve;
 
-pub use serve::{ServeError, Served};
+pub use serve::{ServeError, Served, free_address};
--- a/crates/turmericloft-standins/src/serve.rs
+++ b/crates/turmericloft-standins/src/serve.rs
@@ -1,6 +1,10 @@
 //! Serving a stand-in on loopback.
 
-use std::{future::IntoFuture, io, net::SocketAddr};
+use std::{
+    future::IntoFuture,
+    io,
+    net::{Ipv4Addr, SocketAddr},
+};
 
 use axum::Router;
 use thiserror::Error;
@@ -25,6 +29,11 @@
     task: JoinHandle<()>,
 }
 
+/// An address on loopback that is free at this moment.
+pub fn free_address() -> io::Result<SocketAddr> {
+    std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
 impl Served {
     /// Serves `app` at `address`; with port 0 a free port is taken.
     pub async fn start(address: SocketAddr, app: Router) -> Result<Self, ServeError> {
--- a/crates/turmericloft/src/util/settings.rs
+++ b/crates/turmericloft/src/util/settings.rs
@@ -105,7 +105,12 @@
         path: path.to_owned(),
         source,
     })?;
-    toml::from_str(&text).map_err(|source| SettingsError::Invalid {
+    parse(path, &text)
+}
+
+/// Reads settings from the text of the file at `path`.
+pub fn parse<T: DeserializeOwned>(path: &Path, text: &str) -> Result<T, SettingsError> {
+    toml::from_str(text).map_err(|source| SettingsError::Invalid {
         path: path.to_owned(),
         source: Box::new(source),
     })
