Keep latencies over 2 ms in the load generator's histogram

The histogram grows with its values, but a saturating record clips to its present range instead, so every latency over about 2 ms was kept as 2 ms. Figures taken with the load generator before this commit are wrong wherever they show 2 ms.

--- a/crates/turmericloft-cli/tests/testsuite/load.rs
+++ b/crates/turmericloft-cli/tests/testsuite/load.rs
@@ -62,3 +62,20 @@
     assert!(book.sent > 0 && stranger.sent > 0);
     assert_eq!(results.caller("web").sent, total.sent);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn latency_of_slow_answers_is_kept_whole() {
+    let platform = Platform::start_promoted();
+    platform
+        .backend_behaves(r#"{"service_time_us": 30000}"#)
+        .await;
+    let call = Call::get("/calendar/free", Platform::TOKEN);
+    let plan = LoadPlan {
+        duration: Duration::from_millis(200),
+        ..LoadPlan::new(vec![call], 50.0, 3)
+    };
+    let total = run_load(&[platform.callers], plan).await.total();
+    assert_eq!(total.with_outcome(Outcome::Served), total.sent);
+    assert_eq!(total.served_latency_us.len(), total.sent);
+    assert!(total.served_latency_us.min() >= 29_000);
+}
--- a/crates/turmericloft-standins/src/load/tally.rs
+++ b/crates/turmericloft-standins/src/load/tally.rs
@@ -48,9 +48,9 @@
         self.answer_bytes += answer.bytes;
         *self.by_status.entry(answer.status).or_default() += 1;
         *self.by_outcome.entry(answer.outcome).or_default() += 1;
-        self.latency_us.saturating_record(us);
+        record(&mut self.latency_us, us);
         if answer.outcome == Outcome::Served {
-            self.served_latency_us.saturating_record(us);
+            record(&mut self.served_latency_us, us);
         }
     }
 
@@ -81,6 +81,12 @@
     }
 }
 
+/// Records a value. The histogram grows with its values, so that none is out of range.
+fn record(histogram: &mut Histogram<u64>, us: u64) {
+    let recorded = histogram.record(us);
+    debug_assert!(recorded.is_ok(), "the histogram grows");
+}
+
 impl Default for Tally {
     fn default() -> Self {
         let histogram = || {
