--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -4,5 +4,7 @@
 mod docs;
 mod early_close;
 mod load;
+mod peers;
+mod standin_backend;
 mod support;
 mod whole_path;
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod eventually;
+mod gateway;
 mod platform;
 mod process;
 mod raw_caller;
--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -1,10 +1,13 @@
 //! Types and decisions. Nothing here opens a socket, reads a clock or spawns a task.
 
+pub mod admission;
 pub mod config;
 pub mod counting;
 pub mod document;
 mod environment;
+pub mod guard;
 mod host_id;
+pub mod membership;
 mod name;
 mod outcome;
 mod problem;
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod lookup;
 mod matched;
 mod metrics;
+mod peers;
 mod raw_answer;
 mod relayed_body;
 mod request_body;
@@ -23,8 +24,10 @@
 mod send_snapshots;
 mod service_state;
 mod shared;
+mod watch_hosts;
 
 pub use self::{
+    peers::{PeerRequestError, Peers, PeersError},
     run::{GatewayError, Stop, run_gateway},
     shared::{Gateway, InForce},
 };
