Report all faults of a settings file at once, with line, key and allowed values

A file was read up to its first fault.

The golden file of the gateway names only the first keys of the list that an unknown key brings, as other tables of the settings are still being added.

--- a/crates/turmericloft-cli/src/bin/turmericloft-gateway/main.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft-gateway/main.rs
@@ -8,7 +8,7 @@
     ops::gateway::{GatewayError, Stop, run_gateway},
     util::{
         error_chain, logging,
-        settings::{self, GatewaySettings},
+        settings::{self, GatewaySettings, Override},
     },
 };
 
@@ -30,6 +30,9 @@
     /// Settings of this process, in TOML
     #[arg(long)]
     settings: PathBuf,
+    /// Value that goes before the file's, as KEY=VALUE; may be given several times
+    #[arg(long, value_name = "KEY=VALUE")]
+    set: Vec<Override>,
 }
 
 #[tokio::main]
@@ -47,7 +50,7 @@
 }
 
 async fn run(cli: Cli) -> Result<(), Box<dyn std::error::Error>> {
-    let settings: GatewaySettings = settings::load(&cli.settings)?;
+    let settings: GatewaySettings = settings::load(&cli.settings, &cli.set)?;
     logging::start(settings.log_format)?;
     let stop = Stop::default();
     let mut term = signal(SignalKind::terminate())?;
--- a/crates/turmericloft-cli/src/bin/turmericloft-reporter/main.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft-reporter/main.rs
@@ -9,7 +9,7 @@
     ops::reporter::run_reporter,
     util::{
         error_chain, logging,
-        settings::{self, ReporterSettings},
+        settings::{self, Override, ReporterSettings},
     },
 };
 
@@ -20,6 +20,9 @@
     /// Settings of this process, in TOML
     #[arg(long)]
     settings: PathBuf,
+    /// Value that goes before the file's, as KEY=VALUE; may be given several times
+    #[arg(long, value_name = "KEY=VALUE")]
+    set: Vec<Override>,
 }
 
 #[tokio::main]
@@ -34,7 +37,7 @@
 }
 
 async fn run(cli: Cli) -> Result<(), Box<dyn std::error::Error>> {
-    let settings: ReporterSettings = settings::load(&cli.settings)?;
+    let settings: ReporterSettings = settings::load(&cli.settings, &cli.set)?;
     logging::start(settings.log_format)?;
     let stop = CancellationToken::new();
     let mut term = signal(SignalKind::terminate())?;
--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod early_close;
 mod load;
 mod peers;
+mod settings;
 mod standin_backend;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/settings.rs
@@ -0,0 +1,128 @@
+//! Settings files with faults.
+
+use std::fs;
+
+use snapbox::{assert_data_eq, str};
+use tempfile::TempDir;
+
+use crate::support::run;
+
+const GATEWAY: &str = env!("CARGO_BIN_EXE_turmericloft-gateway");
+const REPORTER: &str = env!("CARGO_BIN_EXE_turmericloft-reporter");
+
+fn run_with(program: &str, settings: &str, flags: &[&str]) -> String {
+    let folder = TempDir::new().expect("a folder for settings");
+    fs::write(folder.path().join("settings.toml"), settings).expect("the folder can be written");
+    let args = [&["--settings", "settings.toml"], flags].concat();
+    run(program, folder.path(), &args)
+}
+
+#[test]
+fn all_faults_of_a_file_are_reported_at_once() {
+    let settings = r#"host = "Gateway 1"
+zonne = "a"
+environment = "production"
+listen = "localhost:80"
+admin = 8081
+log_service = "127.0.0.1:7000"
+reporter = "127.0.0.1:8082"
+max_head_bytes = 100
+log_format = "xml"
+
+[peers]
+listen = "127.0.0.1:9000"
+certificate = "c.pem"
+keys = "k.pem"
+"#;
+    assert_data_eq!(
+        run_with(GATEWAY, settings, &[]),
+        str![[r#"
+exit code: 1
+stderr:
+error: the settings are not valid
+  settings.toml:1: `host`: `Gateway 1` is not a name: use 1 to 63 of a-z, 0-9 and inner hyphens; allowed: 1 to 63 of a-z, 0-9 and inner hyphens
+  settings.toml:2: `zonne`: unknown field `zonne`, expected one of `host`, `zone`, [..]
+  settings.toml:4: `listen`: invalid socket address syntax; allowed: an IP address with a port, as "10.0.0.1:8080"
+  settings.toml:5: `admin`: invalid type: integer `8081`, expected socket address; allowed: an IP address with a port, as "10.0.0.1:8080"
+  settings.toml:8: `max_head_bytes`: 100 bytes are too few; allowed: a whole number of bytes, at least 8192
+  settings.toml:9: `log_format`: unknown variant `xml`, expected `text` or `json`; allowed: "text" or "json"
+  settings.toml:13: `peers`: unknown field `keys`, expected one of `listen`, `certificate`, `key`, `authorities`; allowed: a table of listen, certificate, key and authorities
+  settings.toml: `zone`: missing; allowed: 1 to 63 of a-z, 0-9 and inner hyphens
+  settings.toml: `host_list`: missing; allowed: an IP address with a port, as "10.0.0.1:8080"
+
+"#]]
+    );
+}
+
+#[test]
+fn text_that_is_not_toml_is_reported_with_its_line() {
+    let settings = "host = \"gw-1\"\nzone = a\nlisten \"127.0.0.1:0\"\n";
+    assert_data_eq!(
+        run_with(GATEWAY, settings, &[]),
+        str![[r#"
+exit code: 1
+stderr:
+error: the settings are not valid
+  settings.toml:3: key with no value, expected `=`
+  settings.toml:2: string values must be quoted, expected literal string
+
+"#]]
+    );
+}
+
+#[test]
+fn value_of_a_flag_goes_before_the_file_and_is_checked_alike() {
+    let settings = "host = \"gw-1\"\nenvironment = \"Production\"\nlisten = \"127.0.0.1:0\"\n";
+    let flags = [
+        "--set",
+        "environment=production",
+        "--set",
+        "log_service=nowhere",
+        "--set",
+        "colour=7",
+    ];
+    assert_data_eq!(
+        run_with(REPORTER, settings, &flags),
+        str![[r#"
+exit code: 1
+stderr:
+error: the settings are not valid
+  --set: `colour`: unknown field `colour`, expected one of `host`, `environment`, `listen`, `log_service`, `log_format`
+  --set: `log_service`: invalid socket address syntax; allowed: an IP address with a port, as "10.0.0.1:8080"
+
+"#]]
+    );
+}
+
+#[test]
+fn file_that_is_not_there_is_reported() {
+    let folder = TempDir::new().expect("a folder for settings");
+    let args = ["--settings", "nothing.toml"];
+    assert_data_eq!(
+        run(GATEWAY, folder.path(), &args),
+        str![[r#"
+exit code: 1
+stderr:
+error: cannot read the settings file nothing.toml
+
+Caused by:
+  No such file or directory (os error 2)
+
+"#]]
+    );
+}
+
+#[test]
+fn flag_without_a_value_is_wrong_use() {
+    assert_data_eq!(
+        run_with(GATEWAY, "", &["--set", "zone"]),
+        str![[r#"
+exit code: 2
+stderr:
+error: invalid value 'zone' for '--set <KEY=VALUE>': write KEY=VALUE, with a key of the settings file
+
+For more information, try '--help'.
+
+"#]]
+    );
+}
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -1,6 +1,7 @@
 //! Processes, a caller, and documents for the tests.
 
 mod caller;
+mod command;
 mod eventually;
 mod gateway;
 mod platform;
@@ -9,6 +10,7 @@
 
 pub use self::{
     caller::{get_over_http2, send},
+    command::run,
     eventually::eventually,
     platform::Platform,
     process::Process,
--- a/crates/turmericloft-standins/src/installation.rs
+++ b/crates/turmericloft-standins/src/installation.rs
@@ -106,8 +106,8 @@
             hosts_served.address
         );
         let origin = Path::new("installation");
-        let reporter_settings = settings::parse(origin, &reporter_settings)?;
-        let gateway_settings = settings::parse(origin, &gateway_settings)?;
+        let reporter_settings = settings::parse(origin, &reporter_settings, &[])?;
+        let gateway_settings = settings::parse(origin, &gateway_settings, &[])?;
         let (stop, reporter_stop) = (CancellationToken::new(), CancellationToken::new());
         let reporter = tokio::spawn(run_reporter(reporter_settings, reporter_stop.clone()));
         let gateway = gateway_runtime.spawn(run_gateway(gateway_settings, stop.clone()));
--- a/crates/turmericloft/src/util/settings.rs
+++ b/crates/turmericloft/src/util/settings.rs
@@ -7,13 +7,33 @@
     time::Duration,
 };
 
-use serde::{Deserialize, de::DeserializeOwned};
+use serde::{Deserialize, Deserializer, de::Error as _};
 use serde_with::{DurationMilliSeconds, serde_as};
 use thiserror::Error;
 
 use super::logging::LogFormat;
 use crate::core::Name;
 
+mod check;
+mod fault;
+mod setting_key;
+mod value_override;
+
+pub use self::{
+    fault::{Place, SettingsFault},
+    setting_key::{SettingKey, Settings},
+    value_override::Override,
+};
+
+const NAME: &str = "1 to 63 of a-z, 0-9 and inner hyphens";
+const ADDRESS: &str = "an IP address with a port, as \"10.0.0.1:8080\"";
+const MILLISECONDS: &str = "a whole number of milliseconds";
+const PEERS: &str = "a table of listen, certificate, key and authorities";
+const HEAD_BYTES: &str = "a whole number of bytes, at least 8192";
+const LOG_FORMAT: &str = "\"text\" or \"json\"";
+/// Least value of `max_head_bytes`: what the HTTP library needs.
+const MIN_HEAD_BYTES: usize = 8 << 10;
+
 /// Settings of a gateway.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -55,7 +75,7 @@
     #[serde(rename = "idle_timeout_ms", default = "default_idle_timeout")]
     pub idle_timeout: Duration,
     /// Largest head of a request, in bytes.
-    #[serde(default = "default_max_head_bytes")]
+    #[serde(default = "default_max_head_bytes", deserialize_with = "head_bytes")]
     pub max_head_bytes: usize,
     /// How log lines are written.
     #[serde(default)]
@@ -105,32 +125,65 @@
         #[source]
         source: io::Error,
     },
-    /// The file has a wrong or unknown key; the cause names line and key.
-    #[error("the settings file {} is not valid", path.display())]
+    /// Keys are wrong, unknown or missing. Nothing of the file is used.
+    #[error("the settings are not valid\n{}", one_a_line(faults))]
     Invalid {
-        /// The file.
-        path: PathBuf,
-        /// Cause.
-        #[source]
-        source: Box<toml::de::Error>,
+        /// All faults.
+        faults: Vec<SettingsFault>,
     },
 }
 
-/// Reads settings from the file at `path`.
-pub fn load<T: DeserializeOwned>(path: &Path) -> Result<T, SettingsError> {
+/// Reads settings from the file at `path`; `overrides` go before its values.
+pub fn load<T: Settings>(path: &Path, overrides: &[Override]) -> Result<T, SettingsError> {
     let text = fs::read_to_string(path).map_err(|source| SettingsError::Read {
         path: path.to_owned(),
         source,
     })?;
-    parse(path, &text)
+    parse(path, &text, overrides)
 }
 
-/// Reads settings from the text of the file at `path`.
-pub fn parse<T: DeserializeOwned>(path: &Path, text: &str) -> Result<T, SettingsError> {
-    toml::from_str(text).map_err(|source| SettingsError::Invalid {
-        path: path.to_owned(),
-        source: Box::new(source),
-    })
+/// Reads settings from the text of the file at `path`; `overrides` go before its values.
+pub fn parse<T: Settings>(
+    path: &Path,
+    text: &str,
+    overrides: &[Override],
+) -> Result<T, SettingsError> {
+    check::check(path, text, overrides).map_err(|faults| SettingsError::Invalid { faults })
+}
+
+impl Settings for GatewaySettings {
+    const KEYS: &'static [SettingKey] = &[
+        SettingKey::required("host", NAME, "\"gw-1\""),
+        SettingKey::required("zone", NAME, "\"a\""),
+        SettingKey::required("environment", NAME, "\"production\""),
+        SettingKey::required("listen", ADDRESS, "\"10.0.0.1:8080\""),
+        SettingKey::required("admin", ADDRESS, "\"10.0.0.1:8081\""),
+        SettingKey::required("log_service", ADDRESS, "\"10.0.1.1:7000\""),
+        SettingKey::required("host_list", ADDRESS, "\"10.0.1.2:7000\""),
+        SettingKey::required("reporter", ADDRESS, "\"127.0.0.1:8082\""),
+        SettingKey::optional("peers", PEERS, "{}"),
+        SettingKey::optional("stop_deadline_ms", MILLISECONDS, "20000"),
+        SettingKey::optional("head_timeout_ms", MILLISECONDS, "10000"),
+        SettingKey::optional("body_pause_ms", MILLISECONDS, "10000"),
+        SettingKey::optional("idle_timeout_ms", MILLISECONDS, "75000"),
+        SettingKey::optional("max_head_bytes", HEAD_BYTES, "65536"),
+        SettingKey::optional("log_format", LOG_FORMAT, "\"json\""),
+    ];
+}
+
+impl Settings for ReporterSettings {
+    const KEYS: &'static [SettingKey] = &[
+        SettingKey::required("host", NAME, "\"gw-1\""),
+        SettingKey::required("environment", NAME, "\"production\""),
+        SettingKey::required("listen", ADDRESS, "\"127.0.0.1:8082\""),
+        SettingKey::required("log_service", ADDRESS, "\"10.0.1.1:7000\""),
+        SettingKey::optional("log_format", LOG_FORMAT, "\"json\""),
+    ];
+}
+
+fn one_a_line(faults: &[SettingsFault]) -> String {
+    let lines: Vec<_> = faults.iter().map(|f| format!("  {f}")).collect();
+    lines.join("\n")
 }
 
 fn default_head_timeout() -> Duration {
@@ -152,3 +205,11 @@
 fn default_stop_deadline() -> Duration {
     Duration::from_secs(20)
 }
+
+fn head_bytes<'de, D: Deserializer<'de>>(deserializer: D) -> Result<usize, D::Error> {
+    let bytes = usize::deserialize(deserializer)?;
+    if bytes < MIN_HEAD_BYTES {
+        return Err(D::Error::custom(format!("{bytes} bytes are too few")));
+    }
+    Ok(bytes)
+}
