Prove the graceful stop as whole sessions

A backend server stand-in can now hold its answers until it is told, so the sessions need no sleeps: a request in flight is finished and nothing new is accepted; a second signal and the deadline cut off what is left and count it. The fault `hold` is the only change to the backend stand-in.

--- a/crates/turmericloft-cli/tests/testsuite/early_close.rs
+++ b/crates/turmericloft-cli/tests/testsuite/early_close.rs
@@ -9,16 +9,6 @@
 
 use crate::support::{Platform, RawCaller, eventually, send};
 
-/// Asks the backend server until it has run `total` requests.
-async fn wait_for_runs(platform: &Platform, total: u64) {
-    let text = format!("\"total\":{total},");
-    eventually(|| async {
-        let runs = send(platform.backend, "", Method::GET, "/runs", &[]).await;
-        runs.body.contains(&text).then_some(())
-    })
-    .await;
-}
-
 /// Asks the gateway until a request has ended with `outcome`, and gives the outcomes counted.
 async fn wait_for_outcome(platform: &Platform, outcome: Outcome) -> String {
     let none = format!("turmericloft_ended_requests_total{{outcome=\"{outcome}\"}} 0");
@@ -44,7 +34,7 @@
         format!("GET /calendar/x HTTP/1.1\r\nhost: g\r\nauthorization: Bearer {token}\r\n\r\n");
     let mut caller = RawCaller::connect(platform.callers);
     caller.write(lookup.as_bytes());
-    wait_for_runs(&platform, 1).await;
+    platform.wait_for_runs(1).await;
     drop(caller);
     let ended = wait_for_outcome(&platform, Outcome::Unfinished).await;
     assert_data_eq!(
--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod docs;
 mod early_close;
+mod graceful_stop;
 mod load;
 mod peers;
 mod settings;
--- a/crates/turmericloft-cli/tests/testsuite/support/caller.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/caller.rs
@@ -51,21 +51,34 @@
     exchange(req, false).await
 }
 
+/// Sends a GET; `None` if the connection breaks before the answer is whole.
+pub async fn try_get(gateway: SocketAddr, token: &str, path: &str) -> Option<CallerAnswer> {
+    let req = Request::get(format!("http://{gateway}{path}"))
+        .header(AUTHORIZATION, format!("Bearer {token}"))
+        .body(Full::default())
+        .expect("the request is well formed");
+    try_exchange(req, false).await.ok()
+}
+
 async fn exchange(req: http::Result<Request<Full<Bytes>>>, http2: bool) -> CallerAnswer {
     let req = req.expect("the request is well formed");
+    try_exchange(req, http2)
+        .await
+        .expect("the server answers whole")
+}
+
+async fn try_exchange(
+    req: Request<Full<Bytes>>,
+    http2: bool,
+) -> Result<CallerAnswer, Box<dyn std::error::Error>> {
     let client = Client::builder(TokioExecutor::new())
         .http2_only(http2)
         .build_http();
-    let answer = client.request(req).await.expect("the server answers");
+    let answer = client.request(req).await?;
     let status = answer.status().as_u16();
-    let body = answer
-        .into_body()
-        .collect()
-        .await
-        .expect("the answer is whole")
-        .to_bytes();
-    CallerAnswer {
+    let body = answer.into_body().collect().await?.to_bytes();
+    Ok(CallerAnswer {
         status,
         body: String::from_utf8_lossy(&body).into_owned(),
-    }
+    })
 }
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -9,7 +9,7 @@
 mod raw_caller;
 
 pub use self::{
-    caller::{get_over_http2, send},
+    caller::{CallerAnswer, get_over_http2, send, try_get},
     command::run,
     eventually::eventually,
     platform::Platform,
--- a/crates/turmericloft-cli/tests/testsuite/support/platform.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/platform.rs
@@ -14,7 +14,8 @@
 
 use super::{
     Process,
-    caller::put_json,
+    caller::{put_json, send},
+    eventually,
     gateway::{GatewayProcess, PlatformAddresses, start_gateway, write, write_identity},
 };
 
@@ -101,6 +102,16 @@
         assert_eq!(answer.status, 200, "{behaviour} is no behaviour");
     }
 
+    /// Asks the backend server until it has run `total` requests.
+    pub async fn wait_for_runs(&self, total: u64) {
+        let text = format!("\"total\":{total},");
+        eventually(|| async {
+            let runs = send(self.backend, "", Method::GET, "/runs", &[]).await;
+            runs.body.contains(&text).then_some(())
+        })
+        .await;
+    }
+
     /// Starts everything with `count` gateways that are on the host list, and waits until all of
     /// them have heard each other.
     pub async fn start_gateways(count: usize) -> Self {
--- a/crates/turmericloft-standins/src/backend/faults.rs
+++ b/crates/turmericloft-standins/src/backend/faults.rs
@@ -29,6 +29,8 @@
     /// Connections open when this is set take requests, but neither run nor answer them; new
     /// connections work.
     pub silence_open: bool,
+    /// Requests are run, and answered once this is false again.
+    pub hold: bool,
     /// Connections are cut before a request is run.
     pub crash_before_run: bool,
     /// The load header claims this many requests in flight.
@@ -51,6 +53,7 @@
             silent: false,
             silence_open: false,
             crash_after_run: false,
+            hold: false,
             crash_before_run: false,
             reported_in_flight: None,
             crash_on: None,
--- a/crates/turmericloft-standins/src/backend/routes.rs
+++ b/crates/turmericloft-standins/src/backend/routes.rs
@@ -21,7 +21,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::{
-    sync::Semaphore,
+    sync::{Notify, Semaphore},
     time::{Instant, sleep, timeout_at},
 };
 
@@ -54,6 +54,7 @@
     rng: Mutex<Pcg64Mcg>,
     slots: Mutex<Arc<Semaphore>>,
     in_flight: AtomicUsize,
+    changed: Notify,
 }
 
 /// One request in flight.
@@ -70,6 +71,7 @@
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
             slots,
             in_flight: AtomicUsize::new(0),
+            changed: Notify::new(),
         };
         Self {
             shared: Arc::new(shared),
@@ -154,6 +156,7 @@
             *self.slots.lock() = Arc::new(Semaphore::new(faults.slots));
         }
         *current = faults;
+        self.changed.notify_waiters();
     }
 
     async fn respond(
@@ -187,6 +190,7 @@
             return Some(not_started());
         };
         self.run(faults, headers).await;
+        self.wait_while_held().await;
         if faults.silent {
             return pending().await;
         }
@@ -201,6 +205,16 @@
         Some(answer)
     }
 
+    async fn wait_while_held(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if !self.faults.lock().hold {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     async fn run(&self, faults: &BackendFaults, headers: &HeaderMap) {
         let tag = headers
             .get(RunCounts::TAG_HEADER)
