--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -1,9 +1,13 @@
 //! Tests of the programs as separate processes.
 
 mod bad_input;
+mod config_sessions;
 mod docs;
 mod early_close;
 mod graceful_stop;
+mod guarded_freeze;
+mod guarded_keys;
+mod guarded_session;
 mod load;
 mod peers;
 mod settings;
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -1,17 +1,21 @@
 //! Processes, a caller, and documents for the tests.
 
+mod bookings;
 mod caller;
 mod command;
 mod eventually;
 mod gateway;
+mod operators;
 mod platform;
 mod process;
 mod raw_caller;
 
 pub use self::{
+    bookings::{Booking, BookingAnswer, runs, set_backend, set_log},
     caller::{CallerAnswer, get_over_http2, send, try_get},
     command::run,
     eventually::eventually,
+    operators::{Operators, rival_record},
     platform::Platform,
     process::Process,
     raw_caller::RawCaller,
--- a/crates/turmericloft-standins/src/installation.rs
+++ b/crates/turmericloft-standins/src/installation.rs
@@ -135,15 +135,16 @@
         HttpLog::new(self.log_served.address)
     }
 
-    /// Promotes a first document and waits until it is in force.
-    pub async fn promote(&self, document: String) -> Result<(), InstallationError> {
+    /// Puts a first document in force without a trial elsewhere, and waits until it is in force.
+    pub async fn put_in_force(&self, document: String) -> Result<(), InstallationError> {
         let options = PromoteOptions {
             environment: Self::environment()?,
             author: Name::new("demo")?,
             document,
             promotion_id: format!("{:032x}", rand::random::<u128>()),
+            settle_within: READY_TIMEOUT,
         };
-        ops::promote(&self.log_client(), options, unix_ms()).await?;
+        ops::trial(&self.log_client(), options, unix_ms()).await?;
         let deadline = Instant::now() + READY_TIMEOUT;
         while !self.is_ready().await {
             if Instant::now() > deadline {
--- a/crates/turmericloft/src/ops/gateway/handle.rs
+++ b/crates/turmericloft/src/ops/gateway/handle.rs
@@ -20,6 +20,9 @@
 /// Value of the `Via` header of every answer.
 const VIA_VALUE: HeaderValue = HeaderValue::from_static("1.1 turmericloft");
 
+/// Where callers take new action ids.
+const ACTION_IDS_PATH: &str = "/.turmericloft/action-ids";
+
 /// Answers one request. `body_pause` is the longest time without a byte of its body.
 pub(super) async fn handle(
     gateway: Arc<Gateway>,
@@ -32,7 +35,7 @@
 }
 
 async fn respond(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     req: Request<Incoming>,
     body_pause: Duration,
 ) -> Response<AnswerBody> {
@@ -40,6 +43,9 @@
         Unadmitted::NotReady.count();
         return problem(&not_ready());
     };
+    if req.uri().path() == ACTION_IDS_PATH {
+        return guarded::issue_id(gateway, &in_force, &req);
+    }
     let matched = match Matched::find(&in_force, &req) {
         Ok(matched) => matched,
         Err(not_admitted) => {
@@ -60,8 +66,13 @@
     };
     let req = Request::from_parts(head, received.body);
     let answer = match handling {
-        Handling::Idempotent => lookup::answer(&in_force, &matched, req, count).await,
-        Handling::Guarded => guarded::answer(&in_force, &matched, req, count).await,
+        Handling::Idempotent => {
+            let id = guarded::issue_for_lookup(gateway, &in_force, matched.caller, &req);
+            let mut answer = lookup::answer(&in_force, &matched, req, count).await;
+            guarded::put_id(&mut answer, id);
+            answer
+        }
+        Handling::Guarded => guarded::answer(gateway, &in_force, &matched, req, count).await,
     };
     match (received.fault.get(), answer.extensions().get::<Problem>()) {
         (Some(fault), Some(p)) => problem(&fault.problem(p.outcome, p.step)),
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod connection_state;
 mod dispatch;
 mod follow_config;
+mod followed_config;
 mod guarded;
 mod handle;
 mod listener;
@@ -24,9 +25,12 @@
 mod send_snapshots;
 mod service_state;
 mod shared;
+mod tell_state;
 mod watch_hosts;
 
 pub use self::{
+    follow_config::{ConfigPeers, ConfigSources, follow_config},
+    followed_config::FollowedConfig,
     peers::{PeerRequestError, Peers, PeersError},
     run::{GatewayError, Stop, run_gateway},
     shared::{Gateway, InForce},
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -8,11 +8,13 @@
 
 use super::{
     admin,
-    follow_config::follow,
+    follow_config::{ConfigPeers, ConfigSources, follow_config},
+    guarded,
     listener::Callers,
     peers::{Peers, PeersError, keep_in_touch},
     send_snapshots,
     shared::Gateway,
+    tell_state::tell_state,
     watch_hosts::watch_hosts,
 };
 use crate::{
@@ -68,10 +70,11 @@
     let stop = stop.into();
     let listener = bind(settings.listen).await?;
     let admin = bind(settings.admin).await?;
-    let gateway = Gateway::new(HostId {
+    let host = HostId {
         name: settings.host.clone(),
         incarnation: unix_ms(),
-    });
+    };
+    let gateway = Gateway::new(host, &settings.guard);
     let peers = settings.peers.clone().map(|s| Peers::start(&gateway, s));
     let peers = peers.transpose()?;
     let for_peers = peers
@@ -86,13 +89,21 @@
     );
     let log: Arc<dyn LogService> = Arc::new(HttpLog::new(settings.log_service));
     let ended = CancellationToken::new();
-    let follower = follow(
+    let sources = ConfigSources {
+        log: Arc::clone(&log),
+        peers: peers.clone().map(|p| p as Arc<dyn ConfigPeers>),
+        environment: settings.environment.clone(),
+        seed: gateway.host.incarnation,
+    };
+    tokio::spawn(follow_config(Arc::clone(&gateway), sources, ended.clone()));
+    guarded::start_claims(&gateway, Arc::clone(&log), &settings.environment, &ended);
+    let state = tokio::spawn(tell_state(
         Arc::clone(&gateway),
         log,
         settings.environment.clone(),
-        ended.clone(),
-    );
-    tokio::spawn(follower);
+        settings.zone.clone(),
+        stop.graceful.clone(),
+    ));
     tokio::spawn(watch_hosts(
         Arc::clone(&gateway),
         settings.host_list,
@@ -121,7 +132,7 @@
         let _ = serving.await;
     }
     ended.cancel();
-    let _ = snapshots.await;
+    let _ = tokio::join!(snapshots, state);
     log::info!("gateway has stopped");
     match requests {
         0 => Ok(()),
--- a/crates/turmericloft/src/util/mod.rs
+++ b/crates/turmericloft/src/util/mod.rs
@@ -6,3 +6,4 @@
 pub mod metrics_recorder;
 pub mod metrics_table;
 pub mod settings;
+pub mod timestamp;
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the library.
 
 mod acceptance;
+mod config;
 mod guard;
 mod parsers;
 mod peer;
