Add the demo, completions and exit codes to the command line

turmericloft demo runs gateway, reporter and stand-ins as tasks of one process, sends the calls of both deployments in their sizes of today, plays a straggler, a drain and a crash, and fails if the report, by caller and by kind, is not what the callers saw.

In demo::compare_sums a test feeds sums that differ, so the check is shown to fail. The golden help no longer depends on the variable COLUMNS.

--- a/crates/turmericloft-cli/src/bin/turmericloft-reporter/main.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft-reporter/main.rs
@@ -13,9 +13,14 @@
     },
 };
 
+const EXIT_CODES: &str = "Exit codes:
+  0  what was held is published
+  1  the reporter could not run
+  2  wrong use of the command line";
+
 /// Runs a reporter until SIGTERM or SIGINT
 #[derive(Debug, Parser)]
-#[command(name = "turmericloft-reporter", version)]
+#[command(name = "turmericloft-reporter", version, after_help = EXIT_CODES)]
 struct Cli {
     /// Settings of this process, in TOML
     #[arg(long)]
--- /dev/null
+++ b/crates/turmericloft-cli/src/bin/turmericloft/commands/completions.rs
@@ -0,0 +1,26 @@
+//! `turmericloft completions`
+
+use std::io;
+
+use clap::Command;
+use clap_complete::{Shell, generate};
+
+use super::CommandResult;
+
+/// Prints completions for a shell
+#[derive(Debug, clap::Args)]
+#[command(after_help = EXAMPLES)]
+pub struct Args {
+    /// The shell
+    shell: Shell,
+}
+
+const EXAMPLES: &str = "Example:
+  turmericloft completions bash > ~/.local/share/bash-completion/completions/turmericloft";
+
+/// Prints the completions of `command`.
+pub fn exec(args: &Args, mut command: Command) -> CommandResult {
+    let name = command.get_name().to_owned();
+    generate(args.shell, &mut command, name, &mut io::stdout());
+    Ok(())
+}
--- /dev/null
+++ b/crates/turmericloft-cli/src/bin/turmericloft/commands/demo.rs
@@ -0,0 +1,33 @@
+//! `turmericloft demo`
+
+use std::time::Duration;
+
+use turmericloft_standins::demo::{DemoOptions, run_demo};
+
+use super::CommandResult;
+
+/// Runs a whole installation in this process, under load and faults, and shows its report
+///
+/// Exit code: 0 if the report adds up to what the callers saw, 1 if not.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// Calls a second
+    #[arg(long, default_value_t = 400.0)]
+    rate: f64,
+    /// Time during which calls start, in milliseconds; at most 15000
+    #[arg(long, default_value_t = 6_000, value_parser = clap::value_parser!(u64).range(100..=15_000))]
+    duration_ms: u64,
+    /// Seed of the load
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+/// Runs the demo.
+pub async fn exec(args: Args) -> CommandResult {
+    let options = DemoOptions {
+        rate_per_s: args.rate,
+        duration: Duration::from_millis(args.duration_ms),
+        seed: args.seed,
+    };
+    Ok(run_demo(options).await?)
+}
--- a/crates/turmericloft-cli/src/bin/turmericloft/commands/mod.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft/commands/mod.rs
@@ -6,6 +6,8 @@
 
 pub mod audit;
 pub mod check;
+pub mod completions;
+pub mod demo;
 mod format;
 pub mod promote;
 mod publish;
--- a/crates/turmericloft-cli/src/bin/turmericloft/main.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft/main.rs
@@ -2,25 +2,43 @@
 
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand};
+use clap::{CommandFactory, Parser, Subcommand};
 use turmericloft::util::error_chain;
 
 mod commands;
 
-use commands::{audit, check, promote, report, status, trial};
+use commands::{audit, check, completions, demo, promote, report, status, trial};
 
 /// Drives turmericloft through its documents and reads its reports.
 #[derive(Debug, Parser)]
-#[command(name = "turmericloft", version)]
+#[command(name = "turmericloft", version, after_help = EXAMPLES)]
 struct Cli {
     #[command(subcommand)]
     command: Command,
 }
 
+const EXAMPLES: &str = "\
+Examples:
+  turmericloft demo
+  turmericloft check environment.toml
+  turmericloft trial environment.toml --author anna --log-service 10.0.1.1:7000 \
+--environment trial
+  turmericloft promote environment.toml --author anna --log-service 10.0.1.1:7000
+  turmericloft report --log-service 10.0.1.1:7000 --environment production
+
+Exit codes:
+  0  done
+  1  failed; the message says what was not done
+  2  wrong use of the command line
+  3  rejected: another promotion was first
+  4  undecided: the message has the command that settles it";
+
 #[derive(Debug, Subcommand)]
 enum Command {
     Audit(audit::Args),
     Check(check::Args),
+    Completions(completions::Args),
+    Demo(demo::Args),
     Promote(promote::Args),
     Report(report::Args),
     Status(status::Args),
@@ -32,6 +50,8 @@
     let result = match Cli::parse().command {
         Command::Audit(args) => audit::exec(args).await,
         Command::Check(args) => check::exec(args).await,
+        Command::Completions(args) => completions::exec(&args, Cli::command()),
+        Command::Demo(args) => demo::exec(args).await,
         Command::Promote(args) => promote::exec(args).await,
         Command::Report(args) => report::exec(args).await,
         Command::Status(args) => status::exec(args).await,
--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/command_line.rs
@@ -0,0 +1,191 @@
+//! Help, completions and wrong use of the command line.
+
+use snapbox::{assert_data_eq, str};
+use tempfile::TempDir;
+
+use crate::support::run;
+
+const TURMERICLOFT: &str = env!("CARGO_BIN_EXE_turmericloft");
+const GATEWAY: &str = env!("CARGO_BIN_EXE_turmericloft-gateway");
+const REPORTER: &str = env!("CARGO_BIN_EXE_turmericloft-reporter");
+
+fn run_here(program: &str, args: &[&str]) -> String {
+    let folder = TempDir::new().expect("an empty folder");
+    run(program, folder.path(), args)
+}
+
+#[test]
+fn help_names_subcommands_examples_and_exit_codes() {
+    assert_data_eq!(
+        run_here(TURMERICLOFT, &["--help"]),
+        str![[r#"
+exit code: 0
+stdout:
+Drives turmericloft through its documents and reads its reports
+
+Usage: turmericloft <COMMAND>
+
+Commands:
+  audit        Shows who changed what and when, and when each gateway had it in force
+  check        Reports every fault of a document, with line and key, and warns of dangers
+  completions  Prints completions for a shell
+  demo         Runs a whole installation in this process, under load and faults, and shows its
+               report
+  promote      Puts a document in force in production, exactly as it was in force in the trial
+               environment
+  report       Shows who got what
+  status       Shows the version in force at each gateway, and which gateways are there
+  trial        Puts a document in force in the trial environment
+  help         Print this message or the help of the given subcommand(s)
+
+Options:
+  -h, --help     Print help
+  -V, --version  Print version
+
+Examples:
+  turmericloft demo
+  turmericloft check environment.toml
+  turmericloft trial environment.toml --author anna --log-service 10.0.1.1:7000 --environment trial
+  turmericloft promote environment.toml --author anna --log-service 10.0.1.1:7000
+  turmericloft report --log-service 10.0.1.1:7000 --environment production
+
+Exit codes:
+  0  done
+  1  failed; the message says what was not done
+  2  wrong use of the command line
+  3  rejected: another promotion was first
+  4  undecided: the message has the command that settles it
+
+"#]]
+    );
+}
+
+#[test]
+fn help_of_the_daemons_names_their_flags_and_exit_codes() {
+    assert_data_eq!(
+        run_here(GATEWAY, &["--help"]),
+        str![[r#"
+exit code: 0
+stdout:
+Runs a gateway until SIGTERM or SIGINT
+
+The first signal stops it gracefully: it is no longer ready, accepts nothing new and finishes what
+is in flight. A second signal, or the stop deadline of the settings, cuts off the rest.
+
+Usage: turmericloft-gateway [OPTIONS] --settings <SETTINGS>
+
+Options:
+      --settings <SETTINGS>
+          Settings of this process, in TOML
+
+      --set <KEY=VALUE>
+          Value that goes before the file's, as KEY=VALUE; may be given several times
+
+  -h, --help
+          Print help (see a summary with '-h')
+
+  -V, --version
+          Print version
+
+Exit codes:
+  0  every request in flight was finished
+  1  the gateway could not run
+  2  wrong use of the command line
+  4  requests in flight were cut off; their number is in the message
+
+"#]]
+    );
+    assert_data_eq!(
+        run_here(REPORTER, &["--help"]),
+        str![[r#"
+exit code: 0
+stdout:
+Runs a reporter until SIGTERM or SIGINT
+
+Usage: turmericloft-reporter [OPTIONS] --settings <SETTINGS>
+
+Options:
+      --settings <SETTINGS>  Settings of this process, in TOML
+      --set <KEY=VALUE>      Value that goes before the file's, as KEY=VALUE; may be given several
+                             times
+  -h, --help                 Print help
+  -V, --version              Print version
+
+Exit codes:
+  0  what was held is published
+  1  the reporter could not run
+  2  wrong use of the command line
+
+"#]]
+    );
+}
+
+#[test]
+fn unknown_subcommand_is_wrong_use() {
+    assert_data_eq!(
+        run_here(TURMERICLOFT, &["promot"]),
+        str![[r#"
+exit code: 2
+stderr:
+error: unrecognized subcommand 'promot'
+
+  tip: a similar subcommand exists: 'promote'
+
+Usage: turmericloft <COMMAND>
+
+For more information, try '--help'.
+
+"#]]
+    );
+}
+
+#[test]
+fn missing_flag_is_wrong_use() {
+    assert_data_eq!(
+        run_here(TURMERICLOFT, &["report"]),
+        str![[r#"
+exit code: 2
+stderr:
+error: the following required arguments were not provided:
+  --log-service <LOG_SERVICE>
+  --environment <ENVIRONMENT>
+
+Usage: turmericloft report --log-service <LOG_SERVICE> --environment <ENVIRONMENT>
+
+For more information, try '--help'.
+
+"#]]
+    );
+}
+
+#[test]
+fn completions_of_an_unknown_shell_name_the_known_ones() {
+    assert_data_eq!(
+        run_here(TURMERICLOFT, &["completions", "sh"]),
+        str![[r#"
+exit code: 2
+stderr:
+error: invalid value 'sh' for '<SHELL>'
+  [possible values: bash, elvish, fish, powershell, zsh]
+
+For more information, try '--help'.
+
+"#]]
+    );
+}
+
+#[test]
+fn completions_of_each_shell_name_every_subcommand() {
+    let help = run_here(TURMERICLOFT, &["--help"]);
+    let commands = help.split("Commands:\n").nth(1).expect("help has commands");
+    let commands = commands.lines().take_while(|line| !line.is_empty());
+    let commands: Vec<_> = commands
+        .filter_map(|line| line.split_whitespace().next())
+        .collect();
+    assert!(commands.len() > 5, "{commands:?}");
+    for shell in ["bash", "zsh", "fish", "elvish", "powershell"] {
+        let script = run_here(TURMERICLOFT, &["completions", shell]);
+        let missing: Vec<_> = commands.iter().filter(|c| !script.contains(**c)).collect();
+        assert!(missing.is_empty(), "{shell} lacks {missing:?}");
+    }
+}
--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/demo.rs
@@ -0,0 +1,56 @@
+//! The demo, and the check that its report adds up.
+
+use std::collections::BTreeMap;
+
+use snapbox::{assert_data_eq, str};
+use tempfile::TempDir;
+use turmericloft_standins::demo::{Sum, compare_sums};
+
+use crate::support::run;
+
+const TURMERICLOFT: &str = env!("CARGO_BIN_EXE_turmericloft");
+
+fn sums(served: u64, unknown: u64) -> BTreeMap<String, Sum> {
+    let sum = Sum {
+        admitted: served + unknown,
+        ended: [served, 0, 0, unknown, 0],
+    };
+    BTreeMap::from([("parents".to_owned(), sum)])
+}
+
+#[test]
+fn report_of_the_demo_adds_up() {
+    let folder = TempDir::new().expect("an empty folder");
+    let args = ["demo", "--duration-ms", "600", "--rate", "200"];
+    let session = run(TURMERICLOFT, folder.path(), &args);
+    assert!(session.starts_with("exit code: 0\n"), "{session}");
+    let last = session.lines().last().unwrap_or_default();
+    assert_data_eq!(
+        last,
+        str!["the report adds up to the [..] calls that were sent"]
+    );
+}
+
+#[test]
+fn sums_that_agree_leave_nothing_to_say() {
+    assert!(compare_sums(&sums(7, 1), &sums(7, 1)).is_empty());
+}
+
+#[test]
+fn sums_that_differ_are_named() {
+    let mut reported = sums(7, 1);
+    let lost = Sum {
+        admitted: 3,
+        ended: [2, 0, 0, 0, 0],
+    };
+    reported.insert("tenants".to_owned(), lost);
+    let lines = compare_sums(&reported, &sums(8, 0)).join("\n");
+    assert_data_eq!(
+        lines,
+        str![[r#"
+parents: reported admitted 8, served 7, refused 0, not-run 0, unknown 1, unfinished 0; callers saw admitted 8, served 8, refused 0, not-run 0, unknown 0, unfinished 0
+tenants: reported admitted 3, served 2, refused 0, not-run 0, unknown 0, unfinished 0; callers saw admitted 0, served 0, refused 0, not-run 0, unknown 0, unfinished 0
+tenants: 3 admitted, but 2 ended
+"#]]
+    );
+}
--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the programs as separate processes.
 
 mod bad_input;
+mod command_line;
 mod config_sessions;
+mod demo;
 mod docs;
 mod early_close;
 mod graceful_stop;
--- a/crates/turmericloft-cli/tests/testsuite/support/command.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/command.rs
@@ -7,6 +7,7 @@
     let output = Command::new(program)
         .args(args)
         .current_dir(folder)
+        .env_remove("COLUMNS")
         .output()
         .expect("the program starts");
     let mut text = String::new();
--- /dev/null
+++ b/crates/turmericloft-standins/src/demo/calls.rs
@@ -0,0 +1,45 @@
+//! The calls of the demo.
+
+use http::{HeaderName, Method};
+
+use super::deployment::{CALLERS, DemoCaller, DemoService, SERVICES};
+use crate::load::{Call, CallKey};
+
+/// How much more often a lookup is sent than a guarded action.
+const LOOKUP_WEIGHT: u32 = 5;
+
+/// Every call of every caller.
+pub(super) fn calls() -> Vec<Call> {
+    let of_caller = |caller: &'static DemoCaller| {
+        let used = SERVICES
+            .iter()
+            .filter(|s| caller.services.contains(&s.name));
+        used.map(|service| call(caller, service))
+    };
+    CALLERS.iter().flat_map(of_caller).collect()
+}
+
+fn call(caller: &DemoCaller, service: &DemoService) -> Call {
+    let path = format!("/{}/{}?n={{n}}", service.name, service.kind);
+    let tag = format!("{}-{}-{{n}}", caller.name, service.name);
+    let mut headers = vec![(HeaderName::from_static("answer-tag"), tag.clone())];
+    if service.guarded {
+        headers.push((HeaderName::from_static("idempotency-key"), tag));
+    }
+    let (method, weight) = if service.guarded {
+        (Method::POST, 1)
+    } else {
+        (Method::GET, LOOKUP_WEIGHT)
+    };
+    Call {
+        key: CallKey {
+            caller: caller.name.to_owned(),
+            service: service.name.to_owned(),
+            kind: service.kind.to_owned(),
+        },
+        weight,
+        method,
+        headers,
+        ..Call::get(&path, &caller.token())
+    }
+}
--- /dev/null
+++ b/crates/turmericloft-standins/src/demo/deployment.rs
@@ -0,0 +1,203 @@
+//! The two deployments of the demo: their services, sizes and callers.
+
+use std::{
+    fmt::{self, Write},
+    net::SocketAddr,
+};
+
+use turmericloft::core::document::Digest;
+
+/// A service with its sizes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DemoService {
+    pub(super) name: &'static str,
+    pub(super) kind: &'static str,
+    pub(super) guarded: bool,
+    pub(super) weight: u32,
+    pub(super) zones: [&'static str; 3],
+    pub(super) endpoints: usize,
+    pub(super) slots: usize,
+    pub(super) connections: usize,
+    /// Mean time of work on one request, in microseconds.
+    pub(super) work_us: u64,
+}
+
+/// A caller with the services it uses.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DemoCaller {
+    pub(super) name: &'static str,
+    pub(super) services: &'static [&'static str],
+}
+
+const SWEDEN: [&str; 3] = ["sweden-a", "sweden-b", "sweden-c"];
+const HOKKAIDO: [&str; 3] = ["hokkaido-a", "hokkaido-b", "hokkaido-c"];
+
+const SWEDISH: DemoService = DemoService {
+    name: "calendar",
+    kind: "lookup",
+    guarded: false,
+    weight: 1,
+    zones: SWEDEN,
+    endpoints: 16,
+    slots: 4,
+    connections: 250,
+    work_us: 4_000,
+};
+const JAPANESE: DemoService = DemoService {
+    name: "address",
+    zones: HOKKAIDO,
+    endpoints: 17,
+    slots: 6,
+    connections: 200,
+    ..SWEDISH
+};
+
+/// Services of Sweden and Hokkaido, in their sizes of today.
+pub(super) const SERVICES: [DemoService; 8] = [
+    SWEDISH,
+    DemoService {
+        name: "booking",
+        kind: "book",
+        guarded: true,
+        weight: 5,
+        endpoints: 8,
+        ..SWEDISH
+    },
+    DemoService {
+        name: "deposit",
+        kind: "charge",
+        guarded: true,
+        weight: 5,
+        endpoints: 6,
+        ..SWEDISH
+    },
+    DemoService {
+        name: "dispatch",
+        kind: "send",
+        guarded: true,
+        weight: 8,
+        endpoints: 6,
+        ..SWEDISH
+    },
+    JAPANESE,
+    DemoService {
+        name: "registration",
+        kind: "register",
+        guarded: true,
+        weight: 5,
+        endpoints: 6,
+        ..JAPANESE
+    },
+    DemoService {
+        name: "parcels",
+        kind: "forward",
+        guarded: true,
+        weight: 3,
+        endpoints: 6,
+        ..JAPANESE
+    },
+    DemoService {
+        name: "billing",
+        kind: "charge",
+        guarded: true,
+        weight: 5,
+        endpoints: 6,
+        ..JAPANESE
+    },
+];
+
+/// Callers of both deployments.
+pub(super) const CALLERS: [DemoCaller; 5] = [
+    DemoCaller {
+        name: "parents",
+        services: &["calendar", "booking", "deposit"],
+    },
+    DemoCaller {
+        name: "entertainers",
+        services: &["calendar", "dispatch"],
+    },
+    DemoCaller {
+        name: "tenants",
+        services: &["address", "registration"],
+    },
+    DemoCaller {
+        name: "couriers",
+        services: &["address", "parcels"],
+    },
+    DemoCaller {
+        name: "reception",
+        services: &["address", "parcels", "billing"],
+    },
+];
+
+impl DemoCaller {
+    /// The caller's bearer token.
+    pub(super) fn token(&self) -> String {
+        format!("{}-token", self.name)
+    }
+}
+
+/// The environment document, with the addresses of each service's endpoints.
+pub(super) fn document(endpoints: &[Vec<SocketAddr>]) -> Result<String, fmt::Error> {
+    let mut text = String::from("schema = 1\n");
+    for (region, zones) in [("sweden", SWEDEN), ("hokkaido", HOKKAIDO)] {
+        for zone in zones {
+            write!(
+                text,
+                "[[zones]]\nname = \"{zone}\"\nregion = \"{region}\"\n"
+            )?;
+        }
+    }
+    for (service, addresses) in SERVICES.iter().zip(endpoints) {
+        write_service(&mut text, service, addresses)?;
+    }
+    for caller in CALLERS {
+        let token = Digest::of(caller.token().as_bytes());
+        let (name, services) = (caller.name, caller.services.iter());
+        write!(
+            text,
+            "[[callers]]\nname = \"{name}\"\ntoken_sha256 = \"{token}\"\ncontracts = ["
+        )?;
+        for service in services {
+            write!(text, "{{ service = \"{service}\" }}, ")?;
+        }
+        text.push_str("]\n");
+    }
+    Ok(text)
+}
+
+fn write_service(
+    text: &mut String,
+    service: &DemoService,
+    addresses: &[SocketAddr],
+) -> fmt::Result {
+    let DemoService {
+        name,
+        kind,
+        weight,
+        slots,
+        connections,
+        ..
+    } = service;
+    let (method, handling) = if service.guarded {
+        ("POST", "guarded")
+    } else {
+        ("GET", "idempotent")
+    };
+    write!(
+        text,
+        "[[services]]\nname = \"{name}\"\ndeadline_ms = 2000\n\
+         kinds = [{{ name = \"{kind}\", method = \"{method}\", handling = \"{handling}\", \
+         weight = {weight} }}]\nendpoints = [\n"
+    )?;
+    for (i, address) in addresses.iter().enumerate() {
+        let zone = service.zones[i % service.zones.len()];
+        writeln!(
+            text,
+            "    {{ address = \"{address}\", zone = \"{zone}\", slots = {slots}, \
+             connections = {connections} }},"
+        )?;
+    }
+    text.push_str("]\n");
+    Ok(())
+}
--- a/crates/turmericloft-standins/src/lib.rs
+++ b/crates/turmericloft-standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! generator. They serve tests, the demo and the bench; no part of the product needs them.
 
 pub mod backend;
+pub mod demo;
 pub mod host_list;
 pub mod installation;
 pub mod load;
