--- a/crates/turmericloft-cli/tests/testsuite/graceful_stop.rs
+++ b/crates/turmericloft-cli/tests/testsuite/graceful_stop.rs
@@ -9,17 +9,24 @@
 
 use crate::support::{CallerAnswer, Platform, eventually, send, try_get};
 
+/// Answers after which a cold backend server gets several requests at once.
+const ANSWERS_BEFORE: u64 = 32;
+
 /// Sends lookups that stay in flight, because the backend server holds their answers.
 async fn lookups_in_flight(
     platform: &Platform,
     count: u64,
 ) -> Vec<JoinHandle<Option<CallerAnswer>>> {
-    platform.backend_behaves(r#"{"hold": true}"#).await;
     let gateway = platform.callers;
+    for _ in 0..ANSWERS_BEFORE {
+        let answer = send(gateway, Platform::TOKEN, Method::GET, "/calendar/free", &[]).await;
+        assert_eq!(answer.status, 200);
+    }
+    platform.backend_behaves(r#"{"hold": true}"#).await;
     let lookups = (0..count)
         .map(|_| tokio::spawn(try_get(gateway, Platform::TOKEN, "/calendar/free")))
         .collect();
-    platform.wait_for_runs(count).await;
+    platform.wait_for_runs(ANSWERS_BEFORE + count).await;
     lookups
 }
 
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod process;
 mod raw_caller;
+mod silent_link;
 
 pub use self::{
     bookings::{Booking, BookingAnswer, runs, set_backend, set_log},
@@ -19,4 +20,5 @@
     platform::Platform,
     process::Process,
     raw_caller::RawCaller,
+    silent_link::SilentLink,
 };
--- a/crates/turmericloft-cli/tests/testsuite/support/platform.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/platform.rs
@@ -35,6 +35,7 @@
     /// Gateways `gw-2` and on.
     pub others: Vec<GatewayProcess>,
     pub reporter: Process,
+    pub reporter_address: SocketAddr,
     _stand_ins: Vec<Process>,
     /// The gateways' entries for the host list.
     pub listed: Vec<Host>,
@@ -87,6 +88,7 @@
             gateway: gateway.process,
             others: Vec::new(),
             reporter,
+            reporter_address,
             _stand_ins: vec![log, hosts, backend],
             addresses,
             folder,
@@ -116,6 +118,15 @@
         .await;
     }
 
+    /// Starts the first gateway again in place of the one that ended, and waits until it is ready.
+    pub fn restart_gateway(&mut self) {
+        let gateway = start_gateway(self.folder.path(), "gw-1", &self.addresses, "");
+        self.callers = gateway.callers;
+        self.admin = gateway.admin;
+        self.gateway = gateway.process;
+        self.gateway.wait_for_line("is in force");
+    }
+
     /// Starts everything with `count` gateways that are on the host list, and waits until all of
     /// them have heard each other.
     pub async fn start_gateways(count: usize) -> Self {
@@ -197,7 +208,7 @@
         )
     }
 
-    /// Promotes a document.
+    /// Promotes a document and waits until it is in force.
     pub fn promote_document(&mut self, document: &str) {
         let path = write(self.folder.path(), "document.toml", document);
         let path = path.to_str().expect("a text path");
--- a/crates/turmericloft-standins/src/demo/run.rs
+++ b/crates/turmericloft-standins/src/demo/run.rs
@@ -2,15 +2,15 @@
 
 use std::{fmt, io, time::Duration};
 
-use strum::IntoEnumIterator;
 use thiserror::Error;
 use tokio::{runtime::Handle, time::timeout};
 use turmericloft::{
-    core::{
-        Outcome,
-        counting::{CountKey, CountRow},
+    core::counting::report::{GroupBy, Line, Report},
+    ops::{
+        ReportOptions, read_report,
+        report::{ReportError, ReportFormat},
     },
-    ops::{ReportError, read_report},
+    util::clock::unix_ms,
 };
 
 use super::{
@@ -100,18 +100,29 @@
         faults::play(&servers, options.duration)
     );
     installation.stop().await?;
-    let environment = Installation::environment().map_err(InstallationError::from)?;
-    let rows = read_report(&installation.log_client(), &environment).await?;
-    print_rows(&rows);
-    check(&rows, &results)
+    let by_caller = read(&installation, GroupBy::Caller).await?;
+    let by_kind = read(&installation, GroupBy::Kind).await?;
+    println!();
+    print!("{}", ReportFormat::Text.render(&by_caller, true)?);
+    print!("{}", ReportFormat::Text.render(&by_kind, false)?);
+    check(&by_caller, &by_kind, &results)
+}
+
+async fn read(installation: &Installation, by: GroupBy) -> Result<Report, DemoError> {
+    let options = ReportOptions {
+        environment: Installation::environment().map_err(InstallationError::from)?,
+        by,
+        period: None,
+    };
+    let log = installation.log_client();
+    Ok(read_report(&log, &options, unix_ms()).await?)
 }
 
-fn check(rows: &[CountRow], results: &LoadResults) -> Result<(), DemoError> {
-    let by_caller = sums(rows, |row| row.key.caller.to_string());
-    let mut lines = compare_sums(&by_caller, &seen(results, |key| key.caller.clone()));
-    let by_kind = sums(rows, |row| format!("{}/{}", row.key.service, row.key.kind));
+fn check(by_caller: &Report, by_kind: &Report, results: &LoadResults) -> Result<(), DemoError> {
+    let seen_by_caller = seen(results, |key| key.caller.clone());
     let seen_by_kind = seen(results, |key| format!("{}/{}", key.service, key.kind));
-    lines.extend(compare_sums(&by_kind, &seen_by_kind));
+    let mut lines = compare_sums(&reported(by_caller), &seen_by_caller);
+    lines.extend(compare_sums(&reported(by_kind), &seen_by_kind));
     let total = results.total();
     if total.foreign > 0 {
         lines.push(format!("{} answers were another call's", total.foreign));
@@ -126,44 +137,7 @@
     Ok(())
 }
 
-fn sums(rows: &[CountRow], name: impl Fn(&CountRow) -> String) -> Sums {
-    let mut sums = Sums::new();
-    for row in rows {
-        let sum = Sum {
-            admitted: row.admitted,
-            ended: row.ended,
-        };
-        sums.entry(name(row)).or_default().add(&sum);
-    }
-    sums
-}
-
-fn print_rows(rows: &[CountRow]) {
-    println!("\nwho got what:");
-    print!(
-        "  {:<14}{:<14}{:<10}{:>9}",
-        "caller", "service", "kind", "admitted"
-    );
-    for outcome in Outcome::iter() {
-        print!("{:>11}", outcome.to_string());
-    }
-    println!();
-    for row in rows {
-        let CountKey {
-            caller,
-            service,
-            kind,
-        } = &row.key;
-        print!(
-            "  {:<14}{:<14}{:<10}{:>9}",
-            caller.as_str(),
-            service.as_str(),
-            kind.as_str(),
-            row.admitted
-        );
-        for outcome in Outcome::iter() {
-            print!("{:>11}", row.ended_with(outcome));
-        }
-        println!();
-    }
+fn reported(report: &Report) -> Sums {
+    let sum = |line: &Line| (line.name.clone(), Sum::of_line(line));
+    report.lines.iter().map(sum).collect()
 }
--- a/crates/turmericloft-standins/src/demo/sums.rs
+++ b/crates/turmericloft-standins/src/demo/sums.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use strum::{EnumCount, IntoEnumIterator};
-use turmericloft::core::Outcome;
+use turmericloft::core::{Outcome, counting::report::Line};
 
 use crate::load::{CallKey, LoadResults, Tally};
 
@@ -32,6 +32,24 @@
         sum
     }
 
+    pub(super) fn of_line(line: &Line) -> Self {
+        let ended = |outcome| match outcome {
+            Outcome::Served => line.served,
+            Outcome::Refused => line.refused,
+            Outcome::NotRun => line.not_run,
+            Outcome::Unknown => line.unknown,
+            Outcome::Unfinished => line.unfinished,
+        };
+        let mut sum = Self {
+            admitted: line.admitted,
+            ..Self::default()
+        };
+        for outcome in Outcome::iter() {
+            sum.ended[outcome as usize] = ended(outcome);
+        }
+        sum
+    }
+
     pub(super) fn add(&mut self, other: &Self) {
         self.admitted += other.admitted;
         for (sum, n) in self.ended.iter_mut().zip(other.ended) {
--- a/crates/turmericloft/src/ops/gateway/admin.rs
+++ b/crates/turmericloft/src/ops/gateway/admin.rs
@@ -42,10 +42,10 @@
         .ledger
         .snapshot(gateway.host.clone(), 0, unix_ms())
         .rows;
-    counter!(ADMITTED.name).absolute(rows.iter().map(|r| r.admitted).sum());
+    counter!(ADMITTED.name).absolute(rows.iter().map(|r| r.tally.admitted).sum());
     for outcome in Outcome::iter() {
         let label: &'static str = outcome.into();
-        let ended = rows.iter().map(|r| r.ended_with(outcome)).sum();
+        let ended = rows.iter().map(|r| r.tally.ended_with(outcome)).sum();
         counter!(ENDED.name, "outcome" => label).absolute(ended);
     }
     metrics_recorder::install().render()
--- a/crates/turmericloft/src/ops/gateway/guarded/run_action.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/run_action.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::{Response, StatusCode, header::CONTENT_LENGTH};
+use http::{StatusCode, header::CONTENT_LENGTH};
 use tokio::time::timeout;
 
 use super::{
@@ -22,17 +22,8 @@
     },
 };
 
-/// Header of a 503 by which a backend server promises that it did not start the request.
-const SHED_HEADER: &str = "shed";
-/// Value of that header.
-const SHED_NOT_STARTED: &str = "not-started";
-/// Times that an action is sent, counting only those that a backend server provably didn't start.
-const MAX_SENDS: usize = 3;
 /// Time on top of the deadline after which an action without an answer is given up.
 const DEADLINE_GRACE: Duration = Duration::from_millis(250);
-/// Time after which a service that shed an action may take a new one.
-const SHED_RETRY: Duration = Duration::from_secs(1);
-
 /// Runs an action to its end and keeps its answer.
 pub(super) async fn run_action<S: Dispatchable>(
     in_force: Arc<InForce>,
@@ -73,39 +64,25 @@
     })
 }
 
-/// Sends the action, and again while backend servers prove that they did not start it.
+/// Sends the action. It goes to another endpoint only while it was certainly not started.
 async fn send(
     in_force: &InForce,
     matched: &Matched<'_>,
     request: &ActionRequest,
     answer_limit: usize,
 ) -> Result<FinalAnswer, Problem> {
-    for _ in 0..MAX_SENDS {
-        let Ok(req) = to_request(request) else {
-            let status = StatusCode::BAD_REQUEST;
-            let detail = "the request cannot be passed on";
-            return Err(Problem::new(
-                status,
-                Outcome::NotRun,
-                Step::Received,
-                detail,
-            ));
-        };
-        let dispatched = dispatch(in_force, matched, req).await.map_err(failure)?;
-        if !was_shed(&dispatched.response) {
-            return whole_answer(dispatched, answer_limit).await;
-        }
-    }
-    let detail = "the service shed the action without starting it";
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    let p = Problem::new(status, Outcome::NotRun, Step::AnswerBegun, detail);
-    Err(p.retry_after(SHED_RETRY))
-}
-
-fn was_shed<B>(response: &Response<B>) -> bool {
-    let header = response.headers().get(SHED_HEADER);
-    response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && header.is_some_and(|v| v == SHED_NOT_STARTED)
+    let Ok(req) = to_request(request) else {
+        let status = StatusCode::BAD_REQUEST;
+        let detail = "the request cannot be passed on";
+        return Err(Problem::new(
+            status,
+            Outcome::NotRun,
+            Step::Received,
+            detail,
+        ));
+    };
+    let dispatched = dispatch(in_force, matched, req).await.map_err(failure)?;
+    whole_answer(dispatched, answer_limit).await
 }
 
 async fn whole_answer(dispatched: Dispatched, limit: usize) -> Result<FinalAnswer, Problem> {
--- a/crates/turmericloft/src/ops/gateway/handle.rs
+++ b/crates/turmericloft/src/ops/gateway/handle.rs
@@ -1,6 +1,9 @@
 //! The path of one request.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http::{HeaderValue, Request, Response, StatusCode, header::VIA};
 use hyper::body::Incoming;
@@ -53,7 +56,7 @@
             return problem(&not_admitted.problem);
         }
     };
-    let count = gateway.ledger.admit(matched.count_key());
+    let count = gateway.ledger.admit_at(matched.count_key(), Instant::now());
     let handling = matched.kind.handling;
     let limits = BodyLimits {
         bytes: matched.service.body_bytes,
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -5,14 +5,17 @@
 
 mod admin;
 mod answer;
+mod attempts;
 mod body_fault;
 mod caller_stream;
 mod connection_state;
+mod counting_cost;
 mod dispatch;
 mod follow_config;
 mod followed_config;
 mod guarded;
 mod handle;
+mod in_flight;
 mod listener;
 mod lookup;
 mod matched;
@@ -20,6 +23,7 @@
 mod peers;
 mod raw_answer;
 mod relayed_body;
+mod replay;
 mod request_body;
 mod run;
 mod send_snapshots;
--- a/crates/turmericloft/src/ops/gateway/relayed_body.rs
+++ b/crates/turmericloft/src/ops/gateway/relayed_body.rs
@@ -3,14 +3,16 @@
 use std::{
     pin::Pin,
     task::{Context, Poll, ready},
+    time::Instant,
 };
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 
+use super::in_flight::InFlight;
 use crate::{
-    core::{Outcome, counting::OpenCount, routing::InFlight},
+    core::{Outcome, Step, counting::OpenCount},
     sources::backend::{BodyError, ConnectionLease},
 };
 
@@ -31,7 +33,8 @@
 }
 
 impl RelayedBody {
-    pub(super) fn new(body: Incoming, relay: Relay) -> Self {
+    pub(super) fn new(body: Incoming, mut relay: Relay) -> Self {
+        relay.count.reach(Step::AnswerBegun);
         let mut relayed = Self {
             body,
             open: Some(relay),
@@ -49,7 +52,7 @@
             in_flight,
         }) = self.open.take()
         {
-            count.end(Outcome::Served);
+            count.end_at(Outcome::Served, Step::Relayed, Instant::now());
             drop(lease);
             drop(in_flight);
         }
@@ -65,6 +68,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(open) = &mut self.open {
+            open.lease.bytes_moved();
+        }
         if frame.is_none() || self.body.is_end_stream() {
             self.finish();
         }
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -74,7 +74,7 @@
         name: settings.host.clone(),
         incarnation: unix_ms(),
     };
-    let gateway = Gateway::new(host, &settings.guard);
+    let gateway = Gateway::new(host, settings.zone.clone(), &settings.guard);
     let peers = settings.peers.clone().map(|s| Peers::start(&gateway, s));
     let peers = peers.transpose()?;
     let for_peers = peers
--- a/crates/turmericloft/src/ops/gateway/shared.rs
+++ b/crates/turmericloft/src/ops/gateway/shared.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
 };
 
@@ -24,6 +24,8 @@
 pub struct Gateway {
     /// This host.
     pub host: HostId,
+    /// Availability zone of this host.
+    pub zone: Name,
     /// Counts of all requests.
     pub ledger: Arc<Ledger>,
     /// The configuration stream as far as it was followed.
@@ -34,6 +36,7 @@
     stopping: AtomicBool,
     peers: OnceLock<Arc<Peers>>,
     leaving_endpoints: ArcSwap<HashSet<SocketAddr>>,
+    live_gateways: AtomicU32,
 }
 
 /// An environment with the live state of its services.
@@ -47,9 +50,10 @@
 
 impl Gateway {
     /// A gateway without an environment; not ready.
-    pub fn new(host: HostId, guard: &GuardSettings) -> Arc<Self> {
+    pub fn new(host: HostId, zone: Name, guard: &GuardSettings) -> Arc<Self> {
         Arc::new(Self {
             host,
+            zone,
             ledger: Ledger::new(),
             config: FollowedConfig::new(),
             actions: Actions::new(guard),
@@ -57,6 +61,7 @@
             stopping: AtomicBool::new(false),
             peers: OnceLock::new(),
             leaving_endpoints: ArcSwap::default(),
+            live_gateways: AtomicU32::new(1),
         })
     }
 
@@ -79,6 +84,26 @@
     pub fn set_leaving_endpoints(&self, addresses: HashSet<SocketAddr>) {
         if *self.leaving_endpoints() != addresses {
             self.leaving_endpoints.store(Arc::new(addresses));
+            self.tell_services();
+        }
+    }
+
+    /// Number of gateways that share callers' rates, this one included.
+    pub fn set_live_gateways(&self, n: u32) {
+        if self.live_gateways.swap(n.max(1), Ordering::AcqRel) != n.max(1) {
+            self.tell_services();
+        }
+    }
+
+    /// Tells the services in force what the host list says.
+    fn tell_services(&self) {
+        let leaving = self.leaving_endpoints();
+        let in_force = self.in_force();
+        let services = in_force.iter().flat_map(|f| f.services.values());
+        let gateways = self.live_gateways.load(Ordering::Acquire);
+        for service in services {
+            service.set_leaving(&leaving);
+            service.set_gateways(gateways);
         }
     }
 
@@ -107,16 +132,15 @@
             .iter()
             .map(|s| {
                 let kept = current.as_ref().and_then(|c| c.services.get(&s.name));
-                (
-                    s.name.clone(),
-                    Arc::new(ServiceState::new(s, kept.map(AsRef::as_ref))),
-                )
+                let state = ServiceState::following(s, &self.zone, kept);
+                (s.name.clone(), state)
             })
             .collect();
         self.in_force.store(Some(Arc::new(InForce {
             environment,
             services,
         })));
+        self.tell_services();
         true
     }
 
