--- a/crates/turmericloft-bench/src/experiments/reporting/steady.rs
+++ b/crates/turmericloft-bench/src/experiments/reporting/steady.rs
@@ -31,6 +31,10 @@
 const CALLERS: usize = 60;
 const SERVICES: [&str; 4] = ["calendar", "booking", "deposit", "dispatch"];
 const SLOTS: usize = 64;
+/// Time that a caller's connection may be idle or slow.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(60);
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Bytes of one append besides the record, as the reporter reckons.
 const APPEND_OVERHEAD_BYTES: u64 = 400;
 /// Time between two questions whether the gateway is ready.
@@ -136,6 +140,10 @@
             peers: None,
             guard: GuardSettings::default(),
             stop_deadline: Duration::from_secs(5),
+            head_timeout: CALLER_TIMEOUT,
+            body_pause: CALLER_TIMEOUT,
+            idle_timeout: CALLER_TIMEOUT,
+            max_head_bytes: MAX_HEAD_BYTES,
             log_format: LogFormat::Text,
         };
         let (callers, admin) = (settings.listen, settings.admin);
--- a/crates/turmericloft-cli/tests/testsuite/support/platform.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/platform.rs
@@ -18,6 +18,8 @@
 
 use super::{
     Process,
+    caller::{put_json, send},
+    eventually,
     gateway::{GatewayProcess, PlatformAddresses, start_gateway, write, write_identity},
 };
 
@@ -49,6 +51,11 @@
 
     /// Starts everything and waits until the gateway listens. Nothing is promoted yet.
     pub fn start() -> Self {
+        Self::start_with("")
+    }
+
+    /// The same, with further lines in the gateway's settings.
+    pub fn start_with(gateway_lines: &str) -> Self {
         let folder = TempDir::new().expect("a folder for settings");
         let mut log = Process::start(env!("CARGO_BIN_EXE_turmericloft-standin"), &["log"]);
         let mut hosts = Process::start(env!("CARGO_BIN_EXE_turmericloft-standin"), &["hosts"]);
@@ -70,7 +77,7 @@
             reporter: reporter_address,
         };
         write_identity(folder.path());
-        let gateway = start_gateway(folder.path(), "gw-1", &addresses);
+        let gateway = start_gateway(folder.path(), "gw-1", &addresses, gateway_lines);
         Self {
             log_service,
             host_list,
@@ -88,9 +95,32 @@
         }
     }
 
+    /// Starts everything with the document of [`Self::promote`] in force.
+    pub fn start_promoted() -> Self {
+        let mut platform = Self::start();
+        platform.promote();
+        platform
+    }
+
+    /// Replaces the behaviour of the backend server; `behaviour` is JSON.
+    pub async fn backend_behaves(&self, behaviour: &str) {
+        let answer = put_json(self.backend, "/control", behaviour).await;
+        assert_eq!(answer.status, 200, "{behaviour} is no behaviour");
+    }
+
+    /// Asks the backend server until it has run `total` requests.
+    pub async fn wait_for_runs(&self, total: u64) {
+        let text = format!("\"total\":{total},");
+        eventually(|| async {
+            let runs = send(self.backend, "", Method::GET, "/runs", &[]).await;
+            runs.body.contains(&text).then_some(())
+        })
+        .await;
+    }
+
     /// Starts the first gateway again in place of the one that ended, and waits until it is ready.
     pub fn restart_gateway(&mut self) {
-        let gateway = start_gateway(self.folder.path(), "gw-1", &self.addresses);
+        let gateway = start_gateway(self.folder.path(), "gw-1", &self.addresses, "");
         self.callers = gateway.callers;
         self.admin = gateway.admin;
         self.gateway = gateway.process;
@@ -103,7 +133,7 @@
         let mut platform = Self::start();
         for number in 2..=count {
             let name = format!("gw-{number}");
-            let gateway = start_gateway(platform.folder.path(), &name, &platform.addresses);
+            let gateway = start_gateway(platform.folder.path(), &name, &platform.addresses, "");
             platform.listed.push(listed(&gateway));
             platform.others.push(gateway);
         }
@@ -142,11 +172,16 @@
         write_identity(self.folder.path());
     }
 
-    /// Promotes a document with a lookup service and a booking service at the backend server.
+    /// Promotes [`Self::document`].
     pub fn promote(&mut self) {
+        self.promote_document(&self.document());
+    }
+
+    /// A document with a lookup service and a booking service at the backend server.
+    pub fn document(&self) -> String {
         let backend = self.backend;
         let token = turmericloft::core::document::Digest::of(Self::TOKEN.as_bytes());
-        let document = format!(
+        format!(
             r#"schema = 1
 
 [[zones]]
@@ -170,8 +205,7 @@
 token_sha256 = "{token}"
 contracts = [{{ service = "calendar" }}, {{ service = "booking" }}]
 "#
-        );
-        self.promote_document(&document);
+        )
     }
 
     /// Promotes a document and waits until it is in force.
--- a/crates/turmericloft/src/ops/gateway/guarded/answer.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/answer.rs
@@ -4,7 +4,6 @@
 
 use http::{HeaderName, Request, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use super::{
     buffer::{buffer, to_headers},
@@ -25,6 +24,7 @@
         matched::Matched,
         shared::{Gateway, InForce},
     },
+    sources::backend::RequestBody,
 };
 
 /// Header with the caller's own key of a guarded action.
@@ -37,7 +37,7 @@
     gateway: &Arc<Gateway>,
     in_force: &Arc<InForce>,
     matched: &Matched<'_>,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
     count: OpenCount,
 ) -> Response<AnswerBody> {
     match find(gateway, in_force, matched, req).await {
@@ -50,7 +50,7 @@
     gateway: &Arc<Gateway>,
     in_force: &Arc<InForce>,
     matched: &Matched<'_>,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
 ) -> Result<Arc<FinalAnswer>, Problem> {
     if let Some(text) = req.headers().get(ACTION_ID) {
         let text = text.to_str().unwrap_or_default().to_owned();
