Run every fault at every step of a promotion; start anew when the log lost the document

Cause: the fault matrix showed that a record which expires before any gateway read it leaves all readers with a gap that nobody may close: promotions ended in NoBase for good.

Change: `--recover-above VERSION` appends a recovery: a promotion without parent, 1,000 versions above what the operator states and what the log shows. Readers take it if its version is higher than theirs; one with a gap only while the records after the operator's own reading are still kept. A readers' model knows it as an event. Fault matrix: 7 steps x 11 faults = 77 cells, four gateways (one cut off from the log), paused time, in-memory log; each cell asserts that no version falls, live gateways agree, a rejected document was in force nowhere, and that the next document is accepted and in force everywhere within 18 s. Golden session of a recovery.

Ruled out: letting gateways close such a gap by themselves after a while (one that was cut off for that while may hold a newer version).

--- a/crates/turmericloft-cli/src/bin/turmericloft/commands/publish.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft/commands/publish.rs
@@ -46,6 +46,9 @@
     /// Seconds in which a lost answer may be settled
     #[arg(long, value_name = "SECONDS", default_value_t = 10)]
     pub settle_within: u64,
+    /// Starts anew above this version, if the accepted document is no longer in the log
+    #[arg(long, value_name = "VERSION")]
+    pub recover_above: Option<u64>,
     /// Address of the log service
     #[arg(long)]
     pub log_service: SocketAddr,
@@ -88,6 +91,7 @@
         author: Name::new(args.author.as_deref().unwrap_or_default())?,
         document: read_document_file(document)?,
         promotion_id: format!("{:032x}", rand::random::<u128>()),
+        recover_above: args.recover_above,
         settle_within: Duration::from_secs(args.settle_within),
     })
 }
--- a/crates/turmericloft-cli/tests/testsuite/config_sessions.rs
+++ b/crates/turmericloft-cli/tests/testsuite/config_sessions.rs
@@ -61,12 +61,16 @@
 "#;
 
 async fn control(operators: &Operators, faults: &str) {
+    put(operators, "/control", faults).await;
+}
+
+async fn put(operators: &Operators, path: &str, faults: &str) {
     let body = Bytes::copy_from_slice(faults.as_bytes());
     let limit = Duration::from_secs(10);
     let put = turmericloft::sources::http_client::call(
         operators.log_service,
         Method::PUT,
-        "/control",
+        path,
         body,
         limit,
     );
@@ -448,3 +452,48 @@
 "#]]
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn document_that_expired_is_started_anew_above_all_versions() {
+    let operators = Operators::start();
+    operators.try_document("one.toml", 4);
+    operators.session("promote one.toml --author anna");
+    put(&operators, "/retention", r#"{"records": 0}"#).await;
+    put(&operators, "/retention", r#"{"records": null}"#).await;
+    operators.write_document("two.toml", 5);
+    assert_data_eq!(
+        operators.session("trial two.toml --author ben"),
+        str![[r#"
+$ turmericloft trial two.toml --author ben
+error: the accepted document of `trial` is no longer in the log; a running gateway appends it again within 10 s: try again then; if no gateway runs, add `--recover-above VERSION` with the highest version that any gateway may have
+exit code 1
+
+"#]]
+    );
+    operators.session("trial two.toml --author ben --recover-above 1");
+    assert_data_eq!(
+        operators.session("promote two.toml --author ben --recover-above 1"),
+        str![[r#"
+$ turmericloft promote two.toml --author ben --recover-above 1
++ budget
++ callers
++ schema: 1
++ services
++ zones
+version 1001 of production is accepted, 68c14949c42c
+exit code 0
+
+"#]]
+    );
+    operators.try_document("three.toml", 6);
+    assert_data_eq!(
+        operators.session("promote three.toml --author ben"),
+        str![[r#"
+$ turmericloft promote three.toml --author ben
+~ services[calendar].endpoints[127.0.0.1:9000].slots: 5 -> 6
+version 1002 of production is accepted, 2ac4ae5743df
+exit code 0
+
+"#]]
+    );
+}
--- a/crates/turmericloft/src/core/config/acceptance.rs
+++ b/crates/turmericloft/src/core/config/acceptance.rs
@@ -47,6 +47,9 @@
         match entry {
             Ok(LogEntry::Promotion(record)) => Self::judge_promotion(current, offset, *record),
             Ok(LogEntry::Checkpoint(checkpoint)) => Verdict::Checkpoint(checkpoint),
+            Ok(LogEntry::Recovery(recovery)) => {
+                Self::judge_recovery(current, offset, recovery.recovered)
+            }
             Err(e) => Verdict::Malformed(e.to_string()),
         }
     }
@@ -60,6 +63,21 @@
         if record.parent != parent || Some(record.version) != version.checked_add(1) {
             return Verdict::Lost { current: version };
         }
+        Self::accept(offset, record)
+    }
+
+    fn judge_recovery(current: Option<&Self>, offset: u64, record: ConfigRecord) -> Verdict {
+        let version = current.map_or(0, |a| a.record.version);
+        if current.is_some_and(|a| a.record.promotion_id == record.promotion_id) {
+            return Verdict::Repeated;
+        }
+        if record.parent.is_some() || record.version <= version {
+            return Verdict::Lost { current: version };
+        }
+        Self::accept(offset, record)
+    }
+
+    fn accept(offset: u64, record: ConfigRecord) -> Verdict {
         match Self::read(offset, record) {
             Ok(accepted) => Verdict::Accepted(Box::new(accepted)),
             Err(e) => Verdict::Malformed(e.to_string()),
--- a/crates/turmericloft/src/core/config/follower.rs
+++ b/crates/turmericloft/src/core/config/follower.rs
@@ -181,6 +181,7 @@
         let entry = LogEntry::decode(record.body());
         let promotion = match &entry {
             Ok(LogEntry::Promotion(record)) => Some(record.summary()),
+            Ok(LogEntry::Recovery(recovery)) => Some(recovery.recovered.summary()),
             _ => None,
         };
         let verdict = Accepted::judge_entry(self.accepted.as_ref(), offset, entry);
@@ -218,10 +219,20 @@
     }
 
     fn adopt_from_log<R: OffsetRecord>(&mut self, now: Instant, first: u64, record: &R) -> bool {
+        let offset = record.offset();
+        let covers = |judged: u64| (first..=offset).contains(&judged);
         match LogEntry::decode(record.body()) {
             Ok(LogEntry::Checkpoint(checkpoint)) => {
-                let covers = (first..=record.offset()).contains(&checkpoint.judged);
-                covers && self.adopt(now, *checkpoint)
+                covers(checkpoint.judged) && self.adopt(now, *checkpoint)
+            }
+            Ok(LogEntry::Recovery(recovery)) => {
+                let newer = recovery.recovered.version > self.version();
+                let checkpoint = Checkpoint {
+                    offset,
+                    judged: offset + 1,
+                    record: recovery.recovered,
+                };
+                newer && covers(recovery.judged) && self.adopt(now, checkpoint)
             }
             _ => false,
         }
--- a/crates/turmericloft/src/core/config/log_entry.rs
+++ b/crates/turmericloft/src/core/config/log_entry.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
-use super::{Checkpoint, ConfigRecord};
+use super::{Checkpoint, ConfigRecord, Recovery};
 use crate::core::document::Digest;
 
 /// A readable record of a configuration stream.
@@ -16,6 +16,8 @@
     Promotion(Box<ConfigRecord>),
     /// A gateway's checkpoint.
     Checkpoint(Box<Checkpoint>),
+    /// An operator's promotion without a parent.
+    Recovery(Box<Recovery>),
 }
 
 /// Why bytes are not an entry.
@@ -48,13 +50,7 @@
             return Err(EntryError::TooLarge { found: bytes.len() });
         }
         let json = checked(bytes)?;
-        let entry = match serde_json::from_slice(json) {
-            Ok(record) => Self::Promotion(Box::new(record)),
-            Err(e) => match serde_json::from_slice(json) {
-                Ok(checkpoint) => Self::Checkpoint(Box::new(checkpoint)),
-                Err(_) => return Err(e.into()),
-            },
-        };
+        let entry = Self::read(json)?;
         let record = entry.record();
         if Digest::of(record.document.as_bytes()) != record.digest {
             return Err(EntryError::Digest);
@@ -62,8 +58,24 @@
         Ok(entry)
     }
 
+    /// Reads the JSON as the first kind of entry that fits; the error is that of a promotion.
+    fn read(json: &[u8]) -> Result<Self, serde_json::Error> {
+        let e = match serde_json::from_slice(json) {
+            Ok(record) => return Ok(Self::Promotion(Box::new(record))),
+            Err(e) => e,
+        };
+        if let Ok(checkpoint) = serde_json::from_slice(json) {
+            return Ok(Self::Checkpoint(Box::new(checkpoint)));
+        }
+        if let Ok(recovery) = serde_json::from_slice(json) {
+            return Ok(Self::Recovery(Box::new(recovery)));
+        }
+        Err(e)
+    }
+
     fn record(&self) -> &ConfigRecord {
         match self {
+            Self::Recovery(recovery) => &recovery.recovered,
             Self::Promotion(record) => record,
             Self::Checkpoint(checkpoint) => &checkpoint.record,
         }
@@ -77,6 +89,13 @@
     }
 }
 
+impl Recovery {
+    /// The recovery as it stands in the log.
+    pub fn encode(&self) -> Result<Vec<u8>, EntryError> {
+        encode(self)
+    }
+}
+
 impl Checkpoint {
     /// The checkpoint as it stands in the log, or is handed to a peer.
     pub fn encode(&self) -> Result<Vec<u8>, EntryError> {
--- a/crates/turmericloft/src/core/config/mod.rs
+++ b/crates/turmericloft/src/core/config/mod.rs
@@ -10,6 +10,7 @@
 mod gateway_record;
 mod log_entry;
 mod record;
+mod recovery;
 
 pub use self::{
     acceptance::{Accepted, Verdict},
@@ -18,4 +19,5 @@
     gateway_record::{GatewayRecord, GatewayState},
     log_entry::{EntryError, LogEntry},
     record::{ConfigRecord, PromotionSummary},
+    recovery::Recovery,
 };
--- a/crates/turmericloft/src/ops/gateway/followed_config.rs
+++ b/crates/turmericloft/src/ops/gateway/followed_config.rs
@@ -55,7 +55,7 @@
     }
 
     /// Changes with the version in force.
-    pub(super) fn watch_version(&self) -> watch::Receiver<u64> {
+    pub fn watch_version(&self) -> watch::Receiver<u64> {
         self.version.subscribe()
     }
 
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -28,4 +28,5 @@
     peers::{PeerRequestError, Peers, PeersError},
     run::{GatewayError, run_gateway},
     shared::{Gateway, InForce},
+    tell_state::tell_state,
 };
--- a/crates/turmericloft/src/ops/promote.rs
+++ b/crates/turmericloft/src/ops/promote.rs
@@ -8,7 +8,7 @@
 use crate::{
     core::{
         Name,
-        config::{ConfigRecord, Follower, Judged, Verdict},
+        config::{Accepted, ConfigRecord, Follower, Judged, Recovery, Verdict},
         document::{Digest, check_document},
     },
     sources::log_service::{LogError, LogService},
@@ -34,6 +34,9 @@
     pub promotion_id: String,
     /// Time for a promotion whose answer was lost to be found in the log.
     pub settle_within: Duration,
+    /// If the accepted document is no longer in the log: the highest version that any gateway may
+    /// have. The document then starts anew above it.
+    pub recover_above: Option<u64>,
 }
 
 /// Puts a document in force in an environment in which documents are tried.
@@ -100,33 +103,58 @@
     }
     let mut reader = ConfigReader::near_end(log, &options.environment).await?;
     reader.read_to_end(Duration::ZERO).await?;
+    let settle_within = options.settle_within;
     let follower = reader.follower();
-    if !follower.is_continuous() {
+    let (record, bytes) = if follower.is_continuous() {
+        let record = next_record(follower.accepted(), options, now_ms);
+        let bytes = record.encode()?;
+        (record, bytes)
+    } else if let Some(version) = options.recover_above {
+        recovery(follower, version, options, now_ms)?
+    } else {
         return Err(PromoteError::NoBase {
             environment: options.environment,
             wait_s: BASE_WAIT_S,
         });
-    }
-    let settle_within = options.settle_within;
-    let record = next_record(follower, options, now_ms);
+    };
     if record.parent == Some(record.digest) {
         return Ok(Promotion::AlreadyInForce {
-            version: follower.version(),
+            version: record.version - 1,
             digest: record.digest,
         });
     }
-    let appended = log.append(reader.stream(), record.encode()?);
-    match appended.await {
+    match log.append(reader.stream(), bytes).await {
         Err(e) if e.had_no_effect() => Err(e.into()),
         _ => Ok(read_back(reader, &record, settle_within).await),
     }
 }
 
-fn next_record(follower: &Follower, options: PromoteOptions, now_ms: u64) -> ConfigRecord {
-    let version = follower.version() + 1;
+/// A record without a parent, above all known versions.
+fn recovery(
+    follower: &Follower,
+    stated: u64,
+    options: PromoteOptions,
+    now_ms: u64,
+) -> Result<(ConfigRecord, Vec<u8>), PromoteError> {
+    let known = follower.version().max(stated);
+    let mut record = next_record(None, options, now_ms);
+    record.version = known + Recovery::VERSION_STEP;
+    record.promotion_id = record
+        .promotion_id
+        .replacen('1', &record.version.to_string(), 1);
+    let recovery = Recovery {
+        judged: follower.read_from(),
+        recovered: record,
+    };
+    let bytes = recovery.encode()?;
+    Ok((recovery.recovered, bytes))
+}
+
+fn next_record(parent: Option<&Accepted>, options: PromoteOptions, now_ms: u64) -> ConfigRecord {
+    let version = parent.map_or(0, |a| a.record.version) + 1;
     ConfigRecord {
         version,
-        parent: follower.accepted().map(|a| a.record.digest),
+        parent: parent.map(|a| a.record.digest),
         promotion_id: format!("{version}-{}", options.promotion_id),
         author: options.author,
         promoted_at_ms: now_ms,
--- a/crates/turmericloft/src/ops/promotion.rs
+++ b/crates/turmericloft/src/ops/promotion.rs
@@ -70,7 +70,8 @@
     /// The accepted record has expired, and no gateway has appended it again.
     #[error(
         "the accepted document of `{environment}` is no longer in the log; a running gateway \
-         appends it again within {wait_s} s: try again then"
+         appends it again within {wait_s} s: try again then; if no gateway runs, add \
+         `--recover-above VERSION` with the highest version that any gateway may have"
     )]
     NoBase {
         /// The environment.
--- a/crates/turmericloft/tests/testsuite/config/mod.rs
+++ b/crates/turmericloft/tests/testsuite/config/mod.rs
@@ -1,7 +1,10 @@
 //! Configuration: the rule, following, promotions under faults.
 
 mod documents;
+mod fake_log;
 mod followed;
 mod interleavings;
+mod matrix;
 mod model;
 mod variants;
+mod world;
--- a/crates/turmericloft/tests/testsuite/config/model.rs
+++ b/crates/turmericloft/tests/testsuite/config/model.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::{BoxedStrategy, Just, Strategy, any, prop_oneof};
 use turmericloft::core::{
-    config::{Accepted, ConfigRecord, Follower, Page, Verdict},
+    config::{Accepted, Follower, Page, Recovery, Verdict},
     document::Digest,
 };
 
@@ -37,6 +37,8 @@
     Expire(usize),
     /// Bytes that no reader can use are appended: an old record cut off or bent at a place.
     AppendDamaged(usize, usize),
+    /// An operator who finds no accepted record in the log prepares a new start.
+    PrepareRecovery(usize),
     /// Any record of the past is appended again.
     Replay(usize),
 }
@@ -54,6 +56,7 @@
         1 => (1..4_usize).prop_map(Event::Expire),
         1 => (any::<usize>(), any::<usize>()).prop_map(|(a, b)| Event::AppendDamaged(a, b)),
         1 => any::<usize>().prop_map(Event::Replay),
+        1 => (0..OPERATORS).prop_map(Event::PrepareRecovery),
         1 => Just(Event::Read(0, 4)),
     ];
     proptest::collection::vec(event, 1..80).boxed()
@@ -64,7 +67,7 @@
     log: VecDeque<ModelRecord>,
     next: u64,
     past: Vec<Vec<u8>>,
-    prepared: Vec<Option<ConfigRecord>>,
+    prepared: Vec<Option<Vec<u8>>>,
     captured: Vec<Option<Vec<u8>>>,
     readers: Vec<R>,
     truth: Option<Accepted>,
@@ -106,8 +109,8 @@
         match *event {
             Event::Prepare(operator) => self.prepare(operator),
             Event::Append(operator) => {
-                if let Some(record) = &self.prepared[operator] {
-                    self.append(record.encode().unwrap());
+                if let Some(bytes) = &self.prepared[operator] {
+                    self.append(bytes.clone());
                 }
             }
             Event::Read(reader, limit) => self.read(reader, limit),
@@ -130,6 +133,7 @@
             }
             Event::Expire(count) => drop(self.log.drain(..count.min(self.log.len()))),
             Event::AppendDamaged(which, at) => self.append_damaged(which, at),
+            Event::PrepareRecovery(operator) => self.prepare_recovery(operator),
             Event::Replay(which) => {
                 if !self.past.is_empty() {
                     self.append(self.past[which % self.past.len()].clone());
@@ -168,14 +172,40 @@
 
     /// Prepares as `promote` does: on the accepted record, if the log still shows it.
     fn prepare(&mut self, operator: usize) {
+        let view = self.view();
+        let id = self.next_id();
+        self.prepared[operator] = view.is_continuous().then(|| {
+            let record = record(view.accepted(), &format!("p{id}"), id);
+            record.encode().unwrap()
+        });
+    }
+
+    fn prepare_recovery(&mut self, operator: usize) {
+        let view = self.view();
+        if view.is_continuous() {
+            return;
+        }
+        let id = self.next_id();
+        let mut recovered = record(None, &format!("p{id}"), id);
+        recovered.version = version_of(self.truth.as_ref()) + Recovery::VERSION_STEP;
+        let recovery = Recovery {
+            judged: view.read_from(),
+            recovered,
+        };
+        self.prepared[operator] = Some(recovery.encode().unwrap());
+    }
+
+    /// The log as an operator reads it.
+    fn view(&self) -> Follower {
         let mut view = Follower::new();
         Reader::begin(&mut view, self.first(), self.next);
         self.read_whole(&mut view);
+        view
+    }
+
+    fn next_id(&mut self) -> u32 {
         self.promotions += 1;
-        let id = self.promotions;
-        self.prepared[operator] = view
-            .is_continuous()
-            .then(|| record(view.accepted(), &format!("p{id}"), id));
+        self.promotions
     }
 
     fn page(&self, from: u64, limit: usize) -> Vec<ModelRecord> {
