--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -2,7 +2,13 @@
 
 mod config_sessions;
 mod docs;
+mod gateway_crash;
+mod guarded_freeze;
+mod guarded_keys;
+mod guarded_session;
 mod load;
 mod peers;
+mod routing;
+mod standin_backend;
 mod support;
 mod whole_path;
--- a/crates/turmericloft-cli/tests/testsuite/support/platform.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/platform.rs
@@ -33,6 +33,7 @@
     /// Gateways `gw-2` and on.
     pub others: Vec<GatewayProcess>,
     pub reporter: Process,
+    pub reporter_address: SocketAddr,
     _stand_ins: Vec<Process>,
     /// The gateways' entries for the host list.
     pub listed: Vec<Host>,
@@ -80,12 +81,22 @@
             gateway: gateway.process,
             others: Vec::new(),
             reporter,
+            reporter_address,
             _stand_ins: vec![log, hosts, backend],
             addresses,
             folder,
         }
     }
 
+    /// Starts the first gateway again in place of the one that ended, and waits until it is ready.
+    pub fn restart_gateway(&mut self) {
+        let gateway = start_gateway(self.folder.path(), "gw-1", &self.addresses);
+        self.callers = gateway.callers;
+        self.admin = gateway.admin;
+        self.gateway = gateway.process;
+        self.gateway.wait_for_line("is in force");
+    }
+
     /// Starts everything with `count` gateways that are on the host list, and waits until all of
     /// them have heard each other.
     pub async fn start_gateways(count: usize) -> Self {
@@ -107,6 +118,12 @@
         platform
     }
 
+    /// Where callers reach the gateways, `gw-1` first.
+    pub fn gateways(&self) -> Vec<SocketAddr> {
+        let others = self.others.iter().map(|o| o.callers);
+        std::iter::once(self.callers).chain(others).collect()
+    }
+
     /// Replaces the host list.
     pub async fn put_hosts(&self, hosts: Vec<Host>) {
         let body = serde_json::to_vec(&HostList { hosts }).expect("a host list is JSON");
@@ -154,7 +171,12 @@
 contracts = [{{ service = "calendar" }}, {{ service = "booking" }}]
 "#
         );
-        let path = write(self.folder.path(), "document.toml", &document);
+        self.promote_document(&document);
+    }
+
+    /// Promotes a document and waits until it is in force.
+    pub fn promote_document(&mut self, document: &str) {
+        let path = write(self.folder.path(), "document.toml", document);
         let path = path.to_str().expect("a text path");
         self.turmericloft(&["trial", path, "--author", "anna", "--environment", "trial"]);
         self.turmericloft(&["promote", path, "--author", "anna"]);
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -5,16 +5,20 @@
 
 mod admin;
 mod answer;
+mod attempts;
+mod counting_cost;
 mod dispatch;
 mod follow_config;
 mod followed_config;
 mod guarded;
 mod handle;
+mod in_flight;
 mod listener;
 mod lookup;
 mod matched;
 mod peers;
 mod relayed_body;
+mod replay;
 mod run;
 mod send_snapshots;
 mod service_state;
--- a/crates/turmericloft/src/ops/gateway/peers.rs
+++ b/crates/turmericloft/src/ops/gateway/peers.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant as Tick, MissedTickBehavior, interval, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use super::{follow_config::ConfigPeers, shared::Gateway};
+use super::{follow_config::ConfigPeers, guarded, shared::Gateway};
 use crate::{
     core::{
         HostId, Name,
@@ -244,6 +244,18 @@
                     let gateway = self.gateway.upgrade();
                     PeerReply::Config(gateway.and_then(|g| g.config.newer_than(have)))
                 }
+                PeerRequest::Action(forwarded) => match self.gateway.upgrade() {
+                    Some(gateway) => guarded::answer_peer(&gateway, *forwarded).await,
+                    None => PeerReply::Unsupported,
+                },
+                PeerRequest::FindAction(action) => match self.gateway.upgrade() {
+                    Some(gateway) => guarded::find_for_peer(&gateway, action).await,
+                    None => PeerReply::Unsupported,
+                },
+                PeerRequest::Renounce(action) => match self.gateway.upgrade() {
+                    Some(gateway) => guarded::renounce_for_peer(&gateway, action),
+                    None => PeerReply::Unsupported,
+                },
             }
         })
     }
--- a/crates/turmericloft/src/ops/mod.rs
+++ b/crates/turmericloft/src/ops/mod.rs
@@ -6,7 +6,7 @@
 mod gateway_records;
 mod promote;
 mod promotion;
-mod report;
+pub mod report;
 pub mod reporter;
 mod status;
 
@@ -14,6 +14,6 @@
     audit::{Audit, AuditRow, InForceAt, read_audit},
     promote::{PromoteOptions, promote, read_document, settle, trial},
     promotion::{PromoteError, Promotion},
-    report::{ReportError, read_report},
+    report::{ReportError, ReportOptions, read_history, read_report},
     status::{GatewayCondition, GatewayStatus, Status, StatusError, read_status},
 };
