--- a/crates/turmericloft-bench/src/experiments/reporting/steady.rs
+++ b/crates/turmericloft-bench/src/experiments/reporting/steady.rs
@@ -171,6 +171,7 @@
         document: document(backend),
         promotion_id: "bench".to_owned(),
         settle_within: CALL_TIMEOUT,
+        recover_above: None,
     };
     ops::trial(&HttpLog::new(log.address), options, unix_ms()).await?;
     Ok(())
--- a/crates/turmericloft/src/ops/gateway/peers.rs
+++ b/crates/turmericloft/src/ops/gateway/peers.rs
@@ -91,6 +91,11 @@
         Ok(peers)
     }
 
+    /// Bytes sent and received on the connections that this gateway opened, UDP headers left out.
+    pub fn traffic(&self) -> u64 {
+        self.mesh.traffic()
+    }
+
     /// Where this gateway listens for peers.
     pub fn address(&self) -> SocketAddr {
         self.mesh.address().unwrap_or(self.settings.listen)
@@ -293,11 +298,7 @@
 
 /// Sends heartbeats and watches the identity's files until `ended`. At `stop` the peers are told
 /// at once that this gateway leaves.
-pub(super) async fn keep_in_touch(
-    peers: Arc<Peers>,
-    stop: CancellationToken,
-    ended: CancellationToken,
-) {
+pub async fn keep_in_touch(peers: Arc<Peers>, stop: CancellationToken, ended: CancellationToken) {
     let mut tick = interval(HEARTBEAT_INTERVAL);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut told = false;
--- a/crates/turmericloft/src/ops/gateway/watch_hosts.rs
+++ b/crates/turmericloft/src/ops/gateway/watch_hosts.rs
@@ -19,11 +19,7 @@
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reads the host list until `stop`. While it cannot be read, the last one stays.
-pub(super) async fn watch_hosts(
-    gateway: Arc<Gateway>,
-    host_list: SocketAddr,
-    stop: CancellationToken,
-) {
+pub async fn watch_hosts(gateway: Arc<Gateway>, host_list: SocketAddr, stop: CancellationToken) {
     let mut tick = interval(READ_INTERVAL);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while stop.run_until_cancelled(tick.tick()).await.is_some() {
--- a/crates/turmericloft/src/sources/peer/mesh.rs
+++ b/crates/turmericloft/src/sources/peer/mesh.rs
@@ -127,6 +127,13 @@
             .map_err(|e| exchange(e.into()))
     }
 
+    /// Bytes sent and received on open connections that were opened here, in UDP payloads.
+    pub fn traffic(&self) -> u64 {
+        let connections = self.connections.lock();
+        let stats = connections.values().map(Connection::stats);
+        stats.map(|s| s.udp_tx.bytes + s.udp_rx.bytes).sum()
+    }
+
     /// Closes all connections.
     pub fn close(&self) {
         self.endpoint.close(VarInt::from_u32(0), b"leaving");
--- a/crates/turmericloft/tests/testsuite/config/world.rs
+++ b/crates/turmericloft/tests/testsuite/config/world.rs
@@ -18,6 +18,7 @@
         gateway::{ConfigPeers, ConfigSources, Gateway, follow_config, tell_state},
     },
     sources::log_service::{LogError, LogService},
+    util::settings::GuardSettings,
 };
 
 use super::{
@@ -243,10 +244,11 @@
     fn start_gateway(&self) {
         let mut gateways = self.gateways.lock();
         let index = gateways.len();
-        let gateway = Gateway::new(HostId {
+        let host = HostId {
             name: Name::new(&format!("gw-{index}")).unwrap(),
             incarnation: index as u64,
-        });
+        };
+        let gateway = Gateway::new(host, Name::new("a").unwrap(), &GuardSettings::default());
         let environment = Name::new("production").unwrap();
         let sources = ConfigSources {
             log: self.client(Client::Gateway(index)),
