--- a/crates/turmericloft-bench/src/experiments/config/fleet.rs
+++ b/crates/turmericloft-bench/src/experiments/config/fleet.rs
@@ -112,7 +112,7 @@
 
     /// Waits until all gateways have the version in force.
     pub async fn wait_for(&self, version: u64) -> Result<(), BoxError> {
-        let reached = |m: &Member| m.gateway.config.version() >= version;
+        let reached = |m: &Member| m.in_force.lock().last().is_some_and(|(v, _)| *v >= version);
         let all = async {
             while !self.members.iter().all(reached) {
                 sleep(LOOK).await;
