--- a/crates/turmericloft-standins/src/host_list/mod.rs
+++ b/crates/turmericloft-standins/src/host_list/mod.rs
@@ -2,7 +2,17 @@
 
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
-use axum::{Json, Router, body::Bytes, extract::State, http::StatusCode, routing::get};
+use axum::{
+    Json, Router,
+    body::Bytes,
+    extract::State,
+    http::{
+        HeaderMap, StatusCode,
+        header::{ETAG, IF_NONE_MATCH},
+    },
+    response::{IntoResponse, Response},
+    routing::get,
+};
 use parking_lot::Mutex;
 use tokio::time::Instant;
 use turmericloft::sources::host_list::HostList;
@@ -18,6 +28,8 @@
 #[derive(Debug, Default)]
 struct Shared {
     shown: HostList,
+    /// Grows with each change that is shown.
+    revision: u64,
     pending: VecDeque<(Instant, HostList)>,
     lag: Duration,
     down: bool,
@@ -50,18 +62,24 @@
     }
 }
 
-async fn read(State(shared): State<Arc<Mutex<Shared>>>) -> Result<Json<HostList>, StatusCode> {
+async fn read(State(shared): State<Arc<Mutex<Shared>>>, headers: HeaderMap) -> Response {
     let mut shared = shared.lock();
     if shared.down {
-        return Err(StatusCode::SERVICE_UNAVAILABLE);
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
     let now = Instant::now();
     while shared.pending.front().is_some_and(|(at, _)| *at <= now) {
         if let Some((_, list)) = shared.pending.pop_front() {
             shared.shown = list;
+            shared.revision += 1;
         }
     }
-    Ok(Json(shared.shown.clone()))
+    let tag = format!("\"{}\"", shared.revision);
+    let known = headers.get(IF_NONE_MATCH);
+    if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+        return StatusCode::NOT_MODIFIED.into_response();
+    }
+    ([(ETAG, tag)], Json(shared.shown.clone())).into_response()
 }
 
 async fn replace(State(shared): State<Arc<Mutex<Shared>>>, body: Bytes) -> StatusCode {
--- a/crates/turmericloft/src/ops/gateway/watch_hosts.rs
+++ b/crates/turmericloft/src/ops/gateway/watch_hosts.rs
@@ -12,7 +12,7 @@
 use super::shared::Gateway;
 use crate::{
     core::membership::ListedPeer,
-    sources::host_list::{Host, HostList, HostRole, HostState, fetch_host_list},
+    sources::host_list::{Host, HostList, HostListReader, HostRole, HostState},
 };
 
 /// Time between two reads of the host list.
@@ -20,15 +20,21 @@
 
 /// Reads the host list until `stop`. While it cannot be read, the last one stays.
 pub async fn watch_hosts(gateway: Arc<Gateway>, host_list: SocketAddr, stop: CancellationToken) {
+    let mut last = None;
+    let mut reader = HostListReader::new(host_list);
     let mut tick = interval(READ_INTERVAL);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while stop.run_until_cancelled(tick.tick()).await.is_some() {
-        let read = stop.run_until_cancelled(fetch_host_list(host_list)).await;
+        let read = stop.run_until_cancelled(reader.read_changed()).await;
         match read {
-            Some(Ok(list)) => take(&gateway, &list),
+            Some(Ok(Some(list))) => last = Some(list),
+            Some(Ok(None)) => {}
             Some(Err(_)) => metrics::counter!("host_list_read_failures").increment(1),
             None => return,
         }
+        if let Some(list) = &last {
+            take(&gateway, list);
+        }
     }
 }
 
--- a/crates/turmericloft/src/sources/http_client.rs
+++ b/crates/turmericloft/src/sources/http_client.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header::HOST};
+use http::{HeaderMap, Method, Request, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -18,6 +18,8 @@
 pub struct Answer {
     /// Status code.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -67,6 +69,18 @@
     path: &str,
     body: Bytes,
     limit: Duration,
+) -> Result<Answer, CallError> {
+    call_with_headers(peer, method, path, HeaderMap::new(), body, limit).await
+}
+
+/// Sends one request with headers and reads the whole answer.
+pub async fn call_with_headers(
+    peer: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: HeaderMap,
+    body: Bytes,
+    limit: Duration,
 ) -> Result<Answer, CallError> {
     let stream = match timeout(limit, TcpStream::connect(peer)).await {
         Ok(stream) => stream.map_err(|source| CallError::Connect { peer, source })?,
@@ -77,7 +91,10 @@
             });
         }
     };
-    match timeout(limit, exchange(stream, peer, method, path, body)).await {
+    let mut req = Request::new(Full::new(body));
+    *req.method_mut() = method;
+    *req.headers_mut() = headers;
+    match timeout(limit, exchange(stream, peer, path, req)).await {
         Ok(answer) => answer.map_err(|source| CallError::Exchange { peer, source }),
         Err(_) => Err(CallError::Timeout { peer, limit }),
     }
@@ -86,18 +103,14 @@
 async fn exchange(
     stream: TcpStream,
     peer: SocketAddr,
-    method: Method,
     path: &str,
-    body: Bytes,
+    mut req: Request<Full<Bytes>>,
 ) -> Result<Answer, Box<dyn std::error::Error + Send + Sync>> {
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection);
-    let req = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(HOST, peer.to_string())
-        .body(Full::new(body))?;
+    *req.uri_mut() = path.parse()?;
+    req.headers_mut().insert(HOST, peer.to_string().parse()?);
     let (head, body) = sender.send_request(req).await?.into_parts();
     let body = Limited::new(body, MAX_ANSWER_BYTES)
         .collect()
@@ -105,6 +118,7 @@
         .to_bytes();
     Ok(Answer {
         status: head.status,
+        headers: head.headers,
         body,
     })
 }
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 mod config;
 mod counting;
 mod guard;
+mod host_list;
 mod parsers;
 mod peer;
