Treat failures before the log service as lost answers

Cause: a 500, 502 or 504 counted as "certainly no effect", so that `promote` said that nothing was promoted although the append may have taken effect.

Change: LogError::Unclear for server errors other than 503; promote settles them by reading back. `append_may_have_taken_effect_when_something_before_the_log_failed` failed before and passes now.

--- a/crates/turmericloft/src/sources/log_service/http_log.rs
+++ b/crates/turmericloft/src/sources/log_service/http_log.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http::Method;
+use http::{Method, StatusCode};
 
 use super::{AppendReceipt, LogError, LogService, RecordPage};
 use crate::sources::http_client::{Answer, call};
@@ -35,6 +35,10 @@
         if answer.status.is_success() {
             return Ok(answer);
         }
+        let status = answer.status;
+        if status.is_server_error() && status != StatusCode::SERVICE_UNAVAILABLE {
+            return Err(LogError::Unclear { status });
+        }
         let text = String::from_utf8_lossy(&answer.body);
         let reason = format!("{}: {}", answer.status, text.trim());
         Err(LogError::Rejected {
--- a/crates/turmericloft/src/sources/log_service/log_error.rs
+++ b/crates/turmericloft/src/sources/log_service/log_error.rs
@@ -1,5 +1,6 @@
 //! Errors of the log service.
 
+use http::StatusCode;
 use thiserror::Error;
 
 use crate::sources::http_client::CallError;
@@ -23,6 +24,12 @@
         #[source]
         source: CallError,
     },
+    /// The log service, or something before it, failed; an append may have taken effect.
+    #[error("the log service failed with {status}")]
+    Unclear {
+        /// Status of the answer.
+        status: StatusCode,
+    },
     /// The answer makes no sense; an append may have taken effect.
     #[error("the log service's answer cannot be read")]
     Unreadable {
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -5,5 +5,6 @@
 mod counting;
 mod guard;
 mod host_list;
+mod log_service;
 mod parsers;
 mod peer;
