--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -37,5 +37,9 @@
     followed_config::FollowedConfig,
     peers::{PeerRequestError, Peers, PeersError},
     run::{GatewayError, Stop, run_gateway},
+    peers::{PeerRequestError, Peers, PeersError, keep_in_touch},
+    run::{GatewayError, run_gateway},
     shared::{Gateway, InForce},
+    tell_state::tell_state,
+    watch_hosts::watch_hosts,
 };
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -4,5 +4,7 @@
 mod config;
 mod counting;
 mod guard;
+mod host_list;
+mod log_service;
 mod parsers;
 mod peer;
