--- a/crates/turmericloft-bench/src/experiments/reporting/node.rs
+++ b/crates/turmericloft-bench/src/experiments/reporting/node.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use cpu_time::ThreadTime;
 use http::Method;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -18,7 +19,10 @@
         },
         document::MeasuringBudget,
     },
-    ops::{ReportOptions, read_report, reporter::run_reporter},
+    ops::{
+        ReportOptions, read_report,
+        reporter::{CostScope, run_reporter_with},
+    },
     sources::{http_client::call, log_service::HttpLog},
     util::{clock::unix_ms, logging::LogFormat, settings::ReporterSettings},
 };
@@ -31,6 +35,8 @@
 
 /// Time between two tries to hand over the last snapshot.
 const LAST_TRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time over which processor time is averaged, as in the gateway.
+const AVERAGING_TIME: Duration = Duration::from_secs(2);
 /// Time allowed for the reporter's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Bytes of one append besides the record, as the reporter reckons.
@@ -67,7 +73,10 @@
 
 impl Node {
     /// Starts all parts.
-    pub(super) async fn start(budget: MeasuringBudget) -> Result<Self, BoxError> {
+    pub(super) async fn start(
+        budget: MeasuringBudget,
+        counting: CountingCost,
+    ) -> Result<Self, BoxError> {
         let log = LogStandin::default();
         let served = log.serve("127.0.0.1:0".parse()?).await?;
         let environment = Name::new("bench")?;
@@ -82,6 +91,7 @@
             },
             budget,
             reporter: listen,
+            counting,
         };
         let snapshots = MeasuredThread::start(|stop| sender.run(stop));
         Ok(Self {
@@ -153,7 +163,7 @@
         log_format: LogFormat::Text,
     };
     Ok(MeasuredThread::start(|stop| async move {
-        if let Err(e) = run_reporter(settings, stop).await {
+        if let Err(e) = run_reporter_with(settings, CostScope::Thread, stop).await {
             log::error!("the reporter failed: {e}");
         }
     }))
@@ -178,15 +188,41 @@
     host: HostId,
     budget: MeasuringBudget,
     reporter: SocketAddr,
+    counting: CountingCost,
+}
+
+/// Processor time of the gateway's side, as a share of a core over some seconds.
+struct GatewayShare {
+    since: Instant,
+    processor: Duration,
+    core_share: f64,
+}
+
+impl GatewayShare {
+    fn update(&mut self, processor: Duration) {
+        let elapsed = self.since.elapsed();
+        if elapsed >= AVERAGING_TIME {
+            let spent = processor.saturating_sub(self.processor);
+            self.core_share = spent.as_secs_f64() / elapsed.as_secs_f64();
+            self.since = Instant::now();
+            self.processor = processor;
+        }
+    }
 }
 
 impl SnapshotSender {
     async fn run(self, stop: CancellationToken) {
         let mut held = 0;
         let mut resolution = Resolution::default();
+        let mut share = GatewayShare {
+            since: Instant::now(),
+            processor: self.processor(),
+            core_share: 0.0,
+        };
         while !stop.is_cancelled() {
             let snapshot = self.ledger.snapshot(self.host.clone(), held, unix_ms());
-            if let Some(reply) = self.send(snapshot).await {
+            share.update(self.processor());
+            if let Some(reply) = self.send(snapshot, share.core_share).await {
                 (held, resolution) = (reply.held, reply.resolution);
             }
             tokio::select! {
@@ -197,7 +233,7 @@
         loop {
             let last = self.ledger.snapshot(self.host.clone(), 0, unix_ms());
             let sequence = last.sequence;
-            let reply = self.send(last.into_last()).await;
+            let reply = self.send(last.into_last(), share.core_share).await;
             if reply.is_some_and(|r| r.held >= sequence) {
                 return;
             }
@@ -205,11 +241,18 @@
         }
     }
 
-    async fn send(&self, snapshot: Snapshot) -> Option<SnapshotReply> {
+    /// Processor time of this thread and of counting so far.
+    fn processor(&self) -> Duration {
+        let requests = self.ledger.requests() as f64;
+        ThreadTime::now().as_duration() + self.counting.processor.mul_f64(requests)
+    }
+
+    /// Sends a snapshot and gives the reporter's reply.
+    async fn send(&self, snapshot: Snapshot, core_share: f64) -> Option<SnapshotReply> {
         let message = SnapshotMessage {
             snapshot,
             budget: Some(self.budget),
-            core_share: 0.0,
+            core_share,
         };
         let body = postcard::to_stdvec(&message).ok()?.into();
         let answer = call(
--- a/crates/turmericloft-bench/src/experiments/reporting/rush.rs
+++ b/crates/turmericloft-bench/src/experiments/reporting/rush.rs
@@ -28,7 +28,7 @@
     cost: &CountingCost,
     figures: &Printer,
 ) -> ExperimentResult {
-    let node = Node::start(MeasuringBudget::default()).await?;
+    let node = Node::start(MeasuringBudget::default(), *cost).await?;
     let base = args.rush_base_rate;
     let load = CountedLoad::start(node.ledger.clone(), SHAPE, base, seed)?;
     sleep(BEFORE).await;
--- a/crates/turmericloft-bench/src/experiments/reporting/two_year.rs
+++ b/crates/turmericloft-bench/src/experiments/reporting/two_year.rs
@@ -25,7 +25,7 @@
     figures: &Printer,
 ) -> ExperimentResult {
     let before_mib = resident_mib();
-    let node = Node::start(MeasuringBudget::default()).await?;
+    let node = Node::start(MeasuringBudget::default(), *cost).await?;
     let shape = LoadShape {
         callers: args.two_year_callers,
         services: args.two_year_services,
--- a/crates/turmericloft-cli/src/bin/turmericloft-reporter/main.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft-reporter/main.rs
@@ -6,7 +6,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 use turmericloft::{
-    ops::reporter::run_reporter_process,
+    ops::reporter::{CostScope, run_reporter_with},
     util::{
         error_chain, logging,
         settings::{self, ReporterSettings},
@@ -39,7 +39,11 @@
     let stop = CancellationToken::new();
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
-    let running = tokio::spawn(run_reporter_process(settings, stop.clone()));
+    let running = tokio::spawn(run_reporter_with(
+        settings,
+        CostScope::Process,
+        stop.clone(),
+    ));
     tokio::spawn(async move {
         tokio::select! {
             _ = term.recv() => {}
--- a/crates/turmericloft/src/core/counting/governor.rs
+++ b/crates/turmericloft/src/core/counting/governor.rs
@@ -13,7 +13,7 @@
 /// Share of the budget below which the cost counts as low.
 const RECOVERY_SHARE: f64 = 0.5;
 /// Time within which a change of resolution shows in the measured cost.
-const SETTLING_TIME: Duration = Duration::from_secs(6);
+const SETTLING_TIME: Duration = Duration::from_secs(4);
 
 /// What measuring cost on one host lately.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/turmericloft/src/core/counting/mod.rs
+++ b/crates/turmericloft/src/core/counting/mod.rs
@@ -13,6 +13,7 @@
 mod latency;
 mod ledger;
 mod open_count;
+mod packed_rows;
 mod publisher;
 pub mod report;
 mod resolution;
--- /dev/null
+++ b/crates/turmericloft/src/core/counting/packed_rows.rs
@@ -0,0 +1,93 @@
+//! Rows as they are encoded: each name once, then rows that refer to names by their place.
+//!
+//! For use with `#[serde(with = "packed_rows")]`.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+
+use super::{CountKey, CountRow, Tally};
+use crate::core::Name;
+
+#[derive(Serialize)]
+struct PackedRows<'a> {
+    names: Vec<&'a Name>,
+    rows: Vec<PackedRow<&'a Tally>>,
+}
+
+#[derive(Deserialize)]
+struct OwnedRows {
+    names: Vec<Name>,
+    rows: Vec<PackedRow<Tally>>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct PackedRow<T> {
+    caller: u32,
+    service: u32,
+    kind: u32,
+    tally: T,
+}
+
+/// Encodes rows.
+pub(super) fn serialize<S: Serializer>(
+    rows: &[CountRow],
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    let mut names = NameTable::default();
+    let rows = rows.iter().map(|row| names.pack(row)).collect();
+    let names = names.names;
+    PackedRows { names, rows }.serialize(serializer)
+}
+
+/// Decodes rows. Fails if a row refers to a name that is not there.
+pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<CountRow>, D::Error> {
+    let OwnedRows { names, rows } = OwnedRows::deserialize(deserializer)?;
+    let unpacked = rows.into_iter().map(|row| row.unpack(&names));
+    let unpacked: Option<Vec<_>> = unpacked.collect();
+    unpacked.ok_or_else(|| D::Error::custom("a row refers to a name that is not listed"))
+}
+
+/// Names in the order of their first use.
+#[derive(Default)]
+struct NameTable<'a> {
+    names: Vec<&'a Name>,
+    places: HashMap<&'a Name, u32>,
+}
+
+impl<'a> NameTable<'a> {
+    fn pack(&mut self, row: &'a CountRow) -> PackedRow<&'a Tally> {
+        PackedRow {
+            caller: self.place(&row.key.caller),
+            service: self.place(&row.key.service),
+            kind: self.place(&row.key.kind),
+            tally: &row.tally,
+        }
+    }
+
+    fn place(&mut self, name: &'a Name) -> u32 {
+        let next = self.names.len() as u32;
+        let place = *self.places.entry(name).or_insert(next);
+        if place == next {
+            self.names.push(name);
+        }
+        place
+    }
+}
+
+impl PackedRow<Tally> {
+    fn unpack(self, names: &[Name]) -> Option<CountRow> {
+        let name = |place: u32| names.get(place as usize).cloned();
+        let key = CountKey {
+            caller: name(self.caller)?,
+            service: name(self.service)?,
+            kind: name(self.kind)?,
+        };
+        Some(CountRow {
+            key,
+            tally: self.tally,
+        })
+    }
+}
--- a/crates/turmericloft/src/core/counting/snapshot.rs
+++ b/crates/turmericloft/src/core/counting/snapshot.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CountRow, Resolution};
+use super::{CountRow, Resolution, packed_rows};
 use crate::core::{HostId, Outcome, document::MeasuringBudget};
 
 /// Rows of one incarnation of a gateway that changed after an earlier snapshot. Counts are
@@ -20,6 +20,7 @@
     /// Whether the gateway counts no more.
     pub last: bool,
     /// Counts by key.
+    #[serde(with = "packed_rows")]
     pub rows: Vec<CountRow>,
 }
 
--- a/crates/turmericloft/src/ops/gateway/counting_cost.rs
+++ b/crates/turmericloft/src/ops/gateway/counting_cost.rs
@@ -10,7 +10,7 @@
 };
 
 /// Time over which processor time is averaged.
-const AVERAGING_TIME: Duration = Duration::from_secs(5);
+const AVERAGING_TIME: Duration = Duration::from_secs(2);
 /// Requests counted to learn the cost of one.
 const CALIBRATION_REQUESTS: u32 = 2_000;
 
--- a/crates/turmericloft/src/ops/reporter/mod.rs
+++ b/crates/turmericloft/src/ops/reporter/mod.rs
@@ -50,21 +50,14 @@
     settings: ReporterSettings,
     stop: CancellationToken,
 ) -> Result<(), ReporterError> {
-    run(settings, stop, CostScope::OwnWork).await
+    run_reporter_with(settings, CostScope::OwnWork, stop).await
 }
 
-/// The same in a process of its own, whose whole processor time counts as the cost of measuring.
-pub async fn run_reporter_process(
+/// The same with another scope of what counts as its processor time.
+pub async fn run_reporter_with(
     settings: ReporterSettings,
-    stop: CancellationToken,
-) -> Result<(), ReporterError> {
-    run(settings, stop, CostScope::Process).await
-}
-
-async fn run(
-    settings: ReporterSettings,
-    stop: CancellationToken,
     scope: CostScope,
+    stop: CancellationToken,
 ) -> Result<(), ReporterError> {
     let address = settings.listen;
     let listener = TcpListener::bind(address)
