--- a/crates/turmericloft-bench/src/experiments/reporting/steady.rs
+++ b/crates/turmericloft-bench/src/experiments/reporting/steady.rs
@@ -8,7 +8,11 @@
     core::{Name, counting::report::Report, document::Digest},
     ops::{self, PromoteOptions, gateway::run_gateway},
     sources::{http_client::call, log_service::HttpLog},
-    util::{clock::unix_ms, logging::LogFormat, settings::GatewaySettings},
+    util::{
+        clock::unix_ms,
+        logging::LogFormat,
+        settings::{GatewaySettings, GuardSettings},
+    },
 };
 use turmericloft_standins::{
     Served,
@@ -130,6 +134,7 @@
             host_list: free_address()?,
             reporter: listen,
             peers: None,
+            guard: GuardSettings::default(),
             stop_deadline: Duration::from_secs(5),
             log_format: LogFormat::Text,
         };
@@ -165,8 +170,9 @@
         author: Name::new("bench")?,
         document: document(backend),
         promotion_id: "bench".to_owned(),
+        settle_within: CALL_TIMEOUT,
     };
-    ops::promote(&HttpLog::new(log.address), options, unix_ms()).await?;
+    ops::trial(&HttpLog::new(log.address), options, unix_ms()).await?;
     Ok(())
 }
 
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -1,8 +1,18 @@
 //! Processes, a caller, and documents for the tests.
 
+mod bookings;
 mod caller;
 mod gateway;
+mod operators;
 mod platform;
 mod process;
+mod silent_link;
 
-pub use self::{caller::send, platform::Platform, process::Process};
+pub use self::{
+    bookings::{Booking, BookingAnswer, runs, set_backend, set_log},
+    caller::send,
+    operators::{Operators, rival_record},
+    platform::Platform,
+    process::Process,
+    silent_link::SilentLink,
+};
--- a/crates/turmericloft-cli/tests/testsuite/whole_path.rs
+++ b/crates/turmericloft-cli/tests/testsuite/whole_path.rs
@@ -60,4 +60,9 @@
 
 "#]]
     );
+    let by_caller = platform.turmericloft(&["report", "--by", "caller", "--format", "csv"]);
+    assert!(
+        by_caller.contains("\nweb,100.0,0,2,2,0,0,0,0,0,"),
+        "{by_caller}"
+    );
 }
--- a/crates/turmericloft/src/sources/peer/message.rs
+++ b/crates/turmericloft/src/sources/peer/message.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::HostId;
+use crate::core::{
+    HostId,
+    guard::{ActionKey, ActionRequest, FinalAnswer, Fingerprint},
+};
 
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -20,6 +23,17 @@
 pub enum PeerRequest {
     /// Tells that the sender is alive.
     Heartbeat(Heartbeat),
+    /// Asks for the accepted configuration record if its version is above `have`.
+    NewerConfig {
+        /// Version that the sender has.
+        have: u64,
+    },
+    /// Asks the executor of an issued id to run its action, or to tell how it ended.
+    Action(Box<ForwardedAction>),
+    /// Asks the holder of a caller's own key how its action ended. Never runs it.
+    FindAction(ActionRef),
+    /// Asks the receiver never to run an action from now on.
+    Renounce(ActionRef),
 }
 
 /// Answer to a request.
@@ -27,6 +41,16 @@
 pub enum PeerReply {
     /// The receiver's own state.
     Heartbeat(Heartbeat),
+    /// The accepted record as a checkpoint, encoded as in the log; none if it is not newer.
+    Config(Option<Vec<u8>>),
+    /// The answer to a forwarded action.
+    Action(FinalAnswer),
+    /// The receiver is not the executor; it knows nothing of the action.
+    NotExecutor,
+    /// The receiver had nothing of the action, and will never run it.
+    Renounced(HostId),
+    /// The receiver may have run the action, or knows who may have.
+    NotRenounced,
     /// The receiver does not answer such requests.
     Unsupported,
 }
@@ -48,3 +72,23 @@
     /// Where the gateway listens for peers.
     pub address: SocketAddr,
 }
+
+/// A request for a guarded action on its way to its executor.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForwardedAction {
+    /// Text form of the action's id.
+    pub id: String,
+    /// The request.
+    pub request: ActionRequest,
+}
+
+/// An action with its caller's own key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ActionRef {
+    /// The gateway meant.
+    pub holder: HostId,
+    /// Key of the action.
+    pub key: ActionKey,
+    /// Fingerprint of its request.
+    pub fingerprint: Fingerprint,
+}
