--- a/crates/turmericloft/src/core/counting/report/line.rs
+++ b/crates/turmericloft/src/core/counting/report/line.rs
@@ -38,6 +38,8 @@
     pub name: String,
     /// Share of all requests admitted, in percent.
     pub share_percent: f64,
+    /// The same with each request counted with the weight of its kind.
+    pub weighted_share_percent: f64,
     /// Requests in flight at the period's start.
     pub carried: u64,
     /// Requests admitted in the period.
@@ -78,6 +80,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LineContext {
     pub(super) admitted_in_all: u64,
+    pub(super) weighted_in_all: u64,
     pub(super) resolution: Resolution,
     pub(super) completeness: Completeness,
 }
@@ -91,6 +94,7 @@
         Self {
             name,
             share_percent: percent(counts.admitted, cx.admitted_in_all),
+            weighted_share_percent: percent(row.weighted, cx.weighted_in_all),
             carried: row.carried,
             admitted: counts.admitted,
             served,
--- a/crates/turmericloft/src/core/counting/report/mod.rs
+++ b/crates/turmericloft/src/core/counting/report/mod.rs
@@ -14,6 +14,7 @@
 mod period_counts;
 mod period_row;
 mod report_document;
+mod weights;
 
 pub use self::{
     gap::{Gap, GapReason},
@@ -23,6 +24,7 @@
     line::{Completeness, Line},
     period::Period,
     report_document::{Report, StepLine, Window},
+    weights::Weights,
 };
 use self::{
     incarnation_history::{IncarnationHistory, IncarnationState},
--- a/crates/turmericloft/src/core/counting/report/period_counts.rs
+++ b/crates/turmericloft/src/core/counting/report/period_counts.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use super::{Gap, GapReason, History, IncarnationState, KnownIncarnation, Period, PeriodRow};
+use super::{
+    Gap, GapReason, History, IncarnationState, KnownIncarnation, Period, PeriodRow, Weights,
+};
 use crate::core::counting::{CountKey, CountRow, Resolution};
 
 /// What is known of one period, over all incarnations.
@@ -46,6 +48,13 @@
         counts
     }
 
+    /// Counts each request with the weight of its kind.
+    pub(super) fn weigh(&mut self, weights: &Weights) {
+        for (key, row) in &mut self.rows {
+            row.weighted = row.counts.admitted * weights.weight(key);
+        }
+    }
+
     fn add(
         &mut self,
         known: &KnownIncarnation<'_>,
--- a/crates/turmericloft/src/core/counting/report/period_row.rs
+++ b/crates/turmericloft/src/core/counting/report/period_row.rs
@@ -7,6 +7,8 @@
 pub(super) struct PeriodRow {
     /// Requests in flight at the period's start.
     pub(super) carried: u64,
+    /// Requests admitted in the period, each counted with the weight of its kind.
+    pub(super) weighted: u64,
     /// What happened in the period.
     pub(super) counts: Tally,
 }
@@ -15,6 +17,7 @@
     /// What happened from `earlier` to `row`.
     pub(super) fn between(row: &CountRow, earlier: Option<&CountRow>) -> Self {
         Self {
+            weighted: 0,
             carried: earlier.map_or(0, |e| e.tally.in_flight()),
             counts: earlier.map_or_else(|| row.tally.clone(), |e| row.tally.since(&e.tally)),
         }
@@ -23,6 +26,7 @@
     /// Adds another's counts.
     pub(super) fn add(&mut self, other: &Self) {
         self.carried += other.carried;
+        self.weighted += other.weighted;
         self.counts.add(&other.counts);
     }
 
--- a/crates/turmericloft/src/core/counting/report/report_document.rs
+++ b/crates/turmericloft/src/core/counting/report/report_document.rs
@@ -6,8 +6,8 @@
 use strum::IntoEnumIterator;
 
 use super::{
-    Completeness, Gap, GroupBy, History, Line, Period, PeriodCounts, PeriodRow, group_by::Group,
-    line::LineContext,
+    Completeness, Gap, GroupBy, History, Line, Period, PeriodCounts, PeriodRow, Weights,
+    group_by::Group, line::LineContext,
 };
 use crate::core::{
     Name, Outcome, Step,
@@ -70,9 +70,16 @@
 
 impl Report {
     /// Makes a report of a period.
-    pub fn build(history: &History, environment: &Name, by: GroupBy, period: Period) -> Self {
+    pub fn build(
+        history: &History,
+        environment: &Name,
+        by: GroupBy,
+        period: Period,
+        weights: &Weights,
+    ) -> Self {
         let mut whole = PeriodCounts::of(history, &[period]);
-        let counts = whole.pop().unwrap_or_default();
+        let mut counts = whole.pop().unwrap_or_default();
+        counts.weigh(weights);
         let groups = group(&counts, by);
         let all = sum(counts.rows.values());
         let cx = context(&counts, &all);
@@ -93,20 +100,21 @@
             lines,
             total: Line::new(TOTAL.to_owned(), &all, cx),
             steps,
-            windows: windows(history, period),
+            windows: windows(history, period, weights),
             gaps: counts.gaps,
         }
     }
 }
 
-fn windows(history: &History, period: Period) -> Vec<Window> {
+fn windows(history: &History, period: Period, weights: &Weights) -> Vec<Window> {
     let first_ms = history.first_ms().unwrap_or(period.to_ms);
     let known = Period {
         from_ms: period.from_ms.max(first_ms / WINDOW_MS * WINDOW_MS),
         to_ms: period.to_ms,
     };
     let periods = known.windows(WINDOW_MS, MAX_WINDOWS);
-    let counts = PeriodCounts::of(history, &periods);
+    let mut counts = PeriodCounts::of(history, &periods);
+    counts.iter_mut().for_each(|c| c.weigh(weights));
     periods
         .into_iter()
         .zip(&counts)
@@ -122,6 +130,7 @@
 fn context(counts: &PeriodCounts, all: &PeriodRow) -> LineContext {
     LineContext {
         admitted_in_all: all.counts.admitted,
+        weighted_in_all: all.weighted,
         resolution: counts.resolution,
         completeness: if counts.gaps.is_empty() {
             Completeness::Exact
--- /dev/null
+++ b/crates/turmericloft/src/core/counting/report/weights.rs
@@ -0,0 +1,31 @@
+//! What requests of each kind count for.
+
+use std::collections::HashMap;
+
+use crate::core::{Name, counting::CountKey, document::Document};
+
+/// Weights of the kinds of each service; a kind that is not known has weight 1.
+#[derive(Clone, Debug, Default)]
+pub struct Weights {
+    services: HashMap<Name, HashMap<Name, u32>>,
+}
+
+impl Weights {
+    /// The weights of a document.
+    pub fn of(document: &Document) -> Self {
+        let services = document.services.iter().map(|service| {
+            let kinds = service.kinds.iter().map(|k| (k.name.clone(), k.weight));
+            (service.name.clone(), kinds.collect())
+        });
+        Self {
+            services: services.collect(),
+        }
+    }
+
+    /// The weight of a request.
+    pub(super) fn weight(&self, key: &CountKey) -> u64 {
+        let kinds = self.services.get(&key.service);
+        let weight = kinds.and_then(|kinds| kinds.get(&key.kind));
+        weight.copied().unwrap_or(1).into()
+    }
+}
--- a/crates/turmericloft/src/ops/gateway/guarded/answer.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/answer.rs
@@ -1,6 +1,6 @@
 //! Serving a caller's guarded action.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use http::{HeaderName, Request, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -139,12 +139,17 @@
     )
 }
 
+/// Step at which a kept answer that is a problem ended.
+fn step_of(answer: &FinalAnswer) -> Step {
+    serde_json::from_slice(&answer.body).map_or(Step::Relayed, |p: Problem| p.step)
+}
+
 /// Gives a kept answer to a caller and counts the request.
 fn relay(answer: &FinalAnswer, count: OpenCount) -> Response<AnswerBody> {
     let body = match answer.outcome {
         Outcome::Served => CountedBody::new(answer.body.clone(), count).boxed_unsync(),
         outcome => {
-            count.end(outcome);
+            count.end_at(outcome, step_of(answer), Instant::now());
             whole(answer.body.clone())
         }
     };
--- a/crates/turmericloft/src/ops/gateway/guarded/counted_body.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/counted_body.rs
@@ -3,13 +3,14 @@
 use std::{
     pin::Pin,
     task::{Context, Poll},
+    time::Instant,
 };
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 
 use crate::{
-    core::{Outcome, counting::OpenCount},
+    core::{Outcome, Step, counting::OpenCount},
     sources::backend::BodyError,
 };
 
@@ -22,7 +23,8 @@
 }
 
 impl CountedBody {
-    pub(super) fn new(bytes: Bytes, count: OpenCount) -> Self {
+    pub(super) fn new(bytes: Bytes, mut count: OpenCount) -> Self {
+        count.reach(Step::AnswerWhole);
         let mut body = Self {
             bytes,
             count: Some(count),
@@ -35,7 +37,7 @@
 
     fn finish(&mut self) {
         if let Some(count) = self.count.take() {
-            count.end(Outcome::Served);
+            count.end_at(Outcome::Served, Step::Relayed, Instant::now());
         }
     }
 }
--- a/crates/turmericloft/src/ops/report/html.rs
+++ b/crates/turmericloft/src/ops/report/html.rs
@@ -58,7 +58,7 @@
     html! {
         div class="wide" { table {
             thead { tr {
-                @for name in ["", "Share %", "Carried in", "Admitted", "Served", "Refused",
+                @for name in ["", "Share %", "Weighted %", "Carried in", "Admitted", "Served", "Refused",
                     "Not run", "Unknown", "Unfinished", "In flight", "p50 ms", "p95 ms",
                     "p99 ms", "Resolution", "Counts"] { th { (name) } }
             } }
@@ -83,6 +83,7 @@
         tr {
             th scope="row" { (line.name) }
             td { (format!("{:.1}", line.share_percent)) }
+            td { (format!("{:.1}", line.weighted_share_percent)) }
             @for n in counts { td { (n) } }
             @for time in [line.p50, line.p95, line.p99] { td { (milliseconds(time)) } }
             td class="text" { (resolution(line)) }
@@ -114,6 +115,7 @@
     html! {
         h2 { "How to read this" }
         dl {
+            dt { "Weighted %" } dd { "Share with each request counted by the weight of its kind." }
             dt { "Served" } dd { "The whole answer reached the caller." }
             dt { "Refused" } dd { "Turned away before anything was sent to a server." }
             dt { "Not run" } dd { "A booking, charge or the like that certainly did not run." }
--- a/crates/turmericloft/src/ops/report/plots.rs
+++ b/crates/turmericloft/src/ops/report/plots.rs
@@ -66,24 +66,24 @@
 /// Bars: the share of each group in all requests admitted.
 pub(super) fn share(report: &Report) -> Markup {
     let mut lines: Vec<&Line> = report.lines.iter().collect();
-    lines.sort_by_key(|l| std::cmp::Reverse(l.admitted));
+    lines.sort_by_key(|l| std::cmp::Reverse(weighted_per_mille(l)));
     let hidden = lines.len().saturating_sub(MAX_BARS);
     lines.truncate(MAX_BARS);
     let height = BAR_STEP * lines.len() as f64;
     let scale = (WIDTH - LEFT - RIGHT) / 100.0;
     html! {
-        h2 { "Share of requests by " (report.by) }
+        h2 { "Share of requests by " (report.by) ", weighted by kind" }
         svg viewBox={ "0 0 " (WIDTH) " " (height) } width=(WIDTH) height=(height) role="img"
             aria-label="Share of requests" {
             @for (i, line) in lines.iter().enumerate() {
                 @let y = BAR_STEP * i as f64;
                 text x=(LEFT - 8.0) y=(y + 13.0) text-anchor="end" { (shortened(&line.name)) }
                 rect class="f0" x=(LEFT) y=(y) height=(BAR_HEIGHT)
-                    width=(rounded(scale * line.share_percent)) {
+                    width=(rounded(scale * line.weighted_share_percent)) {
                     title { (line.name) ": " (line.admitted) " requests" }
                 }
-                text x=(rounded(LEFT + scale * line.share_percent + 6.0)) y=(y + 13.0) {
-                    (format!("{:.1}%", line.share_percent))
+                text x=(rounded(LEFT + scale * line.weighted_share_percent + 6.0)) y=(y + 13.0) {
+                    (format!("{:.1}%", line.weighted_share_percent))
                 }
             }
         }
@@ -186,6 +186,10 @@
     (WIDTH - LEFT - RIGHT) / windows.len().max(1) as f64
 }
 
+fn weighted_per_mille(line: &Line) -> u64 {
+    (line.weighted_share_percent * 10.0).round() as u64
+}
+
 /// A coordinate to one decimal.
 fn rounded(value: f64) -> f64 {
     (value * 10.0).round() / 10.0
--- a/crates/turmericloft/src/ops/report/read.rs
+++ b/crates/turmericloft/src/ops/report/read.rs
@@ -9,9 +9,11 @@
         Name,
         counting::{
             RoundPart,
-            report::{GroupBy, History, Period, Report},
+            report::{GroupBy, History, Period, Report, Weights},
         },
+        document::{Document, DocumentError},
     },
+    ops::{PromoteError, read_document},
     sources::log_service::{LogError, LogService},
 };
 
@@ -35,6 +37,12 @@
     /// The log service could not be read.
     #[error("the log service failed")]
     Log(#[from] LogError),
+    /// The document in force could not be read.
+    #[error("the document in force cannot be read")]
+    ReadDocument(#[from] PromoteError),
+    /// The document in force is not valid.
+    #[error("the document in force is not valid")]
+    Document(#[from] DocumentError),
     /// The report cannot be written in the format asked for.
     #[error("the report cannot be written as {format}")]
     Render {
@@ -52,6 +60,7 @@
     options: &ReportOptions,
     now_ms: u64,
 ) -> Result<Report, ReportError> {
+    let weights = read_weights(log, &options.environment).await?;
     let history = read_history(log, &options.environment, now_ms).await?;
     let period_ms = options.period.map(|p| p.as_millis() as u64);
     let period = Period {
@@ -63,9 +72,18 @@
         &options.environment,
         options.by,
         period,
+        &weights,
     ))
 }
 
+/// Weights of the document in force; all are 1 without one.
+async fn read_weights(log: &dyn LogService, environment: &Name) -> Result<Weights, ReportError> {
+    let Some(text) = read_document(log, environment).await? else {
+        return Ok(Weights::default());
+    };
+    Ok(Weights::of(&Document::parse(&text)?))
+}
+
 /// Reads all records that the log service still keeps.
 pub async fn read_history(
     log: &dyn LogService,
--- a/crates/turmericloft/src/ops/report/text.rs
+++ b/crates/turmericloft/src/ops/report/text.rs
@@ -7,9 +7,10 @@
 use super::phrases::{completeness, gap, milliseconds, moment, period, resolution};
 use crate::core::counting::report::{Line, Report, Window};
 
-const COLUMNS: [&str; 15] = [
+const COLUMNS: [&str; 16] = [
     "",
     "share %",
+    "weighted %",
     "carried",
     "admitted",
     "served",
@@ -25,7 +26,7 @@
     "counts",
 ];
 /// Columns with text; all others hold numbers.
-const TEXT_COLUMNS: [usize; 3] = [0, 13, 14];
+const TEXT_COLUMNS: [usize; 3] = [0, 14, 15];
 /// Windows below this number say no more than the total.
 const LEAST_WINDOWS: usize = 2;
 
@@ -66,7 +67,9 @@
         line.unfinished,
         line.in_flight,
     ];
-    let mut cells = vec![name.to_owned(), format!("{:.1}", line.share_percent)];
+    let mut cells = vec![name.to_owned()];
+    let shares = [line.share_percent, line.weighted_share_percent];
+    cells.extend(shares.map(|percent| format!("{percent:.1}")));
     cells.extend(counts.map(|n| n.to_string()));
     cells.extend([line.p50, line.p95, line.p99].map(milliseconds));
     cells.push(resolution(line));
