Share windows evenly and keep callers below their share out of the queue

Cause: window steps that grew with the window left gateways with windows from 2 to 18 calls in overload, so callers of a gateway with a small one waited up to their deadline; the wait was estimated from the rate of all calls, which a caller beyond its share does not get.

--- a/crates/turmericloft-bench/src/experiments/routing/gateway_side.rs
+++ b/crates/turmericloft-bench/src/experiments/routing/gateway_side.rs
@@ -98,9 +98,12 @@
         let now = self.instant();
         let tried = self.calls[call].tried.clone();
         let gateway = self.arrivals[call].gateway;
+        let Some(flow) = self.calls[call].flow else {
+            return;
+        };
         let hedge = self
             .ours(gateway)
-            .and_then(|g| g.scheduler.hedge(now, CallChain::TOP, &tried));
+            .and_then(|g| g.scheduler.hedge(now, flow, CallChain::TOP, &tried));
         if let Some(endpoint) = hedge {
             self.send_to(call, endpoint);
         }
--- a/crates/turmericloft/src/core/admission/concurrency_window.rs
+++ b/crates/turmericloft/src/core/admission/concurrency_window.rs
@@ -19,14 +19,16 @@
     const MIN: f64 = 1.0;
     /// Window that is kept while little of it is used, in calls.
     const IDLE: f64 = 8.0;
-    /// Increase per answer while endpoints have room, in calls.
+    /// Share of the window that callers below their share may fill.
+    const BEYOND: f64 = 2.0;
+    /// Increase per window of answers while endpoints have room, in calls.
     const INCREASE: f64 = 0.25;
-    /// Largest relative decrease per answer.
-    const DECREASE: f64 = 0.05;
+    /// Relative decrease per window of answers and per excess load.
+    const DECREASE: f64 = 0.125;
     /// Reported load above which the window shrinks, as a share of the slots.
-    const TARGET_LOAD: f64 = 1.5;
+    const TARGET_LOAD: f64 = 1.25;
     /// Weight of one answer in the mean reported load.
-    const LOAD_WEIGHT: f64 = 1.0 / 32.0;
+    const LOAD_WEIGHT: f64 = 1.0 / 8.0;
     /// The window grows only while this share of it is used, and shrinks below it.
     const USED_SHARE: f64 = 0.5;
 
@@ -50,21 +52,24 @@
         f64::from(in_flight) + 1.0 <= self.limit.max(Self::MIN)
     }
 
+    /// Whether one more call of a caller below its share may be sent while `in_flight` are.
+    pub fn allows_beyond(&self, in_flight: u32) -> bool {
+        f64::from(in_flight) + 1.0 <= self.limit * Self::BEYOND
+    }
+
     /// Takes in the load on an answer, with the calls in flight before it ended.
     pub fn record(&mut self, load: LoadReport, in_flight: u32) {
         let share = f64::from(load.in_flight) / f64::from(load.slots.max(1));
         self.load += (share - self.load) * Self::LOAD_WEIGHT;
         let excess = self.load - Self::TARGET_LOAD;
         let used = f64::from(in_flight) / Self::USED_SHARE;
-        if excess > 0.0 {
-            let factor = 1.0 - Self::DECREASE * excess.min(1.0);
-            // A window much larger than its use would shrink without effect.
-            self.limit = (self.limit.min(used) * factor).max(Self::MIN);
-        } else if used >= self.limit {
-            self.limit = (self.limit + Self::INCREASE).min(self.max);
+        let mut change = -Self::DECREASE * excess.max(0.0);
+        if used >= self.limit {
+            change += Self::INCREASE / self.limit;
         } else if self.limit > Self::IDLE {
             // A window far above its use would let a sudden rush flood the endpoints.
-            self.limit = (self.limit - Self::INCREASE).max(Self::IDLE);
+            change -= Self::INCREASE / self.limit;
         }
+        self.limit = (self.limit + change).clamp(Self::MIN, self.max);
     }
 }
--- a/crates/turmericloft/src/core/admission/fair_queue.rs
+++ b/crates/turmericloft/src/core/admission/fair_queue.rs
@@ -6,7 +6,19 @@
 };
 
 use super::{CallerLimits, RateLimiter};
-use crate::core::Name;
+use crate::core::{Name, decayed_mean::DecayedMean};
+
+/// Cost that a caller may use ahead of its share after it used less.
+const CREDIT: f64 = 32.0;
+/// Half-life of the rates at which calls leave the queue, in seconds.
+const RATE_HALF_LIFE_S: f64 = 0.25;
+/// Time for which calls must have waited without a break before the queue counts as lasting, in
+/// seconds.
+const LASTING_S: f64 = 0.05;
+/// Waiting calls of a caller that a queue that has only just formed may still hold.
+const FEW_CALLS: usize = 1;
+/// Recent starts from which on a caller counts among those that share the rate.
+const ACTIVE_SAMPLES: f64 = 0.5;
 
 /// One caller in a queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -40,13 +52,14 @@
     finish_tag: f64,
     in_flight: u32,
     rate: RateLimiter,
+    started: DecayedMean,
 }
 
 /// Waiting calls of all callers of one service, bounded in number.
 ///
-/// A call's start tag is the larger of the queue's virtual time and the finish tag of its
-/// caller's call before; the finish tag adds cost over weight. The smallest start tag goes first.
-/// Calls that do not wait are charged in the same way.
+/// A call's start tag is the finish tag of its caller's call before, but at most a small credit
+/// behind the queue's virtual time; its finish tag adds cost over weight. The smallest start tag
+/// goes first. Calls that do not wait are charged in the same way.
 #[derive(Debug)]
 pub struct FairQueue {
     flows: Vec<Flow>,
@@ -55,6 +68,7 @@
     len: usize,
     virtual_time: f64,
     next_sequence: u64,
+    busy_since: f64,
 }
 
 impl FairQueue {
@@ -67,6 +81,7 @@
             len: 0,
             virtual_time: 0.0,
             next_sequence: 0,
+            busy_since: 0.0,
         }
     }
 
@@ -121,31 +136,50 @@
         }
     }
 
-    /// Cost that is served before a new call of `flow` if the callers that wait now go on
-    /// waiting: its own calls ahead, and the other callers' shares meanwhile.
-    pub fn cost_ahead(&self, flow: FlowId, cost: u32) -> f64 {
+    /// Time that a new call would wait, in seconds: what waits of its caller over the rate at which
+    /// the caller's calls start, or over its share of the rate of all where that is more. A queue
+    /// that has only just formed is expected to empty in any order.
+    pub(crate) fn expected_wait(&self, now: f64, flow: FlowId, cost: u32) -> f64 {
         let own = &self.flows[flow.0 as usize];
-        let own_cost = own.waiting_cost as f64 + f64::from(cost);
-        let rounds = own_cost / own.weight;
-        let others = self.flows.iter().enumerate();
-        let others: f64 = others
-            .filter(|(i, f)| *i != flow.0 as usize && !f.waiting.is_empty())
-            .map(|(_, f)| (f.weight * rounds).min(f.waiting_cost as f64))
-            .sum();
-        own_cost + others
-    }
-
-    /// Charges a call that does not wait.
-    pub fn pass(&mut self, flow: FlowId, cost: u32) {
+        if self.is_empty() || self.is_behind(flow) {
+            return 0.0;
+        }
+        let all: f64 = self.flows.iter().map(|f| f.cost_per_s(now)).sum();
+        let active = self.flows.iter().filter(|f| f.is_active(now));
+        let weights: f64 = active.map(|f| f.weight).sum();
+        let guaranteed = all * own.weight / weights.max(own.weight);
+        let rate = own.cost_per_s(now).max(guaranteed);
+        if rate <= 0.0 {
+            return 0.0;
+        }
+        let wait = (own.waiting_cost as f64 + f64::from(cost)) / rate;
+        let lasting = now - self.busy_since >= LASTING_S;
+        if lasting || own.waiting.len() > FEW_CALLS {
+            return wait;
+        }
+        let waiting: u64 = self.flows.iter().map(|f| f.waiting_cost).sum();
+        wait.min((waiting as f64 + f64::from(cost)) / all)
+    }
+
+    /// Whether a caller has none waiting and used less than its share.
+    pub fn is_behind(&self, flow: FlowId) -> bool {
+        let f = &self.flows[flow.0 as usize];
+        f.waiting.is_empty() && f.finish_tag < self.virtual_time
+    }
+
+    /// Charges a call that does not wait; `now` is in seconds of any epoch.
+    pub(crate) fn pass(&mut self, now: f64, flow: FlowId, cost: u32) {
         let f = &mut self.flows[flow.0 as usize];
-        let start = f.finish_tag.max(self.virtual_time);
-        f.finish_tag = start + f64::from(cost.max(1)) / f.weight;
-        f.in_flight += 1;
-        self.virtual_time = start;
+        let start = f.next_start(self.virtual_time);
+        f.charge(now, start, cost.max(1));
+        self.virtual_time = self.virtual_time.max(start);
     }
 
     /// Lets a call wait. The queue must not be full.
-    pub fn push(&mut self, flow: FlowId, cost: u32, deadline: Instant) -> Ticket {
+    pub(crate) fn push(&mut self, now: f64, flow: FlowId, cost: u32, deadline: Instant) -> Ticket {
+        if self.is_empty() {
+            self.busy_since = now;
+        }
         let ticket = Ticket {
             flow,
             sequence: self.next_sequence,
@@ -153,7 +187,7 @@
         self.next_sequence += 1;
         let f = &mut self.flows[flow.0 as usize];
         if f.waiting.is_empty() {
-            f.start_tag = f.finish_tag.max(self.virtual_time);
+            f.start_tag = f.next_start(self.virtual_time);
         }
         let cost = cost.max(1);
         f.waiting.push_back(QueuedCall {
@@ -167,7 +201,7 @@
     }
 
     /// Takes the call that goes next. It counts as in flight until [`Self::leave`].
-    pub fn pop(&mut self) -> Option<QueuedCall> {
+    pub(crate) fn pop(&mut self, now: f64) -> Option<QueuedCall> {
         let f = self
             .flows
             .iter_mut()
@@ -175,10 +209,9 @@
             .min_by(|a, b| a.start_tag.total_cmp(&b.start_tag))?;
         let call = f.waiting.pop_front()?;
         f.waiting_cost -= u64::from(call.cost);
-        f.finish_tag = f.start_tag + f64::from(call.cost) / f.weight;
         self.virtual_time = self.virtual_time.max(f.start_tag);
+        f.charge(now, f.start_tag, call.cost);
         f.start_tag = f.finish_tag;
-        f.in_flight += 1;
         self.len -= 1;
         Some(call)
     }
@@ -239,9 +272,32 @@
             finish_tag: 0.0,
             in_flight: 0,
             rate: RateLimiter::default(),
+            started: DecayedMean::new(RATE_HALF_LIFE_S),
         }
     }
 
+    /// Start tag of a call that finds none of its caller waiting.
+    fn next_start(&self, virtual_time: f64) -> f64 {
+        self.finish_tag.max(virtual_time - CREDIT / self.weight)
+    }
+
+    fn charge(&mut self, now: f64, start: f64, cost: u32) {
+        self.finish_tag = start + f64::from(cost) / self.weight;
+        self.in_flight += 1;
+        self.started.add(now, f64::from(cost));
+    }
+
+    /// Rate at which the caller's calls start, in cost a second.
+    fn cost_per_s(&self, now: f64) -> f64 {
+        let (_, cost) = self.started.at(now);
+        cost * std::f64::consts::LN_2 / RATE_HALF_LIFE_S
+    }
+
+    fn is_active(&self, now: f64) -> bool {
+        let (samples, _) = self.started.at(now);
+        !self.waiting.is_empty() || samples >= ACTIVE_SAMPLES
+    }
+
     fn waiting_share(&self) -> f64 {
         self.waiting_cost as f64 / self.weight
     }
--- a/crates/turmericloft/src/core/routing/decayed_mean.rs
+++ b/crates/turmericloft/src/core/decayed_mean.rs
@@ -2,7 +2,7 @@
 
 /// Sum and weight of samples, both halved every half-life. Times are seconds of one epoch.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct DecayedMean {
+pub(crate) struct DecayedMean {
     half_life: f64,
     updated: f64,
     weight: f64,
@@ -10,7 +10,7 @@
 }
 
 impl DecayedMean {
-    pub(super) fn new(half_life: f64) -> Self {
+    pub(crate) fn new(half_life: f64) -> Self {
         Self {
             half_life,
             updated: 0.0,
@@ -19,12 +19,12 @@
         }
     }
 
-    pub(super) fn add(&mut self, now: f64, value: f64) {
+    pub(crate) fn add(&mut self, now: f64, value: f64) {
         self.add_weighted(now, 1.0, value);
     }
 
     /// Adds to weight and sum; weight 0 stands for a sample whose end was not seen.
-    pub(super) fn add_weighted(&mut self, now: f64, weight: f64, value: f64) {
+    pub(crate) fn add_weighted(&mut self, now: f64, weight: f64, value: f64) {
         let kept = self.kept(now);
         self.weight = self.weight * kept + weight;
         self.sum = self.sum * kept + value;
@@ -32,13 +32,13 @@
     }
 
     /// Weight and sum left at `now`.
-    pub(super) fn at(&self, now: f64) -> (f64, f64) {
+    pub(crate) fn at(&self, now: f64) -> (f64, f64) {
         let kept = self.kept(now);
         (self.weight * kept, self.sum * kept)
     }
 
     /// Mean of the samples; `default` without any.
-    pub(super) fn mean_or(&self, default: f64) -> f64 {
+    pub(crate) fn mean_or(&self, default: f64) -> f64 {
         if self.weight > f64::MIN_POSITIVE {
             self.sum / self.weight
         } else {
--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod config;
 pub mod counting;
+mod decayed_mean;
 pub mod document;
 mod environment;
 pub mod guard;
--- a/crates/turmericloft/src/core/routing/endpoint_set.rs
+++ b/crates/turmericloft/src/core/routing/endpoint_set.rs
@@ -8,9 +8,9 @@
 use super::{
     EndedCall,
     call_end::CallEnd,
-    decayed_mean::DecayedMean,
     endpoint_state::{EndpointState, ServiceMeans},
 };
+use crate::core::decayed_mean::DecayedMean;
 
 /// Endpoints looked at for one decision.
 const MAX_CONSIDERED: usize = 32;
--- a/crates/turmericloft/src/core/routing/endpoint_state.rs
+++ b/crates/turmericloft/src/core/routing/endpoint_state.rs
@@ -1,6 +1,7 @@
 //! What a gateway knows about one endpoint.
 
-use super::{CallEnd, EndedCall, EndpointSettings, decayed_mean::DecayedMean};
+use super::{CallEnd, EndedCall, EndpointSettings};
+use crate::core::decayed_mean::DecayedMean;
 
 /// Round trip to another availability zone beyond that within one, in seconds.
 const ZONE_DISTANCE_S: f64 = 0.000_8;
--- a/crates/turmericloft/src/core/routing/mod.rs
+++ b/crates/turmericloft/src/core/routing/mod.rs
@@ -5,7 +5,6 @@
 mod call_chain;
 mod call_end;
 mod connection_progress;
-mod decayed_mean;
 mod endpoint_set;
 mod endpoint_state;
 mod extra_call_budget;
--- a/crates/turmericloft/src/core/routing/service_scheduler.rs
+++ b/crates/turmericloft/src/core/routing/service_scheduler.rs
@@ -9,7 +9,7 @@
 
 use super::{
     CallChain, CallEnd, EndedCall, EndpointId, EndpointSet, EndpointSettings, ExtraCallBudget,
-    HedgeDelay, decayed_mean::DecayedMean,
+    HedgeDelay,
 };
 use crate::core::{
     Name,
@@ -25,11 +25,7 @@
 /// Hedge delays that a call needs after it was sent, for the deadline check.
 const CALL_HEDGE_DELAYS: f64 = 1.5;
 /// Share of the time left that a call may spend in the queue.
-const MAX_WAIT_SHARE: f64 = 0.5;
-/// Half-life of the rate at which calls end, in seconds.
-const RATE_HALF_LIFE_S: f64 = 0.25;
-/// Calls seen before the rate is trusted.
-const MIN_RATE_SAMPLES: f64 = 4.0;
+const MAX_WAIT_SHARE: f64 = 0.25;
 /// Shortest time to come back after a refusal.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Time after which a service without a live endpoint may have one.
@@ -96,8 +92,6 @@
     budget: ExtraCallBudget,
     hedge_delay: HedgeDelay,
     in_flight: u32,
-    ends: DecayedMean,
-    cost: DecayedMean,
 }
 
 impl ServiceScheduler {
@@ -144,8 +138,6 @@
             budget: ExtraCallBudget::new(settings.extra_calls_percent),
             hedge_delay: HedgeDelay::new(HEDGED_SHARE, INITIAL_HEDGE_DELAY),
             in_flight: 0,
-            ends: DecayedMean::new(RATE_HALF_LIFE_S),
-            cost: DecayedMean::new(RATE_HALF_LIFE_S),
         }
     }
 
@@ -181,11 +173,11 @@
             return Offer::Refuse(refusal);
         }
         self.budget.add_call();
-        if self.queue.is_empty()
-            && let Some(endpoint) = self.start_any(now, &[])
+        if self.may_start(flow)
+            && let Some(endpoint) = self.endpoints.choose(now, &[])
         {
-            self.queue.pass(flow, call.cost);
-            self.cost.add(self.seconds(now), f64::from(call.cost));
+            self.start(now, endpoint);
+            self.queue.pass(self.seconds(now), flow, call.cost);
             return Offer::Start(flow, endpoint);
         }
         if self.queue.is_full() {
@@ -194,7 +186,10 @@
                 None => return Offer::Refuse(self.refusal(now, flow, RefusalReason::QueueFull)),
             }
         }
-        Offer::Wait(self.queue.push(flow, call.cost, call.deadline))
+        Offer::Wait(
+            self.queue
+                .push(self.seconds(now), flow, call.cost, call.deadline),
+        )
     }
 
     /// Decides on the next waiting call, if there is one to decide on now.
@@ -207,7 +202,7 @@
             return None;
         }
         let endpoint = self.endpoints.choose(now, &[])?;
-        let call = self.queue.pop()?;
+        let call = self.queue.pop(self.seconds(now))?;
         let usual = Duration::from_secs_f64(self.endpoints.mean_latency());
         if now + usual > call.deadline {
             self.queue.leave(call.ticket.flow());
@@ -215,7 +210,6 @@
             return Some((call.ticket, Decision::Refuse(refusal)));
         }
         self.start(now, endpoint);
-        self.cost.add(self.seconds(now), f64::from(call.cost));
         Some((call.ticket, Decision::Start(endpoint)))
     }
 
@@ -245,7 +239,6 @@
         let latency = now.saturating_duration_since(call.started);
         if matches!(call.end, CallEnd::Answered) {
             self.hedge_delay.record(latency);
-            self.ends.add(self.seconds(now), 1.0);
         }
     }
 
@@ -254,15 +247,16 @@
         self.hedge_delay.get()
     }
 
-    /// Takes an endpoint for the hedge of an idempotent call that is slow. There is none while
-    /// other calls wait, or when the budget is used up.
+    /// Takes an endpoint for the hedge of an idempotent call that is slow. There is none when the
+    /// budget is used up, or while other calls wait, unless the caller used less than its share.
     pub fn hedge(
         &mut self,
         now: Instant,
+        flow: FlowId,
         chain: CallChain,
         tried: &[EndpointId],
     ) -> Option<EndpointId> {
-        if !self.queue.is_empty() {
+        if !self.queue.is_empty() && !self.queue.is_behind(flow) {
             return None;
         }
         if !self.may_have_extra_call(chain, tried) {
@@ -320,7 +314,7 @@
         }
         let left = call.deadline.saturating_duration_since(now).as_secs_f64();
         let needed = self.hedge_delay.get().as_secs_f64() * CALL_HEDGE_DELAYS;
-        let wait = self.expected_wait(now, flow, call.cost);
+        let wait = self.queue.expected_wait(self.seconds(now), flow, call.cost);
         if wait > 0.0 && (wait > left * MAX_WAIT_SHARE || wait + needed > left) {
             return Err(self.refusal(now, flow, RefusalReason::Deadline));
         }
@@ -332,22 +326,8 @@
             })
     }
 
-    /// Time that a new call of a caller would wait, in seconds.
-    fn expected_wait(&self, now: Instant, flow: FlowId, cost: u32) -> f64 {
-        if self.queue.is_empty() {
-            return 0.0;
-        }
-        let (ends, _) = self.ends.at(self.seconds(now));
-        if ends < MIN_RATE_SAMPLES {
-            return 0.0;
-        }
-        let calls_per_s = ends * std::f64::consts::LN_2 / RATE_HALF_LIFE_S;
-        let mean_cost = self.cost.mean_or(f64::from(cost)).max(1.0);
-        self.queue.cost_ahead(flow, cost) / (calls_per_s * mean_cost)
-    }
-
     fn refusal(&self, now: Instant, flow: FlowId, reason: RefusalReason) -> Refusal {
-        let wait = self.expected_wait(now, flow, 1);
+        let wait = self.queue.expected_wait(self.seconds(now), flow, 1);
         let wait = Duration::try_from_secs_f64(wait).unwrap_or(MIN_RETRY_AFTER);
         Refusal {
             reason,
@@ -355,13 +335,14 @@
         }
     }
 
-    fn start_any(&mut self, now: Instant, tried: &[EndpointId]) -> Option<EndpointId> {
-        if !self.window.allows(self.in_flight) {
-            return None;
+    /// Whether a new call may be sent at once: nothing waits and the window has room, or its caller
+    /// used less than its share. Such a caller may fill the window beyond its limit; those that
+    /// wait make up for it.
+    fn may_start(&self, flow: FlowId) -> bool {
+        if self.queue.is_empty() && self.window.allows(self.in_flight) {
+            return true;
         }
-        let endpoint = self.endpoints.choose(now, tried)?;
-        self.start(now, endpoint);
-        Some(endpoint)
+        self.queue.is_behind(flow) && self.window.allows_beyond(self.in_flight)
     }
 
     fn start(&mut self, now: Instant, endpoint: EndpointId) {
--- a/crates/turmericloft/src/ops/gateway/attempts.rs
+++ b/crates/turmericloft/src/ops/gateway/attempts.rs
@@ -23,6 +23,7 @@
 use crate::{
     core::{
         Step,
+        admission::FlowId,
         routing::{CallChain, CallEnd, EndpointId},
     },
     sources::backend::{
@@ -43,6 +44,7 @@
 #[derive(Debug)]
 pub(super) struct Attempts<'a> {
     pub(super) state: &'a Arc<ServiceState>,
+    pub(super) flow: FlowId,
     pub(super) replay: Replay,
     pub(super) chain: CallChain,
     /// Whether the call may run more than once.
@@ -107,7 +109,7 @@
                 }
                 () = hedge => {
                     hedge_at = None;
-                    next = self.state.hedge(self.chain, &self.tried);
+                    next = self.state.hedge(self.flow, self.chain, &self.tried);
                 }
             }
         }
--- a/crates/turmericloft/src/ops/gateway/dispatch.rs
+++ b/crates/turmericloft/src/ops/gateway/dispatch.rs
@@ -80,6 +80,7 @@
     let (call, first) = state.admit(&call).await.map_err(refused)?;
     let attempts = Attempts {
         state,
+        flow: call.flow(),
         replay,
         chain,
         idempotent: matched.kind.handling == Handling::Idempotent,
--- a/crates/turmericloft/src/ops/gateway/in_flight.rs
+++ b/crates/turmericloft/src/ops/gateway/in_flight.rs
@@ -40,6 +40,11 @@
     pub(super) fn new(state: Arc<ServiceState>, flow: FlowId) -> Self {
         Self { state, flow }
     }
+
+    /// The caller's flow.
+    pub(super) fn flow(&self) -> FlowId {
+        self.flow
+    }
 }
 
 impl Attempt {
--- a/crates/turmericloft/src/ops/gateway/service_state.rs
+++ b/crates/turmericloft/src/ops/gateway/service_state.rs
@@ -153,11 +153,14 @@
     /// An attempt to hedge a slow call with, if there may be one.
     pub(super) fn hedge(
         self: &Arc<Self>,
+        flow: FlowId,
         chain: CallChain,
         tried: &[EndpointId],
     ) -> Option<Attempt> {
         let now = now();
-        let endpoint = self.scheduling.lock().scheduler.hedge(now, chain, tried)?;
+        let mut scheduling = self.scheduling.lock();
+        let endpoint = scheduling.scheduler.hedge(now, flow, chain, tried)?;
+        drop(scheduling);
         Some(self.attempt(now, endpoint))
     }
 
