--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -1,6 +1,11 @@
 //! Tests of the programs as separate processes.
 
+mod config_sessions;
 mod docs;
+mod gateway_crash;
+mod guarded_freeze;
+mod guarded_keys;
+mod guarded_session;
 mod load;
 mod peers;
 mod routing;
--- a/crates/turmericloft-cli/tests/testsuite/support/platform.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/platform.rs
@@ -1,6 +1,10 @@
 //! A whole installation as separate processes: stand-ins, gateway and reporter.
 
-use std::{net::SocketAddr, process::Command, time::Duration};
+use std::{
+    net::SocketAddr,
+    process::{Command, Output},
+    time::Duration,
+};
 
 use http::Method;
 use tempfile::TempDir;
@@ -29,6 +33,7 @@
     /// Gateways `gw-2` and on.
     pub others: Vec<GatewayProcess>,
     pub reporter: Process,
+    pub reporter_address: SocketAddr,
     _stand_ins: Vec<Process>,
     /// The gateways' entries for the host list.
     pub listed: Vec<Host>,
@@ -76,12 +81,22 @@
             gateway: gateway.process,
             others: Vec::new(),
             reporter,
+            reporter_address,
             _stand_ins: vec![log, hosts, backend],
             addresses,
             folder,
         }
     }
 
+    /// Starts the first gateway again in place of the one that ended, and waits until it is ready.
+    pub fn restart_gateway(&mut self) {
+        let gateway = start_gateway(self.folder.path(), "gw-1", &self.addresses);
+        self.callers = gateway.callers;
+        self.admin = gateway.admin;
+        self.gateway = gateway.process;
+        self.gateway.wait_for_line("is in force");
+    }
+
     /// Starts everything with `count` gateways that are on the host list, and waits until all of
     /// them have heard each other.
     pub async fn start_gateways(count: usize) -> Self {
@@ -103,6 +118,12 @@
         platform
     }
 
+    /// Where callers reach the gateways, `gw-1` first.
+    pub fn gateways(&self) -> Vec<SocketAddr> {
+        let others = self.others.iter().map(|o| o.callers);
+        std::iter::once(self.callers).chain(others).collect()
+    }
+
     /// Replaces the host list.
     pub async fn put_hosts(&self, hosts: Vec<Host>) {
         let body = serde_json::to_vec(&HostList { hosts }).expect("a host list is JSON");
@@ -157,18 +178,14 @@
     pub fn promote_document(&mut self, document: &str) {
         let path = write(self.folder.path(), "document.toml", document);
         let path = path.to_str().expect("a text path");
+        self.turmericloft(&["trial", path, "--author", "anna", "--environment", "trial"]);
         self.turmericloft(&["promote", path, "--author", "anna"]);
         self.gateway.wait_for_line("is in force");
     }
 
     /// Runs the command line against this installation and gives what it printed.
     pub fn turmericloft(&self, args: &[&str]) -> String {
-        let log_service = self.log_service.to_string();
-        let output = Command::new(env!("CARGO_BIN_EXE_turmericloft"))
-            .args(args)
-            .args(["--log-service", &log_service, "--environment", "production"])
-            .output()
-            .expect("the command line runs");
+        let output = self.try_turmericloft(args);
         let stderr = String::from_utf8_lossy(&output.stderr);
         assert!(
             output.status.success(),
@@ -176,6 +193,18 @@
         );
         String::from_utf8_lossy(&output.stdout).into_owned()
     }
+
+    /// Runs the command line against this installation, in production unless `args` say
+    /// otherwise.
+    pub fn try_turmericloft(&self, args: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_turmericloft"));
+        command.args(args);
+        command.args(["--log-service", &self.log_service.to_string()]);
+        if !args.contains(&"--environment") {
+            command.args(["--environment", "production"]);
+        }
+        command.output().expect("the command line runs")
+    }
 }
 
 fn listed(gateway: &GatewayProcess) -> Host {
--- a/crates/turmericloft/src/ops/gateway/attempts.rs
+++ b/crates/turmericloft/src/ops/gateway/attempts.rs
@@ -155,9 +155,7 @@
         if is_shed(&answer.response) {
             attempt.set_end(CallEnd::Shed);
             drop(attempt);
-            return self
-                .again()
-                .unwrap_or_else(|| Next::End(not_started("the endpoints shed the request")));
+            return self.again().unwrap_or_else(|| Next::End(shed()));
         }
         if !is_failure(answer.response.status()) {
             attempt.set_end(CallEnd::Answered);
@@ -221,9 +219,18 @@
     Tried { attempt, result }
 }
 
+fn shed() -> DispatchError {
+    let detail = "the service shed the request without starting it";
+    not_started_at(Step::AnswerBegun, detail)
+}
+
 fn not_started(detail: &str) -> DispatchError {
+    not_started_at(Step::Connected, detail)
+}
+
+fn not_started_at(step: Step, detail: &str) -> DispatchError {
     DispatchError::NotStarted {
-        step: Step::Connected,
+        step,
         detail: detail.to_owned(),
         retry_after: NO_ENDPOINT_RETRY,
     }
--- a/crates/turmericloft/src/ops/gateway/dispatch.rs
+++ b/crates/turmericloft/src/ops/gateway/dispatch.rs
@@ -30,7 +30,7 @@
 };
 
 /// Headers that belong to one connection and are not passed on.
-const HOP_BY_HOP: [HeaderName; 4] = [CONNECTION, TE, TRANSFER_ENCODING, UPGRADE];
+pub(super) const HOP_BY_HOP: [HeaderName; 4] = [CONNECTION, TE, TRANSFER_ENCODING, UPGRADE];
 
 /// An answer whose body is still arriving, with all that is held until it is whole.
 #[derive(Debug)]
