Eject endpoints that answer nothing, and prove the routing decisions

Cause: endpoints of a lost availability zone fail nothing and answer nothing; only lost hedges told, and their latency estimate decayed again every second. Found by the new tests: a cold endpoint at its limit let every other call go to an ejected one, though the cold one had slots; with one endpoint the first calls waited.

Change: three long calls in a row that were given up on, with no answer meanwhile, eject an endpoint; cold endpoints are filled beyond their limit before ejected ones are used.

--- a/crates/turmericloft/src/core/routing/endpoint_set.rs
+++ b/crates/turmericloft/src/core/routing/endpoint_set.rs
@@ -133,7 +133,8 @@
         self.latency.mean_or(INITIAL_LATENCY_S)
     }
 
-    /// The endpoint with room that should answer first; ejected ones only when no other is left.
+    /// The endpoint with room that should answer first. Cold ones are filled beyond their limit only
+    /// when no other has room, and ejected ones used only when no other is left.
     pub fn choose(&mut self, now: Instant, excluded: &[EndpointId]) -> Option<EndpointId> {
         if self.endpoints.is_empty() {
             return None;
@@ -145,8 +146,9 @@
         {
             return Some(cold);
         }
-        self.best(now, first, excluded, false)
-            .or_else(|| self.best(now, first, excluded, true))
+        self.best(now, first, excluded, |e| !e.is_ejected(now) && e.has_room())
+            .or_else(|| self.best(now, first, excluded, |e| !e.is_ejected(now)))
+            .or_else(|| self.best(now, first, excluded, |_| true))
     }
 
     /// Counts a call as sent to an endpoint.
@@ -160,8 +162,9 @@
         let seconds = self.seconds(now);
         let started = self.seconds(call.started);
         let may_eject = self.may_eject_one_more(seconds);
+        let usual = self.mean_latency();
         let state = &mut self.endpoints[call.endpoint.0 as usize];
-        if state.end(seconds, started, call) && may_eject {
+        if state.end(seconds, started, usual, call) && may_eject {
             state.eject(seconds);
         }
         if call.end == CallEnd::Answered {
@@ -192,7 +195,7 @@
         now: f64,
         first: usize,
         excluded: &[EndpointId],
-        ejected: bool,
+        preferred: impl Fn(&EndpointState) -> bool,
     ) -> Option<EndpointId> {
         let means = self.means();
         let n = self.endpoints.len();
@@ -202,7 +205,7 @@
             let i = (first + i) % n;
             let e = &self.endpoints[i];
             let id = EndpointId(i as u32);
-            let usable = !e.is_draining(now) && e.has_room() && (ejected || !e.is_ejected(now));
+            let usable = !e.is_draining(now) && e.has_any_room() && preferred(e);
             if !usable || excluded.contains(&id) {
                 continue;
             }
--- a/crates/turmericloft/src/core/routing/endpoint_state.rs
+++ b/crates/turmericloft/src/core/routing/endpoint_state.rs
@@ -15,6 +15,11 @@
 const ERROR_LOAD: f64 = 2.0;
 /// Failures in a row after which an endpoint is ejected.
 const FAILURES_TO_EJECT: u32 = 2;
+/// Unanswered calls in a row, with no answer to any call meanwhile, after which an endpoint is
+/// ejected.
+const SILENCES_TO_EJECT: u32 = 3;
+/// Mean latencies after which a call that was given up on counts as unanswered.
+const SILENT_LATENCIES: f64 = 3.0;
 /// Time of the first ejection, in seconds; each further one doubles it.
 const FIRST_EJECTION_S: f64 = 0.5;
 /// Longest ejection, in seconds.
@@ -55,6 +60,8 @@
     others: f64,
     reported: f64,
     failures: u32,
+    silences: u32,
+    answered: f64,
     ejections: u32,
     ejected_until: f64,
     drained_until: f64,
@@ -75,6 +82,8 @@
             others: 0.0,
             reported: f64::NEG_INFINITY,
             failures: 0,
+            silences: 0,
+            answered: 0.0,
             ejections: 0,
             ejected_until: 0.0,
             drained_until: 0.0,
@@ -124,7 +133,7 @@
 
     /// Whether own requests leave room for one more.
     pub(super) fn has_room(&self) -> bool {
-        let on_trial = self.ejections > 0 && self.failures > 0;
+        let on_trial = self.ejections > 0;
         let limit = if on_trial {
             1
         } else if self.is_cold() {
@@ -135,6 +144,11 @@
         self.in_flight < limit
     }
 
+    /// Whether own requests leave room for one more, however cold it is.
+    pub(super) fn has_any_room(&self) -> bool {
+        self.in_flight < self.limit
+    }
+
     /// Estimated time until an answer to a request sent now, in seconds.
     pub(super) fn expected_latency(&self, now: f64, means: &ServiceMeans) -> f64 {
         let slots = f64::from(self.slots);
@@ -167,9 +181,9 @@
         self.starts += now;
     }
 
-    /// Takes in an ended call that started at `started`. Gives whether the endpoint should be
-    /// ejected.
-    pub(super) fn end(&mut self, now: f64, started: f64, call: &EndedCall) -> bool {
+    /// Takes in an ended call that started at `started`, with the usual latency of the service.
+    /// Gives whether the endpoint should be ejected.
+    pub(super) fn end(&mut self, now: f64, started: f64, usual: f64, call: &EndedCall) -> bool {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.starts = if self.in_flight == 0 {
             0.0
@@ -189,13 +203,17 @@
                 self.latency.add(now, now - started);
                 self.answers = self.answers.saturating_add(1);
                 self.failures = 0;
+                self.silences = 0;
+                self.answered = now;
                 self.ejections = 0;
                 false
             }
             CallEnd::Abandoned => {
                 // The call would have taken at least this long.
                 self.latency.add_weighted(now, 0.0, now - started);
-                false
+                let long = now - started >= SILENT_LATENCIES * usual;
+                self.silences += u32::from(long && self.answered < started);
+                self.silences >= SILENCES_TO_EJECT && !self.is_ejected(now)
             }
             CallEnd::Shed => {
                 self.others = self.others.max(f64::from(self.slots));
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -6,3 +6,4 @@
 mod guard;
 mod parsers;
 mod peer;
+mod routing;
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/routing/endpoints.rs
@@ -0,0 +1,148 @@
+//! The choice of endpoints.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use turmericloft::core::routing::{
+    CallEnd, EndedCall, EndpointId, EndpointSet, EndpointSettings, LoadReport, LoadReportError,
+};
+
+use super::{SLOTS, cases, ended};
+
+fn endpoint_set(now: Instant, count: usize, seed: u64) -> EndpointSet {
+    let settings = vec![
+        EndpointSettings {
+            slots: SLOTS,
+            in_flight: SLOTS,
+            same_zone: true,
+        };
+        count
+    ];
+    EndpointSet::new(now, &settings, Pcg64Mcg::seed_from_u64(seed))
+}
+
+/// Sends a call and ends it after `time`.
+fn call(set: &mut EndpointSet, now: Instant, time: Duration, end: CallEnd) -> EndpointId {
+    let endpoint = set.choose(now, &[]).expect("an endpoint has room");
+    set.start(now, endpoint);
+    set.end(now + time, &ended(endpoint, now, end));
+    endpoint
+}
+
+proptest! {
+    #![proptest_config(cases(64))]
+
+    #[test]
+    fn at_most_half_of_the_endpoints_are_ejected(
+        count in 1_usize..20,
+        failing in prop::collection::vec(any::<bool>(), 1..400),
+        seed in any::<u64>(),
+    ) {
+        let mut now = Instant::now();
+        let mut set = endpoint_set(now, count, seed);
+        for fails in failing {
+            now += Duration::from_millis(5);
+            let end = if fails { CallEnd::Failed } else { CallEnd::Answered };
+            call(&mut set, now, Duration::ZERO, end);
+            let ids = (0..count).map(|i| EndpointId(i as u32));
+            let ejected = ids.filter(|id| set.is_ejected(now, *id)).count();
+            prop_assert!(ejected * 2 <= count, "{ejected} of {count} are ejected");
+        }
+    }
+
+    #[test]
+    fn a_draining_endpoint_is_never_chosen(
+        count in 2_usize..20,
+        drained in any::<prop::sample::Index>(),
+        by_host_list in any::<bool>(),
+        seed in any::<u64>(),
+    ) {
+        let mut now = Instant::now();
+        let mut set = endpoint_set(now, count, seed);
+        let id = EndpointId(drained.index(count) as u32);
+        if by_host_list {
+            set.set_leaving(id, true);
+        } else {
+            set.start(now, id);
+            let answer = ended(id, now, CallEnd::Answered);
+            set.end(now, &EndedCall { drain: true, ..answer });
+        }
+        for _ in 0..200 {
+            now += Duration::from_millis(5);
+            let chosen = call(&mut set, now, Duration::from_millis(2), CallEnd::Answered);
+            prop_assert_ne!(chosen, id);
+        }
+    }
+
+    #[test]
+    fn a_failing_endpoint_never_looks_idle(count in 2_usize..20, seed in any::<u64>()) {
+        let mut now = Instant::now();
+        let mut set = endpoint_set(now, count, seed);
+        let failing = EndpointId(0);
+        let mut busy = std::collections::VecDeque::new();
+        let mut chosen = 0;
+        for _ in 0..2_000 {
+            now += Duration::from_millis(5);
+            let id = set.choose(now, &[]).expect("an endpoint has room");
+            set.start(now, id);
+            if id == failing {
+                chosen += 1;
+                set.end(now, &ended(id, now, CallEnd::Failed));
+            } else {
+                busy.push_back((id, now));
+            }
+            // The others always have a call in flight, and the failing one never has.
+            if busy.len() > count {
+                let (id, started) = busy.pop_front().expect("it is not empty");
+                set.end(now, &ended(id, started, CallEnd::Answered));
+            }
+        }
+        prop_assert!(chosen <= 20, "{chosen} of 2000 calls went to the failing endpoint");
+    }
+}
+
+#[test]
+fn an_endpoint_without_room_is_not_chosen() {
+    let now = Instant::now();
+    let mut set = endpoint_set(now, 1, 1);
+    for _ in 0..100 {
+        call(&mut set, now, Duration::from_millis(1), CallEnd::Answered);
+    }
+    for _ in 0..SLOTS {
+        let id = set.choose(now, &[]).expect("a slot is free");
+        set.start(now, id);
+    }
+    assert_eq!(set.choose(now, &[]), None);
+}
+
+#[test]
+fn a_cold_endpoint_warms_up_beside_an_idle_warm_one() {
+    let mut now = Instant::now();
+    let mut set = endpoint_set(now, 2, 1);
+    set.set_leaving(EndpointId(1), true);
+    for _ in 0..100 {
+        call(&mut set, now, Duration::from_millis(1), CallEnd::Answered);
+    }
+    set.set_leaving(EndpointId(1), false);
+    let mut chosen = 0;
+    for _ in 0..2_000 {
+        now += Duration::from_millis(5);
+        let id = call(&mut set, now, Duration::from_millis(1), CallEnd::Answered);
+        chosen += u32::from(id == EndpointId(1));
+    }
+    assert!(chosen >= 100, "{chosen} of 2000 calls");
+}
+
+#[test]
+fn a_load_report_is_two_whole_numbers() {
+    let report = LoadReport {
+        in_flight: 3,
+        slots: 4,
+    };
+    assert_eq!("3/4".parse(), Ok(report));
+    for text in ["", "3", "3/", "/4", "a/4", "3/4/5", "-1/4"] {
+        assert_eq!(text.parse::<LoadReport>(), Err(LoadReportError), "{text}");
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/routing/extra_calls.rs
@@ -0,0 +1,114 @@
+//! Retries and hedges: one budget, and no growth down a chain of calls.
+
+use std::time::{Duration, Instant};
+
+use http::HeaderMap;
+use proptest::prelude::*;
+use turmericloft::core::routing::{CallChain, CallEnd, ExtraCallBudget, Offer};
+
+use super::{FAR, cases, ended, name, request, scheduler};
+
+/// Calls made at the bottom of a chain in which every call fails and each gateway tries as often
+/// as it may, without a budget.
+fn bottom_calls(chain: CallChain, levels_left: u32) -> u32 {
+    if levels_left == 0 {
+        return 1;
+    }
+    let attempts = if chain.allows_extra_calls() {
+        CallChain::MAX_ATTEMPTS
+    } else {
+        1
+    };
+    let sent = (1..=attempts).map(|attempt| {
+        let mut headers = HeaderMap::new();
+        chain.forwarded(attempt).write(&mut headers);
+        bottom_calls(CallChain::from_headers(&headers), levels_left - 1)
+    });
+    sent.sum()
+}
+
+#[test]
+fn a_chain_of_ten_failing_calls_does_not_multiply() {
+    let bound = 1 + CallChain::MAX_EXTRA_DEPTH * (CallChain::MAX_ATTEMPTS - 1);
+    assert_eq!(bottom_calls(CallChain::TOP, 10), bound);
+    assert_eq!(bound, 5);
+}
+
+#[test]
+fn a_retry_below_another_gateway_gets_no_extra_calls() {
+    let retried = CallChain::TOP.forwarded(2);
+    assert!(CallChain::TOP.allows_extra_calls());
+    assert!(!retried.allows_extra_calls());
+    let mut headers = HeaderMap::new();
+    headers.insert(CallChain::ATTEMPT_HEADER, "many".parse().expect("a value"));
+    assert_eq!(CallChain::from_headers(&headers), CallChain::TOP);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Offer,
+    End(CallEnd),
+    Hedge,
+    Retry,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => Just(Step::Offer),
+        3 => Just(Step::End(CallEnd::Answered)),
+        1 => Just(Step::End(CallEnd::Failed)),
+        1 => Just(Step::End(CallEnd::Shed)),
+        1 => Just(Step::End(CallEnd::Abandoned)),
+        3 => Just(Step::Hedge),
+        3 => Just(Step::Retry),
+    ]
+}
+
+proptest! {
+    #![proptest_config(cases(64))]
+
+    #[test]
+    fn extra_calls_stay_within_the_budget(
+        steps in prop::collection::vec(step(), 1..800),
+        seed in any::<u64>(),
+    ) {
+        let mut now = Instant::now();
+        let mut scheduler = scheduler(now, 4, 256, seed);
+        let caller = name(0);
+        let mut open = Vec::new();
+        let mut flow = None;
+        let (mut calls, mut extra) = (0, 0);
+        for step in steps {
+            now += Duration::from_millis(1);
+            match step {
+                Step::Offer => {
+                    calls += 1;
+                    if let Offer::Start(f, endpoint) =
+                        scheduler.offer(now, &request(&caller, 1, now + FAR))
+                    {
+                        flow = Some(f);
+                        open.push((endpoint, now));
+                    }
+                }
+                Step::End(end) => {
+                    if let Some((endpoint, started)) = open.pop() {
+                        scheduler.end(now, &ended(endpoint, started, end));
+                    }
+                }
+                Step::Hedge | Step::Retry => {
+                    let Some(flow) = flow else { continue };
+                    let endpoint = match step {
+                        Step::Hedge => scheduler.hedge(now, flow, CallChain::TOP, &[]),
+                        _ => scheduler.retry(now, CallChain::TOP, &[]),
+                    };
+                    if let Some(endpoint) = endpoint {
+                        extra += 1;
+                        open.push((endpoint, now));
+                    }
+                }
+            }
+            let allowed = ExtraCallBudget::RESERVE + 0.05 * f64::from(calls);
+            prop_assert!(f64::from(extra) <= allowed + 1e-9, "{extra} extra of {calls} calls");
+        }
+    }
+}
