--- a/crates/turmericloft/src/core/routing/endpoint_set.rs
+++ b/crates/turmericloft/src/core/routing/endpoint_set.rs
@@ -9,6 +9,7 @@
     EndedCall,
     call_end::CallEnd,
     endpoint_state::{EndpointState, ServiceMeans},
+    report_trust::ReportTrust,
 };
 use crate::core::decayed_mean::DecayedMean;
 
@@ -47,6 +48,7 @@
     endpoints: Vec<EndpointState>,
     latency: DecayedMean,
     others: DecayedMean,
+    trust: ReportTrust,
     rng: Pcg64Mcg,
 }
 
@@ -59,6 +61,7 @@
             endpoints,
             latency: DecayedMean::new(MEANS_HALF_LIFE_S),
             others: DecayedMean::new(MEANS_HALF_LIFE_S),
+            trust: ReportTrust::new(),
             rng,
         }
     }
@@ -173,6 +176,9 @@
         if let Some(load) = call.load {
             let share = f64::from(load.in_flight) / f64::from(load.slots.max(1));
             self.others.add(seconds, share);
+            if call.end == CallEnd::Answered {
+                self.trust.record(share, seconds - started);
+            }
         }
     }
 
@@ -223,6 +229,7 @@
         ServiceMeans {
             latency,
             others: self.others.mean_or(0.0),
+            trust: self.trust.get(),
             report_life: REPORT_LIFE_LATENCIES * latency,
         }
     }
--- a/crates/turmericloft/src/core/routing/endpoint_state.rs
+++ b/crates/turmericloft/src/core/routing/endpoint_state.rs
@@ -40,6 +40,8 @@
     pub(super) latency: f64,
     /// Mean load of other gateways, as a share of an endpoint's slots.
     pub(super) others: f64,
+    /// How far reports can be trusted, from 0 to 1.
+    pub(super) trust: f64,
     /// Time in which a report loses most of its worth, in seconds.
     pub(super) report_life: f64,
 }
@@ -153,7 +155,7 @@
     pub(super) fn expected_latency(&self, now: f64, means: &ServiceMeans) -> f64 {
         let slots = f64::from(self.slots);
         let age = (now - self.reported).max(0.0);
-        let known = (-age / means.report_life).exp();
+        let known = means.trust * (-age / means.report_life).exp();
         let prior = means.others * slots;
         let others = prior + (self.others - prior) * known;
         let (errors, _) = self.errors.at(now);
--- a/crates/turmericloft/src/core/routing/mod.rs
+++ b/crates/turmericloft/src/core/routing/mod.rs
@@ -10,6 +10,7 @@
 mod extra_call_budget;
 mod hedge_delay;
 mod load_report;
+mod report_trust;
 mod service_scheduler;
 
 pub use self::{
--- a/crates/turmericloft/tests/testsuite/routing/endpoints.rs
+++ b/crates/turmericloft/tests/testsuite/routing/endpoints.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use turmericloft::core::routing::{
     CallEnd, EndedCall, EndpointId, EndpointSet, EndpointSettings, LoadReport, LoadReportError,
@@ -146,3 +146,33 @@
         assert_eq!(text.parse::<LoadReport>(), Err(LoadReportError), "{text}");
     }
 }
+
+#[test]
+fn reports_that_say_nothing_about_latency_are_left_aside() {
+    let mut now = Instant::now();
+    let mut set = endpoint_set(now, 2, 1);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut answer = |set: &mut EndpointSet, id: EndpointId| {
+        set.start(now, id);
+        let started = now;
+        now += Duration::from_millis(rng.random_range(1..10));
+        let load = LoadReport {
+            in_flight: 1 + 7 * id.0,
+            slots: SLOTS,
+        };
+        let answered = EndedCall {
+            load: Some(load),
+            ..ended(id, started, CallEnd::Answered)
+        };
+        set.end(now, &answered);
+        now
+    };
+    let mut reported_full = 0;
+    for _ in 0..4_000 {
+        answer(&mut set, EndpointId(0));
+        let at = answer(&mut set, EndpointId(1));
+        let id = set.choose(at, &[]).expect("an endpoint has room");
+        reported_full += u32::from(id == EndpointId(1));
+    }
+    assert!(reported_full >= 1_000, "{reported_full} of 4000 calls");
+}
