--- a/crates/turmericloft/src/core/routing/endpoint_set.rs
+++ b/crates/turmericloft/src/core/routing/endpoint_set.rs
@@ -8,9 +8,10 @@
 use super::{
     EndedCall,
     call_end::CallEnd,
-    decayed_mean::DecayedMean,
     endpoint_state::{EndpointState, ServiceMeans},
+    report_trust::ReportTrust,
 };
+use crate::core::decayed_mean::DecayedMean;
 
 /// Endpoints looked at for one decision.
 const MAX_CONSIDERED: usize = 32;
@@ -47,6 +48,7 @@
     endpoints: Vec<EndpointState>,
     latency: DecayedMean,
     others: DecayedMean,
+    trust: ReportTrust,
     rng: Pcg64Mcg,
 }
 
@@ -59,6 +61,7 @@
             endpoints,
             latency: DecayedMean::new(MEANS_HALF_LIFE_S),
             others: DecayedMean::new(MEANS_HALF_LIFE_S),
+            trust: ReportTrust::new(),
             rng,
         }
     }
@@ -133,7 +136,8 @@
         self.latency.mean_or(INITIAL_LATENCY_S)
     }
 
-    /// The endpoint with room that should answer first; ejected ones only when no other is left.
+    /// The endpoint with room that should answer first. Cold ones are filled beyond their limit only
+    /// when no other has room, and ejected ones used only when no other is left.
     pub fn choose(&mut self, now: Instant, excluded: &[EndpointId]) -> Option<EndpointId> {
         if self.endpoints.is_empty() {
             return None;
@@ -145,8 +149,9 @@
         {
             return Some(cold);
         }
-        self.best(now, first, excluded, false)
-            .or_else(|| self.best(now, first, excluded, true))
+        self.best(now, first, excluded, |e| !e.is_ejected(now) && e.has_room())
+            .or_else(|| self.best(now, first, excluded, |e| !e.is_ejected(now)))
+            .or_else(|| self.best(now, first, excluded, |_| true))
     }
 
     /// Counts a call as sent to an endpoint.
@@ -160,8 +165,9 @@
         let seconds = self.seconds(now);
         let started = self.seconds(call.started);
         let may_eject = self.may_eject_one_more(seconds);
+        let usual = self.mean_latency();
         let state = &mut self.endpoints[call.endpoint.0 as usize];
-        if state.end(seconds, started, call) && may_eject {
+        if state.end(seconds, started, usual, call) && may_eject {
             state.eject(seconds);
         }
         if call.end == CallEnd::Answered {
@@ -170,6 +176,9 @@
         if let Some(load) = call.load {
             let share = f64::from(load.in_flight) / f64::from(load.slots.max(1));
             self.others.add(seconds, share);
+            if call.end == CallEnd::Answered {
+                self.trust.record(share, seconds - started);
+            }
         }
     }
 
@@ -192,7 +201,7 @@
         now: f64,
         first: usize,
         excluded: &[EndpointId],
-        ejected: bool,
+        preferred: impl Fn(&EndpointState) -> bool,
     ) -> Option<EndpointId> {
         let means = self.means();
         let n = self.endpoints.len();
@@ -202,7 +211,7 @@
             let i = (first + i) % n;
             let e = &self.endpoints[i];
             let id = EndpointId(i as u32);
-            let usable = !e.is_draining(now) && e.has_room() && (ejected || !e.is_ejected(now));
+            let usable = !e.is_draining(now) && e.has_any_room() && preferred(e);
             if !usable || excluded.contains(&id) {
                 continue;
             }
@@ -220,6 +229,7 @@
         ServiceMeans {
             latency,
             others: self.others.mean_or(0.0),
+            trust: self.trust.get(),
             report_life: REPORT_LIFE_LATENCIES * latency,
         }
     }
--- a/crates/turmericloft/src/core/routing/mod.rs
+++ b/crates/turmericloft/src/core/routing/mod.rs
@@ -5,12 +5,12 @@
 mod call_chain;
 mod call_end;
 mod connection_progress;
-mod decayed_mean;
 mod endpoint_set;
 mod endpoint_state;
 mod extra_call_budget;
 mod hedge_delay;
 mod load_report;
+mod report_trust;
 mod service_scheduler;
 
 pub use self::{
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -8,3 +8,4 @@
 mod log_service;
 mod parsers;
 mod peer;
+mod routing;
