--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the programs as separate processes.
 
 mod docs;
+mod fault_matrix;
 mod guarded_freeze;
 mod guarded_keys;
 mod guarded_session;
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -9,6 +9,7 @@
 pub use self::{
     bookings::{Booking, BookingAnswer, runs, set_backend, set_log},
     caller::send,
+    gateway::write_identity,
     platform::Platform,
     process::Process,
 };
--- a/crates/turmericloft-standins/src/backend/routes.rs
+++ b/crates/turmericloft-standins/src/backend/routes.rs
@@ -87,6 +87,11 @@
         self.shared.set_faults(faults);
     }
 
+    /// Closes all connections; new ones work.
+    pub fn cut_connections(&self) {
+        self.shared.connections.cut_all();
+    }
+
     /// What was run so far.
     pub fn runs(&self) -> RunCounts {
         self.shared.runs.lock().clone()
--- a/crates/turmericloft/src/ops/gateway/guarded/answer.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/answer.rs
@@ -25,6 +25,7 @@
         matched::Matched,
         shared::{Gateway, InForce},
     },
+    util::fault_point::FaultPoint,
 };
 
 /// Header with the caller's own key of a guarded action.
@@ -56,6 +57,7 @@
         let text = text.to_str().unwrap_or_default().to_owned();
         let id = read_id(gateway, matched, &text)?;
         let request = buffer(matched, req).await?;
+        FaultPoint::Received.reached();
         let current = incarnation_of(gateway, &id.executor);
         return Ok(
             match Placement::find(&id.executor, &gateway.host, current.as_ref()) {
@@ -76,7 +78,8 @@
     }
     let key = caller_key(&req, matched)?;
     let request = buffer(matched, req).await?;
-    Ok(answer_keyed(gateway, in_force, key, request).await)
+    FaultPoint::Received.reached();
+    Ok(answer_keyed(gateway, in_force, key, request, matched.deadline()).await)
 }
 
 /// Reads an id and checks it, as far as this gateway can.
@@ -141,6 +144,7 @@
 
 /// Gives a kept answer to a caller and counts the request.
 fn relay(answer: &FinalAnswer, count: OpenCount) -> Response<AnswerBody> {
+    FaultPoint::Relayed.reached();
     let body = match answer.outcome {
         Outcome::Served => CountedBody::new(answer.body.clone(), count).boxed_unsync(),
         outcome => {
--- a/crates/turmericloft/src/ops/gateway/guarded/buffer.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/buffer.rs
@@ -3,11 +3,14 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use super::collect::{CollectError, collect};
+use super::{
+    action_body::ActionBody,
+    collect::{CollectError, collect},
+};
 use crate::{
     core::{Problem, Step, guard::ActionRequest},
     ops::gateway::{answer::refusal, dispatch::to_backend, matched::Matched},
@@ -59,7 +62,7 @@
 
 /// The request for a backend server.
 pub(super) fn to_request(request: &ActionRequest) -> Result<Request<RequestBody>, http::Error> {
-    let body = Full::new(request.body.clone()).map_err(|never| match never {});
+    let body = ActionBody::new(request.body.clone());
     let mut req = Request::builder()
         .method(request.method.as_str())
         .uri(&request.path_and_query)
--- a/crates/turmericloft/src/ops/gateway/guarded/claims.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/claims.rs
@@ -16,7 +16,7 @@
     },
     ops::gateway::shared::Gateway,
     sources::log_service::{LogService, RecordPage},
-    util::clock::unix_ms,
+    util::{clock::unix_ms, fault_point::FaultPoint},
 };
 
 /// Least time between two appends of one gateway. With 17 gateways this makes 425 appends a
@@ -128,6 +128,7 @@
         let Ok(Some(offset)) = offset.await else {
             return ClaimResult::Unsettled;
         };
+        FaultPoint::ClaimAppended.reached();
         let mut read_up_to = self.read_up_to.subscribe();
         let read = timeout(READ_LIMIT, read_up_to.wait_for(|next| *next > offset)).await;
         if !matches!(read, Ok(Ok(_))) {
--- a/crates/turmericloft/src/ops/gateway/guarded/forward.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/forward.rs
@@ -16,6 +16,7 @@
     },
     ops::gateway::shared::Gateway,
     sources::peer::{ForwardedAction, PeerReply, PeerRequest},
+    util::fault_point::FaultPoint,
 };
 
 /// Time on top of the deadline for the executor's reply.
@@ -36,6 +37,7 @@
         return no_reply(executor, "this gateway knows no peers");
     };
     let forwarded = PeerRequest::Action(Box::new(ForwardedAction { id, request }));
+    FaultPoint::Forwarded.reached();
     let reply = timeout(
         deadline + REPLY_GRACE,
         peers.request(&executor.name, forwarded),
--- a/crates/turmericloft/src/ops/gateway/guarded/keyed.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/keyed.rs
@@ -27,13 +27,13 @@
         shared::{Gateway, InForce},
     },
     sources::peer::{ActionRef, PeerReply, PeerRequest},
-    util::clock::unix_ms,
+    util::{clock::unix_ms, fault_point::FaultPoint},
 };
 
 /// Time after which a log service that failed may work again.
 const LOG_RETRY: Duration = Duration::from_secs(1);
-/// Time allowed for another gateway to tell how an action ended, on top of what the action takes.
-const FIND_LIMIT: Duration = Duration::from_secs(10);
+/// Time on top of the deadline for another gateway to tell how an action ended.
+const FIND_GRACE: Duration = Duration::from_millis(500);
 
 /// Runs an action if its key is this gateway's to claim, or finds how it ended.
 pub(super) async fn answer_keyed(
@@ -41,6 +41,7 @@
     in_force: &Arc<InForce>,
     key: ActionKey,
     request: ActionRequest,
+    deadline: Duration,
 ) -> Arc<FinalAnswer> {
     let now_ms = unix_ms();
     let unproven = gateway
@@ -55,7 +56,7 @@
     let fingerprint = request.fingerprint();
     let holder = claims.holder(&digest);
     if let Some(holder) = holder.as_ref().filter(|h| **h != gateway.host) {
-        return find_at(gateway, holder, key, fingerprint).await;
+        return find_at(gateway, holder, key, fingerprint, deadline).await;
     }
     let lifetime_ms = gateway.actions.key_lifetime.as_millis() as u64;
     let may_begin = holder.is_none() && unproven.is_zero();
@@ -74,6 +75,7 @@
                 claims: Arc::clone(claims),
                 digest,
                 fingerprint,
+                deadline,
             };
             tokio::spawn(run.run(permit, request));
             None
@@ -97,18 +99,21 @@
     claims: Arc<Claims>,
     digest: ClaimDigest,
     fingerprint: Fingerprint,
+    deadline: Duration,
 }
 
 impl Keyed {
     async fn run(self, permit: Permit<Received, WaitingCopy>, request: ActionRequest) {
         match self.claims.claim(self.digest).await {
             ClaimResult::Own => {
+                FaultPoint::ClaimRead.reached();
                 let limit = self.gateway.actions.keyed.limits().answer_bytes;
                 run_action(self.in_force, permit.claim(), request, limit).await;
             }
             ClaimResult::Other(holder) => {
                 let key = permit.key().clone();
-                let answer = find_at(&self.gateway, &holder, key, self.fingerprint).await;
+                let answer =
+                    find_at(&self.gateway, &holder, key, self.fingerprint, self.deadline).await;
                 permit.settle(Arc::unwrap_or_clone(answer));
             }
             ClaimResult::Unsettled => self.give_up(permit).await,
@@ -132,6 +137,7 @@
     holder: &HostId,
     key: ActionKey,
     fingerprint: Fingerprint,
+    deadline: Duration,
 ) -> Arc<FinalAnswer> {
     let Some(peers) = gateway.peers().filter(|_| holder.name != gateway.host.name) else {
         return Arc::new(FinalAnswer::of_problem(&gone(holder)));
@@ -145,7 +151,7 @@
         key,
         fingerprint,
     });
-    match timeout(FIND_LIMIT, peers.request(&holder.name, find)).await {
+    match timeout(deadline + FIND_GRACE, peers.request(&holder.name, find)).await {
         Ok(Ok(PeerReply::Action(answer))) => Arc::new(answer),
         Ok(Ok(_)) => Arc::new(FinalAnswer::of_problem(&gone(holder))),
         Ok(Err(e)) => no_reply(holder, &e.to_string()),
--- a/crates/turmericloft/src/ops/gateway/guarded/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/mod.rs
@@ -5,6 +5,7 @@
 //! still waits. A request with its caller's own key is run by the gateway whose claim is the first
 //! in the log ([`Claims`](claims::Claims)). [`answer`] serves a caller, [`answer_peer`] another gateway.
 
+mod action_body;
 mod actions;
 mod answer;
 mod buffer;
--- a/crates/turmericloft/src/ops/gateway/guarded/run_action.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/run_action.rs
@@ -20,6 +20,7 @@
         matched::Matched,
         shared::InForce,
     },
+    util::fault_point::FaultPoint,
 };
 
 /// Header of a 503 by which a backend server promises that it did not start the request.
@@ -59,6 +60,7 @@
         }
     };
     permit.settle(answer);
+    FaultPoint::ReceiptKept.reached();
 }
 
 fn find<'a>(in_force: &'a InForce, request: &ActionRequest) -> Option<Matched<'a>> {
@@ -92,6 +94,7 @@
             ));
         };
         let dispatched = dispatch(in_force, matched, req).await.map_err(failure)?;
+        FaultPoint::AnswerBegun.reached();
         if !was_shed(&dispatched.response) {
             return whole_answer(dispatched, answer_limit).await;
         }
@@ -119,6 +122,7 @@
             unknown(Step::AnswerBegun, "the answer broke off; the action ran")
         }
     })?;
+    FaultPoint::AnswerWhole.reached();
     drop((dispatched.lease, dispatched.in_flight));
     HOP_BY_HOP.iter().for_each(|name| {
         head.headers.remove(name);
--- a/crates/turmericloft/src/sources/backend/connection_pool.rs
+++ b/crates/turmericloft/src/sources/backend/connection_pool.rs
@@ -9,7 +9,7 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use super::{BodyError, RequestBody, SendError};
-use crate::core::Step;
+use crate::{core::Step, util::fault_point::FaultPoint};
 
 /// Time allowed to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -76,6 +76,7 @@
         mut sender: Sender,
         req: Request<RequestBody>,
     ) -> Result<BackendAnswer, SendError> {
+        FaultPoint::Connected.reached();
         match sender.try_send_request(req).await {
             Ok(response) => {
                 let lease = ConnectionLease {
--- a/crates/turmericloft/src/util/mod.rs
+++ b/crates/turmericloft/src/util/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod clock;
 pub mod error_chain;
+pub mod fault_point;
 pub mod logging;
 pub mod settings;
