--- a/crates/turmericloft-cli/tests/testsuite/fault_matrix/installation.rs
+++ b/crates/turmericloft-cli/tests/testsuite/fault_matrix/installation.rs
@@ -192,7 +192,7 @@
     fn promote(&self) {
         let document = self.folder.path().join("document.toml");
         let promoted = Command::new(env!("CARGO_BIN_EXE_turmericloft"))
-            .arg("promote")
+            .arg("trial")
             .arg(document)
             .args(["--author", "anna", "--environment", "production"])
             .args(["--log-service", &self.log_address.to_string()])
--- a/crates/turmericloft-cli/tests/testsuite/guarded_session.rs
+++ b/crates/turmericloft-cli/tests/testsuite/guarded_session.rs
@@ -122,9 +122,9 @@
 b, again, to gw-3: 502, runs 1
   {"status":502,"title":"Bad Gateway","outcome":"unknown","step":"first-byte-sent","detail":"call to [..] ended at step first-byte-sent"}
 c, shed, to gw-1: 503 (retry after 1 s), runs 0
-  {"status":503,"title":"Service Unavailable","outcome":"not-run","step":"answer-begun","detail":"the service shed the action without starting it","retry_after_ms":1000}
+  {"status":503,"title":"Service Unavailable","outcome":"not-run","step":"answer-begun","detail":"the service shed the request without starting it","retry_after_ms":1000}
 c, again, to gw-2: 503 (retry after 1 s), runs 0
-  {"status":503,"title":"Service Unavailable","outcome":"not-run","step":"answer-begun","detail":"the service shed the action without starting it","retry_after_ms":1000}
+  {"status":503,"title":"Service Unavailable","outcome":"not-run","step":"answer-begun","detail":"the service shed the request without starting it","retry_after_ms":1000}
 d, first, to gw-1: 200, runs 1
   /book party of d
 d, executor killed, to gw-2: 502, runs 1
--- a/crates/turmericloft/src/core/routing/endpoint_set.rs
+++ b/crates/turmericloft/src/core/routing/endpoint_set.rs
@@ -16,14 +16,14 @@
 const MAX_CONSIDERED: usize = 32;
 /// Largest share of the endpoints that may be ejected at once.
 const MAX_EJECTED_SHARE: f64 = 0.5;
+/// One in so many decisions tries a cold endpoint, so that it warms up beside idle warm ones.
+const COLD_TRIAL_INTERVAL: u32 = 16;
 /// Half-life of the service's means, in seconds.
 const MEANS_HALF_LIFE_S: f64 = 1.0;
 /// Latency assumed before the first answer, in seconds.
 const INITIAL_LATENCY_S: f64 = 0.01;
 /// Mean latencies after which a report has lost most of its worth.
 const REPORT_LIFE_LATENCIES: f64 = 2.0;
-/// Round trip to another availability zone beyond that within one, in seconds.
-const ZONE_DISTANCE_S: f64 = 0.000_8;
 
 /// Index of an endpoint in its set.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -34,6 +34,8 @@
 pub struct EndpointSettings {
     /// Requests it works on at the same time.
     pub slots: u32,
+    /// Requests that this gateway may have in flight at it: its share of the connections.
+    pub in_flight: u32,
     /// Whether it is in the gateway's availability zone.
     pub same_zone: bool,
 }
@@ -51,10 +53,7 @@
 impl EndpointSet {
     /// A set in which nothing is known yet. Ties are broken by `rng`.
     pub fn new(now: Instant, settings: &[EndpointSettings], rng: Pcg64Mcg) -> Self {
-        let endpoints = settings
-            .iter()
-            .map(|s| EndpointState::new(s.slots, distance(s)))
-            .collect();
+        let endpoints = settings.iter().map(EndpointState::new).collect();
         Self {
             epoch: now,
             endpoints,
@@ -71,8 +70,8 @@
             .map(|(s, before)| {
                 let before = before.and_then(|id| self.endpoints.get(id.0 as usize));
                 match before {
-                    Some(state) => state.carried_over(s.slots, distance(s)),
-                    None => EndpointState::new(s.slots, distance(s)),
+                    Some(state) => state.carried_over(s),
+                    None => EndpointState::new(s),
                 }
             })
             .collect();
@@ -141,6 +140,11 @@
         }
         let now = self.seconds(now);
         let first = self.rng.random_range(0..self.endpoints.len());
+        if self.rng.random_ratio(1, COLD_TRIAL_INTERVAL)
+            && let Some(cold) = self.cold(now, first, excluded)
+        {
+            return Some(cold);
+        }
         self.best(now, first, excluded, false)
             .or_else(|| self.best(now, first, excluded, true))
     }
@@ -169,6 +173,20 @@
         }
     }
 
+    /// An endpoint that has answered little and has no request in flight.
+    fn cold(&self, now: f64, first: usize, excluded: &[EndpointId]) -> Option<EndpointId> {
+        let n = self.endpoints.len();
+        let candidates = (first..first + n.min(MAX_CONSIDERED)).map(|i| i % n);
+        let idle_and_cold = |&i: &usize| {
+            let e = &self.endpoints[i];
+            e.is_cold() && e.in_flight == 0 && !e.is_draining(now) && !e.is_ejected(now)
+        };
+        let ids = candidates
+            .filter(idle_and_cold)
+            .map(|i| EndpointId(i as u32));
+        ids.into_iter().find(|id| !excluded.contains(id))
+    }
+
     fn best(
         &self,
         now: f64,
@@ -215,11 +233,3 @@
         at.saturating_duration_since(self.epoch).as_secs_f64()
     }
 }
-
-fn distance(settings: &EndpointSettings) -> f64 {
-    if settings.same_zone {
-        0.0
-    } else {
-        ZONE_DISTANCE_S
-    }
-}
--- a/crates/turmericloft/src/ops/gateway/guarded/buffer.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/buffer.rs
@@ -7,14 +7,11 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use super::{
-    action_body::ActionBody,
-    collect::{CollectError, collect},
-};
+use super::collect::{CollectError, collect};
 use crate::{
     core::{Problem, Step, guard::ActionRequest},
     ops::gateway::{answer::refusal, dispatch::to_backend, matched::Matched},
-    sources::backend::RequestBody,
+    sources::backend::{KeptBody, RequestBody},
 };
 
 /// Time a caller has to send the body of a request. No slot is held meanwhile.
@@ -62,7 +59,7 @@
 
 /// The request for a backend server.
 pub(super) fn to_request(request: &ActionRequest) -> Result<Request<RequestBody>, http::Error> {
-    let body = ActionBody::new(request.body.clone());
+    let body = KeptBody::new(request.body.clone());
     let mut req = Request::builder()
         .method(request.method.as_str())
         .uri(&request.path_and_query)
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -5,22 +5,30 @@
 
 mod admin;
 mod answer;
+mod attempts;
+mod counting_cost;
 mod dispatch;
 mod follow_config;
+mod followed_config;
 mod guarded;
 mod handle;
+mod in_flight;
 mod listener;
 mod lookup;
 mod matched;
 mod peers;
 mod relayed_body;
+mod replay;
 mod run;
 mod send_snapshots;
 mod service_state;
 mod shared;
+mod tell_state;
 mod watch_hosts;
 
 pub use self::{
+    follow_config::{ConfigPeers, ConfigSources, follow_config},
+    followed_config::FollowedConfig,
     peers::{PeerRequestError, Peers, PeersError},
     run::{GatewayError, run_gateway},
     shared::{Gateway, InForce},
--- a/crates/turmericloft/src/ops/gateway/guarded/action_body.rs
+++ b/crates/turmericloft/src/sources/backend/kept_body.rs
@@ -1,4 +1,4 @@
-//! The body of a guarded action on its way to a backend server.
+//! A body that is there already, on its way to a backend server.
 
 use std::{
     pin::Pin,
@@ -8,17 +8,19 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 
-use crate::{sources::backend::BodyError, util::fault_point::FaultPoint};
+use super::BodyError;
+use crate::util::fault_point::FaultPoint;
 
 /// A body that is there already, given in two parts, with the points at which the fault matrix injects faults.
 #[derive(Debug)]
-pub(super) struct ActionBody {
+pub struct KeptBody {
     rest: Bytes,
     begun: bool,
 }
 
-impl ActionBody {
-    pub(super) fn new(bytes: Bytes) -> Self {
+impl KeptBody {
+    /// A body of these bytes.
+    pub fn new(bytes: Bytes) -> Self {
         Self {
             rest: bytes,
             begun: false,
@@ -26,7 +28,7 @@
     }
 }
 
-impl Body for ActionBody {
+impl Body for KeptBody {
     type Data = Bytes;
     type Error = BodyError;
 
--- a/crates/turmericloft/src/sources/backend/mod.rs
+++ b/crates/turmericloft/src/sources/backend/mod.rs
@@ -1,11 +1,15 @@
 //! Backend servers: connections to endpoints.
 
+mod connection;
 mod connection_pool;
+mod kept_body;
 mod send_error;
 
 pub use self::{
-    connection_pool::{BackendAnswer, ConnectionLease, ConnectionPool},
-    send_error::SendError,
+    connection::ConnectionLease,
+    connection_pool::{BackendAnswer, ConnectionPool, SendLimits},
+    kept_body::KeptBody,
+    send_error::{GivenUp, SendError},
 };
 
 /// Body of a request on its way to a backend server.
--- a/crates/turmericloft/src/sources/peer/message.rs
+++ b/crates/turmericloft/src/sources/peer/message.rs
@@ -23,6 +23,11 @@
 pub enum PeerRequest {
     /// Tells that the sender is alive.
     Heartbeat(Heartbeat),
+    /// Asks for the accepted configuration record if its version is above `have`.
+    NewerConfig {
+        /// Version that the sender has.
+        have: u64,
+    },
     /// Asks the executor of an issued id to run its action, or to tell how it ended.
     Action(Box<ForwardedAction>),
     /// Asks the holder of a caller's own key how its action ended. Never runs it.
@@ -36,6 +41,8 @@
 pub enum PeerReply {
     /// The receiver's own state.
     Heartbeat(Heartbeat),
+    /// The accepted record as a checkpoint, encoded as in the log; none if it is not newer.
+    Config(Option<Vec<u8>>),
     /// The answer to a forwarded action.
     Action(FinalAnswer),
     /// The receiver is not the executor; it knows nothing of the action.
--- a/crates/turmericloft/src/util/mod.rs
+++ b/crates/turmericloft/src/util/mod.rs
@@ -5,3 +5,4 @@
 pub mod fault_point;
 pub mod logging;
 pub mod settings;
+pub mod timestamp;
