Hold requests that crash two backend servers, end actions at a stop, and add bench guarded

Cause: a request that crashes its backend server crashed the next one at each new try; a stopping gateway cut off actions whose callers were gone or came through another gateway. Change: the second server that a request crashes puts it in quarantine, and the other gateways are told at once; copies are then answered not-run with the time left. Only guarded actions are watched so far. A stop waits for actions under way and for replies to peers. Proof: the test of the stopping executor fails without the wait (answer 502) and passes with it; a crashing request at two servers is held on three gateways, and others are served. Elsewhere: replies to peers are tracked in mesh.rs; finish in run.rs; messages for peers.

--- a/crates/turmericloft-bench/src/experiments/mod.rs
+++ b/crates/turmericloft-bench/src/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! One module an experiment: its flags in `Args`, its run in `exec`.
 
 pub mod capacity;
+pub mod guarded;
 pub mod overhead;
 pub mod reporting;
 pub mod routing;
--- a/crates/turmericloft-bench/src/main.rs
+++ b/crates/turmericloft-bench/src/main.rs
@@ -11,7 +11,7 @@
 mod figure;
 mod fit;
 
-use experiments::{capacity, overhead, reporting, routing};
+use experiments::{capacity, guarded, overhead, reporting, routing};
 
 /// Measures turmericloft against its own baselines on loopback
 #[derive(Debug, Parser)]
@@ -30,6 +30,7 @@
 #[derive(Debug, Subcommand)]
 enum Experiment {
     Capacity(capacity::Args),
+    Guarded(guarded::Args),
     Overhead(overhead::Args),
     Reporting(reporting::Args),
     Routing(routing::Args),
@@ -41,6 +42,7 @@
     let figures = figure::Printer::new(cli.json);
     let result = match cli.experiment {
         Experiment::Capacity(args) => capacity::exec(args, cli.seed, &figures).await,
+        Experiment::Guarded(args) => guarded::exec(args, cli.seed, &figures).await,
         Experiment::Overhead(args) => overhead::exec(args, cli.seed, &figures).await,
         Experiment::Reporting(args) => reporting::exec(args, cli.seed, &figures).await,
         Experiment::Routing(args) => routing::exec(args, cli.seed, &figures).await,
--- a/crates/turmericloft-cli/tests/testsuite/fault_matrix/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/fault_matrix/mod.rs
@@ -5,6 +5,7 @@
 //! stand-ins for the backend servers.
 
 mod cell;
+mod crashing_request;
 mod fault;
 mod gateway;
 mod hooks;
--- a/crates/turmericloft-cli/tests/testsuite/guarded_freeze.rs
+++ b/crates/turmericloft-cli/tests/testsuite/guarded_freeze.rs
@@ -1,4 +1,4 @@
-//! A gateway that is frozen between the acceptance of an action and its dispatch.
+//! Gateways that are frozen or stopped while an action is under way.
 
 use std::net::SocketAddr;
 
@@ -8,8 +8,9 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
+use turmericloft_standins::backend::BackendFaults;
 
-use crate::support::{Booking, Platform, runs};
+use crate::support::{Booking, Platform, runs, set_backend};
 
 /// A booking whose body has not been sent yet.
 async fn begin(booking: &Booking, gateway: SocketAddr) -> TcpStream {
@@ -64,3 +65,25 @@
     }
     assert_eq!(runs(platform.backend, "frozen").await, 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_executor_ends_its_action_and_answers_the_other_gateway() {
+    let mut platform = Platform::start_gateways(2).await;
+    platform.promote();
+    platform.others[0].process.wait_for_line("is in force");
+    let slow = BackendFaults {
+        service_time_us: 700_000,
+        ..Default::default()
+    };
+    set_backend(platform.backend, &slow).await;
+    let gateways = platform.gateways();
+    let booking = Booking::issued_by(gateways[0], "stopped").await;
+    let (sent, entry) = (booking.clone(), gateways[1]);
+    let answer = tokio::spawn(async move { sent.send(entry).await });
+    while runs(platform.backend, "stopped").await == 0 {}
+    platform.gateway.signal(Signal::SIGTERM);
+    let answer = answer.await.unwrap().expect("an answer");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(platform.gateway.wait().success());
+    assert_eq!(runs(platform.backend, "stopped").await, 1);
+}
--- a/crates/turmericloft/src/core/guard/entry.rs
+++ b/crates/turmericloft/src/core/guard/entry.rs
@@ -19,6 +19,11 @@
     Settled(Arc<FinalAnswer>),
 }
 
+/// Memory that an action with this answer takes in a table, in bytes.
+pub fn kept_bytes(key: &ActionKey, answer: &FinalAnswer) -> usize {
+    Entry::<()>::overhead(key) + answer.bytes()
+}
+
 impl<W> Entry<W> {
     /// Memory that an entry takes besides its answer, in bytes.
     pub(super) fn overhead(key: &ActionKey) -> usize {
--- a/crates/turmericloft/src/core/guard/mod.rs
+++ b/crates/turmericloft/src/core/guard/mod.rs
@@ -17,6 +17,7 @@
 mod fingerprint;
 mod permit;
 mod placement;
+mod quarantine;
 mod stage;
 mod table_limits;
 mod waiter;
@@ -29,10 +30,12 @@
     action_table::{ActionTable, Offer, Offered},
     claim::{ClaimBatch, ClaimDigest},
     claim_index::{ClaimIndex, ClaimPage},
+    entry::kept_bytes,
     final_answer::FinalAnswer,
     fingerprint::Fingerprint,
     permit::{Claimed, Dispatchable, Dispatched, Permit, Received},
     placement::Placement,
+    quarantine::Quarantine,
     stage::Stage,
     table_limits::TableLimits,
     waiter::Waiter,
--- a/crates/turmericloft/src/ops/gateway/guarded/actions.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/actions.rs
@@ -5,11 +5,13 @@
     time::Duration,
 };
 
+use parking_lot::Mutex;
 use tokio::sync::oneshot;
+use tokio_util::task::TaskTracker;
 
 use super::claims::Claims;
 use crate::{
-    core::guard::{ActionKeys, ActionTable, FinalAnswer, TableLimits, Waiter},
+    core::guard::{ActionKeys, ActionTable, FinalAnswer, Quarantine, TableLimits, Waiter},
     util::settings::GuardSettings,
 };
 
@@ -34,6 +36,10 @@
     pub(super) keys: ActionKeys,
     pub(super) id_lifetime: Duration,
     pub(super) key_lifetime: Duration,
+    /// Actions being run, whether or not a caller waits.
+    pub(super) running: TaskTracker,
+    /// Requests that crash backend servers.
+    pub(super) quarantine: Mutex<Quarantine>,
     pub(super) claims: OnceLock<Arc<Claims>>,
 }
 
@@ -56,10 +62,18 @@
             keys,
             id_lifetime: settings.id_lifetime,
             key_lifetime: settings.key_lifetime,
+            running: TaskTracker::new(),
+            quarantine: Mutex::default(),
             claims: OnceLock::new(),
         }
     }
 
+    /// Waits until the actions being run have ended.
+    pub async fn finish(&self) {
+        self.running.close();
+        self.running.wait().await;
+    }
+
     /// Actions kept.
     pub fn len(&self) -> usize {
         self.table.len() + self.keyed.len()
--- a/crates/turmericloft/src/ops/gateway/guarded/execute.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/execute.rs
@@ -47,8 +47,8 @@
     let problem = match gateway.actions.table.offer(unix_ms(), offer) {
         Offered::Accepted(permit) => {
             let in_force = Arc::clone(in_force);
-            let limit = gateway.actions.table.limits().answer_bytes;
-            tokio::spawn(run_action(in_force, permit, action.request, limit));
+            let run = run_action(Arc::clone(gateway), in_force, permit, action.request);
+            gateway.actions.running.spawn(run);
             None
         }
         Offered::Joined | Offered::Answered => None,
--- a/crates/turmericloft/src/ops/gateway/guarded/keyed.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/keyed.rs
@@ -77,7 +77,7 @@
                 fingerprint,
                 deadline,
             };
-            tokio::spawn(run.run(permit, request));
+            gateway.actions.running.spawn(run.run(permit, request));
             None
         }
         Offered::Joined | Offered::Answered => None,
@@ -107,8 +107,7 @@
         match self.claims.claim(self.digest).await {
             ClaimResult::Own => {
                 FaultPoint::ClaimRead.reached();
-                let limit = self.gateway.actions.keyed.limits().answer_bytes;
-                run_action(self.in_force, permit.claim(), request, limit).await;
+                run_action(self.gateway, self.in_force, permit.claim(), request).await;
             }
             ClaimResult::Other(holder) => {
                 let key = permit.key().clone();
--- a/crates/turmericloft/src/ops/gateway/guarded/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/mod.rs
@@ -11,6 +11,7 @@
 mod claims;
 mod collect;
 mod counted_body;
+mod crashes;
 mod execute;
 mod forward;
 mod ids;
@@ -22,6 +23,7 @@
 pub(super) use self::{
     answer::answer,
     claims::start_claims,
+    crashes::hold_for_peer,
     forward::answer_peer,
     ids::{issue_for_lookup, issue_id, put_id},
     keyed::find_for_peer,
--- a/crates/turmericloft/src/ops/gateway/guarded/run_action.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/run_action.rs
@@ -9,6 +9,7 @@
     actions::WaitingCopy,
     buffer::{to_pairs, to_request},
     collect::{CollectError, collect},
+    crashes::{held, on_answer, on_failure},
 };
 use crate::{
     core::{
@@ -18,7 +19,7 @@
     ops::gateway::{
         dispatch::{DispatchError, Dispatched, HOP_BY_HOP, dispatch},
         matched::Matched,
-        shared::InForce,
+        shared::{Gateway, InForce},
     },
     util::fault_point::FaultPoint,
 };
@@ -27,11 +28,15 @@
 const DEADLINE_GRACE: Duration = Duration::from_millis(250);
 /// Runs an action to its end and keeps its answer.
 pub(super) async fn run_action<S: Dispatchable>(
+    gateway: Arc<Gateway>,
     in_force: Arc<InForce>,
     permit: Permit<S, WaitingCopy>,
     request: ActionRequest,
-    answer_limit: usize,
 ) {
+    if let Some(p) = held(&gateway, &request.fingerprint()) {
+        permit.settle(FinalAnswer::of_problem(&p));
+        return;
+    }
     let Some(matched) = find(&in_force, &request) else {
         let detail = "the service or kind is not in this gateway's document";
         let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -41,7 +46,7 @@
     };
     let permit: Permit<AtBackend, _> = permit.dispatch();
     let limit = matched.deadline() + DEADLINE_GRACE;
-    let sent = timeout(limit, send(&in_force, &matched, &request, answer_limit)).await;
+    let sent = timeout(limit, send(&gateway, &in_force, &matched, &request)).await;
     let answer = match sent {
         Ok(Ok(answer)) => answer,
         Ok(Err(p)) => FinalAnswer::of_problem(&p),
@@ -68,10 +73,10 @@
 
 /// Sends the action. It goes to another endpoint only while it was certainly not started.
 async fn send(
+    gateway: &Arc<Gateway>,
     in_force: &InForce,
     matched: &Matched<'_>,
     request: &ActionRequest,
-    answer_limit: usize,
 ) -> Result<FinalAnswer, Problem> {
     let Ok(req) = to_request(request) else {
         let status = StatusCode::BAD_REQUEST;
@@ -83,9 +88,15 @@
             detail,
         ));
     };
-    let dispatched = dispatch(in_force, matched, req).await.map_err(failure)?;
+    let fingerprint = request.fingerprint();
+    let dispatched = dispatch(in_force, matched, req).await.map_err(|e| {
+        on_failure(gateway, fingerprint, &e);
+        failure(e)
+    })?;
     FaultPoint::AnswerBegun.reached();
-    whole_answer(dispatched, answer_limit).await
+    on_answer(gateway, &fingerprint);
+    let limit = gateway.actions.table.limits().answer_bytes;
+    whole_answer(dispatched, limit).await
 }
 
 async fn whole_answer(dispatched: Dispatched, limit: usize) -> Result<FinalAnswer, Problem> {
--- a/crates/turmericloft/src/ops/gateway/peers.rs
+++ b/crates/turmericloft/src/ops/gateway/peers.rs
@@ -141,6 +141,11 @@
             })
     }
 
+    /// Waits until what peers have asked for is answered.
+    pub async fn finish_answers(&self) {
+        self.mesh.finish_answers().await;
+    }
+
     /// Sends a datagram to a peer; it may be lost.
     pub async fn datagram(
         &self,
@@ -252,6 +257,10 @@
                     Some(gateway) => guarded::find_for_peer(&gateway, action).await,
                     None => PeerReply::Unsupported,
                 },
+                PeerRequest::Hold(request) => match self.gateway.upgrade() {
+                    Some(gateway) => guarded::hold_for_peer(&gateway, request),
+                    None => PeerReply::Unsupported,
+                },
                 PeerRequest::Renounce(action) => match self.gateway.upgrade() {
                     Some(gateway) => guarded::renounce_for_peer(&gateway, action),
                     None => PeerReply::Unsupported,
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, sync::Arc};
 
 use thiserror::Error;
-use tokio::{net::TcpListener, time::timeout};
+use tokio::{net::TcpListener, task::JoinHandle, time::timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -100,13 +100,23 @@
     stop.cancelled().await;
     gateway.begin_stop();
     log::info!("gateway is stopping");
-    let finished = timeout(settings.stop_deadline, serving).await;
+    let finished = timeout(settings.stop_deadline, finish(&gateway, serving)).await;
     ended.cancel();
     let _ = tokio::join!(snapshots, state);
     log::info!("gateway has stopped");
     finished.map(|_| ()).map_err(|_| GatewayError::CutOff)
 }
 
+/// Waits for callers' requests, for guarded actions whose callers have gone, and for what peers
+/// have asked.
+async fn finish(gateway: &Gateway, serving: JoinHandle<()>) {
+    let _ = serving.await;
+    gateway.actions.finish().await;
+    if let Some(peers) = gateway.peers() {
+        peers.finish_answers().await;
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
     TcpListener::bind(address)
         .await
--- a/crates/turmericloft/src/sources/peer/mesh.rs
+++ b/crates/turmericloft/src/sources/peer/mesh.rs
@@ -15,6 +15,7 @@
     TransportConfig, VarInt,
 };
 use serde::{Serialize, de::DeserializeOwned};
+use tokio_util::task::TaskTracker;
 
 use super::{
     Envelope, IdentityError, PeerDatagram, PeerError, PeerIdentity, PeerReply, PeerRequest,
@@ -45,6 +46,7 @@
 pub struct PeerMesh {
     host: HostId,
     endpoint: Endpoint,
+    answering: TaskTracker,
     client: Mutex<ClientConfig>,
     connections: Mutex<HashMap<SocketAddr, Connection>>,
 }
@@ -74,6 +76,7 @@
         Ok(Arc::new(Self {
             host,
             endpoint,
+            answering: TaskTracker::new(),
             client: Mutex::new(client),
             connections: Mutex::default(),
         }))
@@ -81,7 +84,14 @@
 
     /// Gives what arrives to `handler` for as long as it lives.
     pub fn serve(&self, handler: Weak<dyn PeerHandler>) {
-        tokio::spawn(accept(self.endpoint.clone(), handler));
+        let answering = self.answering.clone();
+        tokio::spawn(accept(self.endpoint.clone(), handler, answering));
+    }
+
+    /// Waits until the requests taken so far are answered and their replies have arrived.
+    pub async fn finish_answers(&self) {
+        self.answering.close();
+        self.answering.wait().await;
     }
 
     /// Address it listens on.
@@ -169,20 +179,20 @@
     read(&mut rx).await
 }
 
-async fn accept(endpoint: Endpoint, handler: Weak<dyn PeerHandler>) {
+async fn accept(endpoint: Endpoint, handler: Weak<dyn PeerHandler>, answering: TaskTracker) {
     while let Some(incoming) = endpoint.accept().await {
-        tokio::spawn(serve(incoming, handler.clone()));
+        tokio::spawn(serve(incoming, handler.clone(), answering.clone()));
     }
 }
 
-async fn serve(incoming: Incoming, handler: Weak<dyn PeerHandler>) {
+async fn serve(incoming: Incoming, handler: Weak<dyn PeerHandler>, answering: TaskTracker) {
     let Ok(connection) = incoming.await else {
         return;
     };
     loop {
         tokio::select! {
             streams = connection.accept_bi() => match streams {
-                Ok((tx, rx)) => drop(tokio::spawn(answer(tx, rx, handler.clone()))),
+                Ok((tx, rx)) => drop(answering.spawn(answer(tx, rx, handler.clone()))),
                 Err(_) => return,
             },
             datagram = connection.read_datagram() => match datagram {
@@ -203,7 +213,9 @@
         return Ok(());
     };
     let reply = handler.on_request(envelope.from, envelope.message).await;
-    write(&mut tx, &reply).await
+    write(&mut tx, &reply).await?;
+    let _ = tx.stopped().await;
+    Ok(())
 }
 
 fn take_datagram(bytes: &Bytes, handler: &Weak<dyn PeerHandler>) {
--- a/crates/turmericloft/src/sources/peer/message.rs
+++ b/crates/turmericloft/src/sources/peer/message.rs
@@ -34,6 +34,8 @@
     FindAction(ActionRef),
     /// Asks the receiver never to run an action from now on.
     Renounce(ActionRef),
+    /// Asks the receiver to send a request to no backend server: it crashes them.
+    Hold(Fingerprint),
 }
 
 /// Answer to a request.
@@ -51,6 +53,8 @@
     Renounced(HostId),
     /// The receiver may have run the action, or knows who may have.
     NotRenounced,
+    /// The receiver holds the request.
+    Held,
     /// The receiver does not answer such requests.
     Unsupported,
 }
--- a/crates/turmericloft/tests/testsuite/guard/mod.rs
+++ b/crates/turmericloft/tests/testsuite/guard/mod.rs
@@ -3,6 +3,7 @@
 mod action_id;
 mod claims;
 mod exploration;
+mod quarantine;
 mod table;
 mod world;
 
