Mend the build of bench guarded

The calls a second of a case are now those of its measured time. Measured here: all tests but one passed; routing::lookups_are_served_while_an_endpoint_fails_at_once saw 101 runs for 100 lookups once while the matrix ran beside it, and passed three times alone.

--- a/crates/turmericloft-bench/src/experiments/guarded/mod.rs
+++ b/crates/turmericloft-bench/src/experiments/guarded/mod.rs
@@ -74,6 +74,7 @@
     let started = Instant::now();
     let results = load.run(at, Duration::from_secs(args.steady_s)).await;
     let elapsed = started.elapsed().as_secs_f64();
+    let measured = args.steady_s as f64;
     let print =
         |variant, metric, value, unit| print(figures, "steady", variant, metric, value, unit);
     let lookup = results.lookup.value_at_quantile(0.99) as f64 / 1000.0;
@@ -139,6 +140,7 @@
     let started = Instant::now();
     let results = load.run(at, Duration::from_secs(args.keys_s)).await;
     let elapsed = started.elapsed().as_secs_f64();
+    let measured = args.keys_s as f64;
     let per_s = (at.claim_appends() - appends) as f64 / elapsed;
     let case = "variants";
     let lookup = results.lookup.value_at_quantile(0.99) as f64 / 1000.0;
