--- a/crates/turmericloft-bench/src/main.rs
+++ b/crates/turmericloft-bench/src/main.rs
@@ -11,7 +11,7 @@
 mod figure;
 mod fit;
 
-use experiments::{capacity, config, overhead, reporting, routing};
+use experiments::{capacity, config, guarded, overhead, reporting, routing};
 
 /// Measures turmericloft against its own baselines on loopback
 #[derive(Debug, Parser)]
@@ -31,6 +31,7 @@
 enum Experiment {
     Capacity(capacity::Args),
     Config(config::Args),
+    Guarded(guarded::Args),
     Overhead(overhead::Args),
     Reporting(reporting::Args),
     Routing(routing::Args),
@@ -43,6 +44,7 @@
     let result = match cli.experiment {
         Experiment::Capacity(args) => capacity::exec(args, cli.seed, &figures).await,
         Experiment::Config(args) => config::exec(args, cli.seed, &figures).await,
+        Experiment::Guarded(args) => guarded::exec(args, cli.seed, &figures).await,
         Experiment::Overhead(args) => overhead::exec(args, cli.seed, &figures).await,
         Experiment::Reporting(args) => reporting::exec(args, cli.seed, &figures).await,
         Experiment::Routing(args) => routing::exec(args, cli.seed, &figures).await,
--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod docs;
 mod early_close;
+mod fault_matrix;
 mod gateway_crash;
 mod graceful_stop;
 mod guarded_freeze;
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -16,6 +16,7 @@
     caller::{CallerAnswer, get_over_http2, send, try_get},
     command::run,
     eventually::eventually,
+    gateway::write_identity,
     operators::{Operators, rival_record},
     platform::Platform,
     process::Process,
--- a/crates/turmericloft/src/ops/gateway/guarded/buffer.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/buffer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use tokio::time::timeout;
 
 use super::collect::{CollectError, collect};
@@ -12,7 +12,7 @@
     ops::gateway::{
         answer::refusal, body_fault::BodyFault, dispatch::to_backend, matched::Matched,
     },
-    sources::backend::RequestBody,
+    sources::backend::{KeptBody, RequestBody},
 };
 
 /// Time a caller has to send the body of a request. No slot is held meanwhile.
@@ -63,7 +63,7 @@
 
 /// The request for a backend server.
 pub(super) fn to_request(request: &ActionRequest) -> Result<Request<RequestBody>, http::Error> {
-    let body = Full::new(request.body.clone()).map_err(|never| match never {});
+    let body = KeptBody::new(request.body.clone());
     let mut req = Request::builder()
         .method(request.method.as_str())
         .uri(&request.path_and_query)
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, sync::Arc};
 
 use thiserror::Error;
-use tokio::{net::TcpListener, time::sleep};
+use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -124,7 +124,7 @@
     gateway.begin_stop();
     log::info!("gateway is stopping");
     let requests = tokio::select! {
-        _ = &mut serving => 0,
+        () = finish(&gateway, &mut serving) => 0,
         () = sleep(settings.stop_deadline) => callers.cut(),
         () = stop.now.cancelled() => callers.cut(),
     };
@@ -140,6 +140,16 @@
     }
 }
 
+/// Waits for callers' requests, for guarded actions whose callers have gone, and for what peers
+/// have asked.
+async fn finish(gateway: &Gateway, serving: &mut JoinHandle<()>) {
+    let _ = serving.await;
+    gateway.actions.finish().await;
+    if let Some(peers) = gateway.peers() {
+        peers.finish_answers().await;
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
     TcpListener::bind(address)
         .await
--- a/crates/turmericloft/src/sources/backend/connection_pool.rs
+++ b/crates/turmericloft/src/sources/backend/connection_pool.rs
@@ -21,7 +21,7 @@
     BodyError, ConnectionLease, GivenUp, RequestBody, SendError,
     connection::{Connection, now},
 };
-use crate::core::Step;
+use crate::{core::Step, util::fault_point::FaultPoint};
 
 /// Time between two checks of a connection that owes an answer.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
@@ -122,6 +122,7 @@
         req: Request<RequestBody>,
         limits: SendLimits<'_>,
     ) -> Result<BackendAnswer, SendError> {
+        FaultPoint::Connected.reached();
         connection.progress.request_sent(now());
         limits.sent.fetch_add(1, Ordering::AcqRel);
         let progress = connection.progress;
--- a/crates/turmericloft/src/sources/backend/mod.rs
+++ b/crates/turmericloft/src/sources/backend/mod.rs
@@ -2,11 +2,13 @@
 
 mod connection;
 mod connection_pool;
+mod kept_body;
 mod send_error;
 
 pub use self::{
     connection::ConnectionLease,
     connection_pool::{BackendAnswer, ConnectionPool, SendLimits},
+    kept_body::KeptBody,
     send_error::{GivenUp, SendError},
 };
 
--- a/crates/turmericloft/src/util/mod.rs
+++ b/crates/turmericloft/src/util/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod error_chain;
+pub mod fault_point;
 pub mod logging;
 pub mod metrics_recorder;
 pub mod metrics_table;
