--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -1,14 +1,20 @@
 //! Tests of the programs as separate processes.
 
+mod bad_input;
+mod command_line;
 mod config_sessions;
+mod demo;
 mod docs;
+mod early_close;
 mod gateway_crash;
+mod graceful_stop;
 mod guarded_freeze;
 mod guarded_keys;
 mod guarded_session;
 mod load;
 mod peers;
 mod routing;
+mod settings;
 mod standin_backend;
 mod support;
 mod whole_path;
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -2,17 +2,23 @@
 
 mod bookings;
 mod caller;
+mod command;
+mod eventually;
 mod gateway;
 mod operators;
 mod platform;
 mod process;
+mod raw_caller;
 mod silent_link;
 
 pub use self::{
     bookings::{Booking, BookingAnswer, runs, set_backend, set_log},
-    caller::send,
+    caller::{CallerAnswer, get_over_http2, send, try_get},
+    command::run,
+    eventually::eventually,
     operators::{Operators, rival_record},
     platform::Platform,
     process::Process,
+    raw_caller::RawCaller,
     silent_link::SilentLink,
 };
--- a/crates/turmericloft-standins/src/lib.rs
+++ b/crates/turmericloft-standins/src/lib.rs
@@ -2,9 +2,11 @@
 //! generator. They serve tests, the demo and the bench; no part of the product needs them.
 
 pub mod backend;
+pub mod demo;
 pub mod host_list;
+pub mod installation;
 pub mod load;
 pub mod log_service;
 mod serve;
 
-pub use serve::{ServeError, Served};
+pub use serve::{ServeError, Served, free_address};
--- a/crates/turmericloft/src/ops/gateway/guarded/buffer.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/buffer.rs
@@ -4,13 +4,14 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::collect::{CollectError, collect};
 use crate::{
-    core::{Problem, Step, guard::ActionRequest},
-    ops::gateway::{answer::refusal, dispatch::to_backend, matched::Matched},
+    core::{Problem, Step, document::Handling, guard::ActionRequest},
+    ops::gateway::{
+        answer::refusal, body_fault::BodyFault, dispatch::to_backend, matched::Matched,
+    },
     sources::backend::RequestBody,
 };
 
@@ -20,7 +21,7 @@
 /// Reads a request whole, up to the service's bound.
 pub(super) async fn buffer(
     matched: &Matched<'_>,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
 ) -> Result<ActionRequest, Problem> {
     let (head, body) = to_backend(req, &matched.path).into_parts();
     let limit = usize::try_from(matched.service.body_bytes).unwrap_or(usize::MAX);
@@ -37,6 +38,9 @@
             ));
         }
         Ok(Err(CollectError::Broken(e))) => {
+            if let Some(fault) = e.downcast_ref::<BodyFault>() {
+                return Err(fault.before_dispatch(Handling::Guarded));
+            }
             let detail = format!("the body broke off: {e}");
             return Err(refusal(StatusCode::BAD_REQUEST, Step::Received, &detail));
         }
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -6,6 +6,9 @@
 mod admin;
 mod answer;
 mod attempts;
+mod body_fault;
+mod caller_stream;
+mod connection_state;
 mod counting_cost;
 mod dispatch;
 mod follow_config;
@@ -16,9 +19,12 @@
 mod listener;
 mod lookup;
 mod matched;
+mod metrics;
 mod peers;
+mod raw_answer;
 mod relayed_body;
 mod replay;
+mod request_body;
 mod run;
 mod send_snapshots;
 mod service_state;
@@ -31,6 +37,8 @@
     followed_config::FollowedConfig,
     peers::{PeerRequestError, Peers, PeersError, keep_in_touch},
     run::{GatewayError, run_gateway},
+    peers::{PeerRequestError, Peers, PeersError},
+    run::{GatewayError, Stop, run_gateway},
     shared::{Gateway, InForce},
     tell_state::tell_state,
     watch_hosts::watch_hosts,
