--- a/crates/turmericloft-standins/src/installation.rs
+++ b/crates/turmericloft-standins/src/installation.rs
@@ -143,6 +143,7 @@
             document,
             promotion_id: format!("{:032x}", rand::random::<u128>()),
             settle_within: READY_TIMEOUT,
+            recover_above: None,
         };
         ops::trial(&self.log_client(), options, unix_ms()).await?;
         let deadline = Instant::now() + READY_TIMEOUT;
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -36,8 +36,6 @@
     follow_config::{ConfigPeers, ConfigSources, follow_config},
     followed_config::FollowedConfig,
     peers::{PeerRequestError, Peers, PeersError, keep_in_touch},
-    run::{GatewayError, run_gateway},
-    peers::{PeerRequestError, Peers, PeersError},
     run::{GatewayError, Stop, run_gateway},
     shared::{Gateway, InForce},
     tell_state::tell_state,
