--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/routing/faults.rs
@@ -0,0 +1,49 @@
+//! What goes wrong in a simulated run.
+
+use super::{
+    case::{CHANGED_ENDPOINTS, COLD_ANSWERS, Fault, ZONES},
+    fake_endpoint::Mood,
+    simulation::Simulation,
+};
+
+impl Simulation<'_> {
+    /// Begins the case's fault.
+    pub(super) fn fault(&mut self) {
+        match self.case.fault {
+            Fault::FailFast => self.endpoints[0].mood = Mood::Failing,
+            Fault::Drain => {
+                let leaving = self.endpoints.iter_mut().take(CHANGED_ENDPOINTS);
+                leaving.for_each(|e| e.mood = Mood::Draining);
+            }
+            Fault::ColdStart => (0..CHANGED_ENDPOINTS).for_each(|e| {
+                self.set_leaving(e, false);
+                self.endpoints[e].cold = COLD_ANSWERS;
+            }),
+            Fault::Silent => {
+                let all = self.connections.iter_mut().flatten();
+                all.for_each(|c| c.silence(&mut self.rng));
+            }
+            Fault::ZoneLoss => {
+                let lost = self.endpoints.iter_mut().skip(1).step_by(ZONES);
+                lost.for_each(|e| e.mood = Mood::Lost);
+            }
+            Fault::StaleReports => {
+                for (i, endpoint) in self.endpoints.iter_mut().enumerate() {
+                    endpoint.stale = true;
+                    endpoint.lies = i % 4 == 0;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Lets an endpoint leave or come back, in the host list too.
+    pub(super) fn set_leaving(&mut self, endpoint: usize, leaving: bool) {
+        self.endpoints[endpoint].mood = if leaving {
+            Mood::Draining
+        } else {
+            Mood::Working
+        };
+        self.tell_leaving(endpoint, leaving);
+    }
+}
--- a/crates/turmericloft-bench/src/experiments/routing/mod.rs
+++ b/crates/turmericloft-bench/src/experiments/routing/mod.rs
@@ -10,6 +10,7 @@
 mod decision;
 mod draws;
 mod fake_endpoint;
+mod faults;
 mod gateway_side;
 mod simulation;
 mod summary;
--- a/crates/turmericloft-bench/src/experiments/routing/simulation.rs
+++ b/crates/turmericloft-bench/src/experiments/routing/simulation.rs
@@ -13,7 +13,7 @@
 use super::{
     balancer::{Balancer, Policy},
     calls::{Attempt, Call, Ending, Place, Reply},
-    case::{CALLER_WEIGHTS, CHANGED_ENDPOINTS, COLD_ANSWERS, COLD_SLOWDOWN, Case, Fault, ZONES},
+    case::{CALLER_WEIGHTS, CHANGED_ENDPOINTS, COLD_SLOWDOWN, Case, Fault},
     connections::Connections,
     draws::Arrival,
     fake_endpoint::{FakeEndpoint, HISTORY_STEP_NS, Mood},
@@ -54,10 +54,10 @@
     pub(super) calls: Vec<Call>,
     pub(super) attempts: Vec<Attempt>,
     pub(super) endpoints: Vec<FakeEndpoint>,
-    connections: Vec<Vec<Connections>>,
+    pub(super) connections: Vec<Vec<Connections>>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     sequence: u64,
-    rng: Pcg64Mcg,
+    pub(super) rng: Pcg64Mcg,
 }
 
 /// Runs a policy over the arrivals and gives the calls, in the same order.
@@ -317,44 +317,6 @@
         }
     }
 
-    fn fault(&mut self) {
-        match self.case.fault {
-            Fault::FailFast => self.endpoints[0].mood = Mood::Failing,
-            Fault::Drain => {
-                let leaving = self.endpoints.iter_mut().take(CHANGED_ENDPOINTS);
-                leaving.for_each(|e| e.mood = Mood::Draining);
-            }
-            Fault::ColdStart => (0..CHANGED_ENDPOINTS).for_each(|e| {
-                self.set_leaving(e, false);
-                self.endpoints[e].cold = COLD_ANSWERS;
-            }),
-            Fault::Silent => {
-                let all = self.connections.iter_mut().flatten();
-                all.for_each(|c| c.silence(&mut self.rng));
-            }
-            Fault::ZoneLoss => {
-                let lost = self.endpoints.iter_mut().skip(1).step_by(ZONES);
-                lost.for_each(|e| e.mood = Mood::Lost);
-            }
-            Fault::StaleReports => {
-                for (i, endpoint) in self.endpoints.iter_mut().enumerate() {
-                    endpoint.stale = true;
-                    endpoint.lies = i % 4 == 0;
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn set_leaving(&mut self, endpoint: usize, leaving: bool) {
-        self.endpoints[endpoint].mood = if leaving {
-            Mood::Draining
-        } else {
-            Mood::Working
-        };
-        self.tell_leaving(endpoint, leaving);
-    }
-
     /// Takes the connection of an ended attempt back, or closes it.
     pub(super) fn release_connection(&mut self, attempt: usize, answered: bool) {
         if self.case.fault != Fault::Silent {
