Try a reporter's stop against appends that fail or go unanswered

A log service of the test's own rejects appends, or takes them without an answer; the reporter tries again within its deadline, and a report counts each request once.

--- a/crates/turmericloft/tests/testsuite/counting/mod.rs
+++ b/crates/turmericloft/tests/testsuite/counting/mod.rs
@@ -4,5 +4,6 @@
 mod fault_matrix;
 mod governor;
 mod ledger;
+mod publishing;
 mod reports;
 mod world;
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/counting/publishing.rs
@@ -0,0 +1,160 @@
+//! What a reporter does at its stop when the log service fails.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use futures_util::future::BoxFuture;
+use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
+use turmericloft::{
+    core::{
+        HostId, Outcome,
+        counting::{
+            Ledger, RoundPart, SnapshotMessage,
+            report::{Completeness, GroupBy},
+        },
+    },
+    ops::{
+        ReportOptions, read_report,
+        reporter::{CostScope, PublishError, ReporterState, publish},
+    },
+    sources::{
+        http_client::CallError,
+        log_service::{LogError, LogRecord, LogService, RecordPage},
+    },
+};
+
+use super::world::{START_MS, key, name};
+
+/// What becomes of an append.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Rejected,
+    AnswerLost,
+}
+
+/// A log service whose next appends have these fates; all further ones succeed.
+#[derive(Default)]
+struct FailingLog {
+    fates: Mutex<VecDeque<Fate>>,
+    records: Mutex<Vec<LogRecord>>,
+    stream: String,
+}
+
+impl FailingLog {
+    fn new(fates: impl IntoIterator<Item = Fate>) -> Arc<Self> {
+        Arc::new(Self {
+            fates: Mutex::new(fates.into_iter().collect()),
+            stream: RoundPart::stream(&name("test")),
+            ..Self::default()
+        })
+    }
+
+    fn take(&self, body: Vec<u8>) -> Result<u64, LogError> {
+        let fate = self.fates.lock().pop_front();
+        if let Some(Fate::Rejected) = fate {
+            return Err(LogError::Rejected {
+                reason: "down".to_owned(),
+                source: None,
+            });
+        }
+        let mut records = self.records.lock();
+        let offset = records.len() as u64;
+        records.push(LogRecord {
+            offset,
+            appended_at_ms: START_MS,
+            body,
+        });
+        match fate {
+            Some(Fate::AnswerLost) => Err(LogError::AnswerLost {
+                source: CallError::Timeout {
+                    peer: ([127, 0, 0, 1], 1).into(),
+                    limit: Duration::from_secs(2),
+                },
+            }),
+            _ => Ok(offset),
+        }
+    }
+}
+
+impl LogService for FailingLog {
+    fn append<'a>(
+        &'a self,
+        _stream: &'a str,
+        body: Vec<u8>,
+    ) -> BoxFuture<'a, Result<u64, LogError>> {
+        Box::pin(async move { self.take(body) })
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a str,
+        from: u64,
+        _limit: usize,
+        _wait: Duration,
+    ) -> BoxFuture<'a, Result<RecordPage, LogError>> {
+        let mut page = RecordPage {
+            first: 0,
+            next: 0,
+            records: Vec::new(),
+        };
+        if stream == self.stream {
+            let records = self.records.lock();
+            page.next = records.len() as u64;
+            page.records = records.iter().skip(from as usize).cloned().collect();
+        }
+        Box::pin(async move { Ok(page) })
+    }
+}
+
+/// A reporter that holds the last counts of a gateway that served three requests.
+fn reporter() -> Arc<ReporterState> {
+    let ledger = Ledger::new();
+    for caller in ["anna", "anna", "bo"] {
+        ledger.admit(key(caller)).end(Outcome::Served);
+    }
+    let host = HostId {
+        name: name("gw-1"),
+        incarnation: START_MS,
+    };
+    let state = ReporterState::new(CostScope::OwnWork);
+    state.apply(SnapshotMessage {
+        snapshot: ledger.snapshot(host, 0, START_MS + 1).into_last(),
+        budget: None,
+        core_share: 0.0,
+    });
+    state
+}
+
+async fn publish_at_stop(log: &Arc<FailingLog>) -> Result<(), PublishError> {
+    let stop = CancellationToken::new();
+    stop.cancel();
+    publish(reporter(), Arc::clone(log) as _, log.stream.clone(), stop).await
+}
+
+async fn assert_exact(log: &FailingLog) {
+    let options = ReportOptions {
+        environment: name("test"),
+        by: GroupBy::Caller,
+        period: None,
+    };
+    let report = read_report(log, &options, START_MS + 2).await;
+    let report = report.expect("the log can be read");
+    assert_eq!(report.completeness, Completeness::Exact);
+    assert_eq!(report.total.served, 3);
+}
+
+#[tokio::test]
+async fn rejected_appends_are_tried_again_before_the_end() {
+    let log = FailingLog::new([Fate::Rejected, Fate::Rejected]);
+    assert_eq!(publish_at_stop(&log).await, Ok(()));
+    assert_eq!(log.records.lock().len(), 1);
+    assert_exact(&log).await;
+}
+
+#[tokio::test]
+async fn an_append_whose_answer_was_lost_is_repeated_and_counted_once() {
+    let log = FailingLog::new([Fate::AnswerLost]);
+    assert_eq!(publish_at_stop(&log).await, Ok(()));
+    assert_eq!(log.records.lock().len(), 2);
+    assert_exact(&log).await;
+}
