--- a/crates/turmericloft-cli/src/bin/turmericloft-reporter/main.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft-reporter/main.rs
@@ -9,17 +9,25 @@
     ops::reporter::{CostScope, run_reporter_with},
     util::{
         error_chain, logging,
-        settings::{self, ReporterSettings},
+        settings::{self, Override, ReporterSettings},
     },
 };
 
+const EXIT_CODES: &str = "Exit codes:
+  0  what was held is published
+  1  the reporter could not run
+  2  wrong use of the command line";
+
 /// Runs a reporter until SIGTERM or SIGINT
 #[derive(Debug, Parser)]
-#[command(name = "turmericloft-reporter", version)]
+#[command(name = "turmericloft-reporter", version, after_help = EXIT_CODES)]
 struct Cli {
     /// Settings of this process, in TOML
     #[arg(long)]
     settings: PathBuf,
+    /// Value that goes before the file's, as KEY=VALUE; may be given several times
+    #[arg(long, value_name = "KEY=VALUE")]
+    set: Vec<Override>,
 }
 
 #[tokio::main]
@@ -34,7 +42,7 @@
 }
 
 async fn run(cli: Cli) -> Result<(), Box<dyn std::error::Error>> {
-    let settings: ReporterSettings = settings::load(&cli.settings)?;
+    let settings: ReporterSettings = settings::load(&cli.settings, &cli.set)?;
     logging::start(settings.log_format)?;
     let stop = CancellationToken::new();
     let mut term = signal(SignalKind::terminate())?;
--- a/crates/turmericloft-cli/tests/testsuite/support/gateway.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/gateway.rs
@@ -36,12 +36,18 @@
     write(folder, "authorities.pem", &identity.authorities);
 }
 
-/// Starts a gateway whose settings and identity are in `folder`.
-pub fn start_gateway(folder: &Path, name: &str, platform: &PlatformAddresses) -> GatewayProcess {
+/// Starts a gateway whose settings and identity are in `folder`. `lines` stand first in the
+/// settings.
+pub fn start_gateway(
+    folder: &Path,
+    name: &str,
+    platform: &PlatformAddresses,
+    lines: &str,
+) -> GatewayProcess {
     let path = write(
         folder,
         &format!("{name}.toml"),
-        &settings(folder, name, platform),
+        &(lines.to_owned() + &settings(folder, name, platform)),
     );
     let args = ["--settings", path.to_str().expect("a text path")];
     let mut process = Process::start(env!("CARGO_BIN_EXE_turmericloft-gateway"), &args);
--- a/crates/turmericloft/src/ops/gateway/guarded/ids.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/ids.rs
@@ -1,7 +1,6 @@
 //! Issuing action ids.
 
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
-use hyper::body::Incoming;
 use serde::Serialize;
 
 use crate::{
@@ -32,10 +31,10 @@
 }
 
 /// Answers `/.turmericloft/action-ids?service=NAME` with a new id.
-pub(in crate::ops::gateway) fn issue_id(
+pub(in crate::ops::gateway) fn issue_id<B>(
     gateway: &Gateway,
     in_force: &InForce,
-    req: &Request<Incoming>,
+    req: &Request<B>,
 ) -> Response<AnswerBody> {
     let found = caller_of(in_force, req)
         .and_then(|caller| Ok((caller, service_of(in_force, caller, query_service(req))?)));
@@ -57,11 +56,11 @@
 }
 
 /// Names the service for which a lookup asks for an id, if it may have one.
-pub(in crate::ops::gateway) fn issue_for_lookup(
+pub(in crate::ops::gateway) fn issue_for_lookup<B>(
     gateway: &Gateway,
     in_force: &InForce,
     caller: &Caller,
-    req: &Request<Incoming>,
+    req: &Request<B>,
 ) -> Option<HeaderValue> {
     let asked = req.headers().get(ACTION_ID_FOR)?.to_str().ok();
     let service = service_of(in_force, caller, asked).ok()?;
@@ -87,7 +86,7 @@
     (text, expires_ms)
 }
 
-fn query_service(req: &Request<Incoming>) -> Option<&str> {
+fn query_service<B>(req: &Request<B>) -> Option<&str> {
     let query = req.uri().query()?;
     query.split('&').find_map(|p| p.strip_prefix("service="))
 }
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -6,6 +6,9 @@
 mod admin;
 mod answer;
 mod attempts;
+mod body_fault;
+mod caller_stream;
+mod connection_state;
 mod counting_cost;
 mod dispatch;
 mod follow_config;
@@ -16,9 +19,12 @@
 mod listener;
 mod lookup;
 mod matched;
+mod metrics;
 mod peers;
+mod raw_answer;
 mod relayed_body;
 mod replay;
+mod request_body;
 mod run;
 mod send_snapshots;
 mod service_state;
@@ -30,6 +36,6 @@
     follow_config::{ConfigPeers, ConfigSources, follow_config},
     followed_config::FollowedConfig,
     peers::{PeerRequestError, Peers, PeersError},
-    run::{GatewayError, run_gateway},
+    run::{GatewayError, Stop, run_gateway},
     shared::{Gateway, InForce},
 };
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -3,13 +3,14 @@
 use std::{io, net::SocketAddr, sync::Arc};
 
 use thiserror::Error;
-use tokio::{net::TcpListener, time::timeout};
+use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 use super::{
     admin,
     follow_config::{ConfigPeers, ConfigSources, follow_config},
-    guarded, listener,
+    guarded,
+    listener::Callers,
     peers::{Peers, PeersError, keep_in_touch},
     send_snapshots,
     shared::Gateway,
@@ -37,24 +38,44 @@
     /// The other gateways cannot be met.
     #[error("the other gateways cannot be met")]
     Peers(#[from] PeersError),
-    /// Requests were cut off at the deadline of the stop.
-    #[error("requests in flight were cut off at the deadline of the stop")]
-    CutOff,
+    /// Requests were cut off by the deadline of the stop or a second signal.
+    #[error("{requests} requests in flight were cut off")]
+    CutOff {
+        /// Requests that had no whole answer.
+        requests: usize,
+    },
+}
+
+/// When a gateway ends.
+#[derive(Clone, Debug, Default)]
+pub struct Stop {
+    /// Nothing new is accepted; what is in flight finishes.
+    pub graceful: CancellationToken,
+    /// What is still in flight is cut off.
+    pub now: CancellationToken,
+}
+
+impl From<CancellationToken> for Stop {
+    fn from(graceful: CancellationToken) -> Self {
+        let now = CancellationToken::new();
+        Self { graceful, now }
+    }
 }
 
 /// Runs a gateway until `stop`, then finishes what is in flight.
 pub async fn run_gateway(
     settings: GatewaySettings,
-    stop: CancellationToken,
+    stop: impl Into<Stop>,
 ) -> Result<(), GatewayError> {
-    let callers = bind(settings.listen).await?;
+    let stop = stop.into();
+    let listener = bind(settings.listen).await?;
     let admin = bind(settings.admin).await?;
     let host = HostId {
-        name: settings.host,
+        name: settings.host.clone(),
         incarnation: unix_ms(),
     };
     let gateway = Gateway::new(host, settings.zone.clone(), &settings.guard);
-    let peers = settings.peers.map(|s| Peers::start(&gateway, s));
+    let peers = settings.peers.clone().map(|s| Peers::start(&gateway, s));
     let peers = peers.transpose()?;
     let for_peers = peers
         .as_ref()
@@ -62,7 +83,7 @@
     log::info!(
         "gateway {} listens on {} for callers and {} for operators{}",
         gateway.host.name,
-        local(&callers),
+        local(&listener),
         local(&admin),
         for_peers.unwrap_or_default(),
     );
@@ -79,9 +100,9 @@
     let state = tokio::spawn(tell_state(
         Arc::clone(&gateway),
         log,
-        settings.environment,
-        settings.zone,
-        stop.clone(),
+        settings.environment.clone(),
+        settings.zone.clone(),
+        stop.graceful.clone(),
     ));
     tokio::spawn(watch_hosts(
         Arc::clone(&gateway),
@@ -89,22 +110,34 @@
         ended.clone(),
     ));
     if let Some(peers) = peers {
-        tokio::spawn(keep_in_touch(peers, stop.clone(), ended.clone()));
+        tokio::spawn(keep_in_touch(peers, stop.graceful.clone(), ended.clone()));
     }
     let routes = admin::router(Arc::clone(&gateway));
     tokio::spawn(async move { axum::serve(admin, routes).await });
     let snapshots =
         send_snapshots::send_snapshots(Arc::clone(&gateway), settings.reporter, ended.clone());
     let snapshots = tokio::spawn(snapshots);
-    let serving = tokio::spawn(listener::serve(callers, Arc::clone(&gateway), stop.clone()));
-    stop.cancelled().await;
+    let callers = Callers::new(Arc::clone(&gateway), &settings);
+    let serving = Arc::clone(&callers).serve(listener, stop.graceful.clone());
+    let mut serving = tokio::spawn(serving);
+    stop.graceful.cancelled().await;
     gateway.begin_stop();
     log::info!("gateway is stopping");
-    let finished = timeout(settings.stop_deadline, serving).await;
+    let requests = tokio::select! {
+        _ = &mut serving => 0,
+        () = sleep(settings.stop_deadline) => callers.cut(),
+        () = stop.now.cancelled() => callers.cut(),
+    };
+    if requests > 0 {
+        let _ = serving.await;
+    }
     ended.cancel();
     let _ = tokio::join!(snapshots, state);
     log::info!("gateway has stopped");
-    finished.map(|_| ()).map_err(|_| GatewayError::CutOff)
+    match requests {
+        0 => Ok(()),
+        requests => Err(GatewayError::CutOff { requests }),
+    }
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
