--- a/crates/turmericloft-standins/src/demo/backend_servers.rs
+++ b/crates/turmericloft-standins/src/demo/backend_servers.rs
@@ -1,6 +1,6 @@
 //! Backend servers of the demo.
 
-use std::net::SocketAddr;
+use std::{collections::HashMap, net::SocketAddr};
 
 use super::deployment::{DemoService, SERVICES};
 use crate::{
@@ -43,10 +43,23 @@
         self.by_service.iter().map(addresses).collect()
     }
 
-    /// The first backend server of a service.
-    pub(super) fn first_of(&self, service: &str) -> Option<&BackendServer> {
+    /// Guarded actions that were run more than once, on all backend servers together.
+    pub(super) fn repeated(&self) -> Vec<String> {
+        let mut runs: HashMap<String, u64> = HashMap::new();
+        for server in self.by_service.iter().flatten() {
+            for (tag, n) in server.standin.runs().by_tag {
+                *runs.entry(tag).or_default() += n;
+            }
+        }
+        let repeated = runs.into_iter().filter(|(_, n)| *n > 1);
+        repeated.map(|(tag, _)| tag).collect()
+    }
+
+    /// The backend server of a service that has run most so far.
+    pub(super) fn busiest_of(&self, service: &str) -> Option<&BackendServer> {
         let position = SERVICES.iter().position(|s| s.name == service)?;
-        self.by_service[position].first()
+        let servers = self.by_service[position].iter();
+        servers.max_by_key(|s| s.standin.runs().total)
     }
 }
 
--- a/crates/turmericloft-standins/src/demo/calls.rs
+++ b/crates/turmericloft-standins/src/demo/calls.rs
@@ -3,8 +3,13 @@
 use http::{HeaderName, Method};
 
 use super::deployment::{CALLERS, DemoCaller, DemoService, SERVICES};
-use crate::load::{Call, CallKey};
+use crate::{
+    backend::RunCounts,
+    load::{Call, CallKey},
+};
 
+/// Header by whose value backend servers count runs.
+const RUN_TAG: HeaderName = HeaderName::from_static(RunCounts::TAG_HEADER);
 /// How much more often a lookup is sent than a guarded action.
 const LOOKUP_WEIGHT: u32 = 5;
 
@@ -24,6 +29,7 @@
     let tag = format!("{}-{}-{{n}}", caller.name, service.name);
     let mut headers = vec![(HeaderName::from_static("answer-tag"), tag.clone())];
     if service.guarded {
+        headers.push((RUN_TAG, tag.clone()));
         headers.push((HeaderName::from_static("idempotency-key"), tag));
     }
     let (method, weight) = if service.guarded {
--- a/crates/turmericloft-standins/src/demo/faults.rs
+++ b/crates/turmericloft-standins/src/demo/faults.rs
@@ -14,15 +14,15 @@
 pub(super) async fn play(servers: &BackendServers, duration: Duration) {
     let step = duration / 6;
     sleep(step).await;
-    if let Some(server) = servers.first_of("calendar") {
+    if let Some(server) = servers.busiest_of("calendar") {
         straggle(server);
     }
     sleep(step).await;
-    if let Some(server) = servers.first_of("address") {
+    if let Some(server) = servers.busiest_of("address") {
         drain(server);
     }
     sleep(step).await;
-    if let Some(server) = servers.first_of("parcels") {
+    if let Some(server) = servers.busiest_of("parcels") {
         crash(server, step).await;
     }
 }
--- a/crates/turmericloft-standins/src/demo/run.rs
+++ b/crates/turmericloft-standins/src/demo/run.rs
@@ -64,6 +64,12 @@
         /// One line a difference.
         lines: Vec<String>,
     },
+    /// A guarded action was run more than once.
+    #[error("guarded actions were run more than once: {}", tags.join(", "))]
+    Repeated {
+        /// Tags of the actions.
+        tags: Vec<String>,
+    },
     /// The time was up.
     #[error("the demo has not ended within {} s", LIMIT.as_secs())]
     Timeout,
@@ -105,6 +111,10 @@
     println!();
     print!("{}", ReportFormat::Text.render(&by_caller, true)?);
     print!("{}", ReportFormat::Text.render(&by_kind, false)?);
+    let repeated = servers.repeated();
+    if !repeated.is_empty() {
+        return Err(DemoError::Repeated { tags: repeated });
+    }
     check(&by_caller, &by_kind, &results)
 }
 
