--- a/crates/turmericloft/src/ops/gateway/admin.rs
+++ b/crates/turmericloft/src/ops/gateway/admin.rs
@@ -10,7 +10,6 @@
 use crate::{
     core::Outcome,
     util::{
-        clock::unix_ms,
         metrics_recorder,
         metrics_table::{ADMITTED, CONFIG_VERSION, ENDED, READY},
     },
@@ -38,10 +37,7 @@
     let version = gateway.in_force().map_or(0, |f| f.environment.version());
     gauge!(CONFIG_VERSION.name).set(version as f64);
     gauge!(READY.name).set(f64::from(u8::from(gateway.is_ready())));
-    let rows = gateway
-        .ledger
-        .snapshot(gateway.host.clone(), 0, unix_ms())
-        .rows;
+    let rows = gateway.ledger.rows();
     counter!(ADMITTED.name).absolute(rows.iter().map(|r| r.tally.admitted).sum());
     for outcome in Outcome::iter() {
         let label: &'static str = outcome.into();
