Readers of the log come to an end when records are withheld

A page with `next > from` and no records made the reader of the configuration stream ask again without end and without a pause. The readers of counts and of gateways' records took such a page for the end of the stream. With a fake log service under paused time, before: - `audit` had not ended after 60 s; - `report` over 40 withheld records was complete and "exact", with no requests; - a gateway asked 9,998 times in 10 s; - a promotion whose rejection had been read stayed undecided when a later page failed, because the verdicts of the pages before were dropped with the error.

Taking such a page for the end was ruled out: a base, a report or a verdict would rest on part of the stream. Gateways pause after such a page as after a failed read: configuration (tested) and the tail of claims (same rule, without a test of its own; only run_gateway reaches it). The reader keeps what it judged, so an error loses nothing.

--- a/crates/turmericloft/src/ops/audit.rs
+++ b/crates/turmericloft/src/ops/audit.rs
@@ -58,7 +58,8 @@
 /// Reads the trail of an environment.
 pub async fn read_audit(log: &dyn LogService, environment: &Name) -> Result<Audit, LogError> {
     let mut reader = ConfigReader::from_first(log, environment);
-    let judged = reader.read_to_end(Duration::ZERO).await?;
+    reader.read_to_end(Duration::ZERO).await?;
+    let judged = reader.judged();
     let records = read_gateway_records(log, environment).await?;
     let unreadable = judged
         .iter()
@@ -66,7 +67,7 @@
     Ok(Audit {
         environment: environment.clone(),
         unreadable: unreadable.count() as u64,
-        rows: rows(&judged, &in_force_times(&records)),
+        rows: rows(judged, &in_force_times(&records)),
     })
 }
 
--- a/crates/turmericloft/src/ops/config_reader.rs
+++ b/crates/turmericloft/src/ops/config_reader.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::read_page::{PageRequest, read_page};
 use crate::{
     core::{
         Name,
@@ -18,6 +19,7 @@
     log: &'a dyn LogService,
     stream: String,
     follower: Follower,
+    judged: Vec<Judged>,
 }
 
 impl<'a> ConfigReader<'a> {
@@ -39,6 +41,7 @@
             log,
             stream: ConfigRecord::stream(environment),
             follower: Follower::new(),
+            judged: Vec::new(),
         }
     }
 
@@ -52,22 +55,26 @@
         &self.follower
     }
 
-    /// Reads up to the present end and gives what was judged. Waits up to `wait` if nothing is
-    /// there.
-    pub(super) async fn read_to_end(&mut self, wait: Duration) -> Result<Vec<Judged>, LogError> {
-        let mut judged = Vec::new();
+    /// What was judged so far, in order; also what was read before a read that failed.
+    pub(super) fn judged(&self) -> &[Judged] {
+        &self.judged
+    }
+
+    /// Reads up to the present end. Waits up to `wait` if nothing is there.
+    pub(super) async fn read_to_end(&mut self, wait: Duration) -> Result<(), LogError> {
         let mut wait = wait;
         loop {
-            let from = self.follower.read_from();
-            let page = self.log.read(&self.stream, from, PAGE_RECORDS, wait);
-            let page = page.await?;
-            judged.extend(
-                self.follower
-                    .on_page(Instant::now(), &page.as_page())
-                    .judged,
-            );
+            let req = PageRequest {
+                stream: &self.stream,
+                from: self.follower.read_from(),
+                limit: PAGE_RECORDS,
+                wait,
+            };
+            let page = read_page(self.log, req).await?;
+            let outcome = self.follower.on_page(Instant::now(), &page.as_page());
+            self.judged.extend(outcome.judged);
             if self.follower.read_from() >= page.next {
-                return Ok(judged);
+                return Ok(());
             }
             wait = Duration::ZERO;
         }
--- a/crates/turmericloft/src/ops/gateway/guarded/claims.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/claims.rs
@@ -175,6 +175,9 @@
                 Ok(page) => {
                     self.take_page(asked_at_ms, from, &page);
                     wait = READ_WAIT;
+                    if page.withholds(from) {
+                        sleep(RETRY_PAUSE).await;
+                    }
                 }
                 Err(_) => sleep(RETRY_PAUSE).await,
             }
--- a/crates/turmericloft/src/ops/gateway_records.rs
+++ b/crates/turmericloft/src/ops/gateway_records.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::read_page::{PageRequest, read_page};
 use crate::{
     core::{Name, config::GatewayRecord},
     sources::log_service::{LogError, LogRecord, LogService},
@@ -26,9 +27,13 @@
     let mut records = Vec::new();
     let mut from = 0;
     loop {
-        let page = log
-            .read(&stream, from, PAGE_RECORDS, Duration::ZERO)
-            .await?;
+        let req = PageRequest {
+            stream: &stream,
+            from,
+            limit: PAGE_RECORDS,
+            wait: Duration::ZERO,
+        };
+        let page = read_page(log, req).await?;
         let Some(last) = page.records.last() else {
             return Ok(records);
         };
--- a/crates/turmericloft/src/ops/mod.rs
+++ b/crates/turmericloft/src/ops/mod.rs
@@ -6,6 +6,7 @@
 mod gateway_records;
 mod promote;
 mod promotion;
+mod read_page;
 pub mod report;
 pub mod reporter;
 mod status;
--- a/crates/turmericloft/src/ops/promote.rs
+++ b/crates/turmericloft/src/ops/promote.rs
@@ -8,7 +8,7 @@
 use crate::{
     core::{
         Name,
-        config::{Accepted, ConfigRecord, Follower, Judged, Recovery, Verdict},
+        config::{Accepted, ConfigRecord, Follower, Recovery, Verdict},
         document::{Digest, check_document},
     },
     sources::log_service::{LogError, LogService},
@@ -73,12 +73,11 @@
 ) -> Result<Promotion, PromoteError> {
     let version = version_of(promotion_id)?;
     let mut reader = ConfigReader::from_first(log, environment);
-    let judged = reader.read_to_end(Duration::ZERO).await?;
+    reader.read_to_end(Duration::ZERO).await?;
     let undecided = || Promotion::Undecided {
         promotion_id: promotion_id.to_owned(),
     };
-    let follower = reader.follower();
-    Ok(settled(&judged, follower, promotion_id, version).unwrap_or_else(undecided))
+    Ok(settled(&reader, promotion_id, version).unwrap_or_else(undecided))
 }
 
 /// The document in force in an environment, if there is one.
@@ -171,14 +170,11 @@
     within: Duration,
 ) -> Promotion {
     let deadline = Instant::now() + within;
-    let mut judged: Vec<Judged> = Vec::new();
     loop {
-        match reader.read_to_end(READ_WAIT).await {
-            Ok(more) => judged.extend(more),
-            Err(_) => sleep(RETRY_PAUSE).await,
+        if reader.read_to_end(READ_WAIT).await.is_err() {
+            sleep(RETRY_PAUSE).await;
         }
-        let (id, version) = (record.promotion_id.as_str(), record.version);
-        if let Some(end) = settled(&judged, reader.follower(), id, version) {
+        if let Some(end) = settled(&reader, &record.promotion_id, record.version) {
             return end;
         }
         if Instant::now() >= deadline {
@@ -190,12 +186,8 @@
 }
 
 /// How the promotion ended, if the records read so far decide it.
-fn settled(
-    judged: &[Judged],
-    follower: &Follower,
-    promotion_id: &str,
-    version: u64,
-) -> Option<Promotion> {
+fn settled(reader: &ConfigReader<'_>, promotion_id: &str, version: u64) -> Option<Promotion> {
+    let (judged, follower) = (reader.judged(), reader.follower());
     let accepted = judged
         .iter()
         .filter(|j| matches!(j.verdict, Verdict::Accepted(_)))
@@ -240,10 +232,10 @@
     digest: Digest,
 ) -> Result<bool, LogError> {
     let mut reader = ConfigReader::from_first(log, environment);
-    let judged = reader.read_to_end(Duration::ZERO).await?;
+    reader.read_to_end(Duration::ZERO).await?;
     let in_force = reader.follower().accepted();
     let now = in_force.is_some_and(|a| a.record.digest == digest);
-    let before = judged.iter().any(|j| match &j.verdict {
+    let before = reader.judged().iter().any(|j| match &j.verdict {
         Verdict::Accepted(a) => a.record.digest == digest,
         _ => false,
     });
--- a/crates/turmericloft/src/ops/report/read.rs
+++ b/crates/turmericloft/src/ops/report/read.rs
@@ -13,7 +13,10 @@
         },
         document::{Document, DocumentError},
     },
-    ops::{PromoteError, read_document},
+    ops::{
+        PromoteError, read_document,
+        read_page::{PageRequest, read_page},
+    },
     sources::log_service::{LogError, LogService},
 };
 
@@ -94,9 +97,13 @@
     let mut history = History::default();
     let mut from = 0;
     loop {
-        let page = log
-            .read(&stream, from, PAGE_RECORDS, Duration::ZERO)
-            .await?;
+        let req = PageRequest {
+            stream: &stream,
+            from,
+            limit: PAGE_RECORDS,
+            wait: Duration::ZERO,
+        };
+        let page = read_page(log, req).await?;
         if page.first > from {
             let kept_from_ms = page.records.first().map_or(now_ms, |r| r.appended_at_ms);
             history.note_dropped(kept_from_ms);
--- a/crates/turmericloft/src/sources/log_service/log_error.rs
+++ b/crates/turmericloft/src/sources/log_service/log_error.rs
@@ -37,6 +37,19 @@
         #[source]
         source: serde_json::Error,
     },
+    /// The log service has records and does not give them.
+    #[error(
+        "the log service gave no record of {stream} from offset {from} on, although it has \
+         records up to {last}"
+    )]
+    Withheld {
+        /// The stream.
+        stream: String,
+        /// Offset from which on it was read.
+        from: u64,
+        /// Offset of the last record.
+        last: u64,
+    },
 }
 
 impl LogError {
--- a/crates/turmericloft/src/sources/log_service/record_page.rs
+++ b/crates/turmericloft/src/sources/log_service/record_page.rs
@@ -47,6 +47,12 @@
 }
 
 impl RecordPage {
+    /// Whether the stream has records from offset `from` on and the page gives none of them.
+    pub fn withholds(&self, from: u64) -> bool {
+        let gives = self.records.iter().any(|r| r.offset >= from);
+        !gives && self.next > from.max(self.first)
+    }
+
     /// The page as a follower takes it.
     pub fn as_page(&self) -> Page<'_, LogRecord> {
         Page {
--- a/crates/turmericloft/tests/testsuite/config/mod.rs
+++ b/crates/turmericloft/tests/testsuite/config/mod.rs
@@ -6,5 +6,7 @@
 mod interleavings;
 mod matrix;
 mod model;
+mod stuck_log;
 mod variants;
+mod withheld;
 mod world;
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/config/withheld.rs
@@ -0,0 +1,201 @@
+//! Readers of a log service that says it has records and gives none.
+
+use std::{iter::repeat_n, sync::Arc, time::Duration};
+
+use futures_util::future::BoxFuture;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use turmericloft::{
+    core::{
+        HostId, Name,
+        config::{Accepted, ConfigRecord, Verdict},
+    },
+    ops::{
+        self, PromoteOptions, Promotion, ReportError, ReportOptions,
+        gateway::{ConfigSources, Gateway, follow_config},
+    },
+    sources::log_service::{LogError, LogService, RecordPage},
+    util::settings::GuardSettings,
+};
+
+use super::{
+    documents::{document, record},
+    stuck_log::StuckLog,
+};
+
+/// Time within which every reader must have come to an end.
+const LIMIT: Duration = Duration::from_secs(60);
+/// Records in the stream that is read.
+const RECORDS: u64 = 40;
+
+fn production() -> Name {
+    Name::new("production").expect("the name is valid")
+}
+
+fn config_stream() -> String {
+    ConfigRecord::stream(&production())
+}
+
+/// Versions in a row, each on top of the one before.
+fn versions(count: u64) -> Vec<ConfigRecord> {
+    let mut accepted: Option<Accepted> = None;
+    let mut records = Vec::new();
+    for offset in 0..count {
+        let next = record(
+            accepted.as_ref(),
+            &format!("id-{offset}"),
+            offset as u32 + 1,
+        );
+        let bytes = next.encode().expect("a record can be encoded");
+        match Accepted::judge(accepted.as_ref(), offset, &bytes) {
+            Verdict::Accepted(new) => accepted = Some(*new),
+            other => panic!("not accepted: {other:?}"),
+        }
+        records.push(next);
+    }
+    records
+}
+
+fn encoded(records: &[ConfigRecord]) -> Vec<Vec<u8>> {
+    let encoded = records.iter().map(ConfigRecord::encode);
+    encoded
+        .map(|r| r.expect("a record can be encoded"))
+        .collect()
+}
+
+fn log_with_versions(count: u64) -> StuckLog {
+    let log = StuckLog::default();
+    log.extend(&config_stream(), encoded(&versions(count)));
+    log
+}
+
+/// Puts two versions of others before an appended record, and more than a page of records after
+/// it.
+struct OvertakenLog(StuckLog);
+
+impl LogService for OvertakenLog {
+    fn append<'a>(
+        &'a self,
+        stream: &'a str,
+        body: Vec<u8>,
+    ) -> BoxFuture<'a, Result<u64, LogError>> {
+        let others = encoded(&versions(2));
+        let copies = repeat_n(others[1].clone(), RECORDS as usize);
+        self.0.extend(stream, others.clone());
+        self.0.extend(stream, [body]);
+        self.0.extend(stream, copies);
+        Box::pin(async { Ok(2) })
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a str,
+        from: u64,
+        limit: usize,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<RecordPage, LogError>> {
+        self.0.read(stream, from, limit, wait)
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn audit_of_withheld_records_fails_and_names_them() {
+    let log = log_with_versions(RECORDS);
+    log.withhold(&config_stream(), 16, u64::MAX);
+    let audit = timeout(LIMIT, ops::read_audit(&log, &production())).await;
+    let e = audit.expect("the reader ends").unwrap_err();
+    assert_eq!(
+        e.to_string(),
+        "the log service gave no record of config.production from offset 16 on, although it \
+         has records up to 39"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn records_that_come_late_are_all_read() {
+    let log = log_with_versions(RECORDS);
+    log.withhold(&config_stream(), 16, 2);
+    let audit = timeout(LIMIT, ops::read_audit(&log, &production())).await;
+    let audit = audit.expect("the reader ends").expect("nothing is missing");
+    assert_eq!(audit.rows.len() as u64, RECORDS);
+    assert!(audit.rows.iter().all(|row| row.accepted));
+}
+
+#[tokio::test(start_paused = true)]
+async fn report_without_withheld_counts_is_not_made() {
+    let log = StuckLog::default();
+    log.extend("reports.production", (0..RECORDS).map(|_| vec![0]));
+    log.withhold("reports.production", 0, u64::MAX);
+    let options = ReportOptions {
+        environment: production(),
+        by: Default::default(),
+        period: None,
+    };
+    let report = timeout(LIMIT, ops::read_report(&log, &options, 1)).await;
+    let e = report.expect("the reader ends").unwrap_err();
+    assert!(matches!(e, ReportError::Log(_)), "{e}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn status_without_withheld_gateways_is_not_made() {
+    let log = StuckLog::default();
+    log.extend("acks.production", (0..RECORDS).map(|_| Vec::new()));
+    log.withhold("acks.production", 0, u64::MAX);
+    let audit = timeout(LIMIT, ops::read_audit(&log, &production())).await;
+    let e = audit.expect("the reader ends").unwrap_err();
+    assert_eq!(
+        e.to_string(),
+        "the log service gave no record of acks.production from offset 0 on, although it has \
+         records up to 39"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn gateway_asks_seldom_for_withheld_records_and_takes_them_when_they_come() {
+    let log = Arc::new(log_with_versions(RECORDS));
+    log.withhold(&config_stream(), 0, u64::MAX);
+    let host = HostId {
+        name: Name::new("gw-1").expect("the name is valid"),
+        incarnation: 1,
+    };
+    let zone = Name::new("a").expect("the name is valid");
+    let gateway = Gateway::new(host, zone, &GuardSettings::default());
+    let sources = ConfigSources {
+        log: Arc::clone(&log) as Arc<dyn LogService>,
+        peers: None,
+        environment: production(),
+        seed: 1,
+    };
+    let stop = CancellationToken::new();
+    tokio::spawn(follow_config(Arc::clone(&gateway), sources, stop.clone()));
+    sleep(Duration::from_secs(10)).await;
+    let asked = log.stuck_reads();
+    assert!((1..=60).contains(&asked), "asked {asked} times in 10 s");
+    assert_eq!(gateway.config.version(), 0);
+    log.withhold("none", 0, 0);
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(gateway.config.version(), RECORDS);
+    stop.cancel();
+}
+
+#[tokio::test(start_paused = true)]
+async fn verdict_read_before_a_failure_is_kept() {
+    let log = OvertakenLog(StuckLog::default());
+    log.0.fail(&config_stream(), 16);
+    let options = PromoteOptions {
+        environment: production(),
+        author: Name::new("anna").expect("the name is valid"),
+        document: document(99),
+        promotion_id: "00".repeat(16),
+        settle_within: Duration::from_secs(5),
+        recover_above: None,
+    };
+    let promotion = timeout(LIMIT, ops::trial(&log, options, 0)).await;
+    let promotion = promotion
+        .expect("the reader ends")
+        .expect("it was appended");
+    assert!(
+        matches!(promotion, Promotion::Rejected { .. }),
+        "{promotion:?}"
+    );
+}
