check refuses names that reports use for lines of their own

Requests beyond the limit of rows are counted under the caller `overflow-callers`; a caller of that name would be mixed with them. Zones, services, kinds and callers of that name are now faults. `total`, the name of a report's last line, is not refused: that line comes last and is not counted under.

--- a/crates/turmericloft-cli/tests/testsuite/config_sessions.rs
+++ b/crates/turmericloft-cli/tests/testsuite/config_sessions.rs
@@ -60,6 +60,24 @@
 contracts = [{ service = "booking", requests_per_s = 2 }]
 "#;
 
+const RESERVED: &str = r#"schema = 1
+
+[[zones]]
+name = "overflow-callers"
+region = "south"
+
+[[services]]
+name = "overflow-callers"
+deadline_ms = 2000
+kinds = [{ name = "overflow-callers", method = "GET", handling = "idempotent" }]
+endpoints = [{ address = "127.0.0.1:9000", zone = "overflow-callers", slots = 4, connections = 9 }]
+
+[[callers]]
+name = "overflow-callers"
+token_sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
+contracts = [{ service = "overflow-callers" }]
+"#;
+
 async fn control(operators: &Operators, faults: &str) {
     put(operators, "/control", faults).await;
 }
@@ -110,6 +128,25 @@
     );
 }
 
+#[test]
+fn check_refuses_reserved_names() {
+    let operators = Operators::start();
+    operators.write("reserved.toml", RESERVED);
+    assert_data_eq!(
+        operators.session("check reserved.toml"),
+        str![[r#"
+$ turmericloft check reserved.toml
+error: reserved.toml has 4 faults
+  line 4: `zones[0].name`: `overflow-callers` is reserved for lines of reports; use another name
+  line 8: `services[0].name`: `overflow-callers` is reserved for lines of reports; use another name
+  line 10: `services[0].kinds[0].name`: `overflow-callers` is reserved for lines of reports; use another name
+  line 14: `callers[0].name`: `overflow-callers` is reserved for lines of reports; use another name
+exit code 1
+
+"#]]
+    );
+}
+
 #[test]
 fn check_reports_every_syntax_fault_at_once() {
     let operators = Operators::start();
--- a/crates/turmericloft/src/core/document/check/rules.rs
+++ b/crates/turmericloft/src/core/document/check/rules.rs
@@ -5,11 +5,14 @@
 use super::{finding::Findings, key_path::KeyPath};
 use crate::core::{
     Name,
+    counting::CountKey,
     document::{Caller, Contract, Document, Endpoint, Kind, MeasuringBudget, Service},
 };
 
 /// Methods that a kind may have.
 const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
+/// Names that reports use for lines of their own.
+const RESERVED_NAMES: [&str; 1] = [CountKey::OVERFLOW_CALLER];
 /// Longest deadline.
 const MAX_DEADLINE: Duration = Duration::from_secs(600);
 /// Most extra calls, in percent of calls.
@@ -37,6 +40,9 @@
         |i| root.item("callers", i).key("token_sha256"),
         found,
     );
+    for (i, zone) in document.zones.iter().enumerate() {
+        not_reserved(&zone.name, &root.item("zones", i), found);
+    }
     for (i, service) in document.services.iter().enumerate() {
         check_service(document, service, &root.item("services", i), found);
     }
@@ -56,6 +62,7 @@
 }
 
 fn check_service(document: &Document, service: &Service, path: &KeyPath, found: &mut Findings<'_>) {
+    not_reserved(&service.name, path, found);
     check_deadline(service.deadline, &path.key("deadline_ms"), found);
     at_least_one(service.body_bytes, &path.key("body_bytes"), found);
     if service.extra_calls_percent > MAX_EXTRA_CALLS_PERCENT {
@@ -86,6 +93,7 @@
 }
 
 fn check_kind(kind: &Kind, path: &KeyPath, found: &mut Findings<'_>) {
+    not_reserved(&kind.name, path, found);
     if !METHODS.contains(&kind.method.as_str()) {
         let allowed = METHODS.join(", ");
         let message = format!("must be one of {allowed}, found `{}`", kind.method);
@@ -118,6 +126,7 @@
 }
 
 fn check_caller(document: &Document, caller: &Caller, path: &KeyPath, found: &mut Findings<'_>) {
+    not_reserved(&caller.name, path, found);
     at_least_one(caller.weight, &path.key("weight"), found);
     let services = caller.contracts.iter().map(|c| c.service.as_str());
     unique(
@@ -184,6 +193,14 @@
     }
 }
 
+/// Adds a fault if the item at `path` has a reserved name.
+fn not_reserved(name: &Name, path: &KeyPath, found: &mut Findings<'_>) {
+    if RESERVED_NAMES.contains(&name.as_str()) {
+        let message = format!("`{name}` is reserved for lines of reports; use another name");
+        found.add(&path.key("name"), message);
+    }
+}
+
 /// The names that could be read, each once.
 fn readable<'a>(
     names: impl Iterator<Item = &'a Name>,
