--- a/crates/turmericloft-cli/tests/testsuite/settings.rs
+++ b/crates/turmericloft-cli/tests/testsuite/settings.rs
@@ -2,10 +2,11 @@
 
 use std::fs;
 
+use serde_json::Value;
 use snapbox::{assert_data_eq, str};
 use tempfile::TempDir;
 
-use crate::support::run;
+use crate::support::{Process, run};
 
 const GATEWAY: &str = env!("CARGO_BIN_EXE_turmericloft-gateway");
 const REPORTER: &str = env!("CARGO_BIN_EXE_turmericloft-reporter");
@@ -94,6 +95,37 @@
     );
 }
 
+/// Settings of a gateway, up to its tables.
+const SETTINGS: &str = r#"host = "gw-1"
+zone = "a"
+environment = "production"
+listen = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+log_service = "127.0.0.1:1"
+host_list = "127.0.0.1:1"
+reporter = "127.0.0.1:1"
+"#;
+
+#[test]
+fn log_lines_can_be_json() {
+    let folder = TempDir::new().expect("a folder for settings");
+    let path = folder.path().join("settings.toml");
+    let settings = SETTINGS.to_owned() + "log_format = \"json\"\n";
+    fs::write(&path, settings).expect("the folder can be written");
+    let path = path.to_str().expect("a text path");
+    let mut gateway = Process::start(GATEWAY, &["--settings", path]);
+    let line = gateway.wait_for_line("listens on");
+    assert_data_eq!(
+        &line,
+        str![[r#"
+{"at_ms":[..],"level":"INFO","message":"gateway gw-1 listens on 127.0.0.1:[..] for callers and 127.0.0.1:[..] for operators","target":"turmericloft::ops::gateway::run"}
+
+"#]]
+    );
+    let line: Value = serde_json::from_str(&line).expect("the line is JSON");
+    assert!(line["at_ms"].is_u64(), "{line}");
+}
+
 #[test]
 fn file_that_is_not_there_is_reported() {
     let folder = TempDir::new().expect("a folder for settings");
