Faults in the guard table of settings show what is allowed

The `guard` table had no entry among the documented keys, so its faults named no allowed values. The golden test found a second fault: for an unknown key in a table the line was that of the first key whose name stands anywhere in the message, also among the names that would be allowed. For `secrets` after `secret` it named the line before. A value of a wrong type in a table is still reported at the table's own line.

--- a/crates/turmericloft-cli/tests/testsuite/settings.rs
+++ b/crates/turmericloft-cli/tests/testsuite/settings.rs
@@ -126,6 +126,27 @@
     assert!(line["at_ms"].is_u64(), "{line}");
 }
 
+#[test]
+fn fault_in_the_guard_table_shows_what_is_allowed() {
+    let unknown = format!("{SETTINGS}\n[guard]\nsecret = \"s\"\nsecrets = \"s\"\n");
+    let soon = format!("{SETTINGS}\n[guard]\nid_lifetime_ms = \"soon\"\n");
+    let sessions = [unknown, soon].map(|s| run_with(GATEWAY, &s, &[]));
+    assert_data_eq!(
+        sessions.concat(),
+        str![[r#"
+exit code: 1
+stderr:
+error: the settings are not valid
+  settings.toml:12: `guard`: unknown field `secrets`, expected one of `secret`, `previous_secret`, `id_lifetime_ms`, `key_lifetime_ms`, `actions`, `bytes`, `answer_bytes`; allowed: a table of secret and previous_secret (texts), id_lifetime_ms and key_lifetime_ms (whole milliseconds), actions, bytes and answer_bytes (whole numbers)
+exit code: 1
+stderr:
+error: the settings are not valid
+  settings.toml:10: `guard`: invalid type: string "soon", expected u64; allowed: a table of secret and previous_secret (texts), id_lifetime_ms and key_lifetime_ms (whole milliseconds), actions, bytes and answer_bytes (whole numbers)
+
+"#]]
+    );
+}
+
 #[test]
 fn file_that_is_not_there_is_reported() {
     let folder = TempDir::new().expect("a folder for settings");
--- a/crates/turmericloft/src/util/settings.rs
+++ b/crates/turmericloft/src/util/settings.rs
@@ -29,6 +29,9 @@
 const ADDRESS: &str = "an IP address with a port, as \"10.0.0.1:8080\"";
 const MILLISECONDS: &str = "a whole number of milliseconds";
 const PEERS: &str = "a table of listen, certificate, key and authorities";
+const GUARD: &str = "a table of secret and previous_secret (texts), id_lifetime_ms and \
+                     key_lifetime_ms (whole milliseconds), actions, bytes and answer_bytes (whole \
+                     numbers)";
 const HEAD_BYTES: &str = "a whole number of bytes, at least 8192";
 const LOG_FORMAT: &str = "\"text\" or \"json\"";
 /// Least value of `max_head_bytes`: what the HTTP library needs.
@@ -206,6 +209,7 @@
         SettingKey::required("host_list", ADDRESS, "\"10.0.1.2:7000\""),
         SettingKey::required("reporter", ADDRESS, "\"127.0.0.1:8082\""),
         SettingKey::optional("peers", PEERS, "{}"),
+        SettingKey::optional("guard", GUARD, "{}"),
         SettingKey::optional("stop_deadline_ms", MILLISECONDS, "20000"),
         SettingKey::optional("head_timeout_ms", MILLISECONDS, "10000"),
         SettingKey::optional("body_pause_ms", MILLISECONDS, "10000"),
--- a/crates/turmericloft/src/util/settings/check.rs
+++ b/crates/turmericloft/src/util/settings/check.rs
@@ -73,7 +73,9 @@
 fn inner_key(spanned: &Spanned<DeTable<'_>>, fault: &SettingsFault) -> Option<usize> {
     let table = spanned.get_ref().get(fault.key.as_deref()?)?;
     let keys = table.get_ref().as_table()?.keys();
-    let named = |key: &&Spanned<Cow<'_, str>>| fault.what.contains(&format!("`{}`", key.get_ref()));
+    // What follows the first name are the names that would be allowed.
+    let wrong = fault.what.split('`').nth(1)?;
+    let named = |key: &&Spanned<Cow<'_, str>>| key.get_ref() == wrong;
     keys.filter(named).map(|key| key.span().start).next()
 }
 
