--- a/crates/turmericloft-cli/tests/testsuite/settings.rs
+++ b/crates/turmericloft-cli/tests/testsuite/settings.rs
@@ -47,7 +47,7 @@
   settings.toml:5: `admin`: invalid type: integer `8081`, expected socket address; allowed: an IP address with a port, as "10.0.0.1:8080"
   settings.toml:8: `max_head_bytes`: 100 bytes are too few; allowed: a whole number of bytes, at least 8192
   settings.toml:9: `log_format`: unknown variant `xml`, expected `text` or `json`; allowed: "text" or "json"
-  settings.toml:13: `peers`: unknown field `keys`, expected one of `listen`, `certificate`, `key`, `authorities`; allowed: a table of listen, certificate, key and authorities
+  settings.toml:14: `peers`: unknown field `keys`, expected one of `listen`, `certificate`, `key`, `authorities`; allowed: a table of listen, certificate, key and authorities
   settings.toml: `zone`: missing; allowed: 1 to 63 of a-z, 0-9 and inner hyphens
   settings.toml: `host_list`: missing; allowed: an IP address with a port, as "10.0.0.1:8080"
 
