Answer a copy with a bad body as refused, count cut actions, name all metrics alike

Cause, found by reading the code against the operators' page: - A guarded copy whose body was too large, too slow or broken was told not-run before its id or key was looked at. An earlier copy may have run, so it could be untrue. - A stop that cut guarded actions run for other gateways exited with 0. - Seven metrics were outside the table of metrics and without its prefix.

Ruled out: looking up the key first, since a body that never arrives whole has no fingerprint to compare.

Change: such a copy is refused, which says nothing of other copies; CutOff counts requests and actions; the metrics stand in the table, and a test holds the page to it.

--- /dev/null
+++ b/crates/turmericloft-bench/src/experiments/capacity/counting.rs
@@ -0,0 +1,60 @@
+//! Costs of counting by the number of rows.
+
+use std::{hint::black_box, time::Instant};
+
+use turmericloft::core::{
+    HostId, Name, Outcome,
+    counting::{CountKey, Ledger},
+};
+
+use super::{
+    super::ExperimentResult,
+    Args,
+    series::{SIZES, Series},
+};
+use crate::figure::Printer;
+
+/// Services that each caller uses.
+const SERVICES_PER_CALLER: usize = 3;
+/// Requests counted in each row.
+const REQUESTS_PER_ROW: usize = 4;
+
+pub(super) fn measure(args: &Args, figures: &Printer) -> ExperimentResult {
+    let mut bytes = Series::new("counting", "full_snapshot_bytes", "bytes");
+    let mut time = Series::new("counting", "full_snapshot_ms", "ms");
+    for part in SIZES {
+        let callers = (args.callers as f64 * part) as usize;
+        let ledger = Ledger::new();
+        fill(&ledger, callers, args.services)?;
+        let host = HostId {
+            name: Name::new("gw-1")?,
+            incarnation: 1,
+        };
+        let start = Instant::now();
+        let snapshot = black_box(ledger.snapshot(host, 0, 0));
+        let elapsed_ms = start.elapsed().as_secs_f64() * 1_000.0;
+        let rows = snapshot.rows.len() as f64;
+        bytes.add(rows, postcard::to_stdvec(&snapshot)?.len() as f64);
+        time.add(rows, elapsed_ms);
+    }
+    [bytes, time]
+        .iter()
+        .for_each(|series| series.print(figures));
+    Ok(())
+}
+
+fn fill(ledger: &Ledger, callers: usize, services: usize) -> ExperimentResult {
+    for caller in 0..callers {
+        for service in 0..SERVICES_PER_CALLER {
+            let key = CountKey {
+                caller: Name::new(&format!("caller-{caller}"))?,
+                service: Name::new(&format!("service-{}", (caller + service) % services))?,
+                kind: Name::new("read")?,
+            };
+            for _ in 0..REQUESTS_PER_ROW {
+                ledger.admit(key.clone()).end(Outcome::Served);
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/turmericloft-bench/src/experiments/capacity/mod.rs
+++ b/crates/turmericloft-bench/src/experiments/capacity/mod.rs
@@ -1,5 +1,7 @@
 //! How the cost of each part grows with its size, as slopes of at least four points each.
 
+mod actions;
+mod counting;
 mod document;
 mod mesh;
 mod series;
@@ -27,5 +29,7 @@
 /// Runs the experiment.
 pub async fn exec(args: Args, seed: u64, figures: &Printer) -> ExperimentResult {
     document::measure(&args, figures)?;
+    counting::measure(&args, figures)?;
+    actions::measure(&args, figures)?;
     mesh::measure(&args, seed, figures).await
 }
--- a/crates/turmericloft-cli/src/bin/turmericloft-gateway/main.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft-gateway/main.rs
@@ -18,7 +18,7 @@
   0  every request in flight was finished
   1  the gateway could not run
   2  wrong use of the command line
-  4  requests in flight were cut off; their number is in the message";
+  4  requests in flight or guarded actions were cut off; their numbers are in the message";
 
 /// Runs a gateway until SIGTERM or SIGINT
 ///
--- a/crates/turmericloft-cli/tests/testsuite/docs.rs
+++ b/crates/turmericloft-cli/tests/testsuite/docs.rs
@@ -6,6 +6,8 @@
     path::{Path, PathBuf},
 };
 
+use turmericloft::{core::document::check_document, util::metrics_table::ALL};
+
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
@@ -40,6 +42,25 @@
         .any(|f| fs::read_to_string(f).is_ok_and(|text| text.contains(&declared)))
 }
 
+#[test]
+fn operators_page_names_every_metric() {
+    let page = fs::read_to_string(root().join("docs/OPERATING.md")).expect("the page is there");
+    let missing: Vec<_> = ALL.iter().filter(|m| !page.contains(m.name)).collect();
+    assert!(
+        missing.is_empty(),
+        "docs/OPERATING.md leaves out {missing:?}"
+    );
+}
+
+#[test]
+fn example_document_has_no_fault_and_no_warning() {
+    let path = root().join("docs/document.example.toml");
+    let text = fs::read_to_string(path).expect("the example is there");
+    let report = check_document(&text);
+    assert!(report.faults.is_empty(), "{}", report.faults_text());
+    assert!(report.warnings.is_empty(), "{:?}", report.warnings);
+}
+
 #[test]
 fn guarantees_name_only_tests_that_exist() {
     let named = paths_named_in("GUARANTEES.md");
--- a/crates/turmericloft-cli/tests/testsuite/guarded_freeze.rs
+++ b/crates/turmericloft-cli/tests/testsuite/guarded_freeze.rs
@@ -87,3 +87,35 @@
     assert!(platform.gateway.wait().success());
     assert_eq!(runs(platform.backend, "stopped").await, 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn second_signal_counts_the_action_that_is_run_for_another_gateway() {
+    let mut platform = Platform::start_gateways(2).await;
+    platform.promote();
+    platform.others[0].process.wait_for_line("is in force");
+    let held = BackendFaults {
+        hold: true,
+        ..Default::default()
+    };
+    set_backend(platform.backend, &held).await;
+    let gateways = platform.gateways();
+    let booking = Booking::issued_by(gateways[0], "cut").await;
+    let (sent, entry) = (booking.clone(), gateways[1]);
+    let answer = tokio::spawn(async move { sent.send(entry).await });
+    while runs(platform.backend, "cut").await == 0 {}
+    platform.gateway.signal(Signal::SIGTERM);
+    platform.gateway.wait_for_line("is stopping");
+    platform.gateway.signal(Signal::SIGTERM);
+    let error = platform.gateway.wait_for_line("error:");
+    assert_eq!(
+        error,
+        "error: 0 requests in flight and 1 guarded actions were cut off\n"
+    );
+    assert_eq!(platform.gateway.wait().code(), Some(4));
+    let answer = answer.await.unwrap().expect("an answer");
+    assert!(
+        answer.body.contains("\"outcome\":\"unknown\""),
+        "{answer:?}"
+    );
+    assert_eq!(runs(platform.backend, "cut").await, 1);
+}
--- a/crates/turmericloft/src/ops/gateway/admin.rs
+++ b/crates/turmericloft/src/ops/gateway/admin.rs
@@ -17,7 +17,6 @@
 
 /// Routes of the admin address.
 pub(super) fn router(gateway: Arc<Gateway>) -> Router {
-    metrics_recorder::install();
     Router::new()
         .route("/live", get(|| async { "live\n" }))
         .route("/ready", get(ready))
--- a/crates/turmericloft/src/ops/gateway/body_fault.rs
+++ b/crates/turmericloft/src/ops/gateway/body_fault.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use thiserror::Error;
 
-use crate::core::{Outcome, Problem, Step, document::Handling};
+use crate::core::{Outcome, Problem, Step};
 
 /// Why the body of a request did not arrive whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -33,13 +33,10 @@
         Problem::new(self.status(), outcome, step, self.to_string())
     }
 
-    /// The answer to a request of which nothing was sent to a backend server.
-    pub(super) fn before_dispatch(self, handling: Handling) -> Problem {
-        let outcome = match handling {
-            Handling::Guarded => Outcome::NotRun,
-            Handling::Idempotent => Outcome::Refused,
-        };
-        self.problem(outcome, Step::Matched)
+    /// The answer to a request of which nothing was sent to a backend server. Of a guarded action
+    /// it says nothing but that this copy was turned away: an earlier copy may have run.
+    pub(super) fn before_dispatch(self) -> Problem {
+        self.problem(Outcome::Refused, Step::Matched)
     }
 
     fn status(self) -> StatusCode {
--- a/crates/turmericloft/src/ops/gateway/follow_config.rs
+++ b/crates/turmericloft/src/ops/gateway/follow_config.rs
@@ -12,6 +12,7 @@
 use crate::{
     core::{Name, config::ConfigRecord},
     sources::log_service::LogService,
+    util::metrics_table,
 };
 
 /// Most records read at once.
@@ -77,7 +78,7 @@
                 gateway.config.take_page(gateway, now, &page);
             }
             Err(_) => {
-                metrics::counter!("config_read_failures").increment(1);
+                metrics::counter!(metrics_table::CONFIG_READ_FAILURES.name).increment(1);
                 limit = (limit / 2).max(1);
                 sleep(RETRY_PAUSE).await;
             }
@@ -119,7 +120,7 @@
     };
     let now = Instant::now().into_std();
     if !gateway.config.take_from_peer(gateway, now, &bytes) {
-        metrics::counter!("config_records_refused_from_peers").increment(1);
+        metrics::counter!(metrics_table::CONFIG_RECORDS_REFUSED.name).increment(1);
     }
 }
 
@@ -149,8 +150,10 @@
             continue;
         };
         match log.append(stream, checkpoint).await {
-            Ok(_) => metrics::counter!("config_checkpoints").increment(1),
-            Err(_) => metrics::counter!("config_checkpoint_failures").increment(1),
+            Ok(_) => metrics::counter!(metrics_table::CONFIG_CHECKPOINTS.name).increment(1),
+            Err(_) => {
+                metrics::counter!(metrics_table::CONFIG_CHECKPOINT_FAILURES.name).increment(1)
+            }
         }
     }
 }
--- a/crates/turmericloft/src/ops/gateway/guarded/actions.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/actions.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Actions being run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
     /// Waits until the actions being run have ended.
     pub async fn finish(&self) {
         self.running.close();
--- a/crates/turmericloft/src/ops/gateway/guarded/buffer.rs
+++ b/crates/turmericloft/src/ops/gateway/guarded/buffer.rs
@@ -8,7 +8,7 @@
 
 use super::collect::{CollectError, collect};
 use crate::{
-    core::{Problem, Step, document::Handling, guard::ActionRequest},
+    core::{Problem, Step, guard::ActionRequest},
     ops::gateway::{
         answer::refusal, body_fault::BodyFault, dispatch::to_backend, matched::Matched,
     },
@@ -39,7 +39,7 @@
         }
         Ok(Err(CollectError::Broken(e))) => {
             if let Some(fault) = e.downcast_ref::<BodyFault>() {
-                return Err(fault.before_dispatch(Handling::Guarded));
+                return Err(fault.before_dispatch());
             }
             let detail = format!("the body broke off: {e}");
             return Err(refusal(StatusCode::BAD_REQUEST, Step::Received, &detail));
--- a/crates/turmericloft/src/ops/gateway/handle.rs
+++ b/crates/turmericloft/src/ops/gateway/handle.rs
@@ -65,7 +65,7 @@
     let (head, body) = req.into_parts();
     let received = match ReceivedBody::read(body, limits).await {
         Ok(received) => received,
-        Err(fault) => return end(count, &fault.before_dispatch(handling)),
+        Err(fault) => return end(count, &fault.before_dispatch()),
     };
     let req = Request::from_parts(head, received.body);
     let answer = match handling {
--- a/crates/turmericloft/src/ops/gateway/peers.rs
+++ b/crates/turmericloft/src/ops/gateway/peers.rs
@@ -23,7 +23,7 @@
         Heartbeat, IdentityError, IdentityFiles, PeerDatagram, PeerError, PeerHandler,
         PeerIdentity, PeerMesh, PeerReply, PeerRequest,
     },
-    util::settings::PeerSettings,
+    util::{metrics_table, settings::PeerSettings},
 };
 
 /// Time between two heartbeats to a peer.
@@ -324,7 +324,9 @@
         match peers.reload_identity() {
             Ok(false) => {}
             Ok(true) => log::info!("new certificates are used for connections to peers"),
-            Err(_) => metrics::counter!("peer_identity_reload_failures").increment(1),
+            Err(_) => {
+                metrics::counter!(metrics_table::PEER_IDENTITY_RELOAD_FAILURES.name).increment(1)
+            }
         }
     }
 }
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -20,7 +20,7 @@
 use crate::{
     core::HostId,
     sources::log_service::{HttpLog, LogService},
-    util::{clock::unix_ms, settings::GatewaySettings},
+    util::{clock::unix_ms, metrics_recorder, settings::GatewaySettings},
 };
 
 /// Why a gateway ended.
@@ -39,10 +39,12 @@
     #[error("the other gateways cannot be met")]
     Peers(#[from] PeersError),
     /// Requests were cut off by the deadline of the stop or a second signal.
-    #[error("{requests} requests in flight were cut off")]
+    #[error("{requests} requests in flight and {actions} guarded actions were cut off")]
     CutOff {
-        /// Requests that had no whole answer.
+        /// Callers' requests that had no whole answer.
         requests: usize,
+        /// Guarded actions that were being run, for callers, for peers, or with no one waiting.
+        actions: usize,
     },
 }
 
@@ -68,6 +70,7 @@
     stop: impl Into<Stop>,
 ) -> Result<(), GatewayError> {
     let stop = stop.into();
+    metrics_recorder::install();
     let listener = bind(settings.listen).await?;
     let admin = bind(settings.admin).await?;
     let host = HostId {
@@ -123,20 +126,25 @@
     stop.graceful.cancelled().await;
     gateway.begin_stop();
     log::info!("gateway is stopping");
-    let requests = tokio::select! {
-        () = finish(&gateway, &mut serving) => 0,
-        () = sleep(settings.stop_deadline) => callers.cut(),
-        () = stop.now.cancelled() => callers.cut(),
+    let cut = tokio::select! {
+        () = finish(&gateway, &mut serving) => None,
+        () = sleep(settings.stop_deadline) => Some(cut_off(&gateway, &callers)),
+        () = stop.now.cancelled() => Some(cut_off(&gateway, &callers)),
     };
-    if requests > 0 {
+    if !serving.is_finished() {
         let _ = serving.await;
     }
     ended.cancel();
     let _ = tokio::join!(snapshots, state);
     log::info!("gateway has stopped");
-    match requests {
-        0 => Ok(()),
-        requests => Err(GatewayError::CutOff { requests }),
+    cut.map_or(Ok(()), Err)
+}
+
+/// Cuts off what is left and counts it.
+fn cut_off(gateway: &Gateway, callers: &Callers) -> GatewayError {
+    GatewayError::CutOff {
+        actions: gateway.actions.running(),
+        requests: callers.cut(),
     }
 }
 
--- a/crates/turmericloft/src/ops/gateway/tell_state.rs
+++ b/crates/turmericloft/src/ops/gateway/tell_state.rs
@@ -14,6 +14,7 @@
         config::{GatewayRecord, GatewayState},
     },
     sources::log_service::LogService,
+    util::metrics_table,
 };
 
 /// Time between two records without a change.
@@ -56,7 +57,7 @@
         return;
     };
     if log.append(stream, body).await.is_err() {
-        metrics::counter!("gateway_record_failures").increment(1);
+        metrics::counter!(metrics_table::GATEWAY_RECORD_FAILURES.name).increment(1);
     }
 }
 
--- a/crates/turmericloft/src/ops/gateway/watch_hosts.rs
+++ b/crates/turmericloft/src/ops/gateway/watch_hosts.rs
@@ -13,6 +13,7 @@
 use crate::{
     core::membership::ListedPeer,
     sources::host_list::{Host, HostList, HostListReader, HostRole, HostState},
+    util::metrics_table,
 };
 
 /// Time between two reads of the host list.
@@ -29,7 +30,9 @@
         match read {
             Some(Ok(Some(list))) => last = Some(list),
             Some(Ok(None)) => {}
-            Some(Err(_)) => metrics::counter!("host_list_read_failures").increment(1),
+            Some(Err(_)) => {
+                metrics::counter!(metrics_table::HOST_LIST_READ_FAILURES.name).increment(1)
+            }
             None => return,
         }
         if let Some(list) = &last {
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -90,8 +90,71 @@
     meaning: "1 while the platform's balancer may send requests here, else 0",
 };
 
+/// Reads of the configuration's stream that failed.
+pub const CONFIG_READ_FAILURES: Metric = Metric {
+    name: "turmericloft_config_read_failures_total",
+    kind: MetricKind::Counter,
+    unit: "reads",
+    labels: &[],
+    meaning: "Reads of the configuration's stream that failed",
+};
+
+/// Configuration records of peers that were not valid.
+pub const CONFIG_RECORDS_REFUSED: Metric = Metric {
+    name: "turmericloft_config_records_refused_from_peers_total",
+    kind: MetricKind::Counter,
+    unit: "records",
+    labels: &[],
+    meaning: "Configuration records of peers that were not valid",
+};
+
+/// Checkpoints of the accepted document that were appended.
+pub const CONFIG_CHECKPOINTS: Metric = Metric {
+    name: "turmericloft_config_checkpoints_total",
+    kind: MetricKind::Counter,
+    unit: "appends",
+    labels: &[],
+    meaning: "Checkpoints of the accepted document that were appended",
+};
+
+/// Checkpoints of the accepted document that could not be appended.
+pub const CONFIG_CHECKPOINT_FAILURES: Metric = Metric {
+    name: "turmericloft_config_checkpoint_failures_total",
+    kind: MetricKind::Counter,
+    unit: "appends",
+    labels: &[],
+    meaning: "Checkpoints of the accepted document that could not be appended",
+};
+
+/// Records of this gateway's state that could not be appended.
+pub const GATEWAY_RECORD_FAILURES: Metric = Metric {
+    name: "turmericloft_gateway_record_failures_total",
+    kind: MetricKind::Counter,
+    unit: "appends",
+    labels: &[],
+    meaning: "Records of this gateway's state that could not be appended",
+};
+
+/// Reads of the host list that failed.
+pub const HOST_LIST_READ_FAILURES: Metric = Metric {
+    name: "turmericloft_host_list_read_failures_total",
+    kind: MetricKind::Counter,
+    unit: "reads",
+    labels: &[],
+    meaning: "Reads of the host list that failed",
+};
+
+/// Reads of certificate, key or authorities that failed; the ones before stay in use.
+pub const PEER_IDENTITY_RELOAD_FAILURES: Metric = Metric {
+    name: "turmericloft_peer_identity_reload_failures_total",
+    kind: MetricKind::Counter,
+    unit: "reads",
+    labels: &[],
+    meaning: "Reads of certificate, key or authorities that failed; the ones before stay in use",
+};
+
 /// All metrics, in the order of the documentation.
-pub const ALL: [Metric; 7] = [
+pub const ALL: [Metric; 14] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -99,4 +162,11 @@
     OPEN_CONNECTIONS,
     CONFIG_VERSION,
     READY,
+    CONFIG_READ_FAILURES,
+    CONFIG_RECORDS_REFUSED,
+    CONFIG_CHECKPOINTS,
+    CONFIG_CHECKPOINT_FAILURES,
+    GATEWAY_RECORD_FAILURES,
+    HOST_LIST_READ_FAILURES,
+    PEER_IDENTITY_RELOAD_FAILURES,
 ];
