--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the programs as separate processes.
 
 mod bad_input;
+mod check_sessions;
 mod command_line;
 mod config_sessions;
 mod demo;
