--- a/crates/turmericloft-cli/tests/testsuite/settings.rs
+++ b/crates/turmericloft-cli/tests/testsuite/settings.rs
@@ -2,10 +2,11 @@
 
 use std::fs;
 
+use serde_json::Value;
 use snapbox::{assert_data_eq, str};
 use tempfile::TempDir;
 
-use crate::support::run;
+use crate::support::{Process, run};
 
 const GATEWAY: &str = env!("CARGO_BIN_EXE_turmericloft-gateway");
 const REPORTER: &str = env!("CARGO_BIN_EXE_turmericloft-reporter");
@@ -46,7 +47,7 @@
   settings.toml:5: `admin`: invalid type: integer `8081`, expected socket address; allowed: an IP address with a port, as "10.0.0.1:8080"
   settings.toml:8: `max_head_bytes`: 100 bytes are too few; allowed: a whole number of bytes, at least 8192
   settings.toml:9: `log_format`: unknown variant `xml`, expected `text` or `json`; allowed: "text" or "json"
-  settings.toml:13: `peers`: unknown field `keys`, expected one of `listen`, `certificate`, `key`, `authorities`; allowed: a table of listen, certificate, key and authorities
+  settings.toml:14: `peers`: unknown field `keys`, expected one of `listen`, `certificate`, `key`, `authorities`; allowed: a table of listen, certificate, key and authorities
   settings.toml: `zone`: missing; allowed: 1 to 63 of a-z, 0-9 and inner hyphens
   settings.toml: `host_list`: missing; allowed: an IP address with a port, as "10.0.0.1:8080"
 
@@ -94,6 +95,58 @@
     );
 }
 
+/// Settings of a gateway, up to its tables.
+const SETTINGS: &str = r#"host = "gw-1"
+zone = "a"
+environment = "production"
+listen = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+log_service = "127.0.0.1:1"
+host_list = "127.0.0.1:1"
+reporter = "127.0.0.1:1"
+"#;
+
+#[test]
+fn log_lines_can_be_json() {
+    let folder = TempDir::new().expect("a folder for settings");
+    let path = folder.path().join("settings.toml");
+    let settings = SETTINGS.to_owned() + "log_format = \"json\"\n";
+    fs::write(&path, settings).expect("the folder can be written");
+    let path = path.to_str().expect("a text path");
+    let mut gateway = Process::start(GATEWAY, &["--settings", path]);
+    let line = gateway.wait_for_line("listens on");
+    assert_data_eq!(
+        &line,
+        str![[r#"
+{"at_ms":[..],"level":"INFO","message":"gateway gw-1 listens on 127.0.0.1:[..] for callers and 127.0.0.1:[..] for operators","target":"turmericloft::ops::gateway::run"}
+
+"#]]
+    );
+    let line: Value = serde_json::from_str(&line).expect("the line is JSON");
+    assert!(line["at_ms"].is_u64(), "{line}");
+}
+
+#[test]
+fn fault_in_the_guard_table_shows_what_is_allowed() {
+    let unknown = format!("{SETTINGS}\n[guard]\nsecret = \"s\"\nsecrets = \"s\"\n");
+    let soon = format!("{SETTINGS}\n[guard]\nid_lifetime_ms = \"soon\"\n");
+    let sessions = [unknown, soon].map(|s| run_with(GATEWAY, &s, &[]));
+    assert_data_eq!(
+        sessions.concat(),
+        str![[r#"
+exit code: 1
+stderr:
+error: the settings are not valid
+  settings.toml:12: `guard`: unknown field `secrets`, expected one of `secret`, `previous_secret`, `id_lifetime_ms`, `key_lifetime_ms`, `actions`, `bytes`, `answer_bytes`; allowed: a table of secret and previous_secret (texts), id_lifetime_ms and key_lifetime_ms (whole milliseconds), actions, bytes and answer_bytes (whole numbers)
+exit code: 1
+stderr:
+error: the settings are not valid
+  settings.toml:10: `guard`: invalid type: string "soon", expected u64; allowed: a table of secret and previous_secret (texts), id_lifetime_ms and key_lifetime_ms (whole milliseconds), actions, bytes and answer_bytes (whole numbers)
+
+"#]]
+    );
+}
+
 #[test]
 fn file_that_is_not_there_is_reported() {
     let folder = TempDir::new().expect("a folder for settings");
