--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -1,6 +1,6 @@
 //! Running a gateway: the data path between callers and backend servers.
 //!
-//! A request goes through [`handle`]: caller, service and kind are found in the environment in
+//! A request goes through `handle`: caller, service and kind are found in the environment in
 //! force, an endpoint is chosen, and the answer is streamed back and counted.
 
 mod admin;
