Prove that a listed leaving server gets no new request and finishes what it has

Tests with real processes: 40 lookups and 40 guarded actions after that line all run at the other server, then with the states exchanged, and under a newer document; a lookup and a guarded action in flight are finished at the leaving server.

Found by reading, not by a test: a new document's services were in force for a moment before they were told the host list, and a list read at that moment could be overwritten by the older one until its next change. Both now happen under one lock. That no order of the two tasks shows it again is by construction.

Seen to fail on a changed copy: with the list ignored by the services, both tests of new requests fail; the one of requests in flight did not, since its server is held and so unattractive. With attempts cut off after 400 ms that one fails (status 0 for 200).

--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/leaving.rs
@@ -0,0 +1,206 @@
+//! Backend servers that the host list calls leaving, and the requests that they have.
+
+use std::net::SocketAddr;
+
+use http::Method;
+use tokio::task::JoinHandle;
+use turmericloft::{
+    core::{Name, document::Digest},
+    sources::host_list::{Host, HostRole, HostState},
+};
+use turmericloft_standins::backend::BackendFaults;
+
+use crate::support::{
+    Booking, Platform, Process, eventually, send, set_backend, total_runs, try_get,
+};
+
+/// Requests of each kind that are sent while a backend server is leaving.
+const REQUESTS: u64 = 40;
+/// Requests after which a test gives up waiting for one at the server that it means.
+const MAX_REQUESTS: usize = 500;
+/// Path of a lookup.
+const LOOKUP: &str = "/calendar/free";
+
+/// Two backend servers behind one gateway.
+struct Pair {
+    platform: Platform,
+    first: SocketAddr,
+    second: SocketAddr,
+    _second: Process,
+}
+
+impl Pair {
+    fn start() -> Self {
+        let platform = Platform::start();
+        let mut process = Process::start(env!("CARGO_BIN_EXE_turmericloft-standin"), &["backend"]);
+        Self {
+            first: platform.backend,
+            second: process.addresses()[0],
+            platform,
+            _second: process,
+        }
+    }
+
+    fn start_promoted() -> Self {
+        let mut pair = Self::start();
+        pair.promote(4);
+        pair
+    }
+
+    /// Puts a document in force that has both servers, with `slots` slots each.
+    fn promote(&mut self, slots: u32) {
+        let document = document(&[self.first, self.second], slots);
+        self.platform.promote_document(&document);
+    }
+
+    /// Lists both servers, and waits until the gateway knows that `leaving` leaves.
+    async fn list_as_leaving(&mut self, leaving: SocketAddr) {
+        let state = |address| {
+            if address == leaving {
+                HostState::Leaving
+            } else {
+                HostState::Live
+            }
+        };
+        let hosts = [("calendar-1", self.first), ("calendar-2", self.second)];
+        let hosts = hosts.map(|(name, address)| Host {
+            name: Name::new(name).expect("the name is valid"),
+            zone: Name::new("a").expect("the name is valid"),
+            role: HostRole::BackendServer,
+            address,
+            state: state(address),
+        });
+        self.platform.put_hosts(hosts.to_vec()).await;
+        let line = format!("backend server {leaving} is leaving");
+        self.platform.gateway.wait_for_line(&line);
+    }
+
+    /// Sends lookups and guarded actions, all of which must run at `live` and none at `left`.
+    async fn all_run_at(&self, live: SocketAddr, left: SocketAddr) {
+        let before = (total_runs(live).await, total_runs(left).await);
+        let gateway = self.platform.callers;
+        for _ in 0..REQUESTS {
+            let answer = send(gateway, Platform::TOKEN, Method::GET, LOOKUP, &[]).await;
+            assert_eq!(answer.status, 200, "{answer:?}");
+            let booking = Booking::issued_by(gateway, "leaving").await;
+            let answer = booking.send(gateway).await.expect("an answer");
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        let after = (total_runs(live).await, total_runs(left).await);
+        assert_eq!(after, (before.0 + 2 * REQUESTS, before.1));
+    }
+
+    /// Sends requests, one after the other, until the first server has one that it holds.
+    async fn hold_one_at_first(&self, start: impl Fn() -> JoinHandle<u16>) -> JoinHandle<u16> {
+        let before = total_runs(self.first).await;
+        for _ in 0..MAX_REQUESTS {
+            let sent = start();
+            eventually(|| async {
+                let held = total_runs(self.first).await > before;
+                (held || sent.is_finished()).then_some(())
+            })
+            .await;
+            if !sent.is_finished() {
+                return sent;
+            }
+        }
+        panic!("the first server never got a request");
+    }
+}
+
+/// A document with a service of lookups and one of guarded actions. Nothing is sent twice, so that
+/// a request is answered by the server that got it or by none.
+fn document(endpoints: &[SocketAddr], slots: u32) -> String {
+    let token = Digest::of(Platform::TOKEN.as_bytes());
+    let endpoints: Vec<_> = endpoints
+        .iter()
+        .map(|e| {
+            format!(r#"{{ address = "{e}", zone = "a", slots = {slots}, connections = 250 }}"#)
+        })
+        .collect();
+    let endpoints = endpoints.join(", ");
+    format!(
+        r#"schema = 1
+
+[[zones]]
+name = "a"
+region = "south"
+
+[[services]]
+name = "calendar"
+deadline_ms = 20000
+extra_calls_percent = 0
+kinds = [{{ name = "lookup", method = "GET", handling = "idempotent" }}]
+endpoints = [{endpoints}]
+
+[[services]]
+name = "booking"
+deadline_ms = 20000
+extra_calls_percent = 0
+kinds = [{{ name = "book", method = "POST", handling = "guarded" }}]
+endpoints = [{endpoints}]
+
+[[callers]]
+name = "web"
+token_sha256 = "{token}"
+contracts = [{{ service = "calendar" }}, {{ service = "booking" }}]
+"#
+    )
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn listed_server_gets_neither_lookups_nor_guarded_actions() {
+    let mut pair = Pair::start_promoted();
+    let (first, second) = (pair.first, pair.second);
+    pair.list_as_leaving(first).await;
+    pair.all_run_at(second, first).await;
+    // With the states exchanged, a preference for one of the servers can't pass for obedience.
+    pair.list_as_leaving(second).await;
+    pair.all_run_at(first, second).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn listed_server_gets_nothing_under_a_newer_document_either() {
+    let mut pair = Pair::start();
+    let (first, second) = (pair.first, pair.second);
+    pair.list_as_leaving(first).await;
+    pair.promote(4);
+    pair.all_run_at(second, first).await;
+    pair.list_as_leaving(second).await;
+    pair.promote(6);
+    pair.all_run_at(first, second).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_in_flight_at_a_listed_server_are_finished_there() {
+    let mut pair = Pair::start_promoted();
+    let (first, second) = (pair.first, pair.second);
+    let gateway = pair.platform.callers;
+    let held = BackendFaults {
+        hold: true,
+        ..Default::default()
+    };
+    set_backend(first, &held).await;
+    let look_up = || {
+        tokio::spawn(async move {
+            let answer = try_get(gateway, Platform::TOKEN, LOOKUP).await;
+            answer.map_or(0, |a| a.status)
+        })
+    };
+    let book = || {
+        tokio::spawn(async move {
+            let booking = Booking::issued_by(gateway, "in-flight").await;
+            booking.send(gateway).await.map_or(0, |a| a.status)
+        })
+    };
+    let lookup = pair.hold_one_at_first(look_up).await;
+    let booking = pair.hold_one_at_first(book).await;
+    pair.list_as_leaving(first).await;
+    pair.all_run_at(second, first).await;
+    let elsewhere = total_runs(second).await;
+    set_backend(first, &BackendFaults::default()).await;
+    assert_eq!(lookup.await.expect("the caller ends"), 200);
+    assert_eq!(booking.await.expect("the caller ends"), 200);
+    assert_eq!(total_runs(first).await, 2);
+    assert_eq!(total_runs(second).await, elsewhere);
+}
--- a/crates/turmericloft-cli/tests/testsuite/support/bookings.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/bookings.rs
@@ -121,10 +121,19 @@
 
 /// Runs with this tag at the backend server.
 pub async fn runs(backend: SocketAddr, tag: &str) -> u64 {
+    let counts = run_counts(backend).await;
+    counts.by_tag.get(tag).copied().unwrap_or(0)
+}
+
+/// All runs at the backend server.
+pub async fn total_runs(backend: SocketAddr) -> u64 {
+    run_counts(backend).await.total
+}
+
+async fn run_counts(backend: SocketAddr) -> RunCounts {
     let answer = http_client::call(backend, Method::GET, "/runs", Bytes::new(), LIMIT);
     let answer = answer.await.expect("the backend server answers");
-    let counts: RunCounts = serde_json::from_slice(&answer.body).expect("counts of runs");
-    counts.by_tag.get(tag).copied().unwrap_or(0)
+    serde_json::from_slice(&answer.body).expect("counts of runs")
 }
 
 /// Changes the backend server's behaviour.
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -12,7 +12,7 @@
 mod silent_link;
 
 pub use self::{
-    bookings::{Booking, BookingAnswer, runs, set_backend, set_log},
+    bookings::{Booking, BookingAnswer, runs, set_backend, set_log, total_runs},
     caller::{CallerAnswer, get_over_http2, send, try_get},
     command::run,
     eventually::eventually,
--- a/crates/turmericloft/src/ops/gateway/shared.rs
+++ b/crates/turmericloft/src/ops/gateway/shared.rs
@@ -10,6 +10,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use parking_lot::Mutex;
 
 use super::{
     followed_config::FollowedConfig, guarded::Actions, peers::Peers, service_state::ServiceState,
@@ -37,6 +38,8 @@
     peers: OnceLock<Arc<Peers>>,
     leaving_endpoints: ArcSwap<HashSet<SocketAddr>>,
     live_gateways: AtomicU32,
+    /// Held while services are told what the host list says, and while they are replaced.
+    telling: Mutex<()>,
 }
 
 /// An environment with the live state of its services.
@@ -62,6 +65,7 @@
             peers: OnceLock::new(),
             leaving_endpoints: ArcSwap::default(),
             live_gateways: AtomicU32::new(1),
+            telling: Mutex::new(()),
         })
     }
 
@@ -82,9 +86,17 @@
 
     /// Replaces the addresses of leaving backend servers.
     pub fn set_leaving_endpoints(&self, addresses: HashSet<SocketAddr>) {
-        if *self.leaving_endpoints() != addresses {
-            self.leaving_endpoints.store(Arc::new(addresses));
-            self.tell_services();
+        let before = self.leaving_endpoints();
+        if *before == addresses {
+            return;
+        }
+        self.leaving_endpoints.store(Arc::new(addresses.clone()));
+        self.tell_services();
+        for address in addresses.difference(&before) {
+            log::info!("backend server {address} is leaving; it gets no new request");
+        }
+        for address in before.difference(&addresses) {
+            log::info!("backend server {address} is no longer listed as leaving");
         }
     }
 
@@ -97,11 +109,18 @@
 
     /// Tells the services in force what the host list says.
     fn tell_services(&self) {
+        let _telling = self.telling.lock();
+        if let Some(in_force) = self.in_force() {
+            self.tell(&in_force);
+        }
+    }
+
+    /// Tells services what the host list says. The caller holds `telling`, so that nothing older
+    /// is told after something newer.
+    fn tell(&self, in_force: &InForce) {
         let leaving = self.leaving_endpoints();
-        let in_force = self.in_force();
-        let services = in_force.iter().flat_map(|f| f.services.values());
         let gateways = self.live_gateways.load(Ordering::Acquire);
-        for service in services {
+        for service in in_force.services.values() {
             service.set_leaving(&leaving);
             service.set_gateways(gateways);
         }
@@ -136,11 +155,13 @@
                 (s.name.clone(), state)
             })
             .collect();
-        self.in_force.store(Some(Arc::new(InForce {
+        let in_force = InForce {
             environment,
             services,
-        })));
-        self.tell_services();
+        };
+        let _telling = self.telling.lock();
+        self.tell(&in_force);
+        self.in_force.store(Some(Arc::new(in_force)));
         true
     }
 
