--- a/crates/turmericloft/tests/testsuite/parsers.rs
+++ b/crates/turmericloft/tests/testsuite/parsers.rs
@@ -4,8 +4,9 @@
 use turmericloft::{
     core::{
         config::{Accepted, Verdict},
-        counting::Snapshot,
+        counting::{RoundPart, SnapshotMessage},
         document::Document,
+        guard::ClaimBatch,
     },
     sources::{
         host_list::HostList,
@@ -21,7 +22,15 @@
         let _ = postcard::from_bytes::<Envelope<PeerRequest>>(&bytes);
         let _ = postcard::from_bytes::<Envelope<PeerDatagram>>(&bytes);
         let _ = postcard::from_bytes::<PeerReply>(&bytes);
-        let _ = postcard::from_bytes::<Snapshot>(&bytes);
+        let _ = postcard::from_bytes::<SnapshotMessage>(&bytes);
+    }
+
+    #[test]
+    fn records_of_the_log_of_any_bytes_are_read_or_rejected(bytes: Vec<u8>, format in 0_u8..4) {
+        let _ = ClaimBatch::from_record(&bytes);
+        let _ = RoundPart::decode(&bytes);
+        let with_format: Vec<u8> = [&[format], bytes.as_slice()].concat();
+        let _ = RoundPart::decode(&with_format);
     }
 
     #[test]
