--- a/crates/turmericloft-bench/src/experiments/capacity/document.rs
+++ b/crates/turmericloft-bench/src/experiments/capacity/document.rs
@@ -85,9 +85,10 @@
         }
     }
     for caller in 0..callers {
+        let token = Digest::of(format!("token-{caller}").as_bytes());
         let _ = write!(
             text,
-            "[[callers]]\nname = \"caller-{caller}\"\ntoken_sha256 = \"{caller:064x}\"\n\
+            "[[callers]]\nname = \"caller-{caller}\"\ntoken_sha256 = \"{token}\"\n\
              contracts = [{{ service = \"service-{}\" }}]\n",
             caller % services
         );
