--- a/crates/turmericloft-cli/src/bin/turmericloft/commands/mod.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft/commands/mod.rs
@@ -9,6 +9,7 @@
 pub mod completions;
 pub mod demo;
 mod format;
+pub mod gateway;
 pub mod promote;
 mod publish;
 pub mod report;
--- a/crates/turmericloft-cli/src/bin/turmericloft/main.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft/main.rs
@@ -1,13 +1,14 @@
 //! The operators' command line.
 
-use std::process::ExitCode;
+use std::{io, process::ExitCode};
 
 use clap::{CommandFactory, Parser, Subcommand};
+use tokio::runtime::{Builder, Runtime};
 use turmericloft::util::error_chain;
 
 mod commands;
 
-use commands::{audit, check, completions, demo, promote, report, status, trial};
+use commands::{audit, check, completions, demo, gateway, promote, report, status, trial};
 
 /// Drives turmericloft through its documents and reads its reports.
 #[derive(Debug, Parser)]
@@ -39,29 +40,47 @@
     Check(check::Args),
     Completions(completions::Args),
     Demo(demo::Args),
+    Gateway(gateway::Args),
     Promote(promote::Args),
     Report(report::Args),
     Status(status::Args),
     Trial(trial::Args),
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    let result = match Cli::parse().command {
+fn main() -> ExitCode {
+    let command = Cli::parse().command;
+    let result = match runtime(&command) {
+        Ok(runtime) => runtime.block_on(exec(command)),
+        Err(e) => Err(e.into()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprint!("{}", error_chain::render(e.as_ref()));
+            commands::exit_code(e.as_ref())
+        }
+    }
+}
+
+/// A gateway shares a core with others, and more threads would only cost it memory and wake-ups.
+fn runtime(command: &Command) -> io::Result<Runtime> {
+    let mut builder = match command {
+        Command::Gateway(_) => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    builder.enable_all().build()
+}
+
+async fn exec(command: Command) -> commands::CommandResult {
+    match command {
         Command::Audit(args) => audit::exec(args).await,
         Command::Check(args) => check::exec(args).await,
         Command::Completions(args) => completions::exec(&args, Cli::command()),
         Command::Demo(args) => demo::exec(args).await,
+        Command::Gateway(args) => gateway::exec(args).await,
         Command::Promote(args) => promote::exec(args).await,
         Command::Report(args) => report::exec(args).await,
         Command::Status(args) => status::exec(args).await,
         Command::Trial(args) => trial::exec(args).await,
-    };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprint!("{}", error_chain::render(e.as_ref()));
-            commands::exit_code(e.as_ref())
-        }
     }
 }
--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -12,8 +12,10 @@
 mod name;
 mod outcome;
 mod problem;
+pub mod placement;
 pub mod routing;
 mod step;
+pub mod traffic;
 
 pub use self::{
     environment::{Environment, ServiceRoute},
--- /dev/null
+++ b/crates/turmericloft/src/core/placement/discovery.rs
@@ -0,0 +1,173 @@
+//! Which endpoints there are, from a lagging registry that may be away.
+//!
+//! Load pattern: the registry goes away for seconds, entries lapse meanwhile, and dropping them on
+//! its return would take the endpoints from all requests at once. Entries that vanish during an
+//! outage are kept until shortly after its end; entries that vanish at other times go at once.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use super::{DiscoveredEndpoint, InstanceId};
+
+/// Time after an outage within which endpoints that live have registered again.
+const REREGISTER_TIME: Duration = Duration::from_millis(2_000);
+/// Time without an answer of the registry that counts as an outage.
+const OUTAGE_AFTER: Duration = Duration::from_millis(2_500);
+
+/// One entry as it was read, with its place in the registry's history.
+#[derive(Clone, Debug)]
+pub struct Observation {
+    /// Identity of the endpoint.
+    pub id: InstanceId,
+    /// Place in the history; later ones win.
+    pub offset: u64,
+    /// What the entry says; none if it is gone or cannot be used.
+    pub endpoint: Option<DiscoveredEndpoint>,
+}
+
+/// What an observation changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiscoveryChange {
+    /// Nothing that matters for placement.
+    None,
+    /// An endpoint came, went or changed.
+    Endpoints,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    offset: u64,
+    endpoint: Option<DiscoveredEndpoint>,
+    /// Kept only until this moment, unless it registers again.
+    lapses: Option<Instant>,
+}
+
+/// All entries of the registry that one gateway has read.
+#[derive(Clone, Debug, Default)]
+pub struct DiscoveryTable {
+    entries: HashMap<InstanceId, Entry>,
+    last_answer: Option<Instant>,
+    hold_until: Option<Instant>,
+}
+
+impl DiscoveryTable {
+    /// Nothing was read yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The registry answered, whatever it said. Call it before the answer's entries are taken in.
+    pub fn registry_answered(&mut self, now: Instant) {
+        let away = self.last_answer.map(|at| now.saturating_duration_since(at));
+        if away.is_some_and(|away| away > OUTAGE_AFTER) {
+            self.hold_until = Some(now + REREGISTER_TIME);
+        }
+        self.last_answer = Some(now);
+    }
+
+    /// Takes in one entry.
+    pub fn observe(&mut self, now: Instant, seen: Observation) -> DiscoveryChange {
+        let known = self.entries.get(&seen.id);
+        if known.is_some_and(|e| e.offset > seen.offset) {
+            return DiscoveryChange::None;
+        }
+        let gone = seen.endpoint.is_none();
+        let before = known.and_then(|e| e.endpoint.clone());
+        let hold = self.hold_until.filter(|until| *until > now);
+        let entry = match (gone, hold, before.is_some()) {
+            (true, Some(until), true) => Entry {
+                offset: seen.offset,
+                endpoint: before.clone(),
+                lapses: Some(until),
+            },
+            _ => Entry {
+                offset: seen.offset,
+                endpoint: seen.endpoint,
+                lapses: None,
+            },
+        };
+        let changed = match (&before, &entry.endpoint) {
+            (None, None) => false,
+            (Some(a), Some(b)) => !same_but_warmup(a, b),
+            _ => true,
+        };
+        self.entries.insert(seen.id, entry);
+        if changed {
+            DiscoveryChange::Endpoints
+        } else {
+            DiscoveryChange::None
+        }
+    }
+
+    /// Takes in a whole listing up to `end`: entries that it lacks are gone. A listing older than
+    /// what was read before changes nothing.
+    pub fn replace(&mut self, now: Instant, end: u64, listed: Vec<Observation>) -> DiscoveryChange {
+        let newest = self.entries.values().map(|e| e.offset).max();
+        if newest.is_some_and(|newest| newest >= end) {
+            return DiscoveryChange::None;
+        }
+        let mut change = DiscoveryChange::None;
+        let missing: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, e)| e.endpoint.is_some() && e.lapses.is_none())
+            .filter(|(id, _)| !listed.iter().any(|l| l.id == **id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in missing {
+            let gone = Observation {
+                id,
+                offset: end.saturating_sub(1),
+                endpoint: None,
+            };
+            change = change.or(self.observe(now, gone));
+        }
+        for seen in listed {
+            change = change.or(self.observe(now, seen));
+        }
+        change
+    }
+
+    /// Drops entries whose time after an outage is over.
+    pub fn expire(&mut self, now: Instant) -> DiscoveryChange {
+        let mut change = DiscoveryChange::None;
+        for entry in self.entries.values_mut() {
+            if entry.lapses.is_some_and(|at| at <= now) {
+                entry.lapses = None;
+                entry.endpoint = None;
+                change = DiscoveryChange::Endpoints;
+            }
+        }
+        change
+    }
+
+    /// The endpoints there are.
+    pub fn endpoints(&self) -> Vec<DiscoveredEndpoint> {
+        let known = self.entries.values().filter_map(|e| e.endpoint.clone());
+        let mut endpoints: Vec<_> = known.collect();
+        endpoints.sort_by(|a, b| a.id.cmp(&b.id));
+        endpoints
+    }
+
+    /// Whether the registry has answered at all.
+    pub fn is_known(&self) -> bool {
+        self.last_answer.is_some()
+    }
+}
+
+impl DiscoveryChange {
+    /// Whether either changed something.
+    pub fn or(self, other: Self) -> Self {
+        if self == Self::None { other } else { self }
+    }
+}
+
+fn same_but_warmup(a: &DiscoveredEndpoint, b: &DiscoveredEndpoint) -> bool {
+    let a = DiscoveredEndpoint {
+        warmup_left: b.warmup_left,
+        ..a.clone()
+    };
+    a == *b
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/placement/endpoint_view.rs
@@ -0,0 +1,235 @@
+//! What one gateway believes about one endpoint.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use super::{AttemptOutcome, DiscoveredEndpoint, EndpointState, LoadSample, service_view::Usual};
+
+/// Time in which a load report loses most of its worth: slowness and queues change within it.
+const REPORT_LIFE: Duration = Duration::from_millis(400);
+/// How much longer work takes at an endpoint that has just started.
+const WARMUP_SLOWDOWN: f64 = 2.0;
+/// Time in which a failure loses half of its weight, in seconds.
+const FAILURE_HALF_LIFE_S: f64 = 2.0;
+/// Answers that a new endpoint is taken to have given, against its first failures.
+const PRIOR_ANSWERS: f64 = 2.0;
+/// Work times that one expected failure counts for.
+const FAILURE_COST: f64 = 8.0;
+/// First time without requests after an endpoint could not be reached or fell silent.
+const FIRST_EJECTION: Duration = Duration::from_millis(700);
+/// Longest time without requests.
+const MAX_EJECTION: Duration = Duration::from_secs(6);
+/// Failures in a row that eject an endpoint at which connections still work.
+const FAILURES_TO_EJECT: u32 = 3;
+/// Work times beyond the usual after which an own unanswered request tells of slowness.
+const OVERDUE: f64 = 1.3;
+/// Share of the slots from which on an endpoint is taken to slow down.
+const KNEE: f64 = 0.8;
+/// Slowdown of an endpoint that is nearly full.
+const KNEE_SLOWDOWN: f64 = 1.25;
+
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    at: Instant,
+    load: LoadSample,
+    /// Own requests in flight when it was told.
+    own: u32,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct EndpointView {
+    pub(super) endpoint: Arc<DiscoveredEndpoint>,
+    warm_at: Instant,
+    started: Vec<Instant>,
+    reported: Option<Reported>,
+    answers: f64,
+    failures: f64,
+    outcomes_at: Instant,
+    failures_in_row: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+    /// The address was found to belong to another endpoint.
+    replaced: bool,
+}
+
+impl EndpointView {
+    pub(super) fn new(now: Instant, endpoint: DiscoveredEndpoint) -> Self {
+        Self {
+            warm_at: now + endpoint.warmup_left,
+            endpoint: Arc::new(endpoint),
+            started: Vec::new(),
+            reported: None,
+            answers: 0.0,
+            failures: 0.0,
+            outcomes_at: now,
+            failures_in_row: 0,
+            ejections: 0,
+            ejected_until: None,
+            replaced: false,
+        }
+    }
+
+    /// Takes in a change that discovery tells of. A new incarnation starts with no history.
+    pub(super) fn update(&mut self, now: Instant, endpoint: &DiscoveredEndpoint) {
+        let same = self.endpoint.started_at_ms == endpoint.started_at_ms
+            && self.endpoint.address == endpoint.address;
+        if !same {
+            let started = std::mem::take(&mut self.started);
+            *self = Self::new(now, endpoint.clone());
+            self.started = started;
+            return;
+        }
+        self.warm_at = now + endpoint.warmup_left;
+        self.endpoint = Arc::new(endpoint.clone());
+    }
+
+    /// Whether it may get new requests.
+    pub(super) fn takes_requests(&self) -> bool {
+        self.endpoint.state == EndpointState::Ready && !self.replaced
+    }
+
+    pub(super) fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| until > now)
+    }
+
+    pub(super) fn in_flight(&self) -> u32 {
+        self.started.len() as u32
+    }
+
+    pub(super) fn start(&mut self, now: Instant) {
+        self.started.push(now);
+    }
+
+    /// Takes in the end of an own attempt that began at `started`.
+    pub(super) fn end(&mut self, now: Instant, started: Instant, outcome: AttemptOutcome) {
+        if let Some(i) = self.started.iter().position(|at| *at == started) {
+            self.started.swap_remove(i);
+        }
+        self.age_outcomes(now);
+        match outcome {
+            AttemptOutcome::Answered => {
+                self.answers += 1.0;
+                self.failures_in_row = 0;
+                self.ejections = 0;
+            }
+            AttemptOutcome::Failed | AttemptOutcome::Broken => {
+                self.failures += 1.0;
+                self.failures_in_row += 1;
+                if self.failures_in_row >= FAILURES_TO_EJECT {
+                    self.eject(now);
+                }
+            }
+            AttemptOutcome::Unreachable | AttemptOutcome::TimedOut => {
+                self.failures += 1.0;
+                self.failures_in_row += 1;
+                self.eject(now);
+            }
+            AttemptOutcome::OtherInstance => self.replaced = true,
+            AttemptOutcome::Shed | AttemptOutcome::Abandoned => {}
+        }
+    }
+
+    /// Takes in a load report.
+    pub(super) fn report(&mut self, at: Instant, load: LoadSample) {
+        let newer = self.reported.is_none_or(|r| r.at <= at);
+        if newer {
+            self.reported = Some(Reported {
+                at,
+                load,
+                own: self.in_flight(),
+            });
+        }
+    }
+
+    /// A full endpoint that did not tell its load.
+    pub(super) fn report_full(&mut self, now: Instant) {
+        let slots = self.endpoint.slots;
+        let load = LoadSample {
+            running: slots,
+            waiting: slots * 2,
+            slots,
+            slowdown: None,
+        };
+        self.report(now, load);
+    }
+
+    /// Requests that are taken to be at the endpoint now.
+    pub(super) fn load(&self, now: Instant, usual: &Usual) -> f64 {
+        let others = match &self.reported {
+            Some(r) => {
+                let seen = f64::from(r.load.running + r.load.waiting) - f64::from(r.own);
+                let k = freshness(now, r.at);
+                k * seen.max(0.0) + (1.0 - k) * usual.others
+            }
+            None => usual.others,
+        };
+        others + f64::from(self.in_flight())
+    }
+
+    /// Time in seconds that a request sent now is expected to take.
+    pub(super) fn expected_seconds(&self, now: Instant, usual: &Usual) -> f64 {
+        let slots = f64::from(self.endpoint.slots.max(1));
+        let load = self.load(now, usual);
+        let mut work = usual.work_s * self.slowdown(now, usual);
+        if load + 1.0 > slots * KNEE {
+            work *= KNEE_SLOWDOWN;
+        }
+        let ahead = (load + 1.0 - slots).max(0.0);
+        let wait = ahead / slots * work;
+        wait + work + self.failure_share(now) * FAILURE_COST * usual.work_s
+    }
+
+    fn slowdown(&self, now: Instant, usual: &Usual) -> f64 {
+        let told = self.reported.and_then(|r| Some((r.at, r.load.slowdown?)));
+        let mut slowdown = match told {
+            Some((at, told)) => {
+                let k = freshness(now, at);
+                k * told + (1.0 - k) * usual.slowdown
+            }
+            None => usual.slowdown,
+        };
+        if let Some(oldest) = self.started.iter().min() {
+            let waited = now.saturating_duration_since(*oldest).as_secs_f64();
+            let lower_bound = waited / usual.work_s;
+            if lower_bound > OVERDUE * usual.slowdown {
+                slowdown = slowdown.max(lower_bound);
+            }
+        }
+        if now < self.warm_at {
+            slowdown *= WARMUP_SLOWDOWN;
+        }
+        slowdown
+    }
+
+    fn failure_share(&self, now: Instant) -> f64 {
+        let kept = kept_weight(now, self.outcomes_at);
+        let (failures, answers) = (self.failures * kept, self.answers * kept);
+        failures / (failures + answers + PRIOR_ANSWERS)
+    }
+
+    fn age_outcomes(&mut self, now: Instant) {
+        let kept = kept_weight(now, self.outcomes_at);
+        self.failures *= kept;
+        self.answers *= kept;
+        self.outcomes_at = now;
+    }
+
+    fn eject(&mut self, now: Instant) {
+        let length = FIRST_EJECTION * 2_u32.pow(self.ejections.min(8));
+        self.ejected_until = Some(now + length.min(MAX_EJECTION));
+        self.ejections += 1;
+    }
+}
+
+fn freshness(now: Instant, at: Instant) -> f64 {
+    let age = now.saturating_duration_since(at);
+    (-age.as_secs_f64() / REPORT_LIFE.as_secs_f64()).exp()
+}
+
+fn kept_weight(now: Instant, at: Instant) -> f64 {
+    let age = now.saturating_duration_since(at);
+    (-age.as_secs_f64() / FAILURE_HALF_LIFE_S).exp2()
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/placement/service_view.rs
@@ -0,0 +1,86 @@
+//! What one gateway believes about a service as a whole.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use super::{InstanceId, LoadSample, RetryBudget, endpoint_view::EndpointView};
+use crate::core::decayed_mean::DecayedMean;
+
+/// Half-life of the service's means, in seconds.
+const MEANS_HALF_LIFE_S: f64 = 5.0;
+/// Share of the target latency that work is taken to need before the first answers.
+const INITIAL_WORK_SHARE: f64 = 0.4;
+/// Slowdown expected of an endpoint that told nothing, before the first reports.
+const INITIAL_SLOWDOWN: f64 = 1.5;
+
+/// What is usual in a service: the belief about an endpoint that nothing is known of.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Usual {
+    /// Work time of a request at an endpoint that is not slowed, in seconds.
+    pub(super) work_s: f64,
+    /// Slowdown of endpoints.
+    pub(super) slowdown: f64,
+    /// Requests of other gateways at an endpoint.
+    pub(super) others: f64,
+}
+
+/// One service.
+#[derive(Clone, Debug)]
+pub(super) struct ServiceView {
+    epoch: Instant,
+    pub(super) endpoints: HashMap<InstanceId, EndpointView>,
+    pub(super) budget: RetryBudget,
+    work: DecayedMean,
+    slowdown: DecayedMean,
+    others: DecayedMean,
+}
+
+impl ServiceView {
+    pub(super) fn new(now: Instant, budget: RetryBudget) -> Self {
+        Self {
+            epoch: now,
+            endpoints: HashMap::new(),
+            budget,
+            work: DecayedMean::new(MEANS_HALF_LIFE_S),
+            slowdown: DecayedMean::new(MEANS_HALF_LIFE_S),
+            others: DecayedMean::new(MEANS_HALF_LIFE_S),
+        }
+    }
+
+    /// What is usual, for requests with this target latency.
+    pub(super) fn usual(&self, target: Duration) -> Usual {
+        let prior = target.as_secs_f64() * INITIAL_WORK_SHARE;
+        Usual {
+            work_s: self.work.mean_or(prior).max(0.001),
+            slowdown: self.slowdown.mean_or(INITIAL_SLOWDOWN),
+            others: self.others.mean_or(0.0),
+        }
+    }
+
+    /// Takes in a load report.
+    pub(super) fn report(&mut self, now: Instant, own: u32, load: &LoadSample) {
+        let s = now.saturating_duration_since(self.epoch).as_secs_f64();
+        let others = f64::from(load.running + load.waiting) - f64::from(own);
+        self.others.add(s, others.max(0.0));
+        if let Some(slowdown) = load.slowdown {
+            self.slowdown.add(s, slowdown);
+        }
+    }
+
+    /// Takes in the latency of an answer.
+    pub(super) fn answered(&mut self, now: Instant, latency: Duration, load: Option<&LoadSample>) {
+        let s = now.saturating_duration_since(self.epoch).as_secs_f64();
+        let slowdown = load.and_then(|l| l.slowdown).unwrap_or(1.0).max(1.0);
+        let crowded = load.is_some_and(|l| l.waiting > 0);
+        if !crowded {
+            self.work.add(s, latency.as_secs_f64() / slowdown);
+        }
+    }
+
+    pub(super) fn view(&self, id: &Arc<str>) -> Option<&EndpointView> {
+        self.endpoints.get(id)
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/traffic/route_table.rs
@@ -0,0 +1,51 @@
+//! The document in force, ordered for finding the route of a request.
+
+use std::{collections::HashMap, sync::Arc};
+
+use super::{Route, TrafficDocument};
+
+/// Routes by host, longest prefix first.
+#[derive(Clone, Debug)]
+pub struct RouteTable {
+    document: TrafficDocument,
+    by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
+}
+
+impl RouteTable {
+    /// Orders the routes of a document.
+    pub fn new(document: TrafficDocument) -> Self {
+        let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        for route in &document.routes {
+            let routes = by_host.entry(Arc::clone(&route.host)).or_default();
+            routes.push(Arc::new(route.clone()));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
+        }
+        Self { document, by_host }
+    }
+
+    /// The document.
+    pub fn document(&self) -> &TrafficDocument {
+        &self.document
+    }
+
+    /// The route of a request: the longest prefix of `path` among the routes of `host`. A port in
+    /// `host`, its letter case and a query in `path` do not count.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = without_port(host);
+        let routes = match self.by_host.get(host) {
+            Some(routes) => routes,
+            None => self.by_host.get(host.to_ascii_lowercase().as_str())?,
+        };
+        let path = path.split(['?', '#']).next().unwrap_or_default();
+        routes.iter().find(|r| path.starts_with(&*r.path_prefix))
+    }
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/traffic/service_settings.rs
@@ -0,0 +1,10 @@
+//! What operators say about one service.
+
+/// Settings of a service, which hold for each of its endpoints.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceSettings {
+    /// Path that answers health checks.
+    pub health_path: String,
+    /// Connections that one endpoint accepts from all gateways together.
+    pub max_connections: u32,
+}
--- /dev/null
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -0,0 +1,220 @@
+//! From a whole request to its answer.
+
+use std::{
+    future::Future,
+    pin::Pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use tokio::time::sleep_until;
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    answer::{Answer, OwnAnswer},
+    attempt::{AttemptEnd, Forwarded, attempt},
+    in_flight::InFlight,
+    ingress::Ingress,
+};
+use crate::{
+    core::{
+        placement::{InstanceId, Placement, PlacementRequest, Unplaced},
+        traffic::{Route, RouteKind},
+    },
+    sources::http1::Request,
+};
+
+/// Usual answer times after which an idempotent request is sent to a second endpoint.
+const HEDGE_AFTER: f64 = 1.4;
+/// Time after which a refused request may come again when nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Time left below which a request is not sent once more.
+const MIN_LEFT: Duration = Duration::from_millis(10);
+
+type Attempt = Pin<Box<dyn Future<Output = AttemptEnd> + Send>>;
+
+/// Answers a request that arrived at `arrived`.
+pub(super) async fn forward(
+    ingress: Arc<Ingress>,
+    req: Request,
+    route: Arc<Route>,
+    arrived: Instant,
+    client_gone: CancellationToken,
+) -> Answer {
+    let _open = ingress.open_request();
+    let Some(id) = ingress.protocol.request_id(&req.headers).map(<[u8]>::to_vec) else {
+        return Answer::Own(OwnAnswer::NoRequestId);
+    };
+    let told = ingress.protocol.time_left(&req.headers);
+    let time = told.unwrap_or(route.timeout).min(route.timeout);
+    let Some(service) = ingress.next_service(&route) else {
+        return Answer::Own(OwnAnswer::NoRoute);
+    };
+    let now = ingress.now();
+    ingress.balancer.lock().add_request(now, &service);
+    let forwarded = Arc::new(Forwarded {
+        req,
+        id,
+        route,
+        until: arrived + time,
+        client_gone,
+    });
+    let forwarding = Forwarding {
+        ingress: Arc::clone(&ingress),
+        forwarded: Arc::clone(&forwarded),
+        service,
+        tried: Vec::new(),
+        attempts: FuturesUnordered::new(),
+        may_have_run: false,
+    };
+    let answer = forwarding.run().await;
+    if let Answer::Own(own) = &answer {
+        let now = ingress.now();
+        ingress.log.note(
+            now,
+            "request not served",
+            format_args!(
+                "request={} route={} answer={own} status={} took_ms={} of_ms={}",
+                String::from_utf8_lossy(&forwarded.id),
+                forwarded.route.name,
+                own.status(),
+                (now - arrived).as_millis(),
+                time.as_millis(),
+            ),
+        );
+    }
+    answer
+}
+
+/// All attempts of one request.
+struct Forwarding {
+    ingress: Arc<Ingress>,
+    forwarded: Arc<Forwarded>,
+    service: Arc<str>,
+    tried: Vec<InstanceId>,
+    attempts: FuturesUnordered<Attempt>,
+    may_have_run: bool,
+}
+
+impl Forwarding {
+    async fn run(mut self) -> Answer {
+        let first = match self.place() {
+            Ok(placement) => placement,
+            Err(unplaced) => return refused(unplaced),
+        };
+        let mut hedge_at = Some(hedge_at(&first)).filter(|_| self.is_idempotent());
+        self.start(first);
+        loop {
+            let at = hedge_at.unwrap_or(self.forwarded.until);
+            tokio::select! {
+                biased;
+                Some(end) = self.attempts.next() => {
+                    if let Some(answer) = self.ended(end) {
+                        return answer;
+                    }
+                }
+                () = sleep_until(at.into()), if hedge_at.is_some() => {
+                    hedge_at = None;
+                    self.repeat();
+                }
+            }
+        }
+    }
+
+    /// The answer, if the end of an attempt settles it; otherwise another attempt is under way.
+    fn ended(&mut self, end: AttemptEnd) -> Option<Answer> {
+        match end {
+            AttemptEnd::Answered(response) => {
+                let failed = response.status >= 500;
+                if failed && self.is_idempotent() && (!self.attempts.is_empty() || self.repeat()) {
+                    return None;
+                }
+                Some(Answer::Relayed(response))
+            }
+            AttemptEnd::NotRun => {
+                if !self.attempts.is_empty() || self.repeat() {
+                    return None;
+                }
+                Some(Answer::Own(match self.may_have_run {
+                    true => OwnAnswer::NoAnswer,
+                    false => OwnAnswer::Refused {
+                        retry_after: RETRY_AFTER,
+                    },
+                }))
+            }
+            AttemptEnd::Unknown(outcome) => {
+                self.may_have_run = true;
+                let again = self.is_idempotent() && (!self.attempts.is_empty() || self.repeat());
+                if again {
+                    return None;
+                }
+                Some(Answer::Own(match outcome {
+                    crate::core::placement::AttemptOutcome::TimedOut => OwnAnswer::OutOfTime,
+                    _ => OwnAnswer::NoAnswer,
+                }))
+            }
+        }
+    }
+
+    /// Sends the request to one more endpoint, if budget, time and route allow it.
+    fn repeat(&mut self) -> bool {
+        let now = self.ingress.now();
+        let left = self.forwarded.until.saturating_duration_since(now);
+        let attempts = self.tried.len() as u32;
+        if left < MIN_LEFT || attempts >= self.forwarded.route.max_attempts {
+            return false;
+        }
+        let Ok(placement) = self.place() else {
+            return false;
+        };
+        if !self.ingress.balancer.lock().take_repeat(now, &self.service) {
+            drop(InFlight::new(Arc::clone(&self.ingress), placement));
+            return false;
+        }
+        self.start(placement);
+        true
+    }
+
+    fn place(&self) -> Result<Placement, Unplaced> {
+        let now = self.ingress.now();
+        let req = PlacementRequest {
+            service: &self.service,
+            tried: &self.tried,
+            target: self.forwarded.route.target_latency,
+            left: self.forwarded.until.saturating_duration_since(now),
+        };
+        self.ingress.balancer.lock().place(now, &req)
+    }
+
+    /// Starts an attempt. One that must not be abandoned goes on when its client leaves.
+    fn start(&mut self, placement: Placement) {
+        self.tried.push(placement.endpoint.id.clone());
+        let in_flight = InFlight::new(Arc::clone(&self.ingress), placement);
+        let ingress = Arc::clone(&self.ingress);
+        let run = attempt(ingress, Arc::clone(&self.forwarded), in_flight);
+        if self.is_idempotent() {
+            self.attempts.push(Box::pin(run));
+            return;
+        }
+        let task = tokio::spawn(run);
+        self.attempts.push(Box::pin(async move {
+            let unknown = crate::core::placement::AttemptOutcome::Broken;
+            task.await.unwrap_or(AttemptEnd::Unknown(unknown))
+        }));
+    }
+
+    fn is_idempotent(&self) -> bool {
+        self.forwarded.route.kind == RouteKind::Idempotent
+    }
+}
+
+fn hedge_at(placement: &Placement) -> Instant {
+    let usual = placement.expected.max(placement.usual);
+    placement.started + usual.mul_f64(HEDGE_AFTER)
+}
+
+fn refused(unplaced: Unplaced) -> Answer {
+    let (Unplaced::NoEndpoint { retry_after } | Unplaced::Full { retry_after }) = unplaced;
+    Answer::Own(OwnAnswer::Refused { retry_after })
+}
--- /dev/null
+++ b/crates/turmericloft/src/ops/ingress/in_flight.rs
@@ -0,0 +1,48 @@
+//! An attempt that is counted as in flight until it ends.
+
+use std::sync::Arc;
+
+use super::ingress::Ingress;
+use crate::core::placement::{AttemptOutcome, LoadSample, Placement};
+
+/// Counts as abandoned when it is dropped before its end.
+#[derive(Debug)]
+pub(super) struct InFlight {
+    ingress: Arc<Ingress>,
+    placement: Placement,
+    ended: bool,
+}
+
+impl InFlight {
+    pub(super) fn new(ingress: Arc<Ingress>, placement: Placement) -> Self {
+        Self {
+            ingress,
+            placement,
+            ended: false,
+        }
+    }
+
+    pub(super) fn placement(&self) -> &Placement {
+        &self.placement
+    }
+
+    /// Tells the balancer how the attempt ended.
+    pub(super) fn end(mut self, outcome: AttemptOutcome, load: Option<LoadSample>) {
+        self.tell(outcome, load);
+    }
+
+    fn tell(&mut self, outcome: AttemptOutcome, load: Option<LoadSample>) {
+        let now = self.ingress.now();
+        let mut balancer = self.ingress.balancer.lock();
+        balancer.end(now, &self.placement, outcome, load);
+        self.ended = true;
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.tell(AttemptOutcome::Abandoned, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -0,0 +1,26 @@
+//! A gateway that routes by host and path, in front of endpoints that discovery tells of.
+//!
+//! It knows no caller by name. What it speaks with clients and endpoints beside plain HTTP/1.1 is
+//! given to it as an [`EndpointProtocol`]; documents and endpoints come over channels, from
+//! whichever source the program has.
+
+mod answer;
+mod attempt;
+mod client;
+mod connection_pool;
+mod decision_log;
+mod forward;
+mod in_flight;
+mod ingress;
+mod protocol;
+mod ready;
+mod run;
+mod settings;
+
+pub use self::{
+    answer::{Answer, OwnAnswer},
+    ingress::{Ingress, IngressFeeds},
+    protocol::{AttemptHeaders, EndpointProtocol, ResponseMarks},
+    run::{IngressError, run_ingress},
+    settings::IngressSettings,
+};
--- /dev/null
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -0,0 +1,146 @@
+//! An ingress gateway from start to stop.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use thiserror::Error;
+use tokio::{
+    net::TcpListener,
+    time::{interval, sleep},
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    client::serve_client,
+    ingress::{Ingress, IngressFeeds},
+    ready::answer_ready,
+};
+
+/// Time after the signal to stop at which idle clients are closed: the balancer in front asks
+/// every second and turns away after two misses.
+const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2_800);
+/// Part of the grace that is left for the process to end.
+const EXIT_RESERVE: Duration = Duration::from_millis(300);
+/// How often idle connections and open requests are looked at.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How often idle connections to endpoints are looked at.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Pause after a connection could not be accepted, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Why an ingress gateway cannot run.
+#[derive(Debug, Error)]
+pub enum IngressError {
+    /// An address is not free.
+    #[error("cannot listen on {address}")]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// Cause.
+        #[source]
+        source: io::Error,
+    },
+}
+
+/// Runs a gateway until `stop`, then finishes what is in flight within the grace.
+pub async fn run_ingress(
+    ingress: Arc<Ingress>,
+    feeds: IngressFeeds,
+    stop: CancellationToken,
+) -> Result<(), IngressError> {
+    let settings = &ingress.settings;
+    let clients = bind(settings.listen).await?;
+    let ready = bind(settings.ready_listen).await?;
+    log::info!(
+        "gateway started host={} zone={} listen={} ready={}",
+        settings.host,
+        settings.zone,
+        settings.listen,
+        settings.ready_listen,
+    );
+    tokio::spawn(follow_documents(Arc::clone(&ingress), feeds.clone()));
+    tokio::spawn(follow_endpoints(Arc::clone(&ingress), feeds));
+    tokio::spawn(answer_ready(Arc::clone(&ingress), ready));
+    tokio::spawn(accept(Arc::clone(&ingress), clients));
+    stop.cancelled().await;
+    log::info!("gateway stopping open_requests={}", ingress.open_requests());
+    ingress.draining.cancel();
+    sleep(CLOSE_IDLE_AFTER).await;
+    ingress.closing.cancel();
+    let left = settings.grace.saturating_sub(CLOSE_IDLE_AFTER + EXIT_RESERVE);
+    let done = finish(&ingress);
+    if tokio::time::timeout(left, done).await.is_err() {
+        log::warn!("gateway cut off open_requests={}", ingress.open_requests());
+    }
+    log::info!("gateway stopped");
+    Ok(())
+}
+
+async fn finish(ingress: &Ingress) {
+    let mut checks = interval(CHECK_INTERVAL);
+    // The first tick is immediate; the next one leaves time for the last bytes.
+    checks.tick().await;
+    loop {
+        checks.tick().await;
+        if ingress.open_requests() == 0 {
+            return;
+        }
+    }
+}
+
+async fn accept(ingress: Arc<Ingress>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_client(Arc::clone(&ingress), stream));
+            }
+            Err(e) => {
+                log::warn!("a client's connection cannot be accepted: {e}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn follow_documents(ingress: Arc<Ingress>, mut feeds: IngressFeeds) {
+    loop {
+        let table = feeds.documents.borrow_and_update().clone();
+        if let Some(table) = table {
+            let version = table.document().version;
+            let before = ingress.table.load().as_ref().map(|t| t.document().version);
+            if before.is_none_or(|before| before < version) {
+                log::info!("document in force version={version} before={before:?}");
+                ingress.table.store(Some(table));
+            }
+        }
+        if feeds.documents.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn follow_endpoints(ingress: Arc<Ingress>, mut feeds: IngressFeeds) {
+    let mut sweeps = interval(SWEEP_INTERVAL);
+    loop {
+        let changed = tokio::select! {
+            changed = feeds.endpoints.changed() => changed.map(|()| true),
+            _ = sweeps.tick() => Ok(false),
+        };
+        let Ok(changed) = changed else { return };
+        let Some(endpoints) = feeds.endpoints.borrow_and_update().clone() else {
+            continue;
+        };
+        let now = ingress.now();
+        if changed {
+            log::info!("endpoints changed count={}", endpoints.len());
+            ingress.balancer.lock().set_endpoints(now, &endpoints);
+        }
+        let lives = |id: &_| endpoints.iter().any(|e| e.id == *id);
+        ingress.pool.sweep(now, lives);
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, IngressError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| IngressError::Listen { address, source })
+}
--- a/crates/turmericloft/src/ops/mod.rs
+++ b/crates/turmericloft/src/ops/mod.rs
@@ -4,6 +4,7 @@
 mod config_reader;
 pub mod gateway;
 mod gateway_records;
+pub mod ingress;
 mod promote;
 mod promotion;
 mod read_page;
--- /dev/null
+++ b/crates/turmericloft/src/sources/http1/client_connection.rs
@@ -0,0 +1,132 @@
+//! A connection to a server, for one request at a time.
+
+use std::{
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::BytesMut;
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+use super::{BrokenResponse, ExchangeError, ExchangeStep, Response, ResponseReader};
+
+/// Largest body of a response that is held, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+/// Room for a response's first bytes.
+const READ_BYTES: usize = 4 << 10;
+
+/// An open connection with no request under way.
+#[derive(Debug)]
+pub struct ClientConnection {
+    peer: SocketAddr,
+    stream: TcpStream,
+    buf: BytesMut,
+    /// When its last response was whole, or when it was opened.
+    pub idle_since: Instant,
+    /// How long the server keeps it open when idle, if it told.
+    pub keep_alive: Option<Duration>,
+    /// Whether it carried a request before.
+    pub reused: bool,
+}
+
+impl ClientConnection {
+    /// Connects within `limit`. Packets that stay unacknowledged for `unacknowledged` end the
+    /// connection.
+    pub async fn open(
+        peer: SocketAddr,
+        limit: Duration,
+        unacknowledged: Duration,
+    ) -> Result<Self, ExchangeError> {
+        let unsent = |source| ExchangeError::Io {
+            peer,
+            step: ExchangeStep::Unsent,
+            source,
+        };
+        let stream = match timeout(limit, TcpStream::connect(peer)).await {
+            Ok(stream) => stream.map_err(unsent)?,
+            Err(_) => return Err(unsent(io::ErrorKind::TimedOut.into())),
+        };
+        stream.set_nodelay(true).map_err(unsent)?;
+        let socket = SockRef::from(&stream);
+        socket
+            .set_tcp_user_timeout(Some(unacknowledged))
+            .map_err(unsent)?;
+        Ok(Self {
+            peer,
+            stream,
+            buf: BytesMut::new(),
+            idle_since: tokio::time::Instant::now().into_std(),
+            keep_alive: None,
+            reused: false,
+        })
+    }
+
+    /// Whether nothing has arrived since the last response: neither an end nor stray bytes.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        let read = self.stream.try_read(&mut byte);
+        self.buf.is_empty() && matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request and reads responses until `belongs` accepts one; others are left over from
+    /// earlier requests. A response that comes before the request was written whole leaves the
+    /// connection unusable.
+    pub async fn exchange(
+        &mut self,
+        method: &[u8],
+        message: &[u8],
+        mut belongs: impl FnMut(&Response) -> bool,
+    ) -> Result<Response, ExchangeError> {
+        let peer = self.peer;
+        let sent = |source| ExchangeError::Io {
+            peer,
+            step: ExchangeStep::Sent,
+            source,
+        };
+        let mut written = match self.stream.try_write(message) {
+            Ok(n) => n,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => 0,
+            Err(source) => {
+                return Err(ExchangeError::Io {
+                    peer,
+                    step: ExchangeStep::Unsent,
+                    source,
+                });
+            }
+        };
+        let (mut rd, mut wr) = self.stream.split();
+        let mut reader = ResponseReader::new(method, MAX_BODY_BYTES);
+        let broken = |source| ExchangeError::Response { peer, source };
+        loop {
+            self.buf.reserve(READ_BYTES);
+            let read = tokio::select! {
+                n = wr.write(&message[written..]), if written < message.len() => {
+                    written += n.map_err(sent)?;
+                    continue;
+                }
+                n = rd.read_buf(&mut self.buf) => n.map_err(sent)?,
+            };
+            if read == 0 {
+                let response = reader.at_end().map_err(broken)?;
+                if belongs(&response) {
+                    return Ok(response);
+                }
+                return Err(broken(BrokenResponse::CutShort));
+            }
+            while let Some(mut response) = reader.next(&mut self.buf).map_err(broken)? {
+                if !belongs(&response) {
+                    reader = ResponseReader::new(method, MAX_BODY_BYTES);
+                    continue;
+                }
+                response.keeps_connection &= written == message.len() && self.buf.is_empty();
+                return Ok(response);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/sources/http1/mod.rs
@@ -0,0 +1,24 @@
+//! HTTP/1.1 messages on plain connections, with what a forwarder has to see: pipelined requests,
+//! bytes behind an answer, answers cut short, and whether a byte of a request was sent.
+
+mod client_connection;
+mod exchange_error;
+mod framing;
+mod header;
+mod request;
+mod request_fault;
+mod request_reader;
+mod response;
+mod response_reader;
+
+pub use self::{
+    client_connection::ClientConnection,
+    exchange_error::{ExchangeError, ExchangeStep},
+    framing::BodyFraming,
+    header::{Header, Headers},
+    request::Request,
+    request_fault::RequestFault,
+    request_reader::{ReaderLimits, RequestReader},
+    response::Response,
+    response_reader::{BrokenResponse, ResponseReader},
+};
--- a/crates/turmericloft/src/sources/mod.rs
+++ b/crates/turmericloft/src/sources/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod backend;
 pub mod host_list;
+pub mod http1;
 pub mod http_client;
 pub mod log_service;
 pub mod peer;
--- a/crates/turmericloft/src/util/error_chain.rs
+++ b/crates/turmericloft/src/util/error_chain.rs
@@ -16,3 +16,14 @@
     }
     text
 }
+
+/// An error and its causes on one line, for logs.
+pub fn line(error: &dyn Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(e) = cause {
+        let _ = write!(text, ": {e}");
+        cause = e.source();
+    }
+    text.replace('\n', "; ")
+}
--- a/crates/turmericloft/src/util/logging.rs
+++ b/crates/turmericloft/src/util/logging.rs
@@ -22,6 +22,15 @@
 
 /// Sends log lines of this process to standard error.
 pub fn start(format: LogFormat) -> Result<(), SetLoggerError> {
+    lines(format).chain(std::io::stderr()).apply()
+}
+
+/// Sends log lines of this process to standard output.
+pub fn start_on_stdout(format: LogFormat) -> Result<(), SetLoggerError> {
+    lines(format).chain(std::io::stdout()).apply()
+}
+
+fn lines(format: LogFormat) -> fern::Dispatch {
     fern::Dispatch::new()
         .level(LevelFilter::Info)
         .level_for("quinn", LevelFilter::Warn)
@@ -40,6 +49,4 @@
                 }
             }
         })
-        .chain(std::io::stderr())
-        .apply()
 }
