--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -27,6 +27,10 @@
 const JITTER: f64 = 0.2;
 /// Requests at one endpoint for each of its slots, beyond which it is full.
 const MAX_LOAD_PER_SLOT: f64 = 2.5;
+/// Age of a report up to which a request is sent without asking the endpoint again.
+const KNOWN_FOR: Duration = Duration::from_millis(40);
+/// Endpoints asked before a request is sent.
+const PROBES: usize = 3;
 /// Shortest time to come back after a refusal.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Time to come back when a service has no endpoint.
@@ -52,12 +56,19 @@
     pub endpoint: Arc<DiscoveredEndpoint>,
     /// Time that the answer is expected to take.
     pub expected: Duration,
-    /// Usual time of an answer in the service.
-    pub usual: Duration,
+    /// Time of an answer at an endpoint that nothing slows.
+    pub work: Duration,
     /// Begin of the attempt; names it when it ends.
     pub started: Instant,
 }
 
+/// An endpoint that is asked for its load.
+#[derive(Clone, Debug)]
+pub struct Probe {
+    /// The endpoint.
+    pub endpoint: Arc<DiscoveredEndpoint>,
+}
+
 /// Why a request is not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unplaced {
@@ -128,6 +139,68 @@
         service.is_some_and(|s| s.budget.take(now))
     }
 
+    /// Endpoints to ask for their load before a request is placed; none if one with room is known,
+    /// or if the service's endpoints do not tell their load.
+    pub fn probes(&mut self, now: Instant, req: &PlacementRequest<'_>) -> Vec<Probe> {
+        let Some(service) = self.services.get_mut(req.service) else {
+            return Vec::new();
+        };
+        if !service.tells_load() {
+            return Vec::new();
+        }
+        let usual = service.usual(req.target);
+        let takes = |v: &&mut EndpointView| {
+            v.takes_requests() && !v.is_ejected(now) && !req.tried.contains(&v.endpoint.id)
+        };
+        let zone = &self.zone;
+        let rng = &mut self.rng;
+        let views = service.endpoints.values_mut().filter(takes);
+        let mut views: Vec<_> = views
+            .map(|v| (cost(v, now, &usual, zone, rng.random::<f64>()), v))
+            .collect();
+        views.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        if views.first().is_some_and(|(_, v)| v.is_known_idle(now, KNOWN_FOR)) {
+            return Vec::new();
+        }
+        let unknown = views.into_iter().map(|(_, v)| v);
+        let unknown = unknown.filter(|v| !v.is_known(now, KNOWN_FOR) && !v.is_being_probed());
+        let probed = unknown.take(PROBES).map(|v| {
+            v.probe_sent(now);
+            Probe {
+                endpoint: Arc::clone(&v.endpoint),
+            }
+        });
+        probed.collect()
+    }
+
+    /// Takes in the end of a probe: what the endpoint answered, or that it did not. Gives whether
+    /// the endpoint has room at its usual speed.
+    pub fn probe_ended(
+        &mut self,
+        now: Instant,
+        probe: &Probe,
+        answer: Option<Option<LoadSample>>,
+    ) -> bool {
+        let endpoint = &probe.endpoint;
+        let Some(service) = self.services.get_mut(&endpoint.service) else {
+            return false;
+        };
+        let own = service.view(&endpoint.id).map_or(0, EndpointView::in_flight);
+        match &answer {
+            Some(Some(load)) => service.report(now, own, load),
+            Some(None) => service.told_no_load(),
+            None => {}
+        }
+        let Some(view) = service.endpoints.get_mut(&endpoint.id) else {
+            return false;
+        };
+        view.probe_ended(now, answer.is_some());
+        if let Some(Some(load)) = answer {
+            view.report(now, load);
+        }
+        view.is_known_idle(now, KNOWN_FOR)
+    }
+
     /// Chooses an endpoint and counts the request as in flight there.
     pub fn place(&mut self, now: Instant, req: &PlacementRequest<'_>) -> Result<Placement, Unplaced> {
         let no_endpoint = Unplaced::NoEndpoint {
@@ -142,22 +215,22 @@
         }
         let zone = &self.zone;
         let rng = &mut self.rng;
-        let mut best: Option<(&EndpointView, f64, f64)> = None;
+        let mut best: Option<(&EndpointView, f64)> = None;
         let healthy = views().any(|v| !v.is_ejected(now));
         for view in views().filter(|v| !healthy || !v.is_ejected(now)) {
-            let seconds = view.expected_seconds(now, &usual);
-            let cost = seconds + usual.work_s * extra_cost(view, zone, rng.random::<f64>());
-            let full = is_full(view, now, &usual);
-            if !full && best.is_none_or(|(_, least, _)| cost < least) {
-                best = Some((view, cost, seconds));
+            let cost = cost(view, now, &usual, zone, rng.random::<f64>());
+            let in_time = view.least_seconds(now, &usual) < req.left.as_secs_f64();
+            let fits = in_time && !is_full(view, now, &usual);
+            if fits && best.is_none_or(|(_, least)| cost < least) {
+                best = Some((view, cost));
             }
         }
-        let fits = best.filter(|(_, _, seconds)| *seconds < req.left.as_secs_f64());
-        let Some((view, _, seconds)) = fits else {
+        let Some((view, _)) = best else {
             return Err(Unplaced::Full {
                 retry_after: retry_after(&usual),
             });
         };
+        let seconds = view.expected_seconds(now, &usual);
         let endpoint = Arc::clone(&view.endpoint);
         if let Some(view) = service.endpoints.get_mut(&endpoint.id) {
             view.start(now);
@@ -165,7 +238,7 @@
         Ok(Placement {
             endpoint,
             expected: Duration::from_secs_f64(seconds),
-            usual: Duration::from_secs_f64(usual.work_s * usual.slowdown),
+            work: Duration::from_secs_f64(usual.work_s),
             started: now,
         })
     }
@@ -182,8 +255,8 @@
         let Some(service) = self.services.get_mut(&endpoint.service) else {
             return;
         };
+        let latency = now.saturating_duration_since(placement.started);
         if outcome == AttemptOutcome::Answered {
-            let latency = now.saturating_duration_since(placement.started);
             service.answered(now, latency, load.as_ref());
         }
         let own = service.view(&endpoint.id).map_or(0, EndpointView::in_flight);
@@ -194,6 +267,9 @@
             return;
         };
         view.end(now, placement.started, outcome);
+        if outcome == AttemptOutcome::Answered {
+            view.paced(now, latency.as_secs_f64() / placement.expected.as_secs_f64());
+        }
         match load {
             Some(load) => view.report(now, load),
             None if outcome == AttemptOutcome::Shed => view.report_full(now),
@@ -208,13 +284,15 @@
     }
 }
 
-fn extra_cost(view: &EndpointView, zone: &Arc<str>, random: f64) -> f64 {
+/// Seconds that speak against an endpoint; the least is chosen.
+fn cost(view: &EndpointView, now: Instant, usual: &Usual, zone: &Arc<str>, random: f64) -> f64 {
     let distance = if view.endpoint.zone == *zone {
         0.0
     } else {
         OTHER_ZONE_COST
     };
-    distance + random * JITTER
+    let extra = (distance + random * JITTER) * usual.work_s;
+    view.expected_seconds(now, usual) + view.risk_seconds(now, usual) + extra
 }
 
 fn is_full(view: &EndpointView, now: Instant, usual: &Usual) -> bool {
--- a/crates/turmericloft/src/core/placement/endpoint_view.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_view.rs
@@ -6,6 +6,7 @@
 };
 
 use super::{AttemptOutcome, DiscoveredEndpoint, EndpointState, LoadSample, service_view::Usual};
+use crate::core::decayed_mean::DecayedMean;
 
 /// Time in which a load report loses most of its worth: slowness and queues change within it.
 const REPORT_LIFE: Duration = Duration::from_millis(400);
@@ -17,6 +18,8 @@
 const PRIOR_ANSWERS: f64 = 2.0;
 /// Work times that one expected failure counts for.
 const FAILURE_COST: f64 = 8.0;
+/// Slowdown below which an endpoint counts as being at its usual speed.
+const IDLE_SLOWDOWN: f64 = 1.5;
 /// First time without requests after an endpoint could not be reached or fell silent.
 const FIRST_EJECTION: Duration = Duration::from_millis(700);
 /// Longest time without requests.
@@ -25,6 +28,18 @@
 const FAILURES_TO_EJECT: u32 = 3;
 /// Work times beyond the usual after which an own unanswered request tells of slowness.
 const OVERDUE: f64 = 1.3;
+/// Half of the time for which a slowdown lasts: what is left of it on average when it is told.
+const SLOWDOWN_LEFT_S: f64 = 0.25;
+/// Time after which an unanswered probe speaks against an endpoint.
+const PROBE_OVERDUE: Duration = Duration::from_millis(15);
+/// Work times that an unanswered probe counts for.
+const PROBE_OVERDUE_COST: f64 = 4.0;
+/// Half-life of the pace of an endpoint, in seconds.
+const PACE_HALF_LIFE_S: f64 = 2.0;
+/// Answers at the usual pace that an endpoint is taken to have given.
+const PRIOR_PACE: f64 = 2.0;
+/// Bounds of one sample of the pace.
+const PACE_RANGE: (f64, f64) = (0.5, 8.0);
 /// Share of the slots from which on an endpoint is taken to slow down.
 const KNEE: f64 = 0.8;
 /// Slowdown of an endpoint that is nearly full.
@@ -51,6 +66,10 @@
     failures_in_row: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
+    probed_at: Option<Instant>,
+    epoch: Instant,
+    /// Time of answers against what the reports let expect.
+    pace: DecayedMean,
     /// The address was found to belong to another endpoint.
     replaced: bool,
 }
@@ -68,6 +87,9 @@
             failures_in_row: 0,
             ejections: 0,
             ejected_until: None,
+            probed_at: None,
+            epoch: now,
+            pace: DecayedMean::new(PACE_HALF_LIFE_S),
             replaced: false,
         }
     }
@@ -171,15 +193,85 @@
 
     /// Time in seconds that a request sent now is expected to take.
     pub(super) fn expected_seconds(&self, now: Instant, usual: &Usual) -> f64 {
+        let work = self.work_seconds(now, usual);
+        self.requests_ahead(now, usual) * work + work
+    }
+
+    /// Time in seconds that a request sent now takes at least, if nothing but the queue delays it.
+    pub(super) fn least_seconds(&self, now: Instant, usual: &Usual) -> f64 {
+        self.requests_ahead(now, usual) * usual.work_s + usual.work_s
+    }
+
+    /// What speaks against an endpoint beside its load, in seconds.
+    pub(super) fn risk_seconds(&self, now: Instant, usual: &Usual) -> f64 {
+        let overdue = |at: Instant| now.saturating_duration_since(at) > PROBE_OVERDUE;
+        let silent = f64::from(u8::from(self.probed_at.is_some_and(overdue)));
+        (self.failure_share(now) * FAILURE_COST + silent * PROBE_OVERDUE_COST) * usual.work_s
+    }
+
+    /// Whether the last report is younger than `age` and tells of room and usual speed.
+    pub(super) fn is_known_idle(&self, now: Instant, age: Duration) -> bool {
+        let fresh = |r: &&Reported| now.saturating_duration_since(r.at) < age;
+        let Some(r) = self.reported.as_ref().filter(fresh) else {
+            return false;
+        };
+        let since = self.in_flight().saturating_sub(r.own);
+        let usual_speed = r.load.slowdown.is_none_or(|s| s < IDLE_SLOWDOWN);
+        usual_speed && r.load.running + r.load.waiting + since < r.load.slots
+    }
+
+    /// Whether the last report is younger than `age`.
+    pub(super) fn is_known(&self, now: Instant, age: Duration) -> bool {
+        self.reported
+            .is_some_and(|r| now.saturating_duration_since(r.at) < age)
+    }
+
+    pub(super) fn is_being_probed(&self) -> bool {
+        self.probed_at.is_some()
+    }
+
+    pub(super) fn probe_sent(&mut self, now: Instant) {
+        self.probed_at.get_or_insert(now);
+    }
+
+    /// Takes in the end of a probe.
+    pub(super) fn probe_ended(&mut self, now: Instant, answered: bool) {
+        self.probed_at = None;
+        if !answered {
+            self.age_outcomes(now);
+            self.failures += 1.0;
+            self.eject(now);
+        }
+    }
+
+    /// Takes in how long an answer took against what its report lets expect.
+    pub(super) fn paced(&mut self, now: Instant, ratio: f64) {
+        let s = now.saturating_duration_since(self.epoch).as_secs_f64();
+        self.pace.add(s, ratio.clamp(PACE_RANGE.0, PACE_RANGE.1));
+    }
+
+    fn pace(&self, now: Instant) -> f64 {
+        let s = now.saturating_duration_since(self.epoch).as_secs_f64();
+        let (weight, sum) = self.pace.at(s);
+        (sum + PRIOR_PACE) / (weight + PRIOR_PACE)
+    }
+
+    /// Rounds of work that come before a request sent now.
+    fn requests_ahead(&self, now: Instant, usual: &Usual) -> f64 {
+        let slots = f64::from(self.endpoint.slots.max(1));
+        (self.load(now, usual) + 1.0 - slots).max(0.0) / slots
+    }
+
+    fn work_seconds(&self, now: Instant, usual: &Usual) -> f64 {
         let slots = f64::from(self.endpoint.slots.max(1));
-        let load = self.load(now, usual);
-        let mut work = usual.work_s * self.slowdown(now, usual);
-        if load + 1.0 > slots * KNEE {
+        let mut work = usual.work_s * self.pace(now).max(1.0);
+        if now < self.warm_at {
+            work *= WARMUP_SLOWDOWN;
+        }
+        if self.load(now, usual) + 1.0 > slots * KNEE {
             work *= KNEE_SLOWDOWN;
         }
-        let ahead = (load + 1.0 - slots).max(0.0);
-        let wait = ahead / slots * work;
-        wait + work + self.failure_share(now) * FAILURE_COST * usual.work_s
+        slowed(work, self.slowdown(now, usual), usual.slowdown)
     }
 
     fn slowdown(&self, now: Instant, usual: &Usual) -> f64 {
@@ -191,16 +283,14 @@
             }
             None => usual.slowdown,
         };
-        if let Some(oldest) = self.started.iter().min() {
+        let told_lately = told.is_some_and(|(at, _)| freshness(now, at) > 0.8);
+        if let Some(oldest) = self.started.iter().min().filter(|_| !told_lately) {
             let waited = now.saturating_duration_since(*oldest).as_secs_f64();
             let lower_bound = waited / usual.work_s;
             if lower_bound > OVERDUE * usual.slowdown {
                 slowdown = slowdown.max(lower_bound);
             }
         }
-        if now < self.warm_at {
-            slowdown *= WARMUP_SLOWDOWN;
-        }
         slowdown
     }
 
@@ -224,6 +314,16 @@
     }
 }
 
+/// Time of `work` that begins in a slowdown: it lasts a while, then the usual one follows.
+fn slowed(work: f64, slowdown: f64, usual: f64) -> f64 {
+    let whole = work * slowdown;
+    if slowdown <= usual || whole <= SLOWDOWN_LEFT_S {
+        return whole;
+    }
+    let done = SLOWDOWN_LEFT_S / slowdown;
+    whole.min(SLOWDOWN_LEFT_S + (work - done) * usual)
+}
+
 fn freshness(now: Instant, at: Instant) -> f64 {
     let age = now.saturating_duration_since(at);
     (-age.as_secs_f64() / REPORT_LIFE.as_secs_f64()).exp()
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -10,7 +10,7 @@
 mod service_view;
 
 pub use self::{
-    balancer::{Balancer, Placement, PlacementRequest, Unplaced},
+    balancer::{Balancer, Placement, PlacementRequest, Probe, Unplaced},
     discovered_endpoint::{DiscoveredEndpoint, EndpointState, InstanceId},
     discovery::{DiscoveryChange, DiscoveryTable, Observation},
     in_flight_end::AttemptOutcome,
--- a/crates/turmericloft/src/core/placement/service_view.rs
+++ b/crates/turmericloft/src/core/placement/service_view.rs
@@ -36,6 +36,7 @@
     work: DecayedMean,
     slowdown: DecayedMean,
     others: DecayedMean,
+    silent_on_load: bool,
 }
 
 impl ServiceView {
@@ -47,9 +48,20 @@
             work: DecayedMean::new(MEANS_HALF_LIFE_S),
             slowdown: DecayedMean::new(MEANS_HALF_LIFE_S),
             others: DecayedMean::new(MEANS_HALF_LIFE_S),
+            silent_on_load: false,
         }
     }
 
+    /// Whether endpoints tell their load, as far as is known.
+    pub(super) fn tells_load(&self) -> bool {
+        !self.silent_on_load
+    }
+
+    /// An endpoint answered a probe without telling its load.
+    pub(super) fn told_no_load(&mut self) {
+        self.silent_on_load = true;
+    }
+
     /// What is usual, for requests with this target latency.
     pub(super) fn usual(&self, target: Duration) -> Usual {
         let prior = target.as_secs_f64() * INITIAL_WORK_SHARE;
@@ -63,6 +75,7 @@
     /// Takes in a load report.
     pub(super) fn report(&mut self, now: Instant, own: u32, load: &LoadSample) {
         let s = now.saturating_duration_since(self.epoch).as_secs_f64();
+        self.silent_on_load = false;
         let others = f64::from(load.running + load.waiting) - f64::from(own);
         self.others.add(s, others.max(0.0));
         if let Some(slowdown) = load.slowdown {
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -16,6 +16,7 @@
     attempt::{AttemptEnd, Forwarded, attempt},
     in_flight::InFlight,
     ingress::Ingress,
+    probe::probe_for,
 };
 use crate::{
     core::{
@@ -25,8 +26,10 @@
     sources::http1::Request,
 };
 
-/// Usual answer times after which an idempotent request is sent to a second endpoint.
+/// Expected answer times after which an idempotent request is sent to a second endpoint.
 const HEDGE_AFTER: f64 = 1.4;
+/// Work times that the second endpoint is given, and the first one at least.
+const HEDGE_WORK: f64 = 1.2;
 /// Time after which a refused request may come again when nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Time left below which a request is not sent once more.
@@ -67,6 +70,7 @@
         tried: Vec::new(),
         attempts: FuturesUnordered::new(),
         may_have_run: false,
+        arrived,
     };
     let answer = forwarding.run().await;
     if let Answer::Own(own) = &answer {
@@ -95,45 +99,48 @@
     tried: Vec<InstanceId>,
     attempts: FuturesUnordered<Attempt>,
     may_have_run: bool,
+    arrived: Instant,
 }
 
 impl Forwarding {
     async fn run(mut self) -> Answer {
-        let first = match self.place() {
+        let first = match self.place().await {
             Ok(placement) => placement,
             Err(unplaced) => return refused(unplaced),
         };
-        let mut hedge_at = Some(hedge_at(&first)).filter(|_| self.is_idempotent());
+        let target = self.forwarded.route.target_latency;
+        let hedge_at_first = hedge_at(&first, self.arrived + target);
+        let mut hedge_at = Some(hedge_at_first).filter(|_| self.is_idempotent());
         self.start(first);
         loop {
             let at = hedge_at.unwrap_or(self.forwarded.until);
             tokio::select! {
                 biased;
                 Some(end) = self.attempts.next() => {
-                    if let Some(answer) = self.ended(end) {
+                    if let Some(answer) = self.ended(end).await {
                         return answer;
                     }
                 }
                 () = sleep_until(at.into()), if hedge_at.is_some() => {
                     hedge_at = None;
-                    self.repeat();
+                    self.repeat().await;
                 }
             }
         }
     }
 
     /// The answer, if the end of an attempt settles it; otherwise another attempt is under way.
-    fn ended(&mut self, end: AttemptEnd) -> Option<Answer> {
+    async fn ended(&mut self, end: AttemptEnd) -> Option<Answer> {
         match end {
             AttemptEnd::Answered(response) => {
                 let failed = response.status >= 500;
-                if failed && self.is_idempotent() && (!self.attempts.is_empty() || self.repeat()) {
+                if failed && self.is_idempotent() && (!self.attempts.is_empty() || self.repeat().await) {
                     return None;
                 }
                 Some(Answer::Relayed(response))
             }
             AttemptEnd::NotRun => {
-                if !self.attempts.is_empty() || self.repeat() {
+                if !self.attempts.is_empty() || self.repeat().await {
                     return None;
                 }
                 Some(Answer::Own(match self.may_have_run {
@@ -145,7 +152,7 @@
             }
             AttemptEnd::Unknown(outcome) => {
                 self.may_have_run = true;
-                let again = self.is_idempotent() && (!self.attempts.is_empty() || self.repeat());
+                let again = self.is_idempotent() && (!self.attempts.is_empty() || self.repeat().await);
                 if again {
                     return None;
                 }
@@ -158,14 +165,14 @@
     }
 
     /// Sends the request to one more endpoint, if budget, time and route allow it.
-    fn repeat(&mut self) -> bool {
+    async fn repeat(&mut self) -> bool {
         let now = self.ingress.now();
         let left = self.forwarded.until.saturating_duration_since(now);
         let attempts = self.tried.len() as u32;
         if left < MIN_LEFT || attempts >= self.forwarded.route.max_attempts {
             return false;
         }
-        let Ok(placement) = self.place() else {
+        let Ok(placement) = self.place().await else {
             return false;
         };
         if !self.ingress.balancer.lock().take_repeat(now, &self.service) {
@@ -176,7 +183,7 @@
         true
     }
 
-    fn place(&self) -> Result<Placement, Unplaced> {
+    async fn place(&mut self) -> Result<Placement, Unplaced> {
         let now = self.ingress.now();
         let req = PlacementRequest {
             service: &self.service,
@@ -184,6 +191,8 @@
             target: self.forwarded.route.target_latency,
             left: self.forwarded.until.saturating_duration_since(now),
         };
+        probe_for(&self.ingress, &req).await;
+        let now = self.ingress.now();
         self.ingress.balancer.lock().place(now, &req)
     }
 
@@ -209,9 +218,11 @@
     }
 }
 
-fn hedge_at(placement: &Placement) -> Instant {
-    let usual = placement.expected.max(placement.usual);
-    placement.started + usual.mul_f64(HEDGE_AFTER)
+/// When a second endpoint can still meet the target, and the first one is late.
+fn hedge_at(first: &Placement, target: Instant) -> Instant {
+    let late = first.started + first.expected.mul_f64(HEDGE_AFTER);
+    let last_chance = target.checked_sub(first.work.mul_f64(HEDGE_WORK)).unwrap_or(target);
+    late.min(last_chance).max(first.started + first.work.mul_f64(HEDGE_WORK))
 }
 
 fn refused(unplaced: Unplaced) -> Answer {
--- /dev/null
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -0,0 +1,83 @@
+//! Asks endpoints for their load just before a request is placed.
+//!
+//! Load pattern: endpoints turn slow for parts of a second, and a gateway sends each of them a
+//! request less often than that. What it knows from answers is mostly old; a probe costs an
+//! endpoint little, and tells its speed at the moment of the decision.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use tokio::time::timeout;
+
+use super::ingress::Ingress;
+use crate::{
+    core::{
+        placement::{LoadSample, PlacementRequest, Probe},
+        traffic::RouteKind,
+    },
+    sources::http1::{ClientConnection, ExchangeError},
+};
+
+/// Time that a request waits for answers to its probes: some round trips between zones.
+const PATIENCE: Duration = Duration::from_millis(8);
+/// Time after which an unanswered probe counts as failed.
+const PROBE_LIMIT: Duration = Duration::from_millis(250);
+
+/// Asks the endpoints that matter for a request, until one with room has answered.
+pub(super) async fn probe_for(ingress: &Arc<Ingress>, req: &PlacementRequest<'_>) {
+    let Some(path) = health_path(ingress, req.service) else {
+        return;
+    };
+    let now = ingress.now();
+    let probes = ingress.balancer.lock().probes(now, req);
+    let mut running: FuturesUnordered<_> = probes
+        .into_iter()
+        .map(|probe| tokio::spawn(run_probe(Arc::clone(ingress), probe, path.clone())))
+        .collect();
+    let answered = async {
+        while let Some(has_room) = running.next().await {
+            if matches!(has_room, Ok(true)) {
+                return;
+            }
+        }
+    };
+    // Without an answer in time the request is placed by what is known.
+    let _ = timeout(PATIENCE, answered).await;
+}
+
+fn health_path(ingress: &Ingress, service: &str) -> Option<Arc<str>> {
+    let table = ingress.table.load();
+    let services = &table.as_ref()?.document().services;
+    Some(services.get(service)?.health_path.as_str().into())
+}
+
+/// Gives whether the endpoint has room.
+async fn run_probe(ingress: Arc<Ingress>, probe: Probe, path: Arc<str>) -> bool {
+    let asked = timeout(PROBE_LIMIT, ask(&ingress, &probe, &path)).await;
+    let answer = asked.ok().and_then(Result::ok);
+    let now = ingress.now();
+    ingress.balancer.lock().probe_ended(now, &probe, answer)
+}
+
+async fn ask(
+    ingress: &Ingress,
+    probe: &Probe,
+    path: &str,
+) -> Result<Option<LoadSample>, ExchangeError> {
+    let endpoint = &probe.endpoint;
+    let pooled = ingress.pool.take(ingress.now(), &endpoint.id, RouteKind::Idempotent);
+    let mut connection = match pooled {
+        Some(connection) => connection,
+        None => ClientConnection::open(endpoint.address, PROBE_LIMIT, PROBE_LIMIT).await?,
+    };
+    let peer = endpoint.address;
+    let message = Bytes::from(format!("GET {path} HTTP/1.1\r\nHost: {peer}\r\n\r\n"));
+    let unnamed = |r: &_| ingress.protocol.read_marks(r).request_id.is_none();
+    let response = connection.exchange(b"GET", &message, unnamed).await?;
+    let load = ingress.protocol.read_marks(&response).load;
+    if response.keeps_connection {
+        ingress.pool.put(ingress.now(), &endpoint.id, connection);
+    }
+    Ok(load)
+}
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -19,7 +19,7 @@
 /// every second and turns away after two misses.
 const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2_800);
 /// Part of the grace that is left for the process to end.
-const EXIT_RESERVE: Duration = Duration::from_millis(300);
+const EXIT_RESERVE: Duration = Duration::from_millis(500);
 /// How often idle connections and open requests are looked at.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How often idle connections to endpoints are looked at.
@@ -87,9 +87,16 @@
     }
 }
 
+/// Accepts clients until idle ones are closed: whoever comes later finds another gateway.
 async fn accept(ingress: Arc<Ingress>, listener: TcpListener) {
+    let closing = ingress.closing.clone();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            () = closing.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve_client(Arc::clone(&ingress), stream));
             }
