--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -25,8 +25,15 @@
 /// Spread of the random part of each estimate, in work times: gateways that know the same must
 /// not all choose the same endpoint.
 const JITTER: f64 = 0.2;
-/// Requests at one endpoint for each of its slots, beyond which it is full.
-const MAX_LOAD_PER_SLOT: f64 = 2.5;
+/// Share of an endpoint's slots that requests of the lowest urgency may fill: many endpoints slow
+/// down when nearly full, and what is sent then makes all requests there late.
+const FILL_SHARE: f64 = 0.85;
+/// Share of an endpoint's slots that the most urgent requests may fill.
+const URGENT_FILL_SHARE: f64 = 1.0;
+/// Load estimates are means; so much of a request over the limit does not count.
+const ROUNDING: f64 = 0.3;
+/// Share of the fill that repeats may use while the first attempt is still under way.
+const SPARE_SHARE: f64 = 0.75;
 /// Age of a report up to which a request is sent without asking the endpoint again.
 const KNOWN_FOR: Duration = Duration::from_millis(40);
 /// Endpoints asked before a request is sent.
@@ -47,6 +54,10 @@
     pub target: Duration,
     /// Time left for the answer.
     pub left: Duration,
+    /// Rank under load; 0 goes first.
+    pub rank: u32,
+    /// Whether only an endpoint with room to spare is wanted.
+    pub spare: bool,
 }
 
 /// The endpoint that a request is sent to.
@@ -220,7 +231,7 @@
         for view in views().filter(|v| !healthy || !v.is_ejected(now)) {
             let cost = cost(view, now, &usual, zone, rng.random::<f64>());
             let in_time = view.least_seconds(now, &usual) < req.left.as_secs_f64();
-            let fits = in_time && !is_full(view, now, &usual);
+            let fits = in_time && has_room(view, now, &usual, req);
             if fits && best.is_none_or(|(_, least)| cost < least) {
                 best = Some((view, cost));
             }
@@ -295,9 +306,14 @@
     view.expected_seconds(now, usual) + view.risk_seconds(now, usual) + extra
 }
 
-fn is_full(view: &EndpointView, now: Instant, usual: &Usual) -> bool {
+fn has_room(view: &EndpointView, now: Instant, usual: &Usual, req: &PlacementRequest<'_>) -> bool {
     let slots = f64::from(view.endpoint.slots.max(1));
-    view.load(now, usual) >= slots * MAX_LOAD_PER_SLOT
+    let fill = match req.rank {
+        0 => URGENT_FILL_SHARE,
+        _ => FILL_SHARE,
+    };
+    let share = if req.spare { fill * SPARE_SHARE } else { fill };
+    view.load(now, usual) + 1.0 <= (slots * share).max(1.0) + ROUNDING
 }
 
 /// Room is likely after about one work time.
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -8,6 +8,7 @@
 mod load_sample;
 mod retry_budget;
 mod service_view;
+mod wait_queue;
 
 pub use self::{
     balancer::{Balancer, Placement, PlacementRequest, Probe, Unplaced},
@@ -16,4 +17,5 @@
     in_flight_end::AttemptOutcome,
     load_sample::LoadSample,
     retry_budget::RetryBudget,
+    wait_queue::{WaitQueue, WaitTicket},
 };
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -16,7 +16,7 @@
     attempt::{AttemptEnd, Forwarded, attempt},
     in_flight::InFlight,
     ingress::Ingress,
-    probe::probe_for,
+    wait::{place_now, place_or_wait},
 };
 use crate::{
     core::{
@@ -30,6 +30,8 @@
 const HEDGE_AFTER: f64 = 1.4;
 /// Work times that the second endpoint is given, and the first one at least.
 const HEDGE_WORK: f64 = 1.2;
+/// Share of the target latency that a request may wait for room.
+const WAIT_SHARE: f64 = 0.4;
 /// Time after which a refused request may come again when nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Time left below which a request is not sent once more.
@@ -104,7 +106,7 @@
 
 impl Forwarding {
     async fn run(mut self) -> Answer {
-        let first = match self.place().await {
+        let first = match self.place_first().await {
             Ok(placement) => placement,
             Err(unplaced) => return refused(unplaced),
         };
@@ -172,7 +174,7 @@
         if left < MIN_LEFT || attempts >= self.forwarded.route.max_attempts {
             return false;
         }
-        let Ok(placement) = self.place().await else {
+        let Ok(placement) = self.place_again().await else {
             return false;
         };
         if !self.ingress.balancer.lock().take_repeat(now, &self.service) {
@@ -183,17 +185,30 @@
         true
     }
 
-    async fn place(&mut self) -> Result<Placement, Unplaced> {
+    /// Waits for room only while an answer can still meet the target.
+    async fn place_first(&mut self) -> Result<Placement, Unplaced> {
+        let target = self.forwarded.route.target_latency;
+        let until = self.arrived + target.mul_f64(WAIT_SHARE);
+        let req = self.placement_request(false);
+        place_or_wait(&self.ingress, &self.service, &req, until).await
+    }
+
+    async fn place_again(&mut self) -> Result<Placement, Unplaced> {
+        let spare = !self.attempts.is_empty();
+        let req = self.placement_request(spare);
+        place_now(&self.ingress, &req).await
+    }
+
+    fn placement_request(&self, spare: bool) -> PlacementRequest<'_> {
         let now = self.ingress.now();
-        let req = PlacementRequest {
+        PlacementRequest {
             service: &self.service,
             tried: &self.tried,
             target: self.forwarded.route.target_latency,
             left: self.forwarded.until.saturating_duration_since(now),
-        };
-        probe_for(&self.ingress, &req).await;
-        let now = self.ingress.now();
-        self.ingress.balancer.lock().place(now, &req)
+            rank: self.forwarded.route.rank,
+            spare,
+        }
     }
 
     /// Starts an attempt. One that must not be abandoned goes on when its client leaves.
--- a/crates/turmericloft/src/ops/ingress/in_flight.rs
+++ b/crates/turmericloft/src/ops/ingress/in_flight.rs
@@ -35,6 +35,8 @@
         let now = self.ingress.now();
         let mut balancer = self.ingress.balancer.lock();
         balancer.end(now, &self.placement, outcome, load);
+        drop(balancer);
+        self.ingress.room.notify_waiters();
         self.ended = true;
     }
 }
--- a/crates/turmericloft/src/ops/ingress/ingress.rs
+++ b/crates/turmericloft/src/ops/ingress/ingress.rs
@@ -14,7 +14,7 @@
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -22,7 +22,7 @@
     settings::IngressSettings,
 };
 use crate::core::{
-    placement::{Balancer, DiscoveredEndpoint},
+    placement::{Balancer, DiscoveredEndpoint, WaitQueue},
     traffic::{Route, RouteTable, Splitter},
 };
 
@@ -41,6 +41,9 @@
     pub(super) protocol: Arc<dyn EndpointProtocol>,
     pub(super) table: ArcSwapOption<RouteTable>,
     pub(super) balancer: Mutex<Balancer>,
+    pub(super) waiting: Mutex<WaitQueue>,
+    /// Told when an attempt ends, so that waiting requests look for room.
+    pub(super) room: Notify,
     pub(super) pool: ConnectionPool,
     pub(super) log: DecisionLog,
     /// A stop was asked for; clients are asked to go elsewhere.
@@ -67,6 +70,8 @@
             protocol,
             table: ArcSwapOption::empty(),
             balancer: Mutex::new(balancer),
+            waiting: Mutex::new(WaitQueue::new()),
+            room: Notify::new(),
             pool: ConnectionPool::default(),
             log: DecisionLog::default(),
             draining: CancellationToken::new(),
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -17,6 +17,7 @@
 mod ready;
 mod run;
 mod settings;
+mod wait;
 
 pub use self::{
     answer::{Answer, OwnAnswer},
--- /dev/null
+++ b/crates/turmericloft/src/ops/ingress/wait.rs
@@ -0,0 +1,81 @@
+//! Waits for room at an endpoint.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tokio::time::timeout;
+
+use super::{ingress::Ingress, probe::probe_for};
+use crate::core::placement::{Placement, PlacementRequest, Unplaced, WaitTicket};
+
+/// Time after which a waiting request looks for room without being told of any.
+const LOOK_INTERVAL: Duration = Duration::from_millis(25);
+/// Requests of a service that may wait at one gateway: those behind would wait too long.
+const MAX_WAITING: usize = 6;
+
+/// Leaves the queue when it is dropped.
+struct Waiting {
+    ingress: Arc<Ingress>,
+    ticket: WaitTicket,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.ingress.waiting.lock().leave(&self.ticket);
+        self.ingress.room.notify_waiters();
+    }
+}
+
+/// Places a request, after a wait for room up to `until` if all endpoints are full.
+pub(super) async fn place_or_wait(
+    ingress: &Arc<Ingress>,
+    service: &Arc<str>,
+    req: &PlacementRequest<'_>,
+    until: Instant,
+) -> Result<Placement, Unplaced> {
+    let behind = ingress.waiting.lock().is_behind(service, req.rank);
+    let mut unplaced = match behind {
+        false => match place_now(ingress, req).await {
+            Err(full @ Unplaced::Full { .. }) => full,
+            placed => return placed,
+        },
+        true => Unplaced::Full {
+            retry_after: LOOK_INTERVAL,
+        },
+    };
+    let joined = ingress.waiting.lock().join(service, req.rank, MAX_WAITING);
+    let Some(ticket) = joined else {
+        return Err(unplaced);
+    };
+    let waiting = Waiting {
+        ingress: Arc::clone(ingress),
+        ticket,
+    };
+    loop {
+        let left = until.saturating_duration_since(ingress.now());
+        if left.is_zero() {
+            return Err(unplaced);
+        }
+        // Whether room was told or not, the request looks again.
+        let _ = timeout(left.min(LOOK_INTERVAL), ingress.room.notified()).await;
+        if !ingress.waiting.lock().is_first(&waiting.ticket) {
+            continue;
+        }
+        match place_now(ingress, req).await {
+            Err(full @ Unplaced::Full { .. }) => unplaced = full,
+            placed => return placed,
+        }
+    }
+}
+
+/// Places a request at once, after endpoints were asked for their load.
+pub(super) async fn place_now(
+    ingress: &Arc<Ingress>,
+    req: &PlacementRequest<'_>,
+) -> Result<Placement, Unplaced> {
+    probe_for(ingress, req).await;
+    let now = ingress.now();
+    ingress.balancer.lock().place(now, req)
+}
