--- a/crates/turmericloft/src/core/decayed_mean.rs
+++ b/crates/turmericloft/src/core/decayed_mean.rs
@@ -37,6 +37,11 @@
         (self.weight * kept, self.sum * kept)
     }
 
+    /// Weight and sum as of the last sample.
+    pub(crate) fn total(&self) -> (f64, f64) {
+        (self.weight, self.sum)
+    }
+
     /// Mean of the samples; `default` without any.
     pub(crate) fn mean_or(&self, default: f64) -> f64 {
         if self.weight > f64::MIN_POSITIVE {
--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -17,7 +17,7 @@
 use super::{
     AttemptOutcome, DiscoveredEndpoint, InstanceId, LoadSample, RetryBudget,
     endpoint_view::EndpointView,
-    service_view::{ServiceView, Usual},
+    service_view::{CROWDED_SHARE, ServiceView, Usual},
 };
 
 /// Work times that a request to another availability zone counts for, as its bytes are dear.
@@ -25,17 +25,16 @@
 /// Spread of the random part of each estimate, in work times: gateways that know the same must
 /// not all choose the same endpoint.
 const JITTER: f64 = 0.2;
-/// Share of an endpoint's slots that requests of the lowest urgency may fill: many endpoints slow
-/// down when nearly full, and what is sent then makes all requests there late.
-const FILL_SHARE: f64 = 0.85;
-/// Share of an endpoint's slots that the most urgent requests may fill.
-const URGENT_FILL_SHARE: f64 = 1.0;
+/// Slowdown of crowded endpoints from which on they serve less than those that are not crowded.
+const MAX_CROWDING: f64 = 1.2;
+/// Extra share of an endpoint's slots that the most urgent requests may fill.
+const URGENT_SHARE: f64 = 0.2;
 /// Load estimates are means; so much of a request over the limit does not count.
 const ROUNDING: f64 = 0.3;
 /// Share of the fill that repeats may use while the first attempt is still under way.
 const SPARE_SHARE: f64 = 0.75;
 /// Age of a report up to which a request is sent without asking the endpoint again.
-const KNOWN_FOR: Duration = Duration::from_millis(40);
+const KNOWN_FOR: Duration = Duration::from_millis(12);
 /// Endpoints asked before a request is sent.
 const PROBES: usize = 3;
 /// Shortest time to come back after a refusal.
@@ -58,6 +57,8 @@
     pub rank: u32,
     /// Whether only an endpoint with room to spare is wanted.
     pub spare: bool,
+    /// Time within which the answer has to be expected.
+    pub within: Duration,
 }
 
 /// The endpoint that a request is sent to.
@@ -71,6 +72,8 @@
     pub work: Duration,
     /// Begin of the attempt; names it when it ends.
     pub started: Instant,
+    /// Whether the endpoint was nearly full.
+    crowded: bool,
 }
 
 /// An endpoint that is asked for its load.
@@ -231,7 +234,8 @@
         for view in views().filter(|v| !healthy || !v.is_ejected(now)) {
             let cost = cost(view, now, &usual, zone, rng.random::<f64>());
             let in_time = view.least_seconds(now, &usual) < req.left.as_secs_f64();
-            let fits = in_time && has_room(view, now, &usual, req);
+            let soon = view.expected_seconds(now, &usual) <= req.within.as_secs_f64();
+            let fits = in_time && soon && has_room(view, now, &usual, req);
             if fits && best.is_none_or(|(_, least)| cost < least) {
                 best = Some((view, cost));
             }
@@ -242,6 +246,7 @@
             });
         };
         let seconds = view.expected_seconds(now, &usual);
+        let crowded = view.is_crowded(now, &usual);
         let endpoint = Arc::clone(&view.endpoint);
         if let Some(view) = service.endpoints.get_mut(&endpoint.id) {
             view.start(now);
@@ -251,6 +256,7 @@
             expected: Duration::from_secs_f64(seconds),
             work: Duration::from_secs_f64(usual.work_s),
             started: now,
+            crowded,
         })
     }
 
@@ -269,6 +275,9 @@
         let latency = now.saturating_duration_since(placement.started);
         if outcome == AttemptOutcome::Answered {
             service.answered(now, latency, load.as_ref());
+            let crowding = if placement.crowded { service.usual(latency).crowding } else { 1.0 };
+            let calm = placement.expected.as_secs_f64() / crowding;
+            service.paced(now, placement.crowded, latency.as_secs_f64() / calm);
         }
         let own = service.view(&endpoint.id).map_or(0, EndpointView::in_flight);
         if let Some(load) = &load {
@@ -308,9 +317,10 @@
 
 fn has_room(view: &EndpointView, now: Instant, usual: &Usual, req: &PlacementRequest<'_>) -> bool {
     let slots = f64::from(view.endpoint.slots.max(1));
+    let calm = if usual.crowding > MAX_CROWDING { CROWDED_SHARE } else { 1.0 };
     let fill = match req.rank {
-        0 => URGENT_FILL_SHARE,
-        _ => FILL_SHARE,
+        0 => calm + URGENT_SHARE,
+        _ => calm,
     };
     let share = if req.spare { fill * SPARE_SHARE } else { fill };
     view.load(now, usual) + 1.0 <= (slots * share).max(1.0) + ROUNDING
--- a/crates/turmericloft/src/core/placement/endpoint_view.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_view.rs
@@ -5,7 +5,9 @@
     time::{Duration, Instant},
 };
 
-use super::{AttemptOutcome, DiscoveredEndpoint, EndpointState, LoadSample, service_view::Usual};
+use super::{
+    AttemptOutcome, DiscoveredEndpoint, EndpointState, LoadSample, service_view::{CROWDED_SHARE, Usual},
+};
 use crate::core::decayed_mean::DecayedMean;
 
 /// Time in which a load report loses most of its worth: slowness and queues change within it.
@@ -28,8 +30,6 @@
 const FAILURES_TO_EJECT: u32 = 3;
 /// Work times beyond the usual after which an own unanswered request tells of slowness.
 const OVERDUE: f64 = 1.3;
-/// Half of the time for which a slowdown lasts: what is left of it on average when it is told.
-const SLOWDOWN_LEFT_S: f64 = 0.25;
 /// Time after which an unanswered probe speaks against an endpoint.
 const PROBE_OVERDUE: Duration = Duration::from_millis(15);
 /// Work times that an unanswered probe counts for.
@@ -40,10 +40,6 @@
 const PRIOR_PACE: f64 = 2.0;
 /// Bounds of one sample of the pace.
 const PACE_RANGE: (f64, f64) = (0.5, 8.0);
-/// Share of the slots from which on an endpoint is taken to slow down.
-const KNEE: f64 = 0.8;
-/// Slowdown of an endpoint that is nearly full.
-const KNEE_SLOWDOWN: f64 = 1.25;
 
 #[derive(Clone, Copy, Debug)]
 struct Reported {
@@ -220,6 +216,12 @@
         usual_speed && r.load.running + r.load.waiting + since < r.load.slots
     }
 
+    /// Whether one more request would leave less room than endpoints need for their usual speed.
+    pub(super) fn is_crowded(&self, now: Instant, usual: &Usual) -> bool {
+        let slots = f64::from(self.endpoint.slots.max(1));
+        self.load(now, usual) + 1.0 > slots * CROWDED_SHARE
+    }
+
     /// Whether the last report is younger than `age`.
     pub(super) fn is_known(&self, now: Instant, age: Duration) -> bool {
         self.reported
@@ -263,15 +265,14 @@
     }
 
     fn work_seconds(&self, now: Instant, usual: &Usual) -> f64 {
-        let slots = f64::from(self.endpoint.slots.max(1));
         let mut work = usual.work_s * self.pace(now).max(1.0);
         if now < self.warm_at {
             work *= WARMUP_SLOWDOWN;
         }
-        if self.load(now, usual) + 1.0 > slots * KNEE {
-            work *= KNEE_SLOWDOWN;
+        if self.is_crowded(now, usual) {
+            work *= usual.crowding;
         }
-        slowed(work, self.slowdown(now, usual), usual.slowdown)
+        work * self.slowdown(now, usual)
     }
 
     fn slowdown(&self, now: Instant, usual: &Usual) -> f64 {
@@ -314,16 +315,6 @@
     }
 }
 
-/// Time of `work` that begins in a slowdown: it lasts a while, then the usual one follows.
-fn slowed(work: f64, slowdown: f64, usual: f64) -> f64 {
-    let whole = work * slowdown;
-    if slowdown <= usual || whole <= SLOWDOWN_LEFT_S {
-        return whole;
-    }
-    let done = SLOWDOWN_LEFT_S / slowdown;
-    whole.min(SLOWDOWN_LEFT_S + (work - done) * usual)
-}
-
 fn freshness(now: Instant, at: Instant) -> f64 {
     let age = now.saturating_duration_since(at);
     (-age.as_secs_f64() / REPORT_LIFE.as_secs_f64()).exp()
--- a/crates/turmericloft/src/core/placement/service_view.rs
+++ b/crates/turmericloft/src/core/placement/service_view.rs
@@ -16,6 +16,15 @@
 /// Slowdown expected of an endpoint that told nothing, before the first reports.
 const INITIAL_SLOWDOWN: f64 = 1.5;
 
+/// Share of the slots beyond which an endpoint counts as crowded.
+pub(super) const CROWDED_SHARE: f64 = 0.8;
+/// Half-life of what is known of crowded endpoints, in seconds.
+const CROWDING_HALF_LIFE_S: f64 = 20.0;
+/// Largest sample of a pace: beyond it something else was wrong.
+const MAX_PACE: f64 = 4.0;
+/// Answers of crowded endpoints at their usual speed that are taken to have come.
+const PRIOR_CROWDED: f64 = 3.0;
+
 /// What is usual in a service: the belief about an endpoint that nothing is known of.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Usual {
@@ -25,6 +34,8 @@
     pub(super) slowdown: f64,
     /// Requests of other gateways at an endpoint.
     pub(super) others: f64,
+    /// How much longer work takes at a crowded endpoint; 1 and more.
+    pub(super) crowding: f64,
 }
 
 /// One service.
@@ -36,6 +47,9 @@
     work: DecayedMean,
     slowdown: DecayedMean,
     others: DecayedMean,
+    /// Times of answers against what was expected of an endpoint that is not crowded.
+    calm_pace: DecayedMean,
+    crowded_pace: DecayedMean,
     silent_on_load: bool,
 }
 
@@ -48,6 +62,8 @@
             work: DecayedMean::new(MEANS_HALF_LIFE_S),
             slowdown: DecayedMean::new(MEANS_HALF_LIFE_S),
             others: DecayedMean::new(MEANS_HALF_LIFE_S),
+            calm_pace: DecayedMean::new(CROWDING_HALF_LIFE_S),
+            crowded_pace: DecayedMean::new(CROWDING_HALF_LIFE_S),
             silent_on_load: false,
         }
     }
@@ -69,6 +85,23 @@
             work_s: self.work.mean_or(prior).max(0.001),
             slowdown: self.slowdown.mean_or(INITIAL_SLOWDOWN),
             others: self.others.mean_or(0.0),
+            crowding: self.crowding(),
+        }
+    }
+
+    fn crowding(&self) -> f64 {
+        let calm = self.calm_pace.mean_or(1.0).max(0.1);
+        let (weight, sum) = self.crowded_pace.total();
+        ((sum + PRIOR_CROWDED * calm) / (weight + PRIOR_CROWDED) / calm).max(1.0)
+    }
+
+    /// Takes in how long an answer took against what a calm endpoint would have needed.
+    pub(super) fn paced(&mut self, now: Instant, crowded: bool, ratio: f64) {
+        let s = now.saturating_duration_since(self.epoch).as_secs_f64();
+        let ratio = ratio.min(MAX_PACE);
+        match crowded {
+            true => self.crowded_pace.add(s, ratio),
+            false => self.calm_pace.add(s, ratio),
         }
     }
 
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -190,7 +190,8 @@
         let target = self.forwarded.route.target_latency;
         let until = self.arrived + target.mul_f64(WAIT_SHARE);
         let req = self.placement_request(false);
-        place_or_wait(&self.ingress, &self.service, &req, until).await
+        let target = self.arrived + target;
+        place_or_wait(&self.ingress, &self.service, &req, target, until).await
     }
 
     async fn place_again(&mut self) -> Result<Placement, Unplaced> {
@@ -201,11 +202,13 @@
 
     fn placement_request(&self, spare: bool) -> PlacementRequest<'_> {
         let now = self.ingress.now();
+        let left = self.forwarded.until.saturating_duration_since(now);
         PlacementRequest {
             service: &self.service,
             tried: &self.tried,
             target: self.forwarded.route.target_latency,
-            left: self.forwarded.until.saturating_duration_since(now),
+            left,
+            within: left,
             rank: self.forwarded.route.rank,
             spare,
         }
--- a/crates/turmericloft/src/ops/ingress/wait.rs
+++ b/crates/turmericloft/src/ops/ingress/wait.rs
@@ -12,6 +12,8 @@
 
 /// Time after which a waiting request looks for room without being told of any.
 const LOOK_INTERVAL: Duration = Duration::from_millis(25);
+/// Share of the time left in which a late answer has to be expected.
+const LATE_SHARE: f64 = 0.8;
 /// Requests of a service that may wait at one gateway: those behind would wait too long.
 const MAX_WAITING: usize = 6;
 
@@ -28,16 +30,18 @@
     }
 }
 
-/// Places a request, after a wait for room up to `until` if all endpoints are full.
+/// Places a request at an endpoint that should answer by `target`. If there is none it waits for
+/// one up to `until`, and then takes any that has room.
 pub(super) async fn place_or_wait(
     ingress: &Arc<Ingress>,
     service: &Arc<str>,
     req: &PlacementRequest<'_>,
+    target: Instant,
     until: Instant,
 ) -> Result<Placement, Unplaced> {
     let behind = ingress.waiting.lock().is_behind(service, req.rank);
     let mut unplaced = match behind {
-        false => match place_now(ingress, req).await {
+        false => match place_by(ingress, req, target).await {
             Err(full @ Unplaced::Full { .. }) => full,
             placed => return placed,
         },
@@ -47,7 +51,7 @@
     };
     let joined = ingress.waiting.lock().join(service, req.rank, MAX_WAITING);
     let Some(ticket) = joined else {
-        return Err(unplaced);
+        return place_late(ingress, req, unplaced);
     };
     let waiting = Waiting {
         ingress: Arc::clone(ingress),
@@ -56,20 +60,46 @@
     loop {
         let left = until.saturating_duration_since(ingress.now());
         if left.is_zero() {
-            return Err(unplaced);
+            return place_late(ingress, req, unplaced);
         }
         // Whether room was told or not, the request looks again.
         let _ = timeout(left.min(LOOK_INTERVAL), ingress.room.notified()).await;
         if !ingress.waiting.lock().is_first(&waiting.ticket) {
             continue;
         }
-        match place_now(ingress, req).await {
+        match place_by(ingress, req, target).await {
             Err(full @ Unplaced::Full { .. }) => unplaced = full,
             placed => return placed,
         }
     }
 }
 
+async fn place_by(
+    ingress: &Arc<Ingress>,
+    req: &PlacementRequest<'_>,
+    target: Instant,
+) -> Result<Placement, Unplaced> {
+    let within = target.saturating_duration_since(ingress.now());
+    place_now(ingress, &PlacementRequest { within, ..*req }).await
+}
+
+/// The target is missed, but an answer may still be worth something.
+fn place_late(
+    ingress: &Ingress,
+    req: &PlacementRequest<'_>,
+    unplaced: Unplaced,
+) -> Result<Placement, Unplaced> {
+    let now = ingress.now();
+    let within = req.left.mul_f64(LATE_SHARE);
+    let req = PlacementRequest {
+        within,
+        spare: true,
+        ..*req
+    };
+    let placed = ingress.balancer.lock().place(now, &req);
+    placed.map_err(|_| unplaced)
+}
+
 /// Places a request at once, after endpoints were asked for their load.
 pub(super) async fn place_now(
     ingress: &Arc<Ingress>,
