Bound probes by the number of requests

Change: 2.4 probes a request on average; a waiting request that was told of an end uses what that answer told.

--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -37,6 +37,9 @@
 const KNOWN_FOR: Duration = Duration::from_millis(12);
 /// Endpoints asked before a request is sent.
 const PROBES: usize = 3;
+/// Probes that each request allows on average, and those that may be saved up.
+const PROBES_PER_REQUEST: f64 = 2.4;
+const MAX_SAVED_PROBES: f64 = 30.0;
 /// Shortest time to come back after a refusal.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Time to come back when a service has no endpoint.
@@ -144,6 +147,8 @@
     pub fn add_request(&mut self, now: Instant, service: &str) {
         if let Some(service) = self.services.get_mut(service) {
             service.budget.add_request(now);
+            let saved = service.saved_probes + PROBES_PER_REQUEST;
+            service.saved_probes = saved.min(MAX_SAVED_PROBES);
         }
     }
 
@@ -159,9 +164,10 @@
         let Some(service) = self.services.get_mut(req.service) else {
             return Vec::new();
         };
-        if !service.tells_load() {
+        if !service.tells_load() || service.saved_probes < 1.0 {
             return Vec::new();
         }
+        let most = PROBES.min(service.saved_probes as usize);
         let usual = service.usual(req.target);
         let takes = |v: &&mut EndpointView| {
             v.takes_requests() && !v.is_ejected(now) && !req.tried.contains(&v.endpoint.id)
@@ -178,13 +184,15 @@
         }
         let unknown = views.into_iter().map(|(_, v)| v);
         let unknown = unknown.filter(|v| !v.is_known(now, KNOWN_FOR) && !v.is_being_probed());
-        let probed = unknown.take(PROBES).map(|v| {
+        let probed = unknown.take(most).map(|v| {
             v.probe_sent(now);
             Probe {
                 endpoint: Arc::clone(&v.endpoint),
             }
         });
-        probed.collect()
+        let probes: Vec<_> = probed.collect();
+        service.saved_probes -= probes.len() as f64;
+        probes
     }
 
     /// Takes in the end of a probe: what the endpoint answered, or that it did not. Gives whether
--- a/crates/turmericloft/src/core/placement/service_view.rs
+++ b/crates/turmericloft/src/core/placement/service_view.rs
@@ -44,6 +44,8 @@
     epoch: Instant,
     pub(super) endpoints: HashMap<InstanceId, EndpointView>,
     pub(super) budget: RetryBudget,
+    /// Probes that may be sent.
+    pub(super) saved_probes: f64,
     work: DecayedMean,
     slowdown: DecayedMean,
     others: DecayedMean,
@@ -59,6 +61,7 @@
             epoch: now,
             endpoints: HashMap::new(),
             budget,
+            saved_probes: 0.0,
             work: DecayedMean::new(MEANS_HALF_LIFE_S),
             slowdown: DecayedMean::new(MEANS_HALF_LIFE_S),
             others: DecayedMean::new(MEANS_HALF_LIFE_S),
--- a/crates/turmericloft/src/ops/ingress/wait.rs
+++ b/crates/turmericloft/src/ops/ingress/wait.rs
@@ -62,18 +62,33 @@
         if left.is_zero() {
             return place_late(ingress, req, unplaced);
         }
-        // Whether room was told or not, the request looks again.
-        let _ = timeout(left.min(LOOK_INTERVAL), ingress.room.notified()).await;
+        let told = timeout(left.min(LOOK_INTERVAL), ingress.room.notified()).await;
         if !ingress.waiting.lock().is_first(&waiting.ticket) {
             continue;
         }
-        match place_by(ingress, req, target).await {
+        // An attempt that has just ended told its endpoint's load.
+        let placed = match told {
+            Ok(()) => place_known(ingress, req, target),
+            Err(_) => place_by(ingress, req, target).await,
+        };
+        match placed {
             Err(full @ Unplaced::Full { .. }) => unplaced = full,
             placed => return placed,
         }
     }
 }
 
+fn place_known(
+    ingress: &Ingress,
+    req: &PlacementRequest<'_>,
+    target: Instant,
+) -> Result<Placement, Unplaced> {
+    let now = ingress.now();
+    let within = target.saturating_duration_since(now);
+    let req = PlacementRequest { within, ..*req };
+    ingress.balancer.lock().place(now, &req)
+}
+
 async fn place_by(
     ingress: &Arc<Ingress>,
     req: &PlacementRequest<'_>,
