--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -21,7 +21,10 @@
 };
 
 /// Work times that a request to another availability zone counts for, as its bytes are dear.
-const OTHER_ZONE_COST: f64 = 0.15;
+const OTHER_ZONE_COST: f64 = 0.3;
+/// Work times that a wholly filled endpoint counts for beside its queue: of endpoints that seem
+/// equal the emptier one has more room for what is not known.
+const FILL_COST: f64 = 0.2;
 /// Spread of the random part of each estimate, in work times: gateways that know the same must
 /// not all choose the same endpoint.
 const JITTER: f64 = 0.2;
@@ -319,7 +322,9 @@
     } else {
         OTHER_ZONE_COST
     };
-    let extra = (distance + random * JITTER) * usual.work_s;
+    let slots = f64::from(view.endpoint.slots.max(1));
+    let filled = (view.load(now, usual) / slots).min(1.0) * FILL_COST;
+    let extra = (distance + filled + random * JITTER) * usual.work_s;
     view.expected_seconds(now, usual) + view.risk_seconds(now, usual) + extra
 }
 
--- a/crates/turmericloft/src/core/placement/service_view.rs
+++ b/crates/turmericloft/src/core/placement/service_view.rs
@@ -13,6 +13,8 @@
 const MEANS_HALF_LIFE_S: f64 = 5.0;
 /// Share of the target latency that work is taken to need before the first answers.
 const INITIAL_WORK_SHARE: f64 = 0.4;
+/// Probes that may be sent before the first requests have earned some.
+const INITIAL_PROBES: f64 = 12.0;
 /// Slowdown expected of an endpoint that told nothing, before the first reports.
 const INITIAL_SLOWDOWN: f64 = 1.5;
 
@@ -61,7 +63,7 @@
             epoch: now,
             endpoints: HashMap::new(),
             budget,
-            saved_probes: 0.0,
+            saved_probes: INITIAL_PROBES,
             work: DecayedMean::new(MEANS_HALF_LIFE_S),
             slowdown: DecayedMean::new(MEANS_HALF_LIFE_S),
             others: DecayedMean::new(MEANS_HALF_LIFE_S),
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -23,6 +23,6 @@
     answer::{Answer, OwnAnswer},
     ingress::{Ingress, IngressFeeds},
     protocol::{AttemptHeaders, EndpointProtocol, ResponseMarks},
-    run::{IngressError, run_ingress},
+    run::{IngressError, IngressListeners, run_ingress},
     settings::IngressSettings,
 };
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -13,6 +13,7 @@
     client::serve_client,
     ingress::{Ingress, IngressFeeds},
     ready::answer_ready,
+    settings::IngressSettings,
 };
 
 /// Time after the signal to stop at which idle clients are closed: the balancer in front asks
@@ -41,15 +42,33 @@
     },
 }
 
+/// Open listeners of a gateway.
+#[derive(Debug)]
+pub struct IngressListeners {
+    /// For clients.
+    pub clients: TcpListener,
+    /// For the question whether the gateway takes clients.
+    pub ready: TcpListener,
+}
+
+impl IngressListeners {
+    /// Listens on the addresses of the settings.
+    pub async fn bind(settings: &IngressSettings) -> Result<Self, IngressError> {
+        Ok(Self {
+            clients: bind(settings.listen).await?,
+            ready: bind(settings.ready_listen).await?,
+        })
+    }
+}
+
 /// Runs a gateway until `stop`, then finishes what is in flight within the grace.
 pub async fn run_ingress(
     ingress: Arc<Ingress>,
+    listeners: IngressListeners,
     feeds: IngressFeeds,
     stop: CancellationToken,
-) -> Result<(), IngressError> {
+) {
     let settings = &ingress.settings;
-    let clients = bind(settings.listen).await?;
-    let ready = bind(settings.ready_listen).await?;
     log::info!(
         "gateway started host={} zone={} listen={} ready={}",
         settings.host,
@@ -59,8 +78,8 @@
     );
     tokio::spawn(follow_documents(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(follow_endpoints(Arc::clone(&ingress), feeds));
-    tokio::spawn(answer_ready(Arc::clone(&ingress), ready));
-    tokio::spawn(accept(Arc::clone(&ingress), clients));
+    tokio::spawn(answer_ready(Arc::clone(&ingress), listeners.ready));
+    tokio::spawn(accept(Arc::clone(&ingress), listeners.clients));
     stop.cancelled().await;
     log::info!("gateway stopping open_requests={}", ingress.open_requests());
     ingress.draining.cancel();
@@ -72,7 +91,6 @@
         log::warn!("gateway cut off open_requests={}", ingress.open_requests());
     }
     log::info!("gateway stopped");
-    Ok(())
 }
 
 async fn finish(ingress: &Ingress) {
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/http1/mod.rs
@@ -0,0 +1,4 @@
+//! Messages as they arrive in pieces, whole, broken and hostile.
+
+mod requests;
+mod responses;
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/ingress/client.rs
@@ -0,0 +1,58 @@
+//! A client that sees all that comes.
+
+use std::net::SocketAddr;
+
+use bytes::BytesMut;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+use turmericloft::sources::http1::{Response, ResponseReader};
+
+/// A connection to a gateway.
+pub struct Client {
+    pub stream: TcpStream,
+    buf: BytesMut,
+}
+
+impl Client {
+    pub async fn connect(gateway: SocketAddr) -> Self {
+        Self {
+            stream: TcpStream::connect(gateway).await.expect("it listens"),
+            buf: BytesMut::new(),
+        }
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        let sent = self.stream.write_all(text.as_bytes()).await;
+        sent.expect("the gateway reads");
+    }
+
+    /// The next response; none if the connection ended in order before one began.
+    pub async fn response(&mut self) -> Option<Response> {
+        let mut reader = ResponseReader::new(b"GET", 1 << 20);
+        loop {
+            let next = reader.next(&mut self.buf);
+            if let Some(response) = next.expect("the gateway writes well-formed responses") {
+                return Some(response);
+            }
+            let n = self.stream.read_buf(&mut self.buf).await.expect("no reset");
+            if n == 0 {
+                assert!(self.buf.is_empty(), "a response was cut short");
+                return None;
+            }
+        }
+    }
+
+    /// Sends one request and gives its answer.
+    pub async fn call(&mut self, method: &str, target: &str, id: &str) -> Response {
+        self.send(&request(method, target, id)).await;
+        self.response().await.expect("an answer")
+    }
+}
+
+/// A request without a body.
+pub fn request(method: &str, target: &str, id: &str) -> String {
+    let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
+    format!("{method} {target} HTTP/1.1\r\nHost: h\r\nId: {id}\r\nLeft-Ms: 50000\r\n{length}\r\n")
+}
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -0,0 +1,124 @@
+//! A gateway in the process of the test.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{sync::watch, task::JoinHandle};
+use tokio_util::sync::CancellationToken;
+use turmericloft::{
+    core::{
+        placement::{DiscoveredEndpoint, EndpointState, RetryBudget},
+        traffic::{
+            Destination, RequestLimits, Route, RouteKind, RouteTable, ServiceSettings,
+            TrafficDocument,
+        },
+    },
+    ops::ingress::{Ingress, IngressFeeds, IngressListeners, IngressSettings, run_ingress},
+};
+
+use super::{endpoint::Endpoint, protocol::TestProtocol};
+
+/// Far longer than any test takes.
+pub const FAR: Duration = Duration::from_secs(60);
+
+/// A running gateway.
+pub struct Gateway {
+    pub clients: SocketAddr,
+    pub ready: SocketAddr,
+    pub documents: watch::Sender<Option<Arc<RouteTable>>>,
+    pub stop: CancellationToken,
+    pub running: JoinHandle<()>,
+    _endpoints: watch::Sender<Option<Arc<Vec<DiscoveredEndpoint>>>>,
+}
+
+impl Gateway {
+    /// A gateway with the routes `/read/` (idempotent) and `/act/` (at most once) of the host `h`.
+    pub async fn start(endpoints: &[Endpoint]) -> Self {
+        let settings = settings();
+        let listeners = IngressListeners::bind(&settings).await.expect("free ports");
+        let clients = listeners.clients.local_addr().expect("an address");
+        let ready = listeners.ready.local_addr().expect("an address");
+        let ingress = Ingress::new(settings, Arc::new(TestProtocol), 1);
+        let table = Arc::new(RouteTable::new(document(1)));
+        let known = endpoints.iter().enumerate();
+        let known = known.map(|(i, e)| discovered(i, e.address)).collect();
+        let (documents, documents_rx) = watch::channel(None);
+        let (endpoints_tx, endpoints_rx) = watch::channel(None);
+        let feeds = IngressFeeds {
+            documents: documents_rx,
+            endpoints: endpoints_rx,
+        };
+        let stop = CancellationToken::new();
+        let running = tokio::spawn(run_ingress(ingress, listeners, feeds, stop.clone()));
+        endpoints_tx.send_replace(Some(Arc::new(known)));
+        documents.send_replace(Some(table));
+        Self {
+            clients,
+            ready,
+            documents,
+            stop,
+            running,
+            _endpoints: endpoints_tx,
+        }
+    }
+}
+
+/// The document, in a version.
+pub fn document(version: u64) -> TrafficDocument {
+    let health = ServiceSettings {
+        health_path: "/health".to_owned(),
+        max_connections: 100,
+    };
+    TrafficDocument {
+        version,
+        routes: vec![
+            route("read", "/read/", RouteKind::Idempotent),
+            route("act", "/act/", RouteKind::AtMostOnce),
+        ],
+        services: BTreeMap::from([("calendar".into(), health)]),
+        limits: RequestLimits::default(),
+    }
+}
+
+fn route(name: &str, prefix: &str, kind: RouteKind) -> Route {
+    Route {
+        name: name.into(),
+        host: "h".into(),
+        path_prefix: prefix.into(),
+        kind,
+        timeout: FAR,
+        // Hedges are sent when the target is in danger; these tests are not about them.
+        target_latency: FAR,
+        rank: 1,
+        max_attempts: 3,
+        destinations: vec![Destination {
+            service: "calendar".into(),
+            weight: 1,
+        }],
+    }
+}
+
+fn discovered(i: usize, address: SocketAddr) -> DiscoveredEndpoint {
+    DiscoveredEndpoint {
+        id: format!("e{i}").into(),
+        service: "calendar".into(),
+        address,
+        zone: "a".into(),
+        slots: 16,
+        state: EndpointState::Ready,
+        warmup_left: Duration::ZERO,
+        started_at_ms: 1,
+    }
+}
+
+fn settings() -> IngressSettings {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    IngressSettings {
+        host: "gw".into(),
+        zone: "a".into(),
+        listen: any,
+        ready_listen: any,
+        ready_path: "/ready",
+        grace: Duration::from_secs(30),
+        retry_budget: RetryBudget::new(Duration::from_secs(10), 1.0, 10.0),
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -0,0 +1,10 @@
+//! An ingress gateway between clients and endpoints on loopback.
+
+mod client;
+mod drain;
+mod endpoint;
+mod faults;
+mod gateway;
+mod pipelining;
+mod protocol;
+mod routes;
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/ingress/pipelining.rs
@@ -0,0 +1,68 @@
+//! Requests that are sent before earlier ones were answered.
+
+use super::{
+    client::{Client, request},
+    endpoint::{Behaviour, Endpoint},
+    gateway::Gateway,
+};
+
+#[tokio::test]
+async fn pipelined_requests_run_at_the_same_time_and_are_answered_in_order() {
+    let endpoint = Endpoint::start(Behaviour::Held).await;
+    let gateway = Gateway::start(std::slice::from_ref(&endpoint)).await;
+    let mut client = Client::connect(gateway.clients).await;
+    let requests: String = (0..4).map(|i| request("GET", "/read/1", &format!("r{i}"))).collect();
+    client.send(&requests).await;
+    // All four are at the endpoint before any of them is answered.
+    endpoint.arrived.acquire_many(4).await.expect("open").forget();
+    endpoint.release.add_permits(4);
+    for i in 0..4 {
+        let response = client.response().await.expect("an answer");
+        assert_eq!(response.headers.text("Id"), Some(format!("r{i}").as_str()));
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_must_not_be_repeated_waits_for_those_before_it() {
+    let endpoint = Endpoint::start(Behaviour::Answer).await;
+    let gateway = Gateway::start(std::slice::from_ref(&endpoint)).await;
+    let mut client = Client::connect(gateway.clients).await;
+    let requests = [
+        request("GET", "/read/1", "r0"),
+        request("POST", "/act/1", "r1"),
+        request("GET", "/read/1", "r2"),
+    ];
+    client.send(&requests.concat()).await;
+    for i in 0..3 {
+        let response = client.response().await.expect("an answer");
+        assert_eq!(response.headers.text("Id"), Some(format!("r{i}").as_str()));
+    }
+    let order: Vec<_> = endpoint.ran().into_iter().map(|r| r.id).collect();
+    assert_eq!(order, ["r0", "r1", "r2"]);
+}
+
+#[tokio::test]
+async fn nothing_behind_a_closing_answer_is_run() {
+    let endpoint = Endpoint::start(Behaviour::Answer).await;
+    let gateway = Gateway::start(std::slice::from_ref(&endpoint)).await;
+    let mut client = Client::connect(gateway.clients).await;
+    let first = request("POST", "/act/1", "r0").replace("Host", "Connection: close\r\nHost");
+    client.send(&(first + &request("POST", "/act/1", "r1"))).await;
+    assert_eq!(client.response().await.expect("an answer").status, 200);
+    assert!(client.response().await.is_none());
+    assert_eq!(endpoint.ran().len(), 1);
+}
+
+#[tokio::test]
+async fn a_faulty_request_is_told_and_harms_no_earlier_one() {
+    let endpoint = Endpoint::start(Behaviour::Answer).await;
+    let gateway = Gateway::start(std::slice::from_ref(&endpoint)).await;
+    let mut client = Client::connect(gateway.clients).await;
+    let smuggled = "POST /act/1 HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 4\r\n\
+        Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /act/2 HTTP/1.1\r\n";
+    client.send(&(request("GET", "/read/1", "r0") + smuggled)).await;
+    assert_eq!(client.response().await.expect("an answer").status, 200);
+    assert_eq!(client.response().await.expect("an answer").status, 400);
+    assert!(client.response().await.is_none());
+    assert_eq!(endpoint.ran().len(), 1);
+}
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/placement/mod.rs
@@ -0,0 +1,47 @@
+//! Which endpoint gets a request.
+
+mod balancer;
+mod discovery;
+mod retry_budget;
+mod wait_queue;
+
+use std::{sync::Arc, time::Duration};
+
+use turmericloft::core::placement::{
+    DiscoveredEndpoint, EndpointState, LoadSample, PlacementRequest,
+};
+
+/// An endpoint of the service `calendar` with four slots.
+fn endpoint(id: &str, zone: &str) -> DiscoveredEndpoint {
+    DiscoveredEndpoint {
+        id: id.into(),
+        service: "calendar".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: zone.into(),
+        slots: 4,
+        state: EndpointState::Ready,
+        warmup_left: Duration::ZERO,
+        started_at_ms: 1,
+    }
+}
+
+fn load(running: u32, waiting: u32, slowdown: f64) -> LoadSample {
+    LoadSample {
+        running,
+        waiting,
+        slots: 4,
+        slowdown: Some(slowdown),
+    }
+}
+
+fn request<'a>(tried: &'a [Arc<str>]) -> PlacementRequest<'a> {
+    PlacementRequest {
+        service: "calendar",
+        tried,
+        target: Duration::from_millis(300),
+        left: Duration::from_millis(1_000),
+        rank: 2,
+        spare: false,
+        within: Duration::from_millis(1_000),
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/placement/retry_budget.rs
@@ -0,0 +1,45 @@
+//! The budget of repeats.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use turmericloft::core::placement::RetryBudget;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+proptest! {
+    /// Load pattern: requests come in gusts and every one of them is repeated.
+    #[test]
+    fn repeats_of_any_window_stay_within_the_share_of_its_requests(
+        gaps in prop::collection::vec(0_u64..400, 50..400),
+        ratio in 0.05_f64..0.3,
+    ) {
+        let mut now = Instant::now();
+        let mut budget = RetryBudget::new(WINDOW, ratio, 2.0);
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for gap in gaps {
+            now += Duration::from_millis(gap);
+            budget.add_request(now);
+            requests.push(now);
+            if budget.take(now) {
+                repeats.push(now);
+            }
+            let within = |times: &[Instant], span: Duration| {
+                times.iter().filter(|at| now - **at < span).count() as f64
+            };
+            // Requests of a slice that is leaving count up to a slice longer.
+            let allowed = within(&requests, WINDOW + WINDOW / 10) * ratio + 2.0;
+            prop_assert!(within(&repeats, WINDOW - WINDOW / 10) <= allowed);
+        }
+    }
+}
+
+#[test]
+fn a_gateway_without_requests_has_its_reserve_again_in_the_next_window() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(WINDOW, 0.2, 1.0);
+    assert!(budget.take(now));
+    assert!(!budget.take(now + WINDOW / 2));
+    assert!(budget.take(now + WINDOW));
+}
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/traffic.rs
@@ -0,0 +1,105 @@
+//! Routes and splits.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use proptest::prelude::*;
+use turmericloft::core::traffic::{
+    Destination, RequestLimits, Route, RouteKind, RouteTable, Splitter, TrafficDocument,
+};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: prefix.into(),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(300),
+        rank: 0,
+        max_attempts: 2,
+        destinations: vec![Destination {
+            service: "calendar".into(),
+            weight: 1,
+        }],
+    }
+}
+
+fn table(routes: Vec<Route>) -> RouteTable {
+    RouteTable::new(TrafficDocument {
+        version: 1,
+        routes,
+        services: BTreeMap::new(),
+        limits: RequestLimits::default(),
+    })
+}
+
+fn found<'a>(table: &'a RouteTable, host: &str, path: &str) -> Option<&'a str> {
+    table.find(host, path).map(|r| &*r.name)
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table(vec![
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/y/z/"),
+    ]);
+    assert_eq!(found(&table, "a.example", "/x/y/z/1"), Some("long"));
+    assert_eq!(found(&table, "a.example", "/x/1?q=/x/y/"), Some("short"));
+    assert_eq!(found(&table, "a.example", "/x"), None);
+    assert_eq!(found(&table, "c.example", "/x/"), None);
+}
+
+#[test]
+fn port_and_letter_case_of_the_host_do_not_count() {
+    let table = table(vec![route("one", "a.example", "/x/")]);
+    assert_eq!(found(&table, "A.Example:8080", "/x/1"), Some("one"));
+    assert_eq!(found(&table, "a.example:", "/x/1"), Some("one"));
+    assert_eq!(found(&table, "a.example:80x", "/x/1"), None);
+}
+
+proptest! {
+    /// Load pattern: a few dozen requests at a gateway already have to show the weights.
+    #[test]
+    fn any_fifty_requests_are_near_the_weights(
+        weights in prop::collection::vec(1_u32..=9, 2..=4),
+        start in 0.0_f64..1.0,
+        skipped in 0_usize..500,
+    ) {
+        let destinations: Vec<_> = weights
+            .iter()
+            .enumerate()
+            .map(|(i, weight)| Destination {
+                service: format!("s{i}").into(),
+                weight: *weight,
+            })
+            .collect();
+        let mut splitter = Splitter::new(start);
+        for _ in 0..skipped {
+            splitter.next(&destinations);
+        }
+        let drawn: Vec<_> = (0..50)
+            .filter_map(|_| splitter.next(&destinations))
+            .map(|d| d.service.clone())
+            .collect();
+        let total: u32 = weights.iter().sum();
+        for destination in &destinations {
+            let share = f64::from(destination.weight) / f64::from(total);
+            let got = drawn.iter().filter(|s| **s == destination.service).count() as f64 / 50.0;
+            prop_assert!((got - share).abs() <= 0.1, "{got} of {share}");
+        }
+    }
+}
+
+#[test]
+fn a_destination_without_weight_gets_nothing() {
+    let destinations = [("a", 0), ("b", 3)].map(|(service, weight)| Destination {
+        service: service.into(),
+        weight,
+    });
+    let mut splitter = Splitter::new(0.3);
+    for _ in 0..100 {
+        let next = splitter.next(&destinations).map(|d| d.service.to_string());
+        assert_eq!(next.as_deref(), Some("b"));
+    }
+}
