--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -182,7 +182,10 @@
             .map(|v| (cost(v, now, &usual, zone, rng.random::<f64>()), v))
             .collect();
         views.sort_by(|(a, _), (b, _)| a.total_cmp(b));
-        if views.first().is_some_and(|(_, v)| v.is_known_idle(now, KNOWN_FOR)) {
+        if views
+            .first()
+            .is_some_and(|(_, v)| v.is_known_idle(now, KNOWN_FOR))
+        {
             return Vec::new();
         }
         let unknown = views.into_iter().map(|(_, v)| v);
@@ -210,7 +213,9 @@
         let Some(service) = self.services.get_mut(&endpoint.service) else {
             return false;
         };
-        let own = service.view(&endpoint.id).map_or(0, EndpointView::in_flight);
+        let own = service
+            .view(&endpoint.id)
+            .map_or(0, EndpointView::in_flight);
         match &answer {
             Some(Some(load)) => service.report(now, own, load),
             Some(None) => service.told_no_load(),
@@ -227,7 +232,11 @@
     }
 
     /// Chooses an endpoint and counts the request as in flight there.
-    pub fn place(&mut self, now: Instant, req: &PlacementRequest<'_>) -> Result<Placement, Unplaced> {
+    pub fn place(
+        &mut self,
+        now: Instant,
+        req: &PlacementRequest<'_>,
+    ) -> Result<Placement, Unplaced> {
         let no_endpoint = Unplaced::NoEndpoint {
             retry_after: NO_ENDPOINT_RETRY,
         };
@@ -286,11 +295,17 @@
         let latency = now.saturating_duration_since(placement.started);
         if outcome == AttemptOutcome::Answered {
             service.answered(now, latency, load.as_ref());
-            let crowding = if placement.crowded { service.usual(latency).crowding } else { 1.0 };
+            let crowding = if placement.crowded {
+                service.usual(latency).crowding
+            } else {
+                1.0
+            };
             let calm = placement.expected.as_secs_f64() / crowding;
             service.paced(now, placement.crowded, latency.as_secs_f64() / calm);
         }
-        let own = service.view(&endpoint.id).map_or(0, EndpointView::in_flight);
+        let own = service
+            .view(&endpoint.id)
+            .map_or(0, EndpointView::in_flight);
         if let Some(load) = &load {
             service.report(now, own, load);
         }
@@ -299,7 +314,10 @@
         };
         view.end(now, placement.started, outcome);
         if outcome == AttemptOutcome::Answered {
-            view.paced(now, latency.as_secs_f64() / placement.expected.as_secs_f64());
+            view.paced(
+                now,
+                latency.as_secs_f64() / placement.expected.as_secs_f64(),
+            );
         }
         match load {
             Some(load) => view.report(now, load),
@@ -330,7 +348,11 @@
 
 fn has_room(view: &EndpointView, now: Instant, usual: &Usual, req: &PlacementRequest<'_>) -> bool {
     let slots = f64::from(view.endpoint.slots.max(1));
-    let calm = if usual.crowding > MAX_CROWDING { CROWDED_SHARE } else { 1.0 };
+    let calm = if usual.crowding > MAX_CROWDING {
+        CROWDED_SHARE
+    } else {
+        1.0
+    };
     let fill = match req.rank {
         0 => calm + URGENT_SHARE,
         _ => calm,
--- a/crates/turmericloft/src/core/placement/endpoint_view.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_view.rs
@@ -6,7 +6,8 @@
 };
 
 use super::{
-    AttemptOutcome, DiscoveredEndpoint, EndpointState, LoadSample, service_view::{CROWDED_SHARE, Usual},
+    AttemptOutcome, DiscoveredEndpoint, EndpointState, LoadSample,
+    service_view::{CROWDED_SHARE, Usual},
 };
 use crate::core::decayed_mean::DecayedMean;
 
--- a/crates/turmericloft/src/core/placement/retry_budget.rs
+++ b/crates/turmericloft/src/core/placement/retry_budget.rs
@@ -59,7 +59,8 @@
     /// The slice of the present, after those that left the window were dropped.
     fn slice(&mut self, now: Instant) -> &mut Slice {
         let window = self.window;
-        self.slices.retain(|s| now.saturating_duration_since(s.start) < window);
+        self.slices
+            .retain(|s| now.saturating_duration_since(s.start) < window);
         let length = window / SLICES;
         let fresh = self
             .slices
--- a/crates/turmericloft/src/core/placement/service_view.rs
+++ b/crates/turmericloft/src/core/placement/service_view.rs
@@ -1,7 +1,7 @@
 //! What one gateway believes about a service as a whole.
 
 use std::{
-    collections::HashMap,
+    collections::BTreeMap,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -44,7 +44,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct ServiceView {
     epoch: Instant,
-    pub(super) endpoints: HashMap<InstanceId, EndpointView>,
+    /// Ordered, so that the same draws lead to the same choices.
+    pub(super) endpoints: BTreeMap<InstanceId, EndpointView>,
     pub(super) budget: RetryBudget,
     /// Probes that may be sent.
     pub(super) saved_probes: f64,
@@ -61,7 +62,7 @@
     pub(super) fn new(now: Instant, budget: RetryBudget) -> Self {
         Self {
             epoch: now,
-            endpoints: HashMap::new(),
+            endpoints: BTreeMap::new(),
             budget,
             saved_probes: INITIAL_PROBES,
             work: DecayedMean::new(MEANS_HALF_LIFE_S),
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -11,8 +11,8 @@
 
 use super::{
     in_flight::InFlight,
-    ingress::Ingress,
     protocol::{AttemptHeaders, EndpointProtocol},
+    shared::Ingress,
 };
 use crate::{
     core::{
@@ -181,7 +181,9 @@
 
 fn keep_alive(response: &Response) -> Option<Duration> {
     let text = response.headers.text("keep-alive")?;
-    let timeout = text.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+    let timeout = text
+        .split(',')
+        .find_map(|p| p.trim().strip_prefix("timeout="))?;
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
 
--- a/crates/turmericloft/src/ops/ingress/client.rs
+++ b/crates/turmericloft/src/ops/ingress/client.rs
@@ -18,7 +18,7 @@
 use super::{
     answer::{Answer, OwnAnswer},
     forward::forward,
-    ingress::Ingress,
+    shared::Ingress,
 };
 use crate::{
     core::traffic::{RequestLimits, RouteKind},
@@ -122,7 +122,9 @@
 
     fn limits(&self) -> RequestLimits {
         let table = self.ingress.table.load();
-        table.as_ref().map_or_else(RequestLimits::default, |t| t.document().limits)
+        table
+            .as_ref()
+            .map_or_else(RequestLimits::default, |t| t.document().limits)
     }
 
     /// When a client that sends nothing more is given up on.
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -15,7 +15,7 @@
     answer::{Answer, OwnAnswer},
     attempt::{AttemptEnd, Forwarded, attempt},
     in_flight::InFlight,
-    ingress::Ingress,
+    shared::Ingress,
     wait::{place_now, place_or_wait},
 };
 use crate::{
@@ -48,7 +48,11 @@
     client_gone: CancellationToken,
 ) -> Answer {
     let _open = ingress.open_request();
-    let Some(id) = ingress.protocol.request_id(&req.headers).map(<[u8]>::to_vec) else {
+    let Some(id) = ingress
+        .protocol
+        .request_id(&req.headers)
+        .map(<[u8]>::to_vec)
+    else {
         return Answer::Own(OwnAnswer::NoRequestId);
     };
     let told = ingress.protocol.time_left(&req.headers);
@@ -136,7 +140,10 @@
         match end {
             AttemptEnd::Answered(response) => {
                 let failed = response.status >= 500;
-                if failed && self.is_idempotent() && (!self.attempts.is_empty() || self.repeat().await) {
+                if failed
+                    && self.is_idempotent()
+                    && (!self.attempts.is_empty() || self.repeat().await)
+                {
                     return None;
                 }
                 Some(Answer::Relayed(response))
@@ -154,7 +161,8 @@
             }
             AttemptEnd::Unknown(outcome) => {
                 self.may_have_run = true;
-                let again = self.is_idempotent() && (!self.attempts.is_empty() || self.repeat().await);
+                let again =
+                    self.is_idempotent() && (!self.attempts.is_empty() || self.repeat().await);
                 if again {
                     return None;
                 }
@@ -239,8 +247,11 @@
 /// When a second endpoint can still meet the target, and the first one is late.
 fn hedge_at(first: &Placement, target: Instant) -> Instant {
     let late = first.started + first.expected.mul_f64(HEDGE_AFTER);
-    let last_chance = target.checked_sub(first.work.mul_f64(HEDGE_WORK)).unwrap_or(target);
-    late.min(last_chance).max(first.started + first.work.mul_f64(HEDGE_WORK))
+    let last_chance = target
+        .checked_sub(first.work.mul_f64(HEDGE_WORK))
+        .unwrap_or(target);
+    late.min(last_chance)
+        .max(first.started + first.work.mul_f64(HEDGE_WORK))
 }
 
 fn refused(unplaced: Unplaced) -> Answer {
--- a/crates/turmericloft/src/ops/ingress/in_flight.rs
+++ b/crates/turmericloft/src/ops/ingress/in_flight.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::ingress::Ingress;
+use super::shared::Ingress;
 use crate::core::placement::{AttemptOutcome, LoadSample, Placement};
 
 /// Counts as abandoned when it is dropped before its end.
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -11,18 +11,19 @@
 mod decision_log;
 mod forward;
 mod in_flight;
-mod ingress;
+
 mod probe;
 mod protocol;
 mod ready;
 mod run;
 mod settings;
+mod shared;
 mod wait;
 
 pub use self::{
     answer::{Answer, OwnAnswer},
-    ingress::{Ingress, IngressFeeds},
     protocol::{AttemptHeaders, EndpointProtocol, ResponseMarks},
     run::{IngressError, IngressListeners, run_ingress},
     settings::IngressSettings,
+    shared::{Ingress, IngressFeeds},
 };
--- a/crates/turmericloft/src/ops/ingress/probe.rs
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -10,7 +10,7 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::time::timeout;
 
-use super::ingress::Ingress;
+use super::shared::Ingress;
 use crate::{
     core::{
         placement::{LoadSample, PlacementRequest, Probe},
@@ -66,7 +66,9 @@
     path: &str,
 ) -> Result<Option<LoadSample>, ExchangeError> {
     let endpoint = &probe.endpoint;
-    let pooled = ingress.pool.take(ingress.now(), &endpoint.id, RouteKind::Idempotent);
+    let pooled = ingress
+        .pool
+        .take(ingress.now(), &endpoint.id, RouteKind::Idempotent);
     let mut connection = match pooled {
         Some(connection) => connection,
         None => ClientConnection::open(endpoint.address, PROBE_LIMIT, PROBE_LIMIT).await?,
--- a/crates/turmericloft/src/ops/ingress/ready.rs
+++ b/crates/turmericloft/src/ops/ingress/ready.rs
@@ -8,7 +8,7 @@
     time::{sleep, timeout},
 };
 
-use super::ingress::Ingress;
+use super::shared::Ingress;
 use crate::sources::http1::{ReaderLimits, RequestReader};
 
 /// Bounds of a question.
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -11,9 +11,9 @@
 
 use super::{
     client::serve_client,
-    ingress::{Ingress, IngressFeeds},
     ready::answer_ready,
     settings::IngressSettings,
+    shared::{Ingress, IngressFeeds},
 };
 
 /// Time after the signal to stop at which idle clients are closed: the balancer in front asks
@@ -85,7 +85,9 @@
     ingress.draining.cancel();
     sleep(CLOSE_IDLE_AFTER).await;
     ingress.closing.cancel();
-    let left = settings.grace.saturating_sub(CLOSE_IDLE_AFTER + EXIT_RESERVE);
+    let left = settings
+        .grace
+        .saturating_sub(CLOSE_IDLE_AFTER + EXIT_RESERVE);
     let done = finish(&ingress);
     if tokio::time::timeout(left, done).await.is_err() {
         log::warn!("gateway cut off open_requests={}", ingress.open_requests());
--- a/crates/turmericloft/src/ops/ingress/wait.rs
+++ b/crates/turmericloft/src/ops/ingress/wait.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::timeout;
 
-use super::{ingress::Ingress, probe::probe_for};
+use super::{probe::probe_for, shared::Ingress};
 use crate::core::placement::{Placement, PlacementRequest, Unplaced, WaitTicket};
 
 /// Time after which a waiting request looks for room without being told of any.
