--- a/crates/turmericloft-cli/src/bin/turmericloft/commands/mod.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft/commands/mod.rs
@@ -8,6 +8,7 @@
 pub mod check;
 pub mod completions;
 pub mod demo;
+pub mod explain;
 mod format;
 pub mod gateway;
 pub mod promote;
--- a/crates/turmericloft-cli/src/bin/turmericloft/main.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft/main.rs
@@ -8,7 +8,7 @@
 
 mod commands;
 
-use commands::{audit, check, completions, demo, gateway, promote, report, status, trial};
+use commands::{audit, check, completions, demo, explain, gateway, promote, report, status, trial};
 
 /// Drives turmericloft through its documents and reads its reports.
 #[derive(Debug, Parser)]
@@ -40,6 +40,7 @@
     Check(check::Args),
     Completions(completions::Args),
     Demo(demo::Args),
+    Explain(explain::Args),
     Gateway(gateway::Args),
     Promote(promote::Args),
     Report(report::Args),
@@ -77,6 +78,7 @@
         Command::Check(args) => check::exec(args).await,
         Command::Completions(args) => completions::exec(&args, Cli::command()),
         Command::Demo(args) => demo::exec(args).await,
+        Command::Explain(args) => explain::exec(args).await,
         Command::Gateway(args) => gateway::exec(args).await,
         Command::Promote(args) => promote::exec(args).await,
         Command::Report(args) => report::exec(args).await,
--- a/crates/turmericloft-cli/tests/testsuite/command_line.rs
+++ b/crates/turmericloft-cli/tests/testsuite/command_line.rs
@@ -31,6 +31,7 @@
   completions  Prints completions for a shell
   demo         Runs a whole installation in this process, under load and faults, and shows its
                report
+  explain      Joins the lines of logs that concern one request into its story
   gateway      Runs a gateway in front of the endpoints of the users' platform until SIGTERM
   promote      Puts a document in force in production, exactly as it was in force in the trial
                environment
--- a/crates/turmericloft-cli/tests/testsuite/docs.rs
+++ b/crates/turmericloft-cli/tests/testsuite/docs.rs
@@ -44,11 +44,11 @@
 
 #[test]
 fn operators_page_names_every_metric() {
-    let page = fs::read_to_string(root().join("docs/OPERATING.md")).expect("the page is there");
+    let page = fs::read_to_string(root().join("docs/OPERATIONS.md")).expect("the page is there");
     let missing: Vec<_> = ALL.iter().filter(|m| !page.contains(m.name)).collect();
     assert!(
         missing.is_empty(),
-        "docs/OPERATING.md leaves out {missing:?}"
+        "docs/OPERATIONS.md leaves out {missing:?}"
     );
 }
 
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -15,6 +15,7 @@
     answer::{Answer, OwnAnswer},
     attempt::{AttemptEnd, Forwarded, attempt},
     in_flight::InFlight,
+    metrics::count_answer,
     shared::Ingress,
     wait::{place_now, place_or_wait},
 };
@@ -78,25 +79,43 @@
         may_have_run: false,
         arrived,
     };
-    let answer = forwarding.run().await;
-    if let Answer::Own(own) = &answer {
-        let now = ingress.now();
-        ingress.log.note(
-            now,
-            "request not served",
-            format_args!(
-                "request={} route={} answer={own} status={} took_ms={} of_ms={}",
-                String::from_utf8_lossy(&forwarded.id),
-                forwarded.route.name,
-                own.status(),
-                (now - arrived).as_millis(),
-                time.as_millis(),
-            ),
-        );
-    }
+    let (answer, attempts) = forwarding.run().await;
+    let took = ingress.now().saturating_duration_since(arrived);
+    count_answer(&answer, took);
+    tell(&ingress, &forwarded, &answer, attempts, (took, time));
     answer
 }
 
+/// Writes what became of a request: how long it took, of how much time it had.
+fn tell(
+    ingress: &Ingress,
+    forwarded: &Forwarded,
+    answer: &Answer,
+    attempts: usize,
+    (took, had): (Duration, Duration),
+) {
+    let (kind, by) = match answer {
+        Answer::Relayed(r) if r.status < 500 => ("request served", "endpoint".to_owned()),
+        Answer::Relayed(_) => ("request failed", "endpoint".to_owned()),
+        Answer::Own(own) => ("request not served", own.to_string()),
+    };
+    let version = ingress.table.load().as_ref().map(|t| t.document().version);
+    ingress.log.note(
+        ingress.now(),
+        kind,
+        format_args!(
+            "request={} route={} version={} answer={by} status={} attempts={attempts} took_ms={} \
+             of_ms={}",
+            String::from_utf8_lossy(&forwarded.id),
+            forwarded.route.name,
+            version.unwrap_or_default(),
+            answer.status(),
+            took.as_millis(),
+            had.as_millis(),
+        ),
+    );
+}
+
 /// All attempts of one request.
 struct Forwarding {
     ingress: Arc<Ingress>,
@@ -109,7 +128,13 @@
 }
 
 impl Forwarding {
-    async fn run(mut self) -> Answer {
+    /// The answer, and the number of endpoints that the request was sent to.
+    async fn run(mut self) -> (Answer, usize) {
+        let answer = self.answer().await;
+        (answer, self.tried.len())
+    }
+
+    async fn answer(&mut self) -> Answer {
         let first = match self.place_first().await {
             Ok(placement) => placement,
             Err(unplaced) => return refused(unplaced),
--- a/crates/turmericloft/src/ops/ingress/in_flight.rs
+++ b/crates/turmericloft/src/ops/ingress/in_flight.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::shared::Ingress;
+use super::{metrics::count_attempt, shared::Ingress};
 use crate::core::placement::{AttemptOutcome, LoadSample, Placement};
 
 /// Counts as abandoned when it is dropped before its end.
@@ -33,6 +33,8 @@
 
     fn tell(&mut self, outcome: AttemptOutcome, load: Option<LoadSample>) {
         let now = self.ingress.now();
+        let took = now.saturating_duration_since(self.placement.started);
+        count_attempt(outcome, took);
         let mut balancer = self.ingress.balancer.lock();
         balancer.end(now, &self.placement, outcome, load);
         drop(balancer);
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -12,6 +12,7 @@
 mod forward;
 mod in_flight;
 
+mod metrics;
 mod probe;
 mod protocol;
 mod ready;
--- a/crates/turmericloft/src/ops/ingress/probe.rs
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -10,7 +10,7 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::time::timeout;
 
-use super::shared::Ingress;
+use super::{metrics::count_probe, shared::Ingress};
 use crate::{
     core::{
         placement::{LoadSample, PlacementRequest, Probe},
@@ -56,6 +56,7 @@
 async fn run_probe(ingress: Arc<Ingress>, probe: Probe, path: Arc<str>) -> bool {
     let asked = timeout(PROBE_LIMIT, ask(&ingress, &probe, &path)).await;
     let answer = asked.ok().and_then(Result::ok);
+    count_probe(answer.is_some());
     let now = ingress.now();
     ingress.balancer.lock().probe_ended(now, &probe, answer)
 }
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -9,9 +9,11 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use crate::util::metrics_recorder;
+
 use super::{
     client::serve_client,
-    ready::answer_ready,
+    ready::{answer_metrics, answer_ready},
     settings::IngressSettings,
     shared::{Ingress, IngressFeeds},
 };
@@ -24,7 +26,7 @@
 /// How often idle connections and open requests are looked at.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How often idle connections to endpoints are looked at.
-const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
+const SWEEP_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Pause after a connection could not be accepted, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -49,6 +51,8 @@
     pub clients: TcpListener,
     /// For the question whether the gateway takes clients.
     pub ready: TcpListener,
+    /// For metrics, if they are served.
+    pub metrics: Option<TcpListener>,
 }
 
 impl IngressListeners {
@@ -57,6 +61,10 @@
         Ok(Self {
             clients: bind(settings.listen).await?,
             ready: bind(settings.ready_listen).await?,
+            metrics: match settings.metrics_listen {
+                Some(address) => Some(bind(address).await?),
+                None => None,
+            },
         })
     }
 }
@@ -78,6 +86,10 @@
     );
     tokio::spawn(follow_documents(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(follow_endpoints(Arc::clone(&ingress), feeds));
+    metrics_recorder::install();
+    if let Some(listener) = listeners.metrics {
+        tokio::spawn(answer_metrics(listener));
+    }
     tokio::spawn(answer_ready(Arc::clone(&ingress), listeners.ready));
     tokio::spawn(accept(Arc::clone(&ingress), listeners.clients));
     stop.cancelled().await;
@@ -156,6 +168,7 @@
         let Some(endpoints) = feeds.endpoints.borrow_and_update().clone() else {
             continue;
         };
+        metrics_recorder::install().run_upkeep();
         let now = ingress.now();
         if changed {
             log::info!("endpoints changed count={}", endpoints.len());
--- a/crates/turmericloft/src/ops/ingress/settings.rs
+++ b/crates/turmericloft/src/ops/ingress/settings.rs
@@ -15,6 +15,8 @@
     pub listen: SocketAddr,
     /// Where the balancer in front asks whether the gateway takes clients.
     pub ready_listen: SocketAddr,
+    /// Where metrics are served, under `/metrics`.
+    pub metrics_listen: Option<SocketAddr>,
     /// Path of that question.
     pub ready_path: &'static str,
     /// Time from the signal to stop until the process is killed.
--- a/crates/turmericloft/src/ops/mod.rs
+++ b/crates/turmericloft/src/ops/mod.rs
@@ -2,6 +2,7 @@
 
 mod audit;
 mod config_reader;
+mod explain;
 pub mod gateway;
 mod gateway_records;
 pub mod ingress;
@@ -14,6 +15,7 @@
 
 pub use self::{
     audit::{Audit, AuditRow, InForceAt, read_audit},
+    explain::{ExplainError, ExplainedLine, Explanation, explain},
     promote::{PromoteOptions, promote, read_document, settle, trial},
     promotion::{PromoteError, Promotion},
     report::{ReportError, ReportOptions, read_history, read_report},
--- a/crates/turmericloft/src/util/logging.rs
+++ b/crates/turmericloft/src/util/logging.rs
@@ -1,10 +1,13 @@
 //! Log lines: only changes of state; counters say the rest.
 
+use std::io;
+
 use log::{LevelFilter, SetLoggerError};
 use serde::Deserialize;
 use strum::{Display, EnumString, VariantNames};
+use thiserror::Error;
 
-use super::clock::unix_ms;
+use super::{clock::unix_ms, log_writer::LogWriter};
 
 /// How log lines are written.
 #[derive(
@@ -22,12 +25,25 @@
 
 /// Sends log lines of this process to standard error.
 pub fn start(format: LogFormat) -> Result<(), SetLoggerError> {
-    lines(format).chain(std::io::stderr()).apply()
+    lines(format).chain(io::stderr()).apply()
+}
+
+/// Why log lines cannot be written.
+#[derive(Debug, Error)]
+pub enum LogError {
+    /// The thread that writes cannot be started.
+    #[error("cannot start the thread that writes the log")]
+    Thread(#[from] io::Error),
+    /// Another logger is installed.
+    #[error(transparent)]
+    Installed(#[from] SetLoggerError),
 }
 
-/// Sends log lines of this process to standard output.
-pub fn start_on_stdout(format: LogFormat) -> Result<(), SetLoggerError> {
-    lines(format).chain(std::io::stdout()).apply()
+/// Sends log lines of this process to standard output, without waiting for whoever reads it.
+pub fn start_on_stdout(format: LogFormat) -> Result<(), LogError> {
+    let writer = LogWriter::start()?;
+    let output = fern::Output::call(move |record| writer.write(record.args().to_string()));
+    Ok(lines(format).chain(output).apply()?)
 }
 
 fn lines(format: LogFormat) -> fern::Dispatch {
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -10,6 +10,8 @@
     Counter,
     /// Goes up and down.
     Gauge,
+    /// Counts of observations below bounds.
+    Histogram,
 }
 
 /// A metric as documented.
@@ -153,8 +155,71 @@
     meaning: "Reads of certificate, key or authorities that failed; the ones before stay in use",
 };
 
+/// Answers of an ingress gateway.
+pub const INGRESS_ANSWERS: Metric = Metric {
+    name: "turmericloft_ingress_answers_total",
+    kind: MetricKind::Counter,
+    unit: "answers",
+    labels: &["by", "status"],
+    meaning: "Answers to clients, by who made them and status code",
+};
+
+/// Latency of answers.
+pub const INGRESS_ANSWER_SECONDS: Metric = Metric {
+    name: "turmericloft_ingress_answer_seconds",
+    kind: MetricKind::Histogram,
+    unit: "seconds",
+    labels: &["by"],
+    meaning: "Time from a whole request to its answer, by who made the answer",
+};
+
+/// Attempts at endpoints.
+pub const INGRESS_ATTEMPTS: Metric = Metric {
+    name: "turmericloft_ingress_attempts_total",
+    kind: MetricKind::Counter,
+    unit: "attempts",
+    labels: &["outcome"],
+    meaning: "Attempts at endpoints that have ended, by outcome",
+};
+
+/// Latency of attempts.
+pub const INGRESS_ATTEMPT_SECONDS: Metric = Metric {
+    name: "turmericloft_ingress_attempt_seconds",
+    kind: MetricKind::Histogram,
+    unit: "seconds",
+    labels: &[],
+    meaning: "Time of an attempt at an endpoint",
+};
+
+/// Probes.
+pub const INGRESS_PROBES: Metric = Metric {
+    name: "turmericloft_ingress_probes_total",
+    kind: MetricKind::Counter,
+    unit: "probes",
+    labels: &["answered"],
+    meaning: "Probes of endpoints' load that have ended, by whether an answer came",
+};
+
+/// Store calls.
+pub const STORE_CALLS: Metric = Metric {
+    name: "turmericloft_store_calls_total",
+    kind: MetricKind::Counter,
+    unit: "calls",
+    labels: &["call", "result"],
+    meaning: "Calls to the platform's store, by call and by whether it answered",
+};
+
+/// Log lines.
+pub const LOG_LINES_DROPPED: Metric = Metric {
+    name: "turmericloft_log_lines_dropped_total",
+    kind: MetricKind::Counter,
+    unit: "lines",
+    labels: &[],
+    meaning: "Log lines dropped because standard output was not read fast enough",
+};
+
 /// All metrics, in the order of the documentation.
-pub const ALL: [Metric; 14] = [
+pub const ALL: [Metric; 21] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -169,4 +234,11 @@
     GATEWAY_RECORD_FAILURES,
     HOST_LIST_READ_FAILURES,
     PEER_IDENTITY_RELOAD_FAILURES,
+    INGRESS_ANSWERS,
+    INGRESS_ANSWER_SECONDS,
+    INGRESS_ATTEMPTS,
+    INGRESS_ATTEMPT_SECONDS,
+    INGRESS_PROBES,
+    STORE_CALLS,
+    LOG_LINES_DROPPED,
 ];
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -117,6 +117,7 @@
         zone: "a".into(),
         listen: any,
         ready_listen: any,
+        metrics_listen: None,
         ready_path: "/ready",
         grace: Duration::from_secs(30),
         retry_budget: RetryBudget::new(Duration::from_secs(10), 1.0, 10.0),
