--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -78,6 +78,8 @@
     pub work: Duration,
     /// Begin of the attempt; names it when it ends.
     pub started: Instant,
+    /// Age of the endpoint's last load report, if there was one.
+    pub report_age: Option<Duration>,
     /// Whether the endpoint was nearly full.
     crowded: bool,
 }
@@ -267,6 +269,7 @@
         };
         let seconds = view.expected_seconds(now, &usual);
         let crowded = view.is_crowded(now, &usual);
+        let report_age = view.report_age(now);
         let endpoint = Arc::clone(&view.endpoint);
         if let Some(view) = service.endpoints.get_mut(&endpoint.id) {
             view.start(now);
@@ -276,6 +279,7 @@
             expected: Duration::from_secs_f64(seconds),
             work: Duration::from_secs_f64(usual.work_s),
             started: now,
+            report_age,
             crowded,
         })
     }
--- a/crates/turmericloft/src/core/placement/endpoint_view.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_view.rs
@@ -206,6 +206,12 @@
         (self.failure_share(now) * FAILURE_COST + silent * PROBE_OVERDUE_COST) * usual.work_s
     }
 
+    /// Age of the last report.
+    pub(super) fn report_age(&self, now: Instant) -> Option<Duration> {
+        let reported = self.reported.as_ref()?;
+        Some(now.saturating_duration_since(reported.at))
+    }
+
     /// Whether the last report is younger than `age` and tells of room and usual speed.
     pub(super) fn is_known_idle(&self, now: Instant, age: Duration) -> bool {
         let fresh = |r: &&Reported| now.saturating_duration_since(r.at) < age;
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -70,13 +70,14 @@
             "attempt failed",
             format_args!(
                 "request={} route={} endpoint={} peer={} outcome={outcome} took_ms={} \
-                 expected_ms={} left_ms={}",
+                 expected_ms={} known_for_ms={:?} left_ms={}",
                 String::from_utf8_lossy(&forwarded.id),
                 forwarded.route.name,
                 endpoint.id,
                 endpoint.address,
                 (now - in_flight.placement().started).as_millis(),
                 in_flight.placement().expected.as_millis(),
+                in_flight.placement().report_age.map(|age| age.as_millis()),
                 forwarded.until.saturating_duration_since(now).as_millis(),
             ),
         );
