--- a/crates/turmericloft-cli/src/bin/turmericloft/commands/check.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft/commands/check.rs
@@ -1,9 +1,13 @@
 //! `turmericloft check`
 
-use std::{fmt::Write, path::PathBuf};
+use std::{
+    fmt::Write,
+    path::{Path, PathBuf},
+};
 
 use serde::Serialize;
 use turmericloft::core::document::{Document, DocumentReport, check_document};
+use turmericloft_platform::check_file;
 
 use super::{CommandResult, EndedWith, Format, publish::read_document_file};
 
@@ -14,6 +18,9 @@
 pub struct Args {
     /// The document
     document: PathBuf,
+    /// The file is the platform's: settings of a process, or a configuration as it lies in the store
+    #[arg(long)]
+    platform: bool,
     /// How the result is printed
     #[arg(long, value_enum, default_value_t)]
     format: Format,
@@ -31,6 +38,9 @@
 /// Runs the subcommand.
 pub async fn exec(args: Args) -> CommandResult {
     let text = read_document_file(&args.document)?;
+    if args.platform {
+        return check_platform_file(&args.document, &text);
+    }
     let checked = Checked {
         report: check_document(&text),
         document: args.document,
@@ -47,6 +57,21 @@
     .into())
 }
 
+fn check_platform_file(path: &Path, text: &str) -> CommandResult {
+    let checked = check_file(path, text);
+    let (path, kind) = (path.display(), checked.kind);
+    if checked.faults.is_empty() {
+        println!("{path}: {kind} without faults");
+        return Ok(());
+    }
+    let lines: Vec<_> = checked.faults.iter().map(|f| format!("  {f}")).collect();
+    Err(EndedWith {
+        code: 1,
+        message: format!("{path} cannot be used as {kind}\n{}", lines.join("\n")),
+    }
+    .into())
+}
+
 fn summary(checked: &Checked) -> String {
     let mut text = String::new();
     let path = checked.document.display();
--- /dev/null
+++ b/crates/turmericloft-cli/tests/testsuite/explain_session.rs
@@ -0,0 +1,69 @@
+//! The story of a request from logs.
+
+use std::fs;
+
+use snapbox::{assert_data_eq, str};
+use tempfile::TempDir;
+
+use crate::support::run;
+
+const TURMERICLOFT: &str = env!("CARGO_BIN_EXE_turmericloft");
+
+const FIRST: &str = r#"{"at_ms":1000,"level":"INFO","message":"document in force version=7 before=Some(6)","target":"t"}
+{"at_ms":1900,"level":"INFO","message":"request served: request=r10 route=a status=200","target":"t"}
+not JSON
+{"at_ms":2000,"level":"INFO","message":"attempt failed: request=r1 route=a outcome=broken","target":"t"}
+{"at_ms":2003,"level":"INFO","message":"request not served: request=r1 route=a status=502","target":"t"}
+"#;
+const SECOND: &str = r#"2026-01-01 gw-2 {"at_ms":2500,"level":"INFO","message":"request served: request=r1 route=a status=200","target":"t"}
+"#;
+
+fn explain(args: &[&str]) -> String {
+    let folder = TempDir::new().expect("an empty folder");
+    fs::write(folder.path().join("gw-1.log"), FIRST).expect("written");
+    fs::write(folder.path().join("gw-2.log"), SECOND).expect("written");
+    run(TURMERICLOFT, folder.path(), args)
+}
+
+#[test]
+fn lines_of_all_gateways_are_joined_with_the_state_before_them() {
+    assert_data_eq!(
+        explain(&["explain", "r1", "gw-1.log", "gw-2.log"]),
+        str![[r#"
+exit code: 0
+stdout:
+request r1
+   -1000 ms  gw-1.log  document in force version=7 before=Some(6)
+      +0 ms  gw-1.log  attempt failed: request=r1 route=a outcome=broken
+      +3 ms  gw-1.log  request not served: request=r1 route=a status=502
+    +500 ms  gw-2.log  request served: request=r1 route=a status=200
+1 lines are no JSON and were passed over
+
+"#]]
+    );
+}
+
+#[test]
+fn an_unknown_request_and_a_missing_log_are_told() {
+    assert_data_eq!(
+        explain(&["explain", "r2", "gw-1.log"]),
+        str![[r#"
+exit code: 1
+stderr:
+error: no line names the request r2; it may have been left out (see left_out=)
+
+"#]]
+    );
+    assert_data_eq!(
+        explain(&["explain", "r2", "none.log"]),
+        str![[r#"
+exit code: 1
+stderr:
+error: cannot read the log none.log
+
+Caused by:
+  No such file or directory (os error 2)
+
+"#]]
+    );
+}
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -9,7 +9,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::util::metrics_recorder;
+use crate::{core::placement::DiscoveredEndpoint, util::metrics_recorder};
 
 use super::{
     client::serve_client,
@@ -159,20 +159,27 @@
 
 async fn follow_endpoints(ingress: Arc<Ingress>, mut feeds: IngressFeeds) {
     let mut sweeps = interval(SWEEP_INTERVAL);
+    let mut taken_up: Option<Arc<Vec<DiscoveredEndpoint>>> = None;
     loop {
-        let changed = tokio::select! {
-            changed = feeds.endpoints.changed() => changed.map(|()| true),
-            _ = sweeps.tick() => Ok(false),
-        };
-        let Ok(changed) = changed else { return };
+        tokio::select! {
+            changed = feeds.endpoints.changed() => if changed.is_err() {
+                return;
+            },
+            _ = sweeps.tick() => {}
+        }
         let Some(endpoints) = feeds.endpoints.borrow_and_update().clone() else {
             continue;
         };
         metrics_recorder::install().run_upkeep();
         let now = ingress.now();
-        if changed {
+        // A change may have been seen with a sweep, so what is taken up is compared.
+        let same = taken_up
+            .as_ref()
+            .is_some_and(|t| Arc::ptr_eq(t, &endpoints));
+        if !same {
             log::info!("endpoints changed count={}", endpoints.len());
             ingress.balancer.lock().set_endpoints(now, &endpoints);
+            taken_up = Some(Arc::clone(&endpoints));
         }
         let lives = |id: &_| endpoints.iter().any(|e| e.id == *id);
         ingress.pool.sweep(now, lives);
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -48,9 +48,9 @@
             endpoints: endpoints_rx,
         };
         let stop = CancellationToken::new();
-        let running = tokio::spawn(run_ingress(ingress, listeners, feeds, stop.clone()));
         endpoints_tx.send_replace(Some(Arc::new(known)));
         documents.send_replace(Some(table));
+        let running = tokio::spawn(run_ingress(ingress, listeners, feeds, stop.clone()));
         Self {
             clients,
             ready,
--- a/crates/turmericloft/tests/testsuite/ingress/routes.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/routes.rs
@@ -93,3 +93,21 @@
     asker.send(&request("GET", "/ready", "q")).await;
     assert_eq!(asker.response().await.expect("an answer").status, 503);
 }
+
+/// The endpoints are told before the gateway begins: it looks at them and at its first sweep at once.
+#[tokio::test]
+async fn endpoints_that_were_told_before_the_start_are_taken_up() {
+    const CALLS: usize = 50;
+    for i in 0..20 {
+        let (_endpoint, gateway) = deployment().await;
+        let mut client = Client::connect(gateway.clients).await;
+        let mut statuses = Vec::new();
+        while statuses.len() < CALLS && !statuses.contains(&200) {
+            statuses.push(client.call("GET", "/read/1", "r").await.status);
+        }
+        assert!(
+            statuses.contains(&200),
+            "gateway {i}: {CALLS} calls were not served"
+        );
+    }
+}
