--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -6,7 +6,7 @@
 //! are known at any moment. Requests that no endpoint can serve in time are turned away at once.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -128,9 +128,9 @@
 
     /// Takes in all endpoints there are. Knowledge of those that stay is kept.
     pub fn set_endpoints(&mut self, now: Instant, endpoints: &[DiscoveredEndpoint]) {
+        let named: HashSet<_> = endpoints.iter().map(|e| &e.id).collect();
         for service in self.services.values_mut() {
-            let names = |id: &InstanceId| endpoints.iter().any(|e| e.id == *id);
-            service.endpoints.retain(|id, _| names(id));
+            service.endpoints.retain(|id, _| named.contains(id));
         }
         for endpoint in endpoints {
             let budget = &self.budget;
--- a/crates/turmericloft/src/core/placement/discovery.rs
+++ b/crates/turmericloft/src/core/placement/discovery.rs
@@ -5,7 +5,7 @@
 //! outage are kept until shortly after its end; entries that vanish at other times go at once.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -109,11 +109,12 @@
             return DiscoveryChange::None;
         }
         let mut change = DiscoveryChange::None;
+        let named: HashSet<_> = listed.iter().map(|l| l.id.clone()).collect();
         let missing: Vec<_> = self
             .entries
             .iter()
             .filter(|(_, e)| e.endpoint.is_some() && e.lapses.is_none())
-            .filter(|(id, _)| !listed.iter().any(|l| l.id == **id))
+            .filter(|(id, _)| !named.contains(*id))
             .map(|(id, _)| id.clone())
             .collect();
         for id in missing {
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -95,7 +95,7 @@
     if let Some(mut connection) = pooled {
         match exchange(ingress, forwarded, in_flight, &mut connection).await {
             Some(Err(e)) if e.is_unsent() => {}
-            result => return judge(ingress, forwarded, in_flight, connection, result),
+            result => return judge(ingress, in_flight, connection, result),
         }
     }
     let limit = CONNECT_LIMIT.min(forwarded.until.saturating_duration_since(ingress.now()));
@@ -108,7 +108,7 @@
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
     let result = exchange(ingress, forwarded, in_flight, &mut connection).await;
-    judge(ingress, forwarded, in_flight, connection, result)
+    judge(ingress, in_flight, connection, result)
 }
 
 /// Gives none if no answer came in time.
@@ -135,7 +135,6 @@
 
 fn judge(
     ingress: &Ingress,
-    forwarded: &Forwarded,
     in_flight: &InFlight,
     mut connection: ClientConnection,
     result: Option<Result<Response, ExchangeError>>,
@@ -167,7 +166,6 @@
     if not_run {
         return (AttemptEnd::NotRun, AttemptOutcome::Shed, load);
     }
-    let _ = forwarded;
     let outcome = if response.status >= 500 {
         AttemptOutcome::Failed
     } else {
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -21,7 +21,7 @@
 };
 use crate::{
     core::{
-        placement::{InstanceId, Placement, PlacementRequest, Unplaced},
+        placement::{AttemptOutcome, InstanceId, Placement, PlacementRequest, Unplaced},
         traffic::{Route, RouteKind},
     },
     sources::http1::Request,
@@ -192,7 +192,7 @@
                     return None;
                 }
                 Some(Answer::Own(match outcome {
-                    crate::core::placement::AttemptOutcome::TimedOut => OwnAnswer::OutOfTime,
+                    AttemptOutcome::TimedOut => OwnAnswer::OutOfTime,
                     _ => OwnAnswer::NoAnswer,
                 }))
             }
@@ -259,7 +259,7 @@
         }
         let task = tokio::spawn(run);
         self.attempts.push(Box::pin(async move {
-            let unknown = crate::core::placement::AttemptOutcome::Broken;
+            let unknown = AttemptOutcome::Broken;
             task.await.unwrap_or(AttemptEnd::Unknown(unknown))
         }));
     }
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -1,6 +1,6 @@
 //! An ingress gateway from start to stop.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashSet, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use thiserror::Error;
 use tokio::{
@@ -148,6 +148,7 @@
             let before = ingress.table.load().as_ref().map(|t| t.document().version);
             if before.is_none_or(|before| before < version) {
                 log::info!("document in force version={version} before={before:?}");
+                ingress.keep_splitters_of(&table);
                 ingress.table.store(Some(table));
             }
         }
@@ -181,8 +182,8 @@
             ingress.balancer.lock().set_endpoints(now, &endpoints);
             taken_up = Some(Arc::clone(&endpoints));
         }
-        let lives = |id: &_| endpoints.iter().any(|e| e.id == *id);
-        ingress.pool.sweep(now, lives);
+        let known: HashSet<_> = endpoints.iter().map(|e| &e.id).collect();
+        ingress.pool.sweep(now, |id| known.contains(id));
     }
 }
 
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -1,7 +1,7 @@
 //! What all connections of an ingress gateway share.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     fmt,
     sync::{
         Arc,
@@ -103,6 +103,13 @@
         Some(Arc::clone(&destination.service))
     }
 
+    /// Forgets the splits of routes that are gone.
+    pub(super) fn keep_splitters_of(&self, table: &RouteTable) {
+        let routes = &table.document().routes;
+        let names: HashSet<_> = routes.iter().map(|r| &r.name).collect();
+        self.splitters.lock().retain(|name, _| names.contains(name));
+    }
+
     /// Counts a request that is being answered until the guard is dropped.
     pub(super) fn open_request(self: &Arc<Self>) -> OpenRequest {
         self.requests.fetch_add(1, Ordering::AcqRel);
