One type a file in core::placement; a probe ends with a named outcome

Read as a newcomer: four types stood in the balancer's file, an outcome was an option of an option, and a file was named after something that it does not hold. No change of behaviour; the golden session of check expected column 40 where the value begins in column 39.

--- a/crates/turmericloft-cli/tests/testsuite/platform_gateway.rs
+++ b/crates/turmericloft-cli/tests/testsuite/platform_gateway.rs
@@ -65,7 +65,7 @@
 exit code: 1
 stderr:
 error: node.yaml cannot be used as settings
-  the settings file node.yaml is not valid: listen.ready: invalid socket address syntax at line 3 column 40
+  the settings file node.yaml is not valid: listen.ready: invalid socket address syntax at line 3 column 39
 
 "#]]
     );
--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -15,7 +15,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::{
-    AttemptOutcome, DiscoveredEndpoint, InstanceId, LoadSample, RetryBudget,
+    AttemptOutcome, DiscoveredEndpoint, LoadSample, PlacementRequest, Probe, ProbeOutcome,
+    RetryBudget, Unplaced,
     endpoint_view::EndpointView,
     service_view::{CROWDED_SHARE, ServiceView, Usual},
 };
@@ -48,25 +49,6 @@
 /// Time to come back when a service has no endpoint.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_millis(500);
 
-/// A request that looks for an endpoint.
-#[derive(Clone, Copy, Debug)]
-pub struct PlacementRequest<'a> {
-    /// Name of the service.
-    pub service: &'a str,
-    /// Endpoints that it was sent to before.
-    pub tried: &'a [InstanceId],
-    /// Time within which an answer is worth most.
-    pub target: Duration,
-    /// Time left for the answer.
-    pub left: Duration,
-    /// Rank under load; 0 goes first.
-    pub rank: u32,
-    /// Whether only an endpoint with room to spare is wanted.
-    pub spare: bool,
-    /// Time within which the answer has to be expected.
-    pub within: Duration,
-}
-
 /// The endpoint that a request is sent to.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -84,28 +66,6 @@
     crowded: bool,
 }
 
-/// An endpoint that is asked for its load.
-#[derive(Clone, Debug)]
-pub struct Probe {
-    /// The endpoint.
-    pub endpoint: Arc<DiscoveredEndpoint>,
-}
-
-/// Why a request is not sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unplaced {
-    /// The service has no endpoint that takes requests.
-    NoEndpoint {
-        /// When one may be there.
-        retry_after: Duration,
-    },
-    /// All endpoints are full, or too slow for the time left.
-    Full {
-        /// When room is likely.
-        retry_after: Duration,
-    },
-}
-
 /// Beliefs of one gateway about all endpoints.
 #[derive(Debug)]
 pub struct Balancer {
@@ -203,14 +163,8 @@
         probes
     }
 
-    /// Takes in the end of a probe: what the endpoint answered, or that it did not. Gives whether
-    /// the endpoint has room at its usual speed.
-    pub fn probe_ended(
-        &mut self,
-        now: Instant,
-        probe: &Probe,
-        answer: Option<Option<LoadSample>>,
-    ) -> bool {
+    /// Takes in the end of a probe. Gives whether the endpoint has room at its usual speed.
+    pub fn probe_ended(&mut self, now: Instant, probe: &Probe, outcome: ProbeOutcome) -> bool {
         let endpoint = &probe.endpoint;
         let Some(service) = self.services.get_mut(&endpoint.service) else {
             return false;
@@ -218,16 +172,16 @@
         let own = service
             .view(&endpoint.id)
             .map_or(0, EndpointView::in_flight);
-        match &answer {
-            Some(Some(load)) => service.report(now, own, load),
-            Some(None) => service.told_no_load(),
-            None => {}
+        match &outcome {
+            ProbeOutcome::Told(load) => service.report(now, own, load),
+            ProbeOutcome::NoLoad => service.told_no_load(),
+            ProbeOutcome::Unanswered => {}
         }
         let Some(view) = service.endpoints.get_mut(&endpoint.id) else {
             return false;
         };
-        view.probe_ended(now, answer.is_some());
-        if let Some(Some(load)) = answer {
+        view.probe_ended(now, outcome != ProbeOutcome::Unanswered);
+        if let ProbeOutcome::Told(load) = outcome {
             view.report(now, load);
         }
         view.is_known_idle(now, KNOWN_FOR)
@@ -252,6 +206,7 @@
         let zone = &self.zone;
         let rng = &mut self.rng;
         let mut best: Option<(&EndpointView, f64)> = None;
+        // Ejected endpoints are better than none.
         let healthy = views().any(|v| !v.is_ejected(now));
         for view in views().filter(|v| !healthy || !v.is_ejected(now)) {
             let cost = cost(view, now, &usual, zone, rng.random::<f64>());
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -1,21 +1,27 @@
 //! Which endpoint gets a request, from thin and old knowledge.
 
+mod attempt_outcome;
 mod balancer;
 mod discovered_endpoint;
 mod discovery;
 mod endpoint_view;
-mod in_flight_end;
 mod load_sample;
+mod placement_request;
+mod probe;
 mod retry_budget;
 mod service_view;
+mod unplaced;
 mod wait_queue;
 
 pub use self::{
-    balancer::{Balancer, Placement, PlacementRequest, Probe, Unplaced},
+    attempt_outcome::AttemptOutcome,
+    balancer::{Balancer, Placement},
     discovered_endpoint::{DiscoveredEndpoint, EndpointState, InstanceId},
     discovery::{DiscoveryChange, DiscoveryTable, Observation},
-    in_flight_end::AttemptOutcome,
     load_sample::LoadSample,
+    placement_request::PlacementRequest,
+    probe::{Probe, ProbeOutcome},
     retry_budget::RetryBudget,
+    unplaced::Unplaced,
     wait_queue::{WaitQueue, WaitTicket},
 };
--- /dev/null
+++ b/crates/turmericloft/src/core/placement/probe.rs
@@ -0,0 +1,23 @@
+//! Asking an endpoint for its load.
+
+use std::sync::Arc;
+
+use super::{DiscoveredEndpoint, LoadSample};
+
+/// An endpoint that is asked for its load.
+#[derive(Clone, Debug)]
+pub struct Probe {
+    /// The endpoint.
+    pub endpoint: Arc<DiscoveredEndpoint>,
+}
+
+/// How a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ProbeOutcome {
+    /// The endpoint told its load.
+    Told(LoadSample),
+    /// The endpoint answered without telling its load.
+    NoLoad,
+    /// No answer came.
+    Unanswered,
+}
--- a/crates/turmericloft/src/ops/ingress/probe.rs
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -13,7 +13,7 @@
 use super::{metrics::count_probe, shared::Ingress};
 use crate::{
     core::{
-        placement::{LoadSample, PlacementRequest, Probe},
+        placement::{LoadSample, PlacementRequest, Probe, ProbeOutcome},
         traffic::RouteKind,
     },
     sources::http1::{ClientConnection, ExchangeError},
@@ -55,10 +55,14 @@
 /// Gives whether the endpoint has room.
 async fn run_probe(ingress: Arc<Ingress>, probe: Probe, path: Arc<str>) -> bool {
     let asked = timeout(PROBE_LIMIT, ask(&ingress, &probe, &path)).await;
-    let answer = asked.ok().and_then(Result::ok);
-    count_probe(answer.is_some());
+    let outcome = match asked {
+        Ok(Ok(Some(load))) => ProbeOutcome::Told(load),
+        Ok(Ok(None)) => ProbeOutcome::NoLoad,
+        Ok(Err(_)) | Err(_) => ProbeOutcome::Unanswered,
+    };
+    count_probe(outcome != ProbeOutcome::Unanswered);
     let now = ingress.now();
-    ingress.balancer.lock().probe_ended(now, &probe, answer)
+    ingress.balancer.lock().probe_ended(now, &probe, outcome)
 }
 
 async fn ask(
--- a/crates/turmericloft/tests/testsuite/placement/balancer.rs
+++ b/crates/turmericloft/tests/testsuite/placement/balancer.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 use turmericloft::core::placement::{
     AttemptOutcome, Balancer, DiscoveredEndpoint, EndpointState, LoadSample, Placement,
-    PlacementRequest, Probe, RetryBudget, Unplaced,
+    PlacementRequest, Probe, ProbeOutcome, RetryBudget, Unplaced,
 };
 
 use super::{endpoint, load, request};
@@ -28,7 +28,7 @@
     let probe = Probe {
         endpoint: Arc::new(endpoint(id, "a")),
     };
-    balancer.probe_ended(now, &probe, Some(Some(load)));
+    balancer.probe_ended(now, &probe, ProbeOutcome::Told(load));
 }
 
 fn place(balancer: &mut Balancer, now: Instant) -> Placement {
@@ -215,7 +215,7 @@
     let probes = balancer.probes(now, &request(&[]));
     assert!(!probes.is_empty() && probes.len() <= 3);
     for probe in &probes {
-        balancer.probe_ended(now, probe, Some(Some(load(0, 0, 1.0))));
+        balancer.probe_ended(now, probe, ProbeOutcome::Told(load(0, 0, 1.0)));
     }
     assert!(balancer.probes(now, &request(&[])).is_empty());
 }
@@ -225,7 +225,7 @@
     let now = Instant::now();
     let mut balancer = balancer(now, &ids(5));
     let probes = balancer.probes(now, &request(&[]));
-    balancer.probe_ended(now, &probes[0], Some(None));
+    balancer.probe_ended(now, &probes[0], ProbeOutcome::NoLoad);
     assert!(balancer.probes(now + 100 * MS, &request(&[])).is_empty());
 }
 
