Gateways of a zone share what they read of the store

Ruled out: a waiting read of the endpoints (each heartbeat ends it); one reader for all zones (a cut zone would read late); trusting answers as of their arrival (a test with such a program fails, as it must).

Change: core::relay decides whom a gateway follows and how long it relies on what it heard; ops::relay carries it over TCP; the gateways find each other in a topic of the product's own. A follower without news for 0.6 of the time for leaving endpoints reads by itself.

--- a/crates/turmericloft/src/core/placement/discovered_endpoint.rs
+++ b/crates/turmericloft/src/core/placement/discovered_endpoint.rs
@@ -2,13 +2,14 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use serde::{Deserialize, Serialize};
 use strum::Display;
 
 /// Identity of one endpoint; another endpoint at the same address has another one.
 pub type InstanceId = Arc<str>;
 
 /// Whether an endpoint takes requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[strum(serialize_all = "kebab-case")]
 pub enum EndpointState {
     /// It takes requests.
@@ -18,7 +19,7 @@
 }
 
 /// What discovery says of one endpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DiscoveredEndpoint {
     /// Its identity.
     pub id: InstanceId,
--- a/crates/turmericloft/src/core/placement/discovery.rs
+++ b/crates/turmericloft/src/core/placement/discovery.rs
@@ -9,6 +9,8 @@
     time::{Duration, Instant},
 };
 
+use serde::{Deserialize, Serialize};
+
 use super::{DiscoveredEndpoint, InstanceId};
 
 /// Time after an outage within which endpoints that live have registered again.
@@ -17,7 +19,7 @@
 const OUTAGE_AFTER: Duration = Duration::from_millis(2_500);
 
 /// One entry as it was read, with its place in the registry's history.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Observation {
     /// Identity of the endpoint.
     pub id: InstanceId,
@@ -36,9 +38,18 @@
     Endpoints,
 }
 
+/// Whether all records of an entry were seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum History {
+    Whole,
+    Partial,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     offset: u64,
+    /// Place of the last record that changed more than how long the endpoint stays slow.
+    changed_at: u64,
     endpoint: Option<DiscoveredEndpoint>,
     /// Kept only until this moment, unless it registers again.
     lapses: Option<Instant>,
@@ -67,8 +78,17 @@
         self.last_answer = Some(now);
     }
 
-    /// Takes in one entry.
+    /// Takes in one record; all before it were taken in.
     pub fn observe(&mut self, now: Instant, seen: Observation) -> DiscoveryChange {
+        self.take_in(now, seen, History::Whole)
+    }
+
+    /// Takes in the newest record of an entry; earlier ones may not have been seen.
+    pub fn observe_newest(&mut self, now: Instant, seen: Observation) -> DiscoveryChange {
+        self.take_in(now, seen, History::Partial)
+    }
+
+    fn take_in(&mut self, now: Instant, seen: Observation, history: History) -> DiscoveryChange {
         let known = self.entries.get(&seen.id);
         if known.is_some_and(|e| e.offset > seen.offset) {
             return DiscoveryChange::None;
@@ -76,23 +96,31 @@
         let gone = seen.endpoint.is_none();
         let before = known.and_then(|e| e.endpoint.clone());
         let hold = self.hold_until.filter(|until| *until > now);
-        let entry = match (gone, hold, before.is_some()) {
-            (true, Some(until), true) => Entry {
-                offset: seen.offset,
-                endpoint: before.clone(),
-                lapses: Some(until),
-            },
-            _ => Entry {
-                offset: seen.offset,
-                endpoint: seen.endpoint,
-                lapses: None,
-            },
+        let (endpoint, lapses) = match (gone, hold, before.is_some()) {
+            (true, Some(until), true) => (before.clone(), Some(until)),
+            _ => (seen.endpoint, None),
         };
-        let changed = match (&before, &entry.endpoint) {
+        let changed = match (&before, &endpoint) {
             (None, None) => false,
             (Some(a), Some(b)) => !same_but_warmup(a, b),
             _ => true,
         };
+        let lapsed_before = known.is_some_and(|e| e.lapses.is_some());
+        let changed_at = match known {
+            Some(known)
+                if history == History::Whole && !changed && lapsed_before == lapses.is_some() =>
+            {
+                known.changed_at
+            }
+            // A record that was not seen may have said something else in between.
+            _ => seen.offset,
+        };
+        let entry = Entry {
+            offset: seen.offset,
+            changed_at,
+            endpoint,
+            lapses,
+        };
         self.entries.insert(seen.id, entry);
         if changed {
             DiscoveryChange::Endpoints
@@ -123,10 +151,10 @@
                 offset: end.saturating_sub(1),
                 endpoint: None,
             };
-            change = change.or(self.observe(now, gone));
+            change = change.or(self.observe_newest(now, gone));
         }
         for seen in listed {
-            change = change.or(self.observe(now, seen));
+            change = change.or(self.observe_newest(now, seen));
         }
         change
     }
@@ -149,6 +177,22 @@
         self.entries.values().filter_map(|e| e.lapses).min()
     }
 
+    /// What the registry said last of each entry that changed at `from` or later.
+    pub fn changes_since(&self, from: u64) -> Vec<Observation> {
+        let changed = self.entries.iter().filter(|(_, e)| e.changed_at >= from);
+        let observed = changed.map(|(id, e)| Observation {
+            id: id.clone(),
+            offset: e.changed_at,
+            endpoint: e.endpoint.clone().filter(|_| e.lapses.is_none()),
+        });
+        observed.collect()
+    }
+
+    /// Whether an entry changed at `from` or later.
+    pub fn has_changes_since(&self, from: u64) -> bool {
+        self.entries.values().any(|e| e.changed_at >= from)
+    }
+
     /// The endpoints there are.
     pub fn endpoints(&self) -> Vec<DiscoveredEndpoint> {
         let known = self.entries.values().filter_map(|e| e.endpoint.clone());
--- /dev/null
+++ b/crates/turmericloft/src/core/relay/registry_view.rs
@@ -0,0 +1,171 @@
+//! What a gateway knows of the registry, from its own reads and from the gateway that it follows.
+
+use std::time::Instant;
+
+use super::{RelayAnswer, RelayPoll, RelayTimings};
+use crate::core::placement::{DiscoveredEndpoint, DiscoveryChange, DiscoveryTable, Observation};
+
+/// Knowledge that another gateway passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Relayed {
+    as_of: Instant,
+    hops: u32,
+}
+
+/// The registry as far as it is known, and as of when.
+#[derive(Clone, Debug)]
+pub struct RegistryView {
+    timings: RelayTimings,
+    table: DiscoveryTable,
+    next: u64,
+    as_of: Option<Instant>,
+    relayed: Option<Relayed>,
+}
+
+impl RegistryView {
+    /// Nothing is known yet.
+    pub fn new(timings: RelayTimings) -> Self {
+        Self {
+            timings,
+            table: DiscoveryTable::new(),
+            next: 0,
+            as_of: None,
+            relayed: None,
+        }
+    }
+
+    /// Place in the registry's history up to which it is known; 0 if nothing is.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// A moment whose state of the registry, at least, is known.
+    pub fn as_of(&self) -> Option<Instant> {
+        self.as_of
+    }
+
+    /// All endpoints there are.
+    pub fn endpoints(&self) -> Vec<DiscoveredEndpoint> {
+        self.table.endpoints()
+    }
+
+    /// Takes in records that a read begun at `begun` gave, up to `next`.
+    pub fn take_records(
+        &mut self,
+        now: Instant,
+        begun: Instant,
+        next: u64,
+        records: Vec<Observation>,
+    ) -> DiscoveryChange {
+        self.table.registry_answered(now);
+        self.next = self.next.max(next);
+        self.advance(begun);
+        let changes = records.into_iter().map(|o| self.table.observe(now, o));
+        changes.fold(DiscoveryChange::None, DiscoveryChange::or)
+    }
+
+    /// Takes in a whole listing up to `end`. Reading goes on at `next`.
+    pub fn take_listing(
+        &mut self,
+        now: Instant,
+        begun: Instant,
+        (end, next): (u64, u64),
+        listed: Vec<Observation>,
+    ) -> DiscoveryChange {
+        self.table.registry_answered(now);
+        self.next = self.next.max(next);
+        self.advance(begun);
+        self.table.replace(now, end, listed)
+    }
+
+    /// Takes in what the followed gateway answered to the question sent at `polled`.
+    pub fn take_answer(
+        &mut self,
+        now: Instant,
+        polled: Instant,
+        answer: &RelayAnswer,
+    ) -> DiscoveryChange {
+        if let Some(after) = answer.known_after {
+            // This host may have stood still in between, and its steady clock with it.
+            let as_of = (polled + after).min(now);
+            self.rely_on(now, as_of, answer.hops);
+        }
+        self.next = self.next.max(answer.next);
+        let newest = answer.changes.iter().cloned();
+        let changes = newest.map(|o| self.table.observe_newest(now, o));
+        changes.fold(DiscoveryChange::None, DiscoveryChange::or)
+    }
+
+    fn rely_on(&mut self, now: Instant, as_of: Instant, hops: u32) {
+        if self.relayed.is_some_and(|r| r.as_of >= as_of) {
+            return;
+        }
+        self.relayed = Some(Relayed { as_of, hops });
+        self.advance(as_of);
+        // Old knowledge does not tell that the registry answers.
+        if now.saturating_duration_since(as_of) < self.timings.stale_after(hops) {
+            self.table.registry_answered(now);
+        }
+    }
+
+    /// Whether the registry was read since a question arrived at `received`, or the follower lacks
+    /// a change that was known before.
+    pub fn has_news(&self, received: Instant, poll: &RelayPoll) -> bool {
+        let is_newer = self.as_of.is_some_and(|at| at > received);
+        let is_ahead = self.next > poll.from;
+        is_newer || is_ahead && self.table.has_changes_since(poll.from)
+    }
+
+    /// The answer to a question that arrived at `received`, without a document.
+    pub fn answer(&self, now: Instant, received: Instant, poll: &RelayPoll) -> RelayAnswer {
+        let changes = match self.as_of {
+            Some(_) => self.table.changes_since(poll.from),
+            None => Vec::new(),
+        };
+        RelayAnswer {
+            known_after: self
+                .as_of
+                .and_then(|at| at.checked_duration_since(received)),
+            hops: self.hops(now) + 1,
+            next: self.next,
+            changes,
+            document: None,
+        }
+    }
+
+    /// Gateways between the registry's reader and this one; 0 if this one reads.
+    pub fn hops(&self, now: Instant) -> u32 {
+        let fresh = self.relayed.filter(|_| self.relayed_until(now).is_some());
+        fresh.map_or(0, |r| r.hops)
+    }
+
+    /// Until when what was passed on can be relied on; none if this gateway has to read.
+    pub fn relayed_until(&self, now: Instant) -> Option<Instant> {
+        let relayed = self.relayed?;
+        let until = relayed.as_of + self.timings.stale_after(relayed.hops);
+        Some(until).filter(|until| *until > now)
+    }
+
+    /// Whether nothing new was passed on for so long that another gateway is worth a try.
+    pub fn is_upstream_useless(&self, now: Instant, followed_since: Instant) -> bool {
+        let news = self.relayed.map_or(followed_since, |r| r.as_of);
+        let last = news.max(followed_since);
+        now.saturating_duration_since(last) >= self.timings.useless_after()
+    }
+
+    /// Drops entries whose time after an outage is over.
+    pub fn expire(&mut self, now: Instant) -> DiscoveryChange {
+        self.table.expire(now)
+    }
+
+    /// When the next entry is dropped unless it registers again.
+    pub fn next_lapse(&self) -> Option<Instant> {
+        self.table.next_lapse()
+    }
+
+    fn advance(&mut self, as_of: Instant) {
+        if self.as_of.is_none_or(|known| known < as_of) {
+            self.as_of = Some(as_of);
+        }
+    }
+}
--- a/crates/turmericloft/src/core/traffic/request_limits.rs
+++ b/crates/turmericloft/src/core/traffic/request_limits.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Bounds of one request and of the pauses around it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestLimits {
     /// Largest head, in bytes.
     pub head_bytes: usize,
--- a/crates/turmericloft/src/core/traffic/route.rs
+++ b/crates/turmericloft/src/core/traffic/route.rs
@@ -2,10 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use super::RouteKind;
 
 /// A service that gets a share of a route's requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Destination {
     /// Name of the service.
     pub service: Arc<str>,
@@ -14,7 +16,7 @@
 }
 
 /// Requests of one host below one path prefix.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route, unique in its document.
     pub name: Arc<str>,
--- a/crates/turmericloft/src/core/traffic/traffic_document.rs
+++ b/crates/turmericloft/src/core/traffic/traffic_document.rs
@@ -2,10 +2,12 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use serde::{Deserialize, Serialize};
+
 use super::{RequestLimits, Route, ServiceSettings};
 
 /// Routes, services and limits that are in force together.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrafficDocument {
     /// Grows with each change; a gateway never goes back to a lower one.
     pub version: u64,
--- a/crates/turmericloft/src/ops/mod.rs
+++ b/crates/turmericloft/src/ops/mod.rs
@@ -9,6 +9,7 @@
 mod promote;
 mod promotion;
 mod read_page;
+pub mod relay;
 pub mod report;
 pub mod reporter;
 mod status;
--- /dev/null
+++ b/crates/turmericloft/src/ops/relay/follow.rs
@@ -0,0 +1,125 @@
+//! Follows another gateway of the zone.
+
+use std::{future::pending, sync::Arc, time::Duration};
+
+use metrics::counter;
+use tokio::{
+    net::TcpStream,
+    sync::watch,
+    time::{sleep_until, timeout},
+};
+
+use super::{RelayError, RelayHub, hub::now, wire::RelayConnection};
+use crate::{
+    core::relay::{RelayMember, UpstreamChooser},
+    util::{error_chain, metrics_table::RELAY_ANSWERS},
+};
+
+/// Time for a connection within the zone.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Follows one gateway after the other, as the chooser says, until dropped. `members` tells of all
+/// gateways there are.
+pub async fn follow_upstream(
+    hub: Arc<RelayHub>,
+    host: Arc<str>,
+    mut chooser: UpstreamChooser,
+    mut members: watch::Receiver<Vec<RelayMember>>,
+) {
+    loop {
+        chooser.set_members(&members.borrow_and_update());
+        let Some(upstream) = chooser.upstream(now()).cloned() else {
+            if !wait_for_candidate(&chooser, &mut members).await {
+                return;
+            }
+            continue;
+        };
+        let end = follow(&hub, &host, &upstream).await;
+        log::info!(
+            "upstream lost host={} cause=\"{}\"",
+            upstream.host,
+            error_chain::line(&end)
+        );
+        chooser.note_failed(now(), &upstream.host);
+    }
+}
+
+/// Whether there can be a candidate later on.
+async fn wait_for_candidate(
+    chooser: &UpstreamChooser,
+    members: &mut watch::Receiver<Vec<RelayMember>>,
+) -> bool {
+    let next_try = async {
+        match chooser.next_try(now()) {
+            Some(at) => sleep_until(at.into()).await,
+            None => pending().await,
+        }
+    };
+    tokio::select! {
+        changed = members.changed() => changed.is_ok(),
+        () = next_try => true,
+    }
+}
+
+/// Follows one gateway for as long as it is of use.
+async fn follow(hub: &RelayHub, host: &Arc<str>, upstream: &RelayMember) -> RelayError {
+    let mut connection = match connect(upstream).await {
+        Ok(connection) => connection,
+        Err(e) => return e,
+    };
+    log::info!("upstream taken host={}", upstream.host);
+    hub.set_upstream(true);
+    let end = poll_while_useful(hub, host, upstream, &mut connection).await;
+    hub.set_upstream(false);
+    end
+}
+
+async fn poll_while_useful(
+    hub: &RelayHub,
+    host: &Arc<str>,
+    upstream: &RelayMember,
+    connection: &mut RelayConnection,
+) -> RelayError {
+    let peer = upstream.address;
+    let since = now();
+    loop {
+        if let Err(e) = poll(hub, host, upstream, connection).await {
+            return e;
+        }
+        if hub.is_upstream_useless(since) {
+            let limit = hub.timings().useless_after();
+            return RelayError::Useless { peer, limit };
+        }
+    }
+}
+
+async fn connect(upstream: &RelayMember) -> Result<RelayConnection, RelayError> {
+    let peer = upstream.address;
+    let limit = CONNECT_LIMIT;
+    let connecting = timeout(limit, TcpStream::connect(peer)).await;
+    let connected = connecting.map_err(|_| RelayError::Silent { peer, limit })?;
+    let stream = connected.map_err(|source| RelayError::Connect { peer, source })?;
+    let broken = |source| RelayError::Broken { peer, source };
+    stream.set_nodelay(true).map_err(broken)?;
+    Ok(RelayConnection::new(peer, stream))
+}
+
+async fn poll(
+    hub: &RelayHub,
+    host: &Arc<str>,
+    upstream: &RelayMember,
+    connection: &mut RelayConnection,
+) -> Result<(), RelayError> {
+    let peer = upstream.address;
+    let limit = hub.silent_after();
+    let polled = now();
+    let exchange = async {
+        connection.send(hub.poll(host)).await?;
+        connection.receive().await
+    };
+    let exchanged = timeout(limit, exchange).await;
+    let answer = exchanged.map_err(|_| RelayError::Silent { peer, limit })??;
+    hub.take_answer(polled, answer);
+    counter!(RELAY_ANSWERS.name, "direction" => "taken").increment(1);
+    Ok(())
+}
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -209,6 +209,15 @@
     meaning: "Calls to the platform's store, by call and by whether it answered",
 };
 
+/// Answers between gateways.
+pub const RELAY_ANSWERS: Metric = Metric {
+    name: "turmericloft_relay_answers_total",
+    kind: MetricKind::Counter,
+    unit: "answers",
+    labels: &["direction"],
+    meaning: "Answers on what is new in the registry, sent to followers and taken from upstream",
+};
+
 /// Log lines.
 pub const LOG_LINES_DROPPED: Metric = Metric {
     name: "turmericloft_log_lines_dropped_total",
@@ -219,7 +228,7 @@
 };
 
 /// All metrics, in the order of the documentation.
-pub const ALL: [Metric; 21] = [
+pub const ALL: [Metric; 22] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -240,5 +249,6 @@
     INGRESS_ATTEMPT_SECONDS,
     INGRESS_PROBES,
     STORE_CALLS,
+    RELAY_ANSWERS,
     LOG_LINES_DROPPED,
 ];
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -11,5 +11,6 @@
 mod parsers;
 mod peer;
 mod placement;
+mod relay;
 mod routing;
 mod traffic;
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/relay/upstream.rs
@@ -0,0 +1,144 @@
+//! Whom a gateway follows.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use proptest::prelude::*;
+use turmericloft::core::relay::{RelayMember, UpstreamChooser};
+
+use super::member;
+
+fn zone_of(count: usize) -> Vec<RelayMember> {
+    (0..count).map(|i| member(&format!("h{i}"), "a")).collect()
+}
+
+fn chooser(own: &RelayMember, members: &[RelayMember]) -> UpstreamChooser {
+    let mut chooser = UpstreamChooser::new(Arc::clone(&own.host), Arc::clone(&own.zone));
+    chooser.set_members(members);
+    chooser
+}
+
+fn upstream(own: &RelayMember, members: &[RelayMember], now: Instant) -> Option<Arc<str>> {
+    let chooser = chooser(own, members);
+    chooser.upstream(now).map(|m| Arc::clone(&m.host))
+}
+
+/// Hosts between `host` and the one that follows nobody; none if there is a circle.
+fn depth(host: &Arc<str>, upstreams: &HashMap<Arc<str>, Option<Arc<str>>>) -> Option<usize> {
+    let mut at = host;
+    for depth in 0..=upstreams.len() {
+        match &upstreams[at] {
+            Some(next) => at = next,
+            None => return Some(depth),
+        }
+    }
+    None
+}
+
+#[test]
+fn one_gateway_of_a_zone_reads_and_the_tree_is_flat() {
+    let now = Instant::now();
+    for (count, deepest) in [(1, 0), (6, 2), (43, 4), (300, 6)] {
+        let members = zone_of(count);
+        let upstreams: HashMap<_, _> = members
+            .iter()
+            .map(|m| (Arc::clone(&m.host), upstream(m, &members, now)))
+            .collect();
+        let readers = upstreams.values().filter(|u| u.is_none()).count();
+        assert_eq!(readers, 1, "of {count}");
+        let depths = members.iter().map(|m| depth(&m.host, &upstreams));
+        let most = depths.max().flatten().expect("no circle");
+        assert!(most <= deepest, "{count} gateways: {most} hops");
+        let mut followers: HashMap<_, usize> = HashMap::new();
+        for followed in upstreams.values().flatten() {
+            *followers.entry(followed).or_default() += 1;
+        }
+        assert!(followers.values().all(|n| *n <= 6), "{followers:?}");
+    }
+}
+
+#[test]
+fn a_gateway_of_another_zone_is_never_followed() {
+    let now = Instant::now();
+    let members: Vec<_> = (0..40)
+        .map(|i| member(&format!("h{i}"), if i % 2 == 0 { "a" } else { "b" }))
+        .collect();
+    for own in &members {
+        let chooser = chooser(own, &members);
+        if let Some(upstream) = chooser.upstream(now) {
+            assert_eq!(upstream.zone, own.zone);
+        }
+    }
+}
+
+#[test]
+fn a_gateway_that_failed_is_left_alone_for_a_while_and_then_tried_again() {
+    let now = Instant::now();
+    let members = zone_of(2);
+    let follower = members
+        .iter()
+        .find(|m| upstream(m, &members, now).is_some())
+        .expect("one of two follows");
+    let mut chooser = chooser(follower, &members);
+    let first = Arc::clone(&chooser.upstream(now).expect("the other one").host);
+    chooser.note_failed(now, &first);
+    assert_eq!(chooser.upstream(now), None);
+    let again = chooser.next_try(now).expect("it is tried again");
+    assert!(again > now && again <= now + Duration::from_secs(20));
+    assert_eq!(chooser.upstream(again).map(|m| &*m.host), Some(&*first));
+}
+
+#[test]
+fn those_who_lose_the_same_gateway_spread_over_others() {
+    let now = Instant::now();
+    let members = zone_of(60);
+    let mut seconds: HashMap<Arc<str>, usize> = HashMap::new();
+    for own in &members {
+        let mut chooser = chooser(own, &members);
+        let Some(first) = chooser.upstream(now).map(|m| Arc::clone(&m.host)) else {
+            continue;
+        };
+        chooser.note_failed(now, &first);
+        if let Some(second) = chooser.upstream(now) {
+            *seconds.entry(Arc::clone(&second.host)).or_default() += 1;
+        }
+    }
+    assert!(seconds.values().all(|n| *n <= 12), "{seconds:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// Gateways that know different sets of others, and that failed with some, make no circle.
+    #[test]
+    fn there_is_never_a_circle(
+        count in 2_usize..30,
+        knows in prop::collection::vec(prop::collection::vec(any::<bool>(), 30), 30),
+        failed in prop::collection::vec(prop::collection::vec(any::<bool>(), 30), 30),
+    ) {
+        let now = Instant::now();
+        let members = zone_of(count);
+        let mut upstreams = HashMap::new();
+        for (i, own) in members.iter().enumerate() {
+            let known: Vec<_> = (0..count).filter(|j| knows[i][*j]).collect();
+            let known: Vec<_> = known.into_iter().map(|j| members[j].clone()).collect();
+            let mut chooser = chooser(own, &known);
+            for (j, other) in members.iter().enumerate() {
+                if failed[i][j] {
+                    chooser.note_failed(now, &other.host);
+                }
+            }
+            let upstream = chooser.upstream(now).map(|m| Arc::clone(&m.host));
+            upstreams.insert(Arc::clone(&own.host), upstream);
+        }
+        for own in &members {
+            prop_assert!(depth(&own.host, &upstreams).is_some());
+        }
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/relay/view.rs
@@ -0,0 +1,202 @@
+//! What a gateway knows, and as of when.
+
+use std::time::{Duration, Instant};
+
+use turmericloft::core::{
+    placement::{DiscoveryChange, EndpointState},
+    relay::{RegistryView, RelayAnswer, RelayPoll},
+};
+
+use super::{gone, seen, timings};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn poll(from: u64) -> RelayPoll {
+    RelayPoll {
+        host: "follower".into(),
+        from,
+        document: None,
+    }
+}
+
+fn ids(view: &RegistryView) -> Vec<String> {
+    let endpoints = view.endpoints();
+    endpoints.iter().map(|e| e.id.to_string()).collect()
+}
+
+/// A view that read `e1` and `e2` at `now`.
+fn reader(now: Instant) -> RegistryView {
+    let mut view = RegistryView::new(timings());
+    let listed = vec![
+        seen("e1", 3, EndpointState::Ready),
+        seen("e2", 9, EndpointState::Ready),
+    ];
+    view.take_listing(now, now, (10, 10), listed);
+    view
+}
+
+fn answer(known_after: Option<Duration>, next: u64) -> RelayAnswer {
+    RelayAnswer {
+        known_after,
+        hops: 1,
+        next,
+        changes: Vec::new(),
+        document: None,
+    }
+}
+
+#[test]
+fn a_follower_gets_everything_once_and_then_what_changed() {
+    let now = Instant::now();
+    let mut upstream = reader(now);
+    let mut follower = RegistryView::new(timings());
+    let first = upstream.answer(now + MS, now, &poll(follower.next()));
+    assert_eq!(first.changes.len(), 2);
+    let change = follower.take_answer(now + MS, now, &first);
+    assert_eq!(change, DiscoveryChange::Endpoints);
+    assert_eq!(ids(&follower), ["e1", "e2"]);
+
+    let heartbeat = seen("e1", 10, EndpointState::Ready);
+    let leaving = seen("e2", 11, EndpointState::Draining);
+    let later = now + 500 * MS;
+    upstream.take_records(later, later, 12, vec![heartbeat, leaving]);
+    let second = upstream.answer(later, now + 2 * MS, &poll(follower.next()));
+    let told: Vec<_> = second.changes.iter().map(|o| &*o.id).collect();
+    assert_eq!(told, ["e2"]);
+    follower.take_answer(later + MS, now + 2 * MS, &second);
+    assert_eq!(follower.next(), 12);
+    let left = follower.endpoints();
+    assert_eq!(left[1].state, EndpointState::Draining);
+}
+
+#[test]
+fn a_follower_relies_on_what_it_is_told_until_it_is_stale() {
+    let now = Instant::now();
+    let mut follower = RegistryView::new(timings());
+    assert_eq!(follower.relayed_until(now), None);
+    follower.take_answer(now + 9 * MS, now, &answer(Some(3 * MS), 10));
+    let as_of = now + 3 * MS;
+    assert_eq!(follower.as_of(), Some(as_of));
+    let until = follower.relayed_until(now + 9 * MS);
+    assert_eq!(until, Some(as_of + timings().stale_after(1)));
+    let stale = until.expect("relied on");
+    assert_eq!(follower.relayed_until(stale), None);
+    assert_eq!(follower.hops(stale), 0);
+}
+
+#[test]
+fn an_answer_that_was_long_under_way_is_as_old_as_its_question() {
+    let now = Instant::now();
+    let mut follower = RegistryView::new(timings());
+    let arrived = now + 5_000 * MS;
+    follower.take_answer(arrived, now, &answer(Some(4 * MS), 10));
+    assert_eq!(follower.relayed_until(arrived), None);
+}
+
+/// The upstream stood still after its last read, and its clock with it: what it knows may be of any
+/// age.
+#[test]
+fn knowledge_from_before_the_question_is_not_relied_on() {
+    let now = Instant::now();
+    let upstream = reader(now);
+    let mut follower = RegistryView::new(timings());
+    let told = upstream.answer(now + 20 * MS, now + 10 * MS, &poll(0));
+    follower.take_answer(now + 20 * MS, now + 10 * MS, &told);
+    assert_eq!(ids(&follower), ["e1", "e2"]);
+    assert_eq!(follower.as_of(), None);
+    assert_eq!(follower.relayed_until(now + 20 * MS), None);
+}
+
+#[test]
+fn a_follower_that_stood_still_claims_no_later_moment_than_its_own() {
+    let now = Instant::now();
+    let mut follower = RegistryView::new(timings());
+    follower.take_answer(now + 10 * MS, now, &answer(Some(700 * MS), 10));
+    assert_eq!(follower.as_of(), Some(now + 10 * MS));
+}
+
+#[test]
+fn a_gateway_that_never_read_passes_nothing_on() {
+    let now = Instant::now();
+    let upstream = RegistryView::new(timings());
+    let told = upstream.answer(now, now, &poll(0));
+    assert_eq!(told.known_after, None);
+    let mut follower = RegistryView::new(timings());
+    follower.take_answer(now, now, &told);
+    assert_eq!(follower.relayed_until(now), None);
+    assert!(follower.is_upstream_useless(now + timings().useless_after(), now));
+}
+
+/// The gateways that are read from lost the registry, and entries lapsed meanwhile.
+#[test]
+fn entries_that_lapsed_during_an_outage_are_kept_by_followers_too() {
+    let now = Instant::now();
+    let back = now + Duration::from_secs(9);
+    let mut upstream = reader(now);
+    let mut follower = RegistryView::new(timings());
+    follower.take_answer(now, now, &upstream.answer(now, now, &poll(0)));
+    upstream.take_records(back, back, 12, vec![gone("e1", 11)]);
+    assert_eq!(ids(&upstream), ["e1", "e2"]);
+    let told = upstream.answer(back + MS, back, &poll(follower.next()));
+    follower.take_answer(back + MS, back, &told);
+    assert_eq!(ids(&follower), ["e1", "e2"]);
+    let registered = seen("e1", 13, EndpointState::Ready);
+    upstream.take_records(back + MS, back + MS, 14, vec![registered]);
+    let told = upstream.answer(back + 2 * MS, back + MS, &poll(follower.next()));
+    follower.take_answer(back + 2 * MS, back + MS, &told);
+    assert_eq!(follower.next_lapse(), None);
+    assert_eq!(ids(&follower), ["e1", "e2"]);
+}
+
+/// The follower read the registry by itself while the other one was away.
+#[test]
+fn a_follower_without_an_outage_drops_what_its_upstream_still_keeps() {
+    let now = Instant::now();
+    let back = now + Duration::from_secs(9);
+    let mut upstream = reader(now);
+    let mut follower = reader(now);
+    for s in 1..9 {
+        let at = now + Duration::from_secs(s);
+        follower.take_records(at, at, 10, Vec::new());
+    }
+    upstream.take_records(back, back, 12, vec![gone("e1", 11)]);
+    assert_eq!(ids(&upstream), ["e1", "e2"]);
+    let told = upstream.answer(back, back, &poll(follower.next()));
+    follower.take_answer(back, back, &told);
+    assert_eq!(ids(&follower), ["e2"]);
+}
+
+#[test]
+fn an_older_record_never_replaces_a_newer_one() {
+    let now = Instant::now();
+    let mut follower = reader(now);
+    let draining = seen("e1", 20, EndpointState::Draining);
+    follower.take_records(now + MS, now + MS, 21, vec![draining]);
+    let mut late = answer(Some(8 * MS), 10);
+    late.changes = vec![seen("e1", 3, EndpointState::Ready)];
+    follower.take_answer(now + 9 * MS, now, &late);
+    assert_eq!(follower.endpoints()[0].state, EndpointState::Draining);
+    assert_eq!(follower.next(), 21);
+}
+
+/// The follower saw by itself what its upstream, told only of the end, never saw.
+#[test]
+fn a_change_back_is_passed_on_by_those_who_saw_no_change() {
+    let now = Instant::now();
+    let mut reader = reader(now);
+    let mut between = RegistryView::new(timings());
+    between.take_answer(now, now, &reader.answer(now, now, &poll(0)));
+    let mut last = RegistryView::new(timings());
+    last.take_answer(now, now, &between.answer(now, now, &poll(0)));
+
+    let draining = seen("e1", 10, EndpointState::Draining);
+    let ready = seen("e1", 11, EndpointState::Ready);
+    reader.take_records(now + MS, now + MS, 12, vec![draining.clone(), ready]);
+    last.take_records(now + MS, now + MS, 11, vec![draining]);
+    let told = reader.answer(now + MS, now, &poll(between.next()));
+    between.take_answer(now + 2 * MS, now, &told);
+    let told = between.answer(now + 2 * MS, now, &poll(last.next()));
+    last.take_answer(now + 3 * MS, now, &told);
+    assert_eq!(last.next(), 12);
+    assert_eq!(last.endpoints()[0].state, EndpointState::Ready);
+}
