Endpoints that have just told of room go first; probes in rounds, within what endpoints bear

Three faults in what a gateway with few requests believes: - one report made all endpoints as fast (or as full) as that one; - work times were divided by the slowdown at the end of the request, though the one at its begin holds, and so came out at about two thirds; - waiting requests used up the probes that the next ones needed, and three slow endpoints in a row ended the search.

Ruled out: endpoints that are bad for long (358 endpoints share the failures); lack of time for probes (62 of 3,300 were out of patience).

Change: an endpoint that told of room within 12 ms goes before all others; beliefs start from a prior with weight; work is judged by the slowdown told at its begin, one odd answer moves it by a factor of four at most; probes go on in rounds until one with room is found, for 4% of the target latency at most; ProbeBudget bounds them by requests and by what endpoints bear from all gateways (setting of the platform, by the number of gateways entered).

--- a/crates/turmericloft/src/core/decayed_mean.rs
+++ b/crates/turmericloft/src/core/decayed_mean.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Mean of the samples and of `weight` more of the value `prior`, which do not age.
+    pub(crate) fn mean_with(&self, prior: f64, weight: f64) -> f64 {
+        (self.sum + prior * weight) / (self.weight + weight)
+    }
+
     fn kept(&self, now: f64) -> f64 {
         let age = (now - self.updated).max(0.0);
         (-age / self.half_life).exp2()
--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -41,9 +41,6 @@
 const KNOWN_FOR: Duration = Duration::from_millis(12);
 /// Endpoints asked before a request is sent.
 const PROBES: usize = 3;
-/// Probes that each request allows on average, and those that may be saved up.
-const PROBES_PER_REQUEST: f64 = 2.4;
-const MAX_SAVED_PROBES: f64 = 30.0;
 /// Shortest time to come back after a refusal.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Time to come back when a service has no endpoint.
@@ -62,6 +59,8 @@
     pub started: Instant,
     /// Age of the endpoint's last load report, if there was one.
     pub report_age: Option<Duration>,
+    /// Slowdown that the endpoint had just told.
+    slowdown: Option<f64>,
     /// Whether the endpoint was nearly full.
     crowded: bool,
 }
@@ -71,6 +70,8 @@
 pub struct Balancer {
     zone: Arc<str>,
     budget: RetryBudget,
+    /// Probes that an endpoint bears from this gateway in a second, if that is bounded.
+    probe_rate: Option<f64>,
     services: HashMap<Arc<str>, ServiceView>,
     rng: Pcg64Mcg,
 }
@@ -81,11 +82,17 @@
         Self {
             zone,
             budget,
+            probe_rate: None,
             services: HashMap::new(),
             rng,
         }
     }
 
+    /// Bounds the probes that an endpoint gets from this gateway in a second.
+    pub fn set_probe_rate(&mut self, per_endpoint: f64) {
+        self.probe_rate = Some(per_endpoint);
+    }
+
     /// Takes in all endpoints there are. Knowledge of those that stay is kept.
     pub fn set_endpoints(&mut self, now: Instant, endpoints: &[DiscoveredEndpoint]) {
         let named: HashSet<_> = endpoints.iter().map(|e| &e.id).collect();
@@ -112,8 +119,7 @@
     pub fn add_request(&mut self, now: Instant, service: &str) {
         if let Some(service) = self.services.get_mut(service) {
             service.budget.add_request(now);
-            let saved = service.saved_probes + PROBES_PER_REQUEST;
-            service.saved_probes = saved.min(MAX_SAVED_PROBES);
+            service.probe_budget.add_request();
         }
     }
 
@@ -129,10 +135,11 @@
         let Some(service) = self.services.get_mut(req.service) else {
             return Vec::new();
         };
-        if !service.tells_load() || service.saved_probes < 1.0 {
+        let borne = self.probe_rate.map(|r| r * service.endpoints.len() as f64);
+        let most = PROBES.min(service.probe_budget.available(now, borne));
+        if !service.tells_load() || most == 0 {
             return Vec::new();
         }
-        let most = PROBES.min(service.saved_probes as usize);
         let usual = service.usual(req.target);
         let takes = |v: &&mut EndpointView| {
             v.takes_requests() && !v.is_ejected(now) && !req.tried.contains(&v.endpoint.id)
@@ -159,7 +166,7 @@
             }
         });
         let probes: Vec<_> = probed.collect();
-        service.saved_probes -= probes.len() as f64;
+        service.probe_budget.take(probes.len());
         probes
     }
 
@@ -208,13 +215,19 @@
         let mut best: Option<(&EndpointView, f64)> = None;
         // Ejected endpoints are better than none.
         let healthy = views().any(|v| !v.is_ejected(now));
+        // One that is slow now takes several times as long, so an endpoint that has just told of
+        // room goes before those that are better on average.
+        let mut best_is_known = false;
         for view in views().filter(|v| !healthy || !v.is_ejected(now)) {
             let cost = cost(view, now, &usual, zone, rng.random::<f64>());
-            let in_time = view.least_seconds(now, &usual) < req.left.as_secs_f64();
-            let soon = view.expected_seconds(now, &usual) <= req.within.as_secs_f64();
-            let fits = in_time && soon && has_room(view, now, &usual, req);
-            if fits && best.is_none_or(|(_, least)| cost < least) {
+            let is_known = view.is_known_idle(now, KNOWN_FOR);
+            if !fits(view, now, &usual, req) || best_is_known && !is_known {
+                continue;
+            }
+            let is_better = is_known && !best_is_known;
+            if is_better || best.is_none_or(|(_, least)| cost < least) {
                 best = Some((view, cost));
+                best_is_known = is_known;
             }
         }
         let Some((view, _)) = best else {
@@ -225,6 +238,7 @@
         let seconds = view.expected_seconds(now, &usual);
         let crowded = view.is_crowded(now, &usual);
         let report_age = view.report_age(now);
+        let slowdown = view.told_slowdown(now, KNOWN_FOR);
         let endpoint = Arc::clone(&view.endpoint);
         if let Some(view) = service.endpoints.get_mut(&endpoint.id) {
             view.start(now);
@@ -235,6 +249,7 @@
             work: Duration::from_secs_f64(usual.work_s),
             started: now,
             report_age,
+            slowdown,
             crowded,
         })
     }
@@ -253,7 +268,16 @@
         };
         let latency = now.saturating_duration_since(placement.started);
         if outcome == AttemptOutcome::Answered {
-            service.answered(now, latency, load.as_ref());
+            let queued = load.as_ref().is_some_and(|l| l.waiting > 0);
+            let slowdown = match service.tells_load() {
+                // The slowdown at the begin of work holds for all of it; another one tells nothing.
+                true => placement.slowdown,
+                false => Some(1.0),
+            };
+            if let Some(slowdown) = slowdown.filter(|_| !queued) {
+                let work = placement.work.as_secs_f64();
+                service.answered(now, latency, slowdown, work);
+            }
             let crowding = if placement.crowded {
                 service.usual(latency).crowding
             } else {
@@ -305,6 +329,13 @@
     view.expected_seconds(now, usual) + view.risk_seconds(now, usual) + extra
 }
 
+/// Whether an endpoint should answer in time.
+fn fits(view: &EndpointView, now: Instant, usual: &Usual, req: &PlacementRequest<'_>) -> bool {
+    let in_time = view.least_seconds(now, usual) < req.left.as_secs_f64();
+    let soon = view.expected_seconds(now, usual) <= req.within.as_secs_f64();
+    in_time && soon && has_room(view, now, usual, req)
+}
+
 fn has_room(view: &EndpointView, now: Instant, usual: &Usual, req: &PlacementRequest<'_>) -> bool {
     let slots = f64::from(view.endpoint.slots.max(1));
     let calm = if usual.crowding > MAX_CROWDING {
--- a/crates/turmericloft/src/core/placement/endpoint_view.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_view.rs
@@ -212,6 +212,13 @@
         Some(now.saturating_duration_since(reported.at))
     }
 
+    /// Slowdown that a report younger than `age` told.
+    pub(super) fn told_slowdown(&self, now: Instant, age: Duration) -> Option<f64> {
+        let reported = self.reported.as_ref()?;
+        let is_fresh = now.saturating_duration_since(reported.at) < age;
+        reported.load.slowdown.filter(|_| is_fresh)
+    }
+
     /// Whether the last report is younger than `age` and tells of room and usual speed.
     pub(super) fn is_known_idle(&self, now: Instant, age: Duration) -> bool {
         let fresh = |r: &&Reported| now.saturating_duration_since(r.at) < age;
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -8,6 +8,7 @@
 mod load_sample;
 mod placement_request;
 mod probe;
+mod probe_budget;
 mod retry_budget;
 mod service_view;
 mod unplaced;
@@ -21,6 +22,7 @@
     load_sample::LoadSample,
     placement_request::PlacementRequest,
     probe::{Probe, ProbeOutcome},
+    probe_budget::ProbeBudget,
     retry_budget::RetryBudget,
     unplaced::Unplaced,
     wait_queue::{WaitQueue, WaitTicket},
--- a/crates/turmericloft/src/core/placement/service_view.rs
+++ b/crates/turmericloft/src/core/placement/service_view.rs
@@ -6,18 +6,25 @@
     time::{Duration, Instant},
 };
 
-use super::{InstanceId, LoadSample, RetryBudget, endpoint_view::EndpointView};
+use super::{InstanceId, LoadSample, ProbeBudget, RetryBudget, endpoint_view::EndpointView};
 use crate::core::decayed_mean::DecayedMean;
 
 /// Half-life of the service's means, in seconds.
 const MEANS_HALF_LIFE_S: f64 = 5.0;
 /// Share of the target latency that work is taken to need before the first answers.
 const INITIAL_WORK_SHARE: f64 = 0.4;
-/// Probes that may be sent before the first requests have earned some.
-const INITIAL_PROBES: f64 = 12.0;
 /// Slowdown expected of an endpoint that told nothing, before the first reports.
 const INITIAL_SLOWDOWN: f64 = 1.5;
 
+/// Requests of other gateways at an endpoint that told nothing, before the first reports.
+const INITIAL_OTHERS: f64 = 0.5;
+/// Answers and reports that the beliefs before the first ones count for.
+const PRIOR_ANSWERS: f64 = 1.0;
+const PRIOR_REPORTS: f64 = 3.0;
+/// Factor by which one answer may differ from the usual work time: some requests are answered
+/// without work.
+const WORK_RANGE: f64 = 4.0;
+
 /// Share of the slots beyond which an endpoint counts as crowded.
 pub(super) const CROWDED_SHARE: f64 = 0.8;
 /// Half-life of what is known of crowded endpoints, in seconds.
@@ -47,8 +54,7 @@
     /// Ordered, so that the same draws lead to the same choices.
     pub(super) endpoints: BTreeMap<InstanceId, EndpointView>,
     pub(super) budget: RetryBudget,
-    /// Probes that may be sent.
-    pub(super) saved_probes: f64,
+    pub(super) probe_budget: ProbeBudget,
     work: DecayedMean,
     slowdown: DecayedMean,
     others: DecayedMean,
@@ -64,7 +70,7 @@
             epoch: now,
             endpoints: BTreeMap::new(),
             budget,
-            saved_probes: INITIAL_PROBES,
+            probe_budget: ProbeBudget::new(now),
             work: DecayedMean::new(MEANS_HALF_LIFE_S),
             slowdown: DecayedMean::new(MEANS_HALF_LIFE_S),
             others: DecayedMean::new(MEANS_HALF_LIFE_S),
@@ -88,9 +94,9 @@
     pub(super) fn usual(&self, target: Duration) -> Usual {
         let prior = target.as_secs_f64() * INITIAL_WORK_SHARE;
         Usual {
-            work_s: self.work.mean_or(prior).max(0.001),
-            slowdown: self.slowdown.mean_or(INITIAL_SLOWDOWN),
-            others: self.others.mean_or(0.0),
+            work_s: self.work.mean_with(prior, PRIOR_ANSWERS).max(0.001),
+            slowdown: self.slowdown.mean_with(INITIAL_SLOWDOWN, PRIOR_REPORTS),
+            others: self.others.mean_with(INITIAL_OTHERS, PRIOR_REPORTS),
             crowding: self.crowding(),
         }
     }
@@ -122,14 +128,19 @@
         }
     }
 
-    /// Takes in the latency of an answer.
-    pub(super) fn answered(&mut self, now: Instant, latency: Duration, load: Option<&LoadSample>) {
+    /// Takes in the latency of an answer whose endpoint was `slowdown` times slower than usual when
+    /// the request was placed, and where `usual_s` seconds of work were expected.
+    pub(super) fn answered(
+        &mut self,
+        now: Instant,
+        latency: Duration,
+        slowdown: f64,
+        usual_s: f64,
+    ) {
         let s = now.saturating_duration_since(self.epoch).as_secs_f64();
-        let slowdown = load.and_then(|l| l.slowdown).unwrap_or(1.0).max(1.0);
-        let crowded = load.is_some_and(|l| l.waiting > 0);
-        if !crowded {
-            self.work.add(s, latency.as_secs_f64() / slowdown);
-        }
+        let work = latency.as_secs_f64() / slowdown.max(1.0);
+        let range = (usual_s / WORK_RANGE, usual_s * WORK_RANGE);
+        self.work.add(s, work.clamp(range.0, range.1));
     }
 
     pub(super) fn view(&self, id: &Arc<str>) -> Option<&EndpointView> {
--- a/crates/turmericloft/src/ops/ingress/probe.rs
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -19,31 +19,50 @@
     sources::http1::{ClientConnection, ExchangeError},
 };
 
-/// Time that a request waits for answers to its probes: some round trips between zones.
-const PATIENCE: Duration = Duration::from_millis(8);
+/// Share of the target latency that a request waits for answers to its probes.
+const PATIENCE_SHARE: f64 = 0.04;
+/// Least such time: some round trips between zones.
+const MIN_PATIENCE: Duration = Duration::from_millis(8);
+/// Longest such time.
+const MAX_PATIENCE: Duration = Duration::from_millis(40);
 /// Time after which an unanswered probe counts as failed.
 const PROBE_LIMIT: Duration = Duration::from_millis(250);
 
-/// Asks the endpoints that matter for a request, until one with room has answered.
-pub(super) async fn probe_for(ingress: &Arc<Ingress>, req: &PlacementRequest<'_>) {
+/// Asks the endpoints that matter for a request, until one with room has answered. While none has,
+/// others are asked, `rounds` times in all.
+pub(super) async fn probe_for(ingress: &Arc<Ingress>, req: &PlacementRequest<'_>, rounds: u32) {
     let Some(path) = health_path(ingress, req.service) else {
         return;
     };
+    let patience = req.target.mul_f64(PATIENCE_SHARE);
+    let asking = async {
+        for _ in 0..rounds {
+            if probe_round(ingress, req, &path).await {
+                return;
+            }
+        }
+    };
+    // Without an answer in time the request is placed by what is known.
+    let _ = timeout(patience.clamp(MIN_PATIENCE, MAX_PATIENCE), asking).await;
+}
+
+/// Asks some endpoints. Gives whether no more need to be asked.
+async fn probe_round(ingress: &Arc<Ingress>, req: &PlacementRequest<'_>, path: &Arc<str>) -> bool {
     let now = ingress.now();
     let probes = ingress.balancer.lock().probes(now, req);
+    if probes.is_empty() {
+        return true;
+    }
     let mut running: FuturesUnordered<_> = probes
         .into_iter()
-        .map(|probe| tokio::spawn(run_probe(Arc::clone(ingress), probe, path.clone())))
+        .map(|probe| tokio::spawn(run_probe(Arc::clone(ingress), probe, Arc::clone(path))))
         .collect();
-    let answered = async {
-        while let Some(has_room) = running.next().await {
-            if matches!(has_room, Ok(true)) {
-                return;
-            }
+    while let Some(has_room) = running.next().await {
+        if matches!(has_room, Ok(true)) {
+            return true;
         }
-    };
-    // Without an answer in time the request is placed by what is known.
-    let _ = timeout(PATIENCE, answered).await;
+    }
+    false
 }
 
 fn health_path(ingress: &Ingress, service: &str) -> Option<Arc<str>> {
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -27,6 +27,11 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How often idle connections to endpoints are looked at.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Share of the probes that endpoints bear which gateways use: some have more than their part of
+/// the clients, and some may not be known.
+const PROBE_SHARE: f64 = 0.6;
+/// Gateways that are taken to share the endpoints before that is known.
+const ASSUMED_GATEWAYS: usize = 20;
 /// Pause after a connection could not be accepted, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -85,6 +90,7 @@
         settings.ready_listen,
     );
     tokio::spawn(follow_documents(Arc::clone(&ingress), feeds.clone()));
+    tokio::spawn(follow_gateways(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(follow_endpoints(Arc::clone(&ingress), feeds));
     metrics_recorder::install();
     if let Some(listener) = listeners.metrics {
@@ -158,6 +164,26 @@
     }
 }
 
+/// Keeps the probes of all gateways together within what endpoints bear.
+async fn follow_gateways(ingress: Arc<Ingress>, mut feeds: IngressFeeds) {
+    let Some(borne) = ingress.settings.probes_per_endpoint else {
+        return;
+    };
+    loop {
+        let gateways = feeds.gateways.borrow_and_update().unwrap_or_default();
+        let sharing = if gateways == 0 {
+            ASSUMED_GATEWAYS
+        } else {
+            gateways
+        };
+        let rate = borne * PROBE_SHARE / sharing as f64;
+        ingress.balancer.lock().set_probe_rate(rate);
+        if feeds.gateways.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn follow_endpoints(ingress: Arc<Ingress>, mut feeds: IngressFeeds) {
     let mut sweeps = interval(SWEEP_INTERVAL);
     let mut taken_up: Option<Arc<Vec<DiscoveredEndpoint>>> = None;
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -33,6 +33,8 @@
     pub documents: watch::Receiver<Option<Arc<RouteTable>>>,
     /// All endpoints there are; none until they are known.
     pub endpoints: watch::Receiver<Option<Arc<Vec<DiscoveredEndpoint>>>>,
+    /// Gateways that share the endpoints, this one too; none until that is known.
+    pub gateways: watch::Receiver<Option<usize>>,
 }
 
 /// State of a gateway.
--- a/crates/turmericloft/src/ops/ingress/wait.rs
+++ b/crates/turmericloft/src/ops/ingress/wait.rs
@@ -17,6 +17,11 @@
 /// Requests of a service that may wait at one gateway: those behind would wait too long.
 const MAX_WAITING: usize = 6;
 
+/// Rounds of probes before a request is placed.
+const PROBE_ROUNDS: u32 = 4;
+/// Rounds of probes each time that a waiting request looks for room.
+const WAITING_PROBE_ROUNDS: u32 = 1;
+
 /// Leaves the queue when it is dropped.
 struct Waiting {
     ingress: Arc<Ingress>,
@@ -67,10 +72,10 @@
             continue;
         }
         // An attempt that has just ended told its endpoint's load.
-        let placed = match told {
-            Ok(()) => place_known(ingress, req, target),
-            Err(_) => place_by(ingress, req, target).await,
-        };
+        if told.is_err() {
+            probe_for(ingress, req, WAITING_PROBE_ROUNDS).await;
+        }
+        let placed = place_known(ingress, req, target);
         match placed {
             Err(full @ Unplaced::Full { .. }) => unplaced = full,
             placed => return placed,
@@ -120,7 +125,7 @@
     ingress: &Arc<Ingress>,
     req: &PlacementRequest<'_>,
 ) -> Result<Placement, Unplaced> {
-    probe_for(ingress, req).await;
+    probe_for(ingress, req, PROBE_ROUNDS).await;
     let now = ingress.now();
     ingress.balancer.lock().place(now, req)
 }
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -43,9 +43,11 @@
         let known = known.map(|(i, e)| discovered(i, e.address)).collect();
         let (documents, documents_rx) = watch::channel(None);
         let (endpoints_tx, endpoints_rx) = watch::channel(None);
+        let (_, gateways) = watch::channel(Some(1));
         let feeds = IngressFeeds {
             documents: documents_rx,
             endpoints: endpoints_rx,
+            gateways,
         };
         let stop = CancellationToken::new();
         endpoints_tx.send_replace(Some(Arc::new(known)));
@@ -120,6 +122,7 @@
         metrics_listen: None,
         ready_path: "/ready",
         grace: Duration::from_secs(30),
+        probes_per_endpoint: None,
         retry_budget: RetryBudget::new(Duration::from_secs(10), 1.0, 10.0),
     }
 }
