The last log lines of a process are written before it ends

Change: the program waits for its last lines, 0.2 s at most and never for an output that nobody reads. The test fails without the wait.

--- a/crates/turmericloft-cli/src/bin/turmericloft/commands/gateway.rs
+++ b/crates/turmericloft-cli/src/bin/turmericloft/commands/gateway.rs
@@ -22,7 +22,9 @@
 
 /// Runs the subcommand.
 pub async fn exec(args: Args) -> CommandResult {
-    logging::start_on_stdout(args.log_format)?;
+    let writer = logging::start_on_stdout(args.log_format)?;
     let path = NodeSettings::path()?;
-    Ok(run_gateway(path).await?)
+    let result = run_gateway(path).await;
+    writer.finish();
+    Ok(result?)
 }
--- a/crates/turmericloft/src/util/logging.rs
+++ b/crates/turmericloft/src/util/logging.rs
@@ -39,11 +39,14 @@
     Installed(#[from] SetLoggerError),
 }
 
-/// Sends log lines of this process to standard output, without waiting for whoever reads it.
-pub fn start_on_stdout(format: LogFormat) -> Result<(), LogError> {
-    let writer = LogWriter::start()?;
-    let output = fern::Output::call(move |record| writer.write(record.args().to_string()));
-    Ok(lines(format).chain(output).apply()?)
+/// Sends log lines of this process to standard output, without waiting for whoever reads it. The
+/// writer has to be finished before the process ends.
+pub fn start_on_stdout(format: LogFormat) -> Result<LogWriter, LogError> {
+    let writer = LogWriter::start(io::stdout())?;
+    let lines_writer = writer.clone();
+    let output = fern::Output::call(move |record| lines_writer.write(record.args().to_string()));
+    lines(format).chain(output).apply()?;
+    Ok(writer)
 }
 
 fn lines(format: LogFormat) -> fern::Dispatch {
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod http1;
 mod ingress;
 mod log_service;
+mod log_writer;
 mod parsers;
 mod peer;
 mod placement;
