Sharing of store reads: outages, large documents and starts cost fewer calls

Documents of 1,600 routes went from hop to hop, each of them decoding it on a tenth of a core: 99 gateways had it 1.5 s after the first one at a start.

Change: - a gateway says whether it knows anything current; followers leave one that does not at once, and try it again after 3 s; - a start lists the others, reads the configuration, and takes the endpoints from its upstream; the first answer is relied on until the next; - documents of more than 200 routes are told of, and read from the store; - idle connections to endpoints hold no buffer. Tried and changed back: the configuration of a starting gateway from its upstream too (all gateways had it later after a loss of power).

--- a/crates/turmericloft/src/core/placement/probe_budget.rs
+++ b/crates/turmericloft/src/core/placement/probe_budget.rs
@@ -13,7 +13,7 @@
 /// Probes that may be sent before the first requests have earned some.
 const INITIAL_PROBES: f64 = 12.0;
 /// Seconds for which probes that the endpoints bear are saved up.
-const SAVED_S: f64 = 3.0;
+const SAVED_S: f64 = 10.0;
 
 /// Probes of one service that a gateway may send.
 #[derive(Clone, Debug)]
--- a/crates/turmericloft/src/core/relay/registry_view.rs
+++ b/crates/turmericloft/src/core/relay/registry_view.rs
@@ -20,6 +20,8 @@
     next: u64,
     as_of: Option<Instant>,
     relayed: Option<Relayed>,
+    /// Until when a gateway that knows nothing else yet trusts its first answer.
+    first_answer_until: Option<Instant>,
 }
 
 impl RegistryView {
@@ -31,6 +33,7 @@
             next: 0,
             as_of: None,
             relayed: None,
+            first_answer_until: None,
         }
     }
 
@@ -85,10 +88,18 @@
         polled: Instant,
         answer: &RelayAnswer,
     ) -> DiscoveryChange {
-        if let Some(after) = answer.known_after {
-            // This host may have stood still in between, and its steady clock with it.
-            let as_of = (polled + after).min(now);
-            self.rely_on(now, as_of, answer.hops);
+        match answer.known_after {
+            Some(after) => {
+                // This host may have stood still in between, and its steady clock with it.
+                let as_of = (polled + after).min(now);
+                self.rely_on(now, as_of, answer.hops);
+            }
+            None if answer.is_current && self.is_first_answer() => {
+                // Soon there is one that was read after its question.
+                let until = polled + self.timings.stale_after(answer.hops);
+                self.first_answer_until = Some(until);
+            }
+            None => {}
         }
         self.next = self.next.max(answer.next);
         let newest = answer.changes.iter().cloned();
@@ -96,6 +107,10 @@
         changes.fold(DiscoveryChange::None, DiscoveryChange::or)
     }
 
+    fn is_first_answer(&self) -> bool {
+        self.as_of.is_none() && self.first_answer_until.is_none()
+    }
+
     fn rely_on(&mut self, now: Instant, as_of: Instant, hops: u32) {
         if self.relayed.is_some_and(|r| r.as_of >= as_of) {
             return;
@@ -118,17 +133,16 @@
 
     /// The answer to a question that arrived at `received`, without a document.
     pub fn answer(&self, now: Instant, received: Instant, poll: &RelayPoll) -> RelayAnswer {
-        let changes = match self.as_of {
-            Some(_) => self.table.changes_since(poll.from),
-            None => Vec::new(),
-        };
+        let changes = self.table.changes_since(poll.from);
         RelayAnswer {
+            is_current: self.is_current(now),
             known_after: self
                 .as_of
                 .and_then(|at| at.checked_duration_since(received)),
             hops: self.hops(now) + 1,
             next: self.next,
             changes,
+            document_version: 0,
             document: None,
         }
     }
@@ -141,16 +155,21 @@
 
     /// Until when what was passed on can be relied on; none if this gateway has to read.
     pub fn relayed_until(&self, now: Instant) -> Option<Instant> {
-        let relayed = self.relayed?;
-        let until = relayed.as_of + self.timings.stale_after(relayed.hops);
-        Some(until).filter(|until| *until > now)
+        let relied_on = |r: Relayed| r.as_of + self.timings.stale_after(r.hops);
+        let until = self.relayed.map(relied_on).max(self.first_answer_until);
+        until.filter(|until| *until > now)
+    }
+
+    /// When a read that is due has to have mended what is stale; the past if it has not.
+    pub fn mended_by(&self, now: Instant) -> Instant {
+        let stale_at = |at: Instant| at + self.timings.stale_after(self.hops(now));
+        self.as_of.map_or(now, stale_at) + self.timings.read_grace()
     }
 
-    /// Whether nothing new was passed on for so long that another gateway is worth a try.
-    pub fn is_upstream_useless(&self, now: Instant, followed_since: Instant) -> bool {
-        let news = self.relayed.map_or(followed_since, |r| r.as_of);
-        let last = news.max(followed_since);
-        now.saturating_duration_since(last) >= self.timings.useless_after()
+    /// Whether this gateway relies on what it knows.
+    pub fn is_current(&self, now: Instant) -> bool {
+        let read = self.as_of.map(|at| at + self.timings.stale_after(0));
+        self.relayed_until(now).is_some() || read.is_some_and(|until| until > now)
     }
 
     /// Drops entries whose time after an outage is over.
--- a/crates/turmericloft/src/core/relay/relay_answer.rs
+++ b/crates/turmericloft/src/core/relay/relay_answer.rs
@@ -14,12 +14,17 @@
     /// if that stood still in between, the moment was later than told. Nothing can be told of
     /// moments before the question: the clock may have stood still since then.
     pub known_after: Option<Duration>,
+    /// Whether the answering gateway relies on what it knows itself.
+    pub is_current: bool,
     /// Gateways between the reader of the registry and the follower.
     pub hops: u32,
     /// Place in the registry's history up to which the changes go.
     pub next: u64,
     /// Entries that changed, as they are now.
     pub changes: Vec<Observation>,
-    /// A newer document than the follower's, if there is one.
+    /// Newest version of the document that is known of; 0 if none is.
+    pub document_version: u64,
+    /// That document, if it is newer than the follower's and small. A large one is read from the
+    /// store by each gateway, as passing it on would take the links one after the other.
     pub document: Option<TrafficDocument>,
 }
--- a/crates/turmericloft/src/core/relay/relay_poll.rs
+++ b/crates/turmericloft/src/core/relay/relay_poll.rs
@@ -11,6 +11,6 @@
     pub host: Arc<str>,
     /// Place in the registry's history up to which the follower knows it.
     pub from: u64,
-    /// Version of the follower's document, if it has one.
-    pub document: Option<u64>,
+    /// Newest version of the document that the follower knows of; 0 if it knows of none.
+    pub document_version: u64,
 }
--- a/crates/turmericloft/src/core/relay/relay_timings.rs
+++ b/crates/turmericloft/src/core/relay/relay_timings.rs
@@ -16,8 +16,9 @@
 const IDLE_ANSWER_SHARE: f64 = 0.45;
 /// Share of it without an answer after which another gateway is followed.
 const SILENT_SHARE: f64 = 0.65;
-/// Share of it without news, though there are answers, after which another gateway is followed.
-const USELESS_SHARE: f64 = 1.5;
+/// Share of it for which a gateway that is stale, or has just started, waits for a read to mend that
+/// before it tells followers.
+const READ_GRACE_SHARE: f64 = 0.05;
 
 /// Times of reading and following, all in proportion to one bound.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -52,8 +53,8 @@
         self.leaving_time.mul_f64(SILENT_SHARE)
     }
 
-    /// Time without news after which a gateway that answers is given up.
-    pub fn useless_after(&self) -> Duration {
-        self.leaving_time.mul_f64(USELESS_SHARE)
+    /// Time that a read of the registry may take before followers are told that there is no news.
+    pub fn read_grace(&self) -> Duration {
+        self.leaving_time.mul_f64(READ_GRACE_SHARE)
     }
 }
--- a/crates/turmericloft/src/core/relay/upstream_chooser.rs
+++ b/crates/turmericloft/src/core/relay/upstream_chooser.rs
@@ -19,6 +19,8 @@
 const FAN_OUT: usize = 6;
 /// Time for which a gateway that could not be followed is left alone.
 const FAILED_FOR: Duration = Duration::from_secs(10);
+/// Time for which a gateway that knows nothing current is left alone: others may know more.
+const STALE_FOR: Duration = Duration::from_secs(3);
 
 /// Decides whom a gateway follows.
 #[derive(Clone, Debug)]
@@ -70,6 +72,11 @@
         self.failed_until.insert(host.into(), now + FAILED_FOR);
     }
 
+    /// A gateway answers and knows nothing current.
+    pub fn note_stale(&mut self, now: Instant, host: &str) {
+        self.failed_until.insert(host.into(), now + STALE_FOR);
+    }
+
     /// When a gateway that could not be followed is tried again.
     pub fn next_try(&self, now: Instant) -> Option<Instant> {
         self.failed_until
--- a/crates/turmericloft/src/ops/ingress/connection_pool.rs
+++ b/crates/turmericloft/src/ops/ingress/connection_pool.rs
@@ -56,6 +56,7 @@
     pub(super) fn put(&self, now: Instant, id: &InstanceId, mut connection: ClientConnection) {
         connection.idle_since = now;
         connection.reused = true;
+        connection.rest();
         let mut idle = self.idle.lock();
         let connections = idle.entry(id.clone()).or_default();
         if connections.len() >= MAX_IDLE_PER_ENDPOINT {
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -29,7 +29,7 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Share of the probes that endpoints bear which gateways use: some have more than their part of
 /// the clients, and some may not be known.
-const PROBE_SHARE: f64 = 0.6;
+const PROBE_SHARE: f64 = 0.75;
 /// Gateways that are taken to share the endpoints before that is known.
 const ASSUMED_GATEWAYS: usize = 20;
 /// Pause after a connection could not be accepted, so that a lack of descriptors does not spin.
--- a/crates/turmericloft/src/ops/relay/follow.rs
+++ b/crates/turmericloft/src/ops/relay/follow.rs
@@ -11,7 +11,7 @@
 
 use super::{RelayError, RelayHub, hub::now, wire::RelayConnection};
 use crate::{
-    core::relay::{RelayMember, UpstreamChooser},
+    core::relay::{RelayAnswer, RelayMember, UpstreamChooser},
     util::{error_chain, metrics_table::RELAY_ANSWERS},
 };
 
@@ -19,16 +19,24 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
 /// Follows one gateway after the other, as the chooser says, until dropped. `members` tells of all
-/// gateways there are.
+/// gateways there are, once they are known.
 pub async fn follow_upstream(
     hub: Arc<RelayHub>,
     host: Arc<str>,
     mut chooser: UpstreamChooser,
-    mut members: watch::Receiver<Vec<RelayMember>>,
+    mut members: watch::Receiver<Option<Vec<RelayMember>>>,
 ) {
     loop {
-        chooser.set_members(&members.borrow_and_update());
+        let listed = members.borrow_and_update().clone();
+        let Some(listed) = listed else {
+            if members.changed().await.is_err() {
+                return;
+            }
+            continue;
+        };
+        chooser.set_members(&listed);
         let Some(upstream) = chooser.upstream(now()).cloned() else {
+            hub.upstream_searched();
             if !wait_for_candidate(&chooser, &mut members).await {
                 return;
             }
@@ -40,14 +48,17 @@
             upstream.host,
             error_chain::line(&end)
         );
-        chooser.note_failed(now(), &upstream.host);
+        match end {
+            RelayError::Stale { .. } => chooser.note_stale(now(), &upstream.host),
+            _ => chooser.note_failed(now(), &upstream.host),
+        }
     }
 }
 
 /// Whether there can be a candidate later on.
 async fn wait_for_candidate(
     chooser: &UpstreamChooser,
-    members: &mut watch::Receiver<Vec<RelayMember>>,
+    members: &mut watch::Receiver<Option<Vec<RelayMember>>>,
 ) -> bool {
     let next_try = async {
         match chooser.next_try(now()) {
@@ -80,16 +91,10 @@
     upstream: &RelayMember,
     connection: &mut RelayConnection,
 ) -> RelayError {
-    let peer = upstream.address;
-    let since = now();
     loop {
         if let Err(e) = poll(hub, host, upstream, connection).await {
             return e;
         }
-        if hub.is_upstream_useless(since) {
-            let limit = hub.timings().useless_after();
-            return RelayError::Useless { peer, limit };
-        }
     }
 }
 
@@ -118,8 +123,13 @@
         connection.receive().await
     };
     let exchanged = timeout(limit, exchange).await;
-    let answer = exchanged.map_err(|_| RelayError::Silent { peer, limit })??;
+    let answer: RelayAnswer = exchanged.map_err(|_| RelayError::Silent { peer, limit })??;
+    let is_current = answer.is_current;
     hub.take_answer(polled, answer);
     counter!(RELAY_ANSWERS.name, "direction" => "taken").increment(1);
-    Ok(())
+    if is_current {
+        Ok(())
+    } else {
+        Err(RelayError::Stale { peer })
+    }
 }
--- a/crates/turmericloft/src/ops/relay/hub.rs
+++ b/crates/turmericloft/src/ops/relay/hub.rs
@@ -10,7 +10,10 @@
 };
 
 use parking_lot::Mutex;
-use tokio::{sync::watch, time::sleep_until};
+use tokio::{
+    sync::watch,
+    time::{sleep, sleep_until},
+};
 
 use crate::core::{
     placement::{DiscoveredEndpoint, DiscoveryChange, Observation},
@@ -18,6 +21,13 @@
     traffic::{RouteTable, TrafficDocument},
 };
 
+/// Time at the start for another gateway to pass on what it knows: some round trips to the store
+/// and within the zone.
+const START_GRACE: Duration = Duration::from_millis(200);
+
+/// Routes of the largest document that is passed on: some tens of kilobytes.
+const MAX_PASSED_ROUTES: usize = 200;
+
 /// Endpoints as they are published.
 pub type Endpoints = Option<Arc<Vec<DiscoveredEndpoint>>>;
 /// The document as it is published.
@@ -30,9 +40,13 @@
     view: Mutex<RegistryView>,
     endpoints: watch::Sender<Endpoints>,
     documents: watch::Sender<Document>,
+    /// Newest version of the document that is known of.
+    announced: watch::Sender<u64>,
     /// Told whenever knowledge of the registry is newer than before.
     advanced: watch::Sender<()>,
     has_upstream: AtomicBool,
+    /// Whether it is known at the start that there is nobody to follow.
+    searched: watch::Sender<bool>,
 }
 
 impl RelayHub {
@@ -43,8 +57,10 @@
             view: Mutex::new(RegistryView::new(timings)),
             endpoints: watch::Sender::new(None),
             documents: watch::Sender::new(None),
+            announced: watch::Sender::new(0),
             advanced: watch::Sender::new(()),
             has_upstream: AtomicBool::new(false),
+            searched: watch::Sender::new(false),
         })
     }
 
@@ -79,6 +95,7 @@
             }
             is_newer
         });
+        self.announce(version);
     }
 
     /// Takes in records that a read of the registry begun at `begun` gave, up to `next`.
@@ -132,6 +149,22 @@
         }
     }
 
+    /// Waits at the start for another gateway to pass on what it knows, unless there is none.
+    pub async fn until_started(&self) {
+        let mut searched = self.searched.subscribe();
+        let alone = searched.wait_for(|searched| *searched);
+        tokio::select! {
+            _ = alone => {}
+            () = self.until_relayed() => {}
+            () = sleep(START_GRACE) => {}
+        }
+    }
+
+    /// There is nobody to follow now.
+    pub fn upstream_searched(&self) {
+        self.searched.send_replace(true);
+    }
+
     /// Waits until what the followed gateway passes on can be relied on.
     pub async fn until_relayed(&self) {
         let mut advanced = self.advanced.subscribe();
@@ -148,11 +181,10 @@
     }
 
     pub(super) fn poll(&self, host: &Arc<str>) -> RelayPoll {
-        let document = self.documents.borrow();
         RelayPoll {
             host: Arc::clone(host),
             from: self.next(),
-            document: document.as_ref().map(|t| t.document().version),
+            document_version: *self.announced.borrow(),
         }
     }
 
@@ -160,53 +192,71 @@
         if let Some(document) = answer.document.take() {
             self.take_document(document);
         }
+        self.announce(answer.document_version);
         self.update(|view, now| view.take_answer(now, polled, &answer));
         self.advanced.send_replace(());
     }
 
-    pub(super) fn is_upstream_useless(&self, followed_since: Instant) -> bool {
-        self.view.lock().is_upstream_useless(now(), followed_since)
-    }
-
     /// Answers a question once there is news, or without any as a sign of life.
     pub(super) async fn answer(&self, poll: &RelayPoll) -> RelayAnswer {
         let received = now();
         let idle_at = received + self.timings.idle_answer_after();
-        self.until_news(poll, received, idle_at).await;
+        let mended_by = self.view.lock().mended_by(received);
+        let grace = received + self.timings.read_grace();
+        self.until_news(poll, received, idle_at.min(mended_by.max(grace)))
+            .await;
         let mut answer = self.view.lock().answer(now(), received, poll);
-        answer.document = self.newer_document(poll.document);
+        answer.document_version = *self.announced.borrow();
+        answer.document = self.newer_document(poll.document_version);
         answer
     }
 
     async fn until_news(&self, poll: &RelayPoll, received: Instant, idle_at: Instant) {
         let mut advanced = self.advanced.subscribe();
-        let mut documents = self.documents.subscribe();
+        let mut announced = self.announced.subscribe();
         loop {
-            documents.mark_unchanged();
-            let is_news = self.view.lock().has_news(received, poll);
-            if is_news || self.has_newer_document(poll.document) {
+            let is_newer = *announced.borrow_and_update() > poll.document_version;
+            if is_newer || self.view.lock().has_news(received, poll) {
                 return;
             }
             tokio::select! {
                 _ = advanced.changed() => {}
-                _ = documents.changed() => {}
+                _ = announced.changed() => {}
                 () = sleep_until(idle_at.into()) => return,
             }
         }
     }
 
-    fn has_newer_document(&self, known: Option<u64>) -> bool {
-        let document = self.documents.borrow();
-        document
-            .as_ref()
-            .is_some_and(|t| known.is_none_or(|known| known < t.document().version))
+    fn newer_document(&self, known: u64) -> Option<TrafficDocument> {
+        let table = self.documents.borrow();
+        let document = table.as_ref()?.document();
+        let is_small = document.routes.len() <= MAX_PASSED_ROUTES;
+        (document.version > known && is_small).then(|| document.clone())
+    }
+
+    fn announce(&self, version: u64) {
+        self.announced.send_if_modified(|known| {
+            let is_newer = *known < version;
+            *known = (*known).max(version);
+            is_newer
+        });
+    }
+
+    /// Waits until there is a newer document than the one that is held.
+    pub async fn until_document_wanted(&self) {
+        let mut announced = self.announced.subscribe();
+        while !self.wants_document() {
+            if announced.changed().await.is_err() {
+                return;
+            }
+        }
     }
 
-    fn newer_document(&self, known: Option<u64>) -> Option<TrafficDocument> {
-        let document = self.documents.borrow();
-        let table = document.as_ref()?;
-        let is_newer = known.is_none_or(|known| known < table.document().version);
-        is_newer.then(|| table.document().clone())
+    /// Whether there is a newer document than the one that is held.
+    pub fn wants_document(&self) -> bool {
+        let held = self.documents.borrow();
+        let held = held.as_ref().map(|t| t.document().version);
+        *self.announced.borrow() > held.unwrap_or_default()
     }
 
     /// Changes the view, and publishes the endpoints if one changed.
--- a/crates/turmericloft/src/ops/relay/relay_error.rs
+++ b/crates/turmericloft/src/ops/relay/relay_error.rs
@@ -58,12 +58,10 @@
         /// Time that it had.
         limit: Duration,
     },
-    /// It answers but knows nothing new.
-    #[error("the gateway at {peer} had no news for {limit:?}")]
-    Useless {
+    /// It answers but knows nothing current.
+    #[error("the gateway at {peer} knows nothing current")]
+    Stale {
         /// The followed gateway.
         peer: SocketAddr,
-        /// Time that it had.
-        limit: Duration,
     },
 }
--- a/crates/turmericloft/src/sources/http1/client_connection.rs
+++ b/crates/turmericloft/src/sources/http1/client_connection.rs
@@ -77,6 +77,13 @@
         })
     }
 
+    /// Gives back the room for responses, which an idle connection does not need.
+    pub fn rest(&mut self) {
+        if self.buf.is_empty() {
+            self.buf = BytesMut::new();
+        }
+    }
+
     /// Whether nothing has arrived since the last response: neither an end nor stray bytes.
     pub fn is_quiet(&self) -> bool {
         let mut byte = [0];
