--- a/crates/turmericloft/src/core/placement/probe_budget.rs
+++ b/crates/turmericloft/src/core/placement/probe_budget.rs
@@ -14,6 +14,8 @@
 const INITIAL_PROBES: f64 = 12.0;
 /// Seconds for which probes that the endpoints bear are saved up.
 const SAVED_S: f64 = 10.0;
+/// Seconds of them that are there at the start.
+const INITIAL_S: f64 = 2.0;
 
 /// Probes of one service that a gateway may send.
 #[derive(Clone, Debug)]
@@ -46,7 +48,7 @@
         self.at = now;
         self.borne = per_second.map(|rate| {
             let most = (rate * SAVED_S).max(1.0);
-            let saved = self.borne.unwrap_or(most);
+            let saved = self.borne.unwrap_or(rate * INITIAL_S);
             (saved + rate * passed).min(most)
         });
         let bound = self.borne.unwrap_or(f64::INFINITY);
