A stop lets go clients that always have one more request under way

While an answer was under way the gateway took further requests of the connection, so that no answer was the last one and none closed it.

Change: a stopping gateway takes no request behind one that is being answered, and closes with that answer; what arrived behind it is sent again elsewhere.

--- a/crates/turmericloft/src/ops/ingress/client.rs
+++ b/crates/turmericloft/src/ops/ingress/client.rs
@@ -146,6 +146,9 @@
         while self.accepts && self.answering.len() < MAX_PIPELINED {
             if self.answering.is_empty() {
                 self.exclusive = false;
+            } else if self.ingress.draining.is_cancelled() {
+                // A client that always has one more under way would keep its connection to the end.
+                return;
             }
             let held = self.held.take();
             let next = match held {
@@ -226,8 +229,8 @@
     /// Writes an answer; false if the connection is over.
     async fn write(&mut self, answered: Answered) -> bool {
         let last = self.answering.is_empty() && self.held.is_none();
-        let draining = self.ingress.draining.is_cancelled();
-        let leaves = draining && last && !self.reader.is_within_request();
+        // What arrived behind a closing answer is sent again by the client, elsewhere.
+        let leaves = last && self.ingress.draining.is_cancelled();
         let close = answered.close || answered.answer.closes() || leaves;
         let message = answered.answer.message(answered.head, close);
         let written = timeout(WRITE_LIMIT, self.stream.write_all(&message)).await;
