--- a/crates/turmericloft/tests/testsuite/ingress/faults.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/faults.rs
@@ -121,17 +121,21 @@
     assert!(response.headers.has("Retry-After"));
 }
 
+/// Starts a gateway, and a client that leaves once its request is at the endpoint.
+async fn start_and_leave(endpoint: &Endpoint, method: &str, path: &str) -> Gateway {
+    let gateway = Gateway::start(std::slice::from_ref(endpoint)).await;
+    let mut client = Client::connect(gateway.clients).await;
+    let req = super::client::request(method, path, "r1");
+    client.send(&req).await;
+    endpoint.arrived.acquire().await.expect("open").forget();
+    gateway
+}
+
 /// A client that leaves frees the endpoint that works for it, unless the work must not be abandoned.
 #[tokio::test]
 async fn a_client_that_leaves_frees_its_endpoint() {
     let endpoint = Endpoint::start(Behaviour::Held).await;
-    let gateway = Gateway::start(std::slice::from_ref(&endpoint)).await;
-    let mut client = Client::connect(gateway.clients).await;
-    client
-        .send(&super::client::request("GET", "/read/1", "r1"))
-        .await;
-    endpoint.arrived.acquire().await.expect("open").forget();
-    drop(client);
+    let _gateway = start_and_leave(&endpoint, "GET", "/read/1").await;
     endpoint.left.acquire().await.expect("open").forget();
     assert!(endpoint.ran().is_empty());
 }
@@ -139,13 +143,7 @@
 #[tokio::test]
 async fn what_must_not_be_abandoned_goes_on_when_its_client_leaves() {
     let endpoint = Endpoint::start(Behaviour::Held).await;
-    let gateway = Gateway::start(std::slice::from_ref(&endpoint)).await;
-    let mut client = Client::connect(gateway.clients).await;
-    client
-        .send(&super::client::request("POST", "/act/1", "r1"))
-        .await;
-    endpoint.arrived.acquire().await.expect("open").forget();
-    drop(client);
+    let gateway = start_and_leave(&endpoint, "POST", "/act/1").await;
     // A second client's answer shows that the gateway has seen the first one leave.
     let mut other = Client::connect(gateway.clients).await;
     other
