--- a/crates/turmericloft/src/ops/gateway/attempts.rs
+++ b/crates/turmericloft/src/ops/gateway/attempts.rs
@@ -88,7 +88,12 @@
                 && let Some(req) = self.next_request(&attempt)
             {
                 let pool = Arc::clone(self.state.pool(attempt.endpoint()));
-                open.push(send(pool, attempt, req, delays, &sent));
+                let context = SendContext {
+                    is_idempotent: self.is_idempotent,
+                    mean_latency: delays.mean_latency,
+                    sent: &sent,
+                };
+                open.push(send(pool, attempt, req, context));
             }
             let hedge = async {
                 match hedge_at {
@@ -214,13 +219,8 @@
     pool: Arc<ConnectionPool>,
     attempt: Attempt,
     req: Request<RequestBody>,
-    delays: Delays,
-    sent: &AtomicU32,
+    context: SendContext<'_>,
 ) -> FinishedAttempt {
-    let context = SendContext {
-        mean_latency: delays.mean_latency,
-        sent,
-    };
     let result = pool.send(req, context).await;
     FinishedAttempt { attempt, result }
 }
--- a/crates/turmericloft/src/sources/backend/connection_pool.rs
+++ b/crates/turmericloft/src/sources/backend/connection_pool.rs
@@ -15,7 +15,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
-use tokio::time::interval;
+use tokio::time::{MissedTickBehavior, interval};
 
 use super::{
     AbortReason, BodyError, ConnectionLease, RequestBody, SendError,
@@ -47,6 +47,8 @@
 /// What [`ConnectionPool::send`] needs of the call: input of the stall detection, and a counter.
 #[derive(Clone, Copy, Debug)]
 pub struct SendContext<'a> {
+    /// Whether the request may be sent again while this attempt may still run it.
+    pub is_idempotent: bool,
     /// Mean latency of the service, for detecting a stalled connection.
     pub mean_latency: Duration,
     /// Number of attempts of the call that a backend server may have received.
@@ -71,8 +73,10 @@
         })
     }
 
-    /// Sends a request and waits for the head of the response. A connection that stalls meanwhile
-    /// is closed, and the error has [`AbortReason::StalledConnection`] as its source.
+    /// Sends a request and waits for the head of the response. If the connection stalls meanwhile,
+    /// an idempotent request is given up, and the error has [`AbortReason::StalledConnection`] as
+    /// its source. A request that must not run twice keeps waiting: nobody may send it again, and
+    /// a host that does not run the process for a moment looks like a stalled connection.
     pub async fn send(
         self: &Arc<Self>,
         mut req: Request<RequestBody>,
@@ -127,16 +131,22 @@
         context.sent.fetch_add(1, Ordering::AcqRel);
         let progress = connection.progress;
         let mut check = interval(CHECK_INTERVAL);
+        check.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut is_recorded = false;
         let response = connection.sender.try_send_request(req);
         tokio::pin!(response);
         let result = loop {
             tokio::select! {
                 biased;
                 result = &mut response => break result,
-                _ = check.tick() => {
+                _ = check.tick(), if !is_recorded => {
                     let last = self.connections.lock().last_completed_sent;
                     if progress.is_stalled(now(), context.mean_latency, last) {
                         self.record_stall(progress.pending_since());
+                        is_recorded = true;
+                        if !context.is_idempotent {
+                            continue;
+                        }
                         let source = Box::new(AbortReason::StalledConnection);
                         return Err(self.error(Step::FirstByteSent, None, source));
                     }
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the library.
 
 mod acceptance;
+mod backend_pool;
 mod config;
 mod counting;
 mod guard;
