cli/tests: Wait until a suspended process is really suspended

Traced: the threads' states right after SIGSTOP, printed by a trial of the test in 60 runs beside eight busy loops. In all four runs that failed no thread was stopped yet when the test went on (RSSSSSS, RSSRSSS, RSSSSSR); the executor took the forwarded action before it stopped.

Process::suspend sends the signal and waits until the kernel has stopped every thread. What the test asserts is unchanged.

--- a/crates/turmericloft-cli/tests/testsuite/guarded_freeze.rs
+++ b/crates/turmericloft-cli/tests/testsuite/guarded_freeze.rs
@@ -50,7 +50,7 @@
     let gateways = platform.gateways();
     let booking = Booking::issued_by(gateways[0], "frozen").await;
     let accepted = send_head(&booking, gateways[0]).await;
-    platform.gateway.signal(Signal::SIGSTOP);
+    platform.gateway.suspend().await;
     let others = join(booking.send(gateways[1]), booking.send(gateways[2])).await;
     for response in [others.0, others.1] {
         let response = response.expect("a response");
--- a/crates/turmericloft-cli/tests/testsuite/support/process.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/process.rs
@@ -1,6 +1,7 @@
 //! Child processes that run the programs of this workspace.
 
 use std::{
+    fs,
     io::{BufRead, BufReader},
     net::SocketAddr,
     process::{Child, Command, ExitStatus, Stdio},
@@ -14,6 +15,8 @@
     unistd::Pid,
 };
 
+use super::eventually;
+
 /// Time without the expected log line or exit after which a test fails; well above the duration of
 /// any test.
 const HANG_TIMEOUT: Duration = Duration::from_secs(120);
@@ -77,6 +80,23 @@
         kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process exists");
     }
 
+    /// Suspends the process. The kernel stops its threads one after the other, some of them only
+    /// after the signal was sent; this waits for all of them.
+    pub async fn suspend(&self) {
+        self.signal(Signal::SIGSTOP);
+        eventually(|| async { self.is_suspended().then_some(()) }).await;
+    }
+
+    fn is_suspended(&self) -> bool {
+        let threads = fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        let mut threads = threads.expect("the process exists");
+        threads.all(|thread| {
+            let stat = thread.and_then(|t| fs::read_to_string(t.path().join("stat")));
+            // The state is the first field after the name in parentheses.
+            stat.is_ok_and(|stat| stat.rsplit(") ").next().is_some_and(|f| f.starts_with('T')))
+        })
+    }
+
     /// Waits until the program exits.
     ///
     /// # Panics
