--- a/crates/turmericloft/src/core/placement/discovery.rs
+++ b/crates/turmericloft/src/core/placement/discovery.rs
@@ -1,44 +1,27 @@
-//! The known endpoints, from a registry that lags and may be unavailable.
+//! The known endpoints, from a registry that lags, may be unavailable, and may return from an older
+//! copy of its data.
 //!
 //! Load pattern: the registry is unavailable for seconds, entries expire meanwhile, and removing
 //! them on its return would leave all requests without endpoints at once. Entries that expire
 //! during an outage are retained until shortly after its end; at other times a removal applies at
-//! once.
+//! once. The same holds for entries that an older copy lacks. What an endpoint was known to have
+//! reached, draining or removal, stays binding when the copy says otherwise.
 
 use std::{
     collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
-use serde::{Deserialize, Serialize};
-
-use super::{DiscoveredEndpoint, InstanceId};
+use super::{
+    DiscoveredEndpoint, DiscoveryChange, InstanceId, Observation, RegistryEra, RegistryList,
+    RegistryPosition, registry_entry::RegistryEntry,
+};
 
 /// Time after an outage within which running endpoints register again.
 const REREGISTRATION_PERIOD: Duration = Duration::from_millis(1_900);
 /// Time without a response from the registry that counts as an outage.
 const OUTAGE_AFTER: Duration = Duration::from_millis(2_500);
 
-/// State of one entry as it was read, with the offset of its record in the registry's log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Observation {
-    /// Identity of the endpoint.
-    pub id: InstanceId,
-    /// Offset of the record; a record with a lower offset than a known one is ignored.
-    pub offset: u64,
-    /// Endpoint in the entry; `None` if the entry was removed or is invalid.
-    pub endpoint: Option<DiscoveredEndpoint>,
-}
-
-/// What an observation changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DiscoveryChange {
-    /// Nothing that affects placement.
-    None,
-    /// An endpoint was added, removed or changed.
-    Endpoints,
-}
-
 /// Whether all earlier records of an entry were read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum History {
@@ -46,21 +29,13 @@
     Partial,
 }
 
-#[derive(Clone, Debug)]
-struct Entry {
-    offset: u64,
-    /// Offset of the last record that changed more than the remaining warm-up time.
-    changed_at: u64,
-    endpoint: Option<DiscoveredEndpoint>,
-    /// When a retained entry is removed unless its endpoint registers again; `None` for an entry
-    /// that is not retained.
-    expires_at: Option<Instant>,
-}
-
 /// All entries of the registry that one gateway has read.
 #[derive(Clone, Debug, Default)]
 pub struct DiscoveryTable {
-    entries: HashMap<InstanceId, Entry>,
+    entries: HashMap<InstanceId, RegistryEntry>,
+    era: RegistryEra,
+    /// Offset from which on records were certainly written in `era`.
+    proven_from: u64,
     last_response_at: Option<Instant>,
     retain_until: Option<Instant>,
 }
@@ -71,6 +46,11 @@
         Self::default()
     }
 
+    /// Era of the newest data.
+    pub fn era(&self) -> RegistryEra {
+        self.era
+    }
+
     /// Records that the registry responded, and starts the retention period if an outage ended.
     /// Call it before the entries in the response are applied.
     pub fn record_registry_response(&mut self, now: Instant) {
@@ -83,7 +63,7 @@
         self.last_response_at = Some(now);
     }
 
-    /// Applies one record. All records before it must have been applied.
+    /// Applies one record of the registry's log. All records before it must have been applied.
     pub fn observe(&mut self, now: Instant, record: Observation) -> DiscoveryChange {
         self.apply_record(now, record, History::Complete)
     }
@@ -99,8 +79,9 @@
         record: Observation,
         history: History,
     ) -> DiscoveryChange {
+        let is_proven = record.is_proven || self.is_proven(record.position);
         let known = self.entries.get(&record.id);
-        if known.is_some_and(|e| e.offset > record.offset) {
+        if known.is_some_and(|e| is_outdated(&record, is_proven, e)) {
             return DiscoveryChange::None;
         }
         let removed = record.endpoint.is_none();
@@ -119,17 +100,25 @@
         let changed_at = match known {
             Some(known)
                 if history == History::Complete
+                    && known.position.era == record.position.era
+                    && known.is_proven == is_proven
                     && !changed
                     && was_expiring == expires_at.is_some() =>
             {
                 known.changed_at
             }
-            // A record that was not read may have changed the entry in between.
-            _ => record.offset,
+            // A record that was not read may have changed the entry in between, and the first
+            // proven record of an era tells followers that the entry is not from an older copy.
+            _ => record.position,
         };
-        let entry = Entry {
-            offset: record.offset,
+        let last_started_at_ms = endpoint.as_ref().map(|e| e.started_at_ms);
+        let entry = RegistryEntry {
+            position: record.position,
+            is_proven,
             changed_at,
+            last_started_at_ms: last_started_at_ms
+                .or(known.map(|e| e.last_started_at_ms))
+                .unwrap_or_default(),
             endpoint,
             expires_at,
         };
@@ -141,31 +130,64 @@
         }
     }
 
-    /// Applies a full list up to offset `end`: entries that it lacks are removed. A list older than
-    /// the newest known record changes nothing.
-    pub fn apply_full_list(
+    /// Applies a full list, read from the registry or relayed: entries that it lacks are removed, or
+    /// retained for a while after an outage and at the beginning of an era. A list older than the
+    /// newest known record changes nothing.
+    pub fn apply_full_list(&mut self, now: Instant, list: RegistryList) -> DiscoveryChange {
+        let end = list.end_position();
+        if self.is_older_than_known(end) {
+            return DiscoveryChange::None;
+        }
+        self.begin_era(now, end);
+        self.apply_entries(now, end, list.observations)
+    }
+
+    fn is_older_than_known(&self, end: RegistryPosition) -> bool {
+        let known_to = RegistryPosition::new(self.era, self.proven_from);
+        let newest = self.entries.values().map(|e| e.position).max();
+        end < known_to || newest.is_some_and(|newest| newest >= end)
+    }
+
+    /// Begins the era of a list that is complete up to `end`, if it is a new one: what the older
+    /// copy lacks is retained while the endpoints register again.
+    fn begin_era(&mut self, now: Instant, end: RegistryPosition) {
+        if end.era == self.era {
+            return;
+        }
+        self.era = end.era;
+        self.proven_from = end.offset;
+        if !self.entries.is_empty() {
+            self.retain_until = Some(now + REREGISTRATION_PERIOD);
+        }
+    }
+
+    /// Whether a record at `position` was certainly written in its era: it was not yet in the
+    /// registry when this gateway first read the whole registry in that era.
+    fn is_proven(&self, position: RegistryPosition) -> bool {
+        position >= RegistryPosition::new(self.era, self.proven_from)
+    }
+
+    fn apply_entries(
         &mut self,
         now: Instant,
-        end: u64,
+        end: RegistryPosition,
         listed: Vec<Observation>,
     ) -> DiscoveryChange {
-        let newest = self.entries.values().map(|e| e.offset).max();
-        if newest.is_some_and(|newest| newest >= end) {
-            return DiscoveryChange::None;
-        }
         let mut change = DiscoveryChange::None;
-        let listed_ids: HashSet<_> = listed.iter().map(|l| l.id.clone()).collect();
+        let valid = listed.iter().filter(|l| l.endpoint.is_some());
+        let listed_ids: HashSet<_> = valid.map(|l| l.id.clone()).collect();
         let missing: Vec<_> = self
             .entries
             .iter()
-            .filter(|(_, e)| e.endpoint.is_some() && e.expires_at.is_none())
-            .filter(|(id, _)| !listed_ids.contains(*id))
+            .filter(|(id, e)| e.is_registered() && !listed_ids.contains(*id))
             .map(|(id, _)| id.clone())
             .collect();
         for id in missing {
+            let position = RegistryPosition::new(end.era, end.offset.saturating_sub(1));
             let removed = Observation {
                 id,
-                offset: end.saturating_sub(1),
+                position,
+                is_proven: true,
                 endpoint: None,
             };
             change = change.or(self.observe_newest(now, removed));
@@ -194,23 +216,42 @@
         self.entries.values().filter_map(|e| e.expires_at).min()
     }
 
-    /// Last state in the registry of each entry that changed at offset `from` or later. Retained
-    /// entries are given as removed.
-    pub fn changes_since(&self, from: u64) -> Vec<Observation> {
+    /// Number of entries that are retained although the registry lacks them.
+    pub fn retained(&self) -> usize {
+        let entries = self.entries.values();
+        entries.filter(|e| e.expires_at.is_some()).count()
+    }
+
+    /// Last state in the registry of each entry that changed at `from` or later. Retained entries
+    /// are given as removed.
+    pub fn changes_since(&self, from: RegistryPosition) -> Vec<Observation> {
         let changed = self.entries.iter().filter(|(_, e)| e.changed_at >= from);
         let observed = changed.map(|(id, e)| Observation {
             id: id.clone(),
-            offset: e.changed_at,
+            position: e.changed_at,
+            is_proven: e.is_proven,
             endpoint: e.endpoint.clone().filter(|_| e.expires_at.is_none()),
         });
         observed.collect()
     }
 
-    /// Whether an entry changed at offset `from` or later.
-    pub fn has_changes_since(&self, from: u64) -> bool {
+    /// Whether an entry changed at `from` or later.
+    pub fn has_changes_since(&self, from: RegistryPosition) -> bool {
         self.entries.values().any(|e| e.changed_at >= from)
     }
 
+    /// All registered entries, for a gateway that knows an earlier era only.
+    pub fn full_list(&self) -> Vec<Observation> {
+        let registered = self.entries.iter().filter(|(_, e)| e.is_registered());
+        let observed = registered.map(|(id, e)| Observation {
+            id: id.clone(),
+            position: e.position,
+            is_proven: e.is_proven,
+            endpoint: e.endpoint.clone(),
+        });
+        observed.collect()
+    }
+
     /// All known endpoints including retained ones, ordered by identity.
     pub fn endpoints(&self) -> Vec<DiscoveredEndpoint> {
         let known = self.entries.values().filter_map(|e| e.endpoint.clone());
@@ -225,11 +266,14 @@
     }
 }
 
-impl DiscoveryChange {
-    /// The combined change: `Endpoints` if either of them is.
-    pub fn or(self, other: Self) -> Self {
-        if self == Self::None { other } else { self }
+/// Whether a record is older than the known state of its entry, or may come from an older copy of
+/// the registry and is behind that state.
+fn is_outdated(record: &Observation, is_proven: bool, known: &RegistryEntry) -> bool {
+    if known.position.era < record.position.era && !is_proven {
+        let endpoint = record.endpoint.as_ref();
+        return endpoint.is_some_and(|e| !known.may_become(e));
     }
+    known.position > record.position
 }
 
 fn is_equal_except_warmup(a: &DiscoveredEndpoint, b: &DiscoveredEndpoint) -> bool {
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -4,12 +4,18 @@
 mod balancer;
 mod discovered_endpoint;
 mod discovery;
+mod discovery_change;
 mod endpoint_view;
 mod load_report;
+mod observation;
 mod placement_error;
 mod placement_request;
 mod probe;
 mod probe_budget;
+mod registry_entry;
+mod registry_era;
+mod registry_list;
+mod registry_position;
 mod retry_budget;
 mod service_view;
 mod wait_queue;
@@ -18,12 +24,17 @@
     attempt_outcome::AttemptOutcome,
     balancer::{Balancer, Placement},
     discovered_endpoint::{DiscoveredEndpoint, EndpointState, InstanceId},
-    discovery::{DiscoveryChange, DiscoveryTable, Observation},
+    discovery::DiscoveryTable,
+    discovery_change::DiscoveryChange,
     load_report::LoadReport,
+    observation::Observation,
     placement_error::PlacementError,
     placement_request::PlacementRequest,
     probe::{Probe, ProbeOutcome},
     probe_budget::ProbeBudget,
+    registry_era::RegistryEra,
+    registry_list::RegistryList,
+    registry_position::RegistryPosition,
     retry_budget::RetryBudget,
     wait_queue::{WaitQueue, WaitTicket},
 };
--- a/crates/turmericloft/src/core/relay/mod.rs
+++ b/crates/turmericloft/src/core/relay/mod.rs
@@ -6,15 +6,22 @@
 //! follows at most one upstream, and the upstream always precedes it in an order that all gateways
 //! compute alike, so that there are no cycles. A follower whose data becomes stale reads the
 //! registry itself until its upstream sends fresh data again.
+//!
+//! A registry that returns from an older copy of its data begins a new era. A gateway that has not
+//! seen it yet is no upstream for one that has; one that has sends all entries to a follower that
+//! has not.
 
+mod era_change;
 mod registry_view;
 mod relay_member;
 mod relay_poll;
 mod relay_response;
 mod relay_timings;
+mod spread;
 mod upstream_chooser;
 
 pub use self::{
-    registry_view::RegistryView, relay_member::RelayMember, relay_poll::RelayPoll,
-    relay_response::RelayResponse, relay_timings::RelayTimings, upstream_chooser::UpstreamChooser,
+    era_change::EraChange, registry_view::RegistryView, relay_member::RelayMember,
+    relay_poll::RelayPoll, relay_response::RelayResponse, relay_timings::RelayTimings,
+    spread::delay_of_host, upstream_chooser::UpstreamChooser,
 };
--- a/crates/turmericloft/src/core/relay/registry_view.rs
+++ b/crates/turmericloft/src/core/relay/registry_view.rs
@@ -2,8 +2,11 @@
 
 use std::time::Instant;
 
-use super::{RelayPoll, RelayResponse, RelayTimings};
-use crate::core::placement::{DiscoveredEndpoint, DiscoveryChange, DiscoveryTable, Observation};
+use super::{EraChange, RelayPoll, RelayResponse, RelayTimings};
+use crate::core::placement::{
+    DiscoveredEndpoint, DiscoveryChange, DiscoveryTable, Observation, RegistryList,
+    RegistryPosition,
+};
 
 /// Freshness of the data received from an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,11 +20,13 @@
 pub struct RegistryView {
     timings: RelayTimings,
     table: DiscoveryTable,
-    next_offset: u64,
+    next: RegistryPosition,
     as_of: Option<Instant>,
     relayed: Option<RelayedState>,
     /// Until when a gateway that has not read the registry yet relies on its first response.
     first_response_until: Option<Instant>,
+    /// The last change of era, until all entries that it retained are registered again or dropped.
+    era_change: Option<EraChange>,
 }
 
 impl RegistryView {
@@ -30,16 +35,18 @@
         Self {
             timings,
             table: DiscoveryTable::new(),
-            next_offset: 0,
+            next: RegistryPosition::default(),
             as_of: None,
             relayed: None,
             first_response_until: None,
+            era_change: None,
         }
     }
 
-    /// Registry offset at which the next read continues; 0 if nothing was read or received.
-    pub fn next_offset(&self) -> u64 {
-        self.next_offset
+    /// Position in the registry at which the next read continues; the lowest one if nothing was read
+    /// or received.
+    pub fn next(&self) -> RegistryPosition {
+        self.next
     }
 
     /// The view reflects the registry as of this instant or later; `None` if that is not known.
@@ -52,44 +59,64 @@
         self.table.endpoints()
     }
 
-    /// Applies the records of a read that started at `read_started`, up to `next_offset`
-    /// (exclusive).
+    /// Applies the records of a read that started at `read_started`, up to `next` (exclusive).
+    /// Records of another era than the known one change nothing: an earlier one is over, and a
+    /// later one begins with a full list.
     pub fn apply_records(
         &mut self,
         now: Instant,
         read_started: Instant,
-        next_offset: u64,
+        next: RegistryPosition,
         records: Vec<Observation>,
     ) -> DiscoveryChange {
+        if next.era != self.next.era {
+            return DiscoveryChange::None;
+        }
         self.table.record_registry_response(now);
-        self.next_offset = self.next_offset.max(next_offset);
+        self.next = self.next.max(next);
         self.advance_as_of(read_started);
         let changes = records.into_iter().map(|o| self.table.observe(now, o));
         changes.fold(DiscoveryChange::None, DiscoveryChange::or)
     }
 
-    /// Applies a full list that reflects the registry up to offset `end`, from a read that started
-    /// at `read_started`. The next read continues at `next_offset`.
+    /// Applies a full list from a read that started at `read_started`. A list of an earlier era
+    /// changes nothing.
     pub fn apply_full_list(
         &mut self,
         now: Instant,
         read_started: Instant,
-        (end, next_offset): (u64, u64),
-        listed: Vec<Observation>,
+        list: RegistryList,
     ) -> DiscoveryChange {
+        if list.era < self.next.era {
+            return DiscoveryChange::None;
+        }
         self.table.record_registry_response(now);
-        self.next_offset = self.next_offset.max(next_offset);
+        let before = self.next;
+        self.next = self.next.max(list.next_position());
         self.advance_as_of(read_started);
-        self.table.apply_full_list(now, end, listed)
+        let change = self.table.apply_full_list(now, list);
+        self.record_era_change(before);
+        change
+    }
+
+    /// Whether a response can be applied: it is not of an earlier era, and a later one begins with
+    /// a full list.
+    pub fn accepts(&self, response: &RelayResponse) -> bool {
+        response.next.era == self.next.era
+            || response.next.era > self.next.era && response.is_full_list
     }
 
-    /// Applies the upstream's response to the poll that this gateway sent at `polled_at`.
+    /// Applies the upstream's response to the poll that this gateway sent at `polled_at`. A response
+    /// that is not [accepted](Self::accepts) changes nothing and shows nothing of freshness.
     pub fn apply_response(
         &mut self,
         now: Instant,
         polled_at: Instant,
         response: &RelayResponse,
     ) -> DiscoveryChange {
+        if !self.accepts(response) {
+            return DiscoveryChange::None;
+        }
         match response.as_of_after_poll {
             Some(after) => {
                 // This host, and with it its monotonic clock, may have been suspended in between.
@@ -103,12 +130,42 @@
             }
             None => {}
         }
-        self.next_offset = self.next_offset.max(response.next_offset);
+        let before = self.next;
+        self.next = self.next.max(response.next);
         let newest = response.changes.iter().cloned();
+        if response.is_full_list {
+            let list = RegistryList {
+                era: response.next.era,
+                end: response.next.offset,
+                next_offset: response.next.offset,
+                observations: newest.collect(),
+            };
+            let change = self.table.apply_full_list(now, list);
+            self.record_era_change(before);
+            return change;
+        }
         let changes = newest.map(|o| self.table.observe_newest(now, o));
         changes.fold(DiscoveryChange::None, DiscoveryChange::or)
     }
 
+    /// Notes a change of era since `before`; the first data of a gateway is none.
+    fn record_era_change(&mut self, before: RegistryPosition) {
+        if self.next.era == before.era || before == RegistryPosition::default() {
+            return;
+        }
+        self.era_change = Some(EraChange {
+            before: before.era,
+            era: self.next.era,
+            retained: self.table.retained(),
+            dropped: 0,
+        });
+    }
+
+    /// The last change of era, once no entry is retained any more; it is returned once.
+    pub fn take_completed_era_change(&mut self) -> Option<EraChange> {
+        self.era_change.take_if(|_| self.table.retained() == 0)
+    }
+
     fn is_first_response(&self) -> bool {
         self.as_of.is_none() && self.first_response_until.is_none()
     }
@@ -129,20 +186,29 @@
     /// the follower lacks.
     pub fn has_update(&self, received: Instant, poll: &RelayPoll) -> bool {
         let is_newer = self.as_of.is_some_and(|at| at > received);
-        let is_ahead = self.next_offset > poll.from_offset;
-        is_newer || is_ahead && self.table.has_changes_since(poll.from_offset)
+        let is_ahead = self.next > poll.from;
+        let has_changes =
+            || self.next.era > poll.from.era || self.table.has_changes_since(poll.from);
+        is_newer || is_ahead && has_changes()
     }
 
     /// The response, without a document, to a poll that arrived at `received`.
     pub fn response(&self, now: Instant, received: Instant, poll: &RelayPoll) -> RelayResponse {
-        let changes = self.table.changes_since(poll.from_offset);
+        let is_full_list = self.next.era > poll.from.era;
+        let changes = if is_full_list {
+            self.table.full_list()
+        } else {
+            self.table.changes_since(poll.from)
+        };
         RelayResponse {
-            is_current: self.is_current(now),
+            // A follower that knows a later era shows that this gateway's data is old.
+            is_current: self.is_current(now) && poll.from.era <= self.next.era,
             as_of_after_poll: self
                 .as_of
                 .and_then(|at| at.checked_duration_since(received)),
             hops: self.hops(now) + 1,
-            next_offset: self.next_offset,
+            next: self.next,
+            is_full_list,
             changes,
             document_version: 0,
             document: None,
@@ -178,10 +244,15 @@
         self.relay_fresh_until(now).is_some() || read_fresh_until.is_some_and(|until| until > now)
     }
 
-    /// Drops expired entries: those that vanished during a registry outage and have not registered
-    /// again in time.
+    /// Drops expired entries: those that vanished during a registry outage, or that an older copy of
+    /// the registry lacks, and have not registered again in time.
     pub fn expire(&mut self, now: Instant) -> DiscoveryChange {
-        self.table.expire(now)
+        let retained = self.table.retained();
+        let change = self.table.expire(now);
+        if let Some(era_change) = &mut self.era_change {
+            era_change.dropped += retained - self.table.retained();
+        }
+        change
     }
 
     /// When the next entry expires unless it registers again; `None` if no entry is to expire.
--- a/crates/turmericloft/src/core/relay/relay_poll.rs
+++ b/crates/turmericloft/src/core/relay/relay_poll.rs
@@ -4,14 +4,16 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::core::placement::RegistryPosition;
+
 /// Asks the upstream for everything newer than the follower's state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayPoll {
     /// Name of the follower's host.
     pub host: Arc<str>,
-    /// Registry offset from which on the follower needs changes; it has applied all records before.
-    #[serde(rename = "from")]
-    pub from_offset: u64,
+    /// Position in the registry from which on the follower needs changes; it has applied all records
+    /// before.
+    pub from: RegistryPosition,
     /// Newest document version that the follower knows to exist; 0 if it knows of none.
     pub document_version: u64,
 }
--- a/crates/turmericloft/src/core/relay/relay_response.rs
+++ b/crates/turmericloft/src/core/relay/relay_response.rs
@@ -4,26 +4,29 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::{placement::Observation, traffic::TrafficDocument};
+use crate::core::{
+    placement::{Observation, RegistryPosition},
+    traffic::TrafficDocument,
+};
 
-/// Changes since the follower's offset, and the time as of which they are complete.
+/// Changes since the follower's position, and the time as of which they are complete.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayResponse {
     /// Time from the arrival of the poll to the instant as of which the changes reflect the
     /// registry; `None` if the registry has not been read since the poll arrived. It is measured
-    /// by the upstream's monotonic clock. If that clock was suspended in between, the real instant
-    /// is later than reported, which is safe. Instants before the poll are never reported, because
-    /// the clock may have been suspended since then.
+    /// by the upstream's clock, which counts the time of suspensions. Instants before the poll are
+    /// never reported: a clock that left out a suspension would make them look later.
     #[serde(rename = "known_after")]
     pub as_of_after_poll: Option<Duration>,
     /// Whether the upstream's own data is fresh enough to be used.
     pub is_current: bool,
     /// Number of relay hops between the gateway that read the registry and the follower.
     pub hops: u32,
-    /// Registry offset up to which the changes are complete (exclusive).
-    #[serde(rename = "next")]
-    pub next_offset: u64,
-    /// Newest observation of each entry that changed at or after the polled offset.
+    /// Position in the registry up to which the changes are complete (exclusive).
+    pub next: RegistryPosition,
+    /// Whether `changes` are all registered entries, because the follower knows an earlier era.
+    pub is_full_list: bool,
+    /// Newest observation of each entry that changed at or after the polled position.
     pub changes: Vec<Observation>,
     /// Newest document version that the upstream knows to exist; 0 if it knows of none.
     pub document_version: u64,
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -6,7 +6,6 @@
 };
 
 use bytes::{BufMut, BytesMut};
-use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -43,6 +42,14 @@
     pub(super) client_disconnected: CancellationToken,
 }
 
+impl ForwardedRequest {
+    /// Whether the request is not to be sent any more, for example because the host was suspended
+    /// while it waited.
+    fn is_past_deadline(&self, now: Instant) -> bool {
+        self.deadline <= now
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub(super) enum AttemptEnd {
@@ -101,6 +108,9 @@
 ) -> ClassifiedEnd {
     let endpoint = &in_flight.placement().endpoint;
     let now = ingress.now();
+    if forwarded.is_past_deadline(now) {
+        return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
+    }
     let pooled = ingress.pool.take(now, &endpoint.id, forwarded.route.kind);
     if let Some(mut connection) = pooled {
         match exchange(ingress, forwarded, in_flight, &mut connection).await {
@@ -114,7 +124,7 @@
         Ok(connection) => connection,
         Err(_) => return (AttemptEnd::NotRun, AttemptOutcome::Unreachable, None),
     };
-    if forwarded.client_disconnected.is_cancelled() {
+    if forwarded.client_disconnected.is_cancelled() || forwarded.is_past_deadline(ingress.now()) {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
     let result = exchange(ingress, forwarded, in_flight, &mut connection).await;
@@ -147,7 +157,11 @@
         }
     };
     let response = connection.exchange(&forwarded.req.method, &message, is_own_response);
-    timeout(left + RESPONSE_MARGIN, response).await.ok()
+    tokio::select! {
+        biased;
+        response = response => Some(response),
+        () = ingress.clock.sleep_until(forwarded.deadline + RESPONSE_MARGIN) => None,
+    }
 }
 
 fn classify(
--- a/crates/turmericloft/src/ops/ingress/client.rs
+++ b/crates/turmericloft/src/ops/ingress/client.rs
@@ -11,7 +11,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::{sleep_until, timeout},
+    time::timeout,
 };
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -93,6 +93,7 @@
 impl ClientStream {
     async fn serve(mut self) {
         let closing_idle = self.ingress.closing_idle.clone();
+        let clock = self.ingress.clock.clone();
         loop {
             self.start_requests();
             if self.reader.take_expects_continue() && self.pending.is_empty() {
@@ -120,7 +121,7 @@
                     }
                 }
                 () = closing_idle.cancelled(), if is_idle => return self.close().await,
-                () = sleep_until(deadline.into()), if is_quiet => return self.time_out().await,
+                () = clock.sleep_until(deadline), if is_quiet => return self.time_out().await,
             }
         }
     }
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -8,7 +8,6 @@
 };
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -147,6 +146,7 @@
         let hedge_at_first = hedge_at(&first, self.arrived + target);
         let mut hedge_at = Some(hedge_at_first).filter(|_| self.is_idempotent());
         self.start(first);
+        let clock = self.ingress.clock.clone();
         loop {
             let at = hedge_at.unwrap_or(self.forwarded.deadline);
             tokio::select! {
@@ -156,7 +156,7 @@
                         return response;
                     }
                 }
-                () = sleep_until(at.into()), if hedge_at.is_some() => {
+                () = clock.sleep_until(at), if hedge_at.is_some() => {
                     hedge_at = None;
                     self.retry().await;
                 }
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -96,6 +96,8 @@
     tokio::spawn(apply_documents(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(apply_gateway_count(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(apply_endpoints(Arc::clone(&ingress), feeds));
+    let clock = ingress.clock.clone();
+    tokio::spawn(async move { clock.watch_suspensions().await });
     metrics_recorder::install();
     if let Some(listener) = listeners.metrics {
         tokio::spawn(serve_metrics(listener));
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -21,9 +21,12 @@
     connection_pool::ConnectionPool, protocol::EndpointProtocol, rate_limited_log::RateLimitedLog,
     settings::IngressSettings,
 };
-use crate::core::{
-    placement::{Balancer, DiscoveredEndpoint, WaitQueue},
-    traffic::{Route, RouteTable, Splitter},
+use crate::{
+    core::{
+        placement::{Balancer, DiscoveredEndpoint, WaitQueue},
+        traffic::{Route, RouteTable, Splitter},
+    },
+    util::host_clock::HostClock,
 };
 
 /// Channels over which an ingress gateway receives its document, its endpoints and the number of
@@ -42,6 +45,7 @@
 /// State of an ingress gateway.
 pub struct Ingress {
     pub(super) settings: IngressSettings,
+    pub(super) clock: HostClock,
     pub(super) protocol: Arc<dyn EndpointProtocol>,
     pub(super) table: ArcSwapOption<RouteTable>,
     pub(super) balancer: Mutex<Balancer>,
@@ -67,12 +71,23 @@
         settings: IngressSettings,
         protocol: Arc<dyn EndpointProtocol>,
         seed: u64,
+    ) -> Arc<Self> {
+        Self::with_clock(settings, protocol, seed, HostClock::system())
+    }
+
+    /// Like [`new`](Self::new), with another clock than that of the host.
+    pub fn with_clock(
+        settings: IngressSettings,
+        protocol: Arc<dyn EndpointProtocol>,
+        seed: u64,
+        clock: HostClock,
     ) -> Arc<Self> {
         let budget = settings.retry_budget.clone();
         let zone = Arc::clone(&settings.zone);
         let balancer = Balancer::new(zone, budget, Pcg64Mcg::seed_from_u64(seed));
         Arc::new(Self {
             settings,
+            clock,
             protocol,
             table: ArcSwapOption::empty(),
             balancer: Mutex::new(balancer),
@@ -88,9 +103,9 @@
         })
     }
 
-    /// Returns the time of the tokio clock, which tests can pause.
+    /// The present time, by which all ages and deadlines count.
     pub(super) fn now(&self) -> Instant {
-        tokio::time::Instant::now().into_std()
+        self.clock.now()
     }
 
     /// Whether the gateway accepts clients: it has a document and endpoints and is not stopping.
--- a/crates/turmericloft/src/ops/relay/follow.rs
+++ b/crates/turmericloft/src/ops/relay/follow.rs
@@ -3,13 +3,9 @@
 use std::{future::pending, sync::Arc, time::Duration};
 
 use metrics::counter;
-use tokio::{
-    net::TcpStream,
-    sync::watch,
-    time::{sleep_until, timeout},
-};
+use tokio::{net::TcpStream, sync::watch, time::timeout};
 
-use super::{RelayError, RelayHub, hub::now, wire::RelayConnection};
+use super::{RelayError, RelayHub, wire::RelayConnection};
 use crate::{
     core::relay::{RelayMember, RelayResponse, UpstreamChooser},
     util::{error_chain, metrics_table::RELAY_ANSWERS},
@@ -36,9 +32,9 @@
             continue;
         };
         chooser.set_members(&known);
-        let Some(upstream) = chooser.upstream(now()).cloned() else {
+        let Some(upstream) = chooser.upstream(hub.now()).cloned() else {
             hub.record_no_upstream();
-            if !wait_for_candidate(&chooser, &mut members).await {
+            if !wait_for_candidate(&hub, &chooser, &mut members).await {
                 return;
             }
             continue;
@@ -50,8 +46,8 @@
             error_chain::one_line(&error)
         );
         match error {
-            RelayError::Stale { .. } => chooser.record_stale(now(), &upstream.host),
-            _ => chooser.record_failure(now(), &upstream.host),
+            RelayError::Stale { .. } => chooser.record_stale(hub.now(), &upstream.host),
+            _ => chooser.record_failure(hub.now(), &upstream.host),
         }
     }
 }
@@ -59,12 +55,13 @@
 /// Waits until the members change or an excluded gateway can be selected again. Returns whether
 /// the sender of `members` still exists.
 async fn wait_for_candidate(
+    hub: &RelayHub,
     chooser: &UpstreamChooser,
     members: &mut watch::Receiver<Option<Vec<RelayMember>>>,
 ) -> bool {
     let next_retry = async {
-        match chooser.next_retry(now()) {
-            Some(at) => sleep_until(at.into()).await,
+        match chooser.next_retry(hub.now()) {
+            Some(at) => hub.clock().sleep_until(at).await,
             None => pending().await,
         }
     };
@@ -119,7 +116,7 @@
 ) -> Result<(), RelayError> {
     let peer = upstream.address;
     let limit = hub.response_timeout();
-    let polled_at = now();
+    let polled_at = hub.now();
     let exchange = async {
         connection.send(hub.build_poll(host)).await?;
         connection.receive().await
@@ -127,9 +124,9 @@
     let exchanged = timeout(limit, exchange).await;
     let response: RelayResponse = exchanged.map_err(|_| RelayError::Timeout { peer, limit })??;
     let is_current = response.is_current;
-    hub.apply_response(polled_at, response);
+    let is_accepted = hub.apply_response(polled_at, response);
     counter!(RELAY_ANSWERS.name, "direction" => "taken").increment(1);
-    if is_current {
+    if is_current && is_accepted {
         Ok(())
     } else {
         Err(RelayError::Stale { peer })
--- a/crates/turmericloft/src/ops/relay/hub.rs
+++ b/crates/turmericloft/src/ops/relay/hub.rs
@@ -10,16 +10,20 @@
     time::{Duration, Instant},
 };
 
+use metrics::counter;
 use parking_lot::Mutex;
-use tokio::{
-    sync::watch,
-    time::{sleep, sleep_until},
-};
-
-use crate::core::{
-    placement::{DiscoveredEndpoint, DiscoveryChange, Observation},
-    relay::{RegistryView, RelayPoll, RelayResponse, RelayTimings},
-    traffic::{RouteTable, TrafficDocument},
+use tokio::{sync::watch, time::sleep};
+
+use crate::{
+    core::{
+        placement::{
+            DiscoveredEndpoint, DiscoveryChange, Observation, RegistryEra, RegistryList,
+            RegistryPosition,
+        },
+        relay::{RegistryView, RelayPoll, RelayResponse, RelayTimings},
+        traffic::{RouteTable, TrafficDocument},
+    },
+    util::{host_clock::HostClock, metrics_table::REGISTRY_ERA_CHANGES},
 };
 
 /// Time that a starting gateway waits for relayed data: a few round trips to the store and within
@@ -38,11 +42,14 @@
 #[derive(Debug)]
 pub struct RelayHub {
     timings: RelayTimings,
+    clock: HostClock,
     view: Mutex<RegistryView>,
     endpoints: watch::Sender<PublishedEndpoints>,
     documents: watch::Sender<PublishedDocument>,
     /// Newest document version known to exist, whether or not that document was received.
     newest_version: watch::Sender<u64>,
+    /// Era of the registry's history in the view; `None` before the first data.
+    era: watch::Sender<Option<RegistryEra>>,
     /// Notified after every read or response that was applied to the view.
     view_updated: watch::Sender<()>,
     has_upstream: AtomicBool,
@@ -53,12 +60,19 @@
 impl RelayHub {
     /// A hub with an empty view and without a document.
     pub fn new(timings: RelayTimings) -> Arc<Self> {
+        Self::with_clock(timings, HostClock::system())
+    }
+
+    /// Like [`new`](Self::new), with another clock than that of the host.
+    pub fn with_clock(timings: RelayTimings, clock: HostClock) -> Arc<Self> {
         Arc::new(Self {
             timings,
+            clock,
             view: Mutex::new(RegistryView::new(timings)),
             endpoints: watch::Sender::new(None),
             documents: watch::Sender::new(None),
             newest_version: watch::Sender::new(0),
+            era: watch::Sender::new(None),
             view_updated: watch::Sender::new(()),
             has_upstream: AtomicBool::new(false),
             no_upstream: watch::Sender::new(false),
@@ -70,6 +84,15 @@
         &self.timings
     }
 
+    /// Clock by which the age of data counts.
+    pub fn clock(&self) -> &HostClock {
+        &self.clock
+    }
+
+    pub(super) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
     /// Receives the list of all endpoints whenever one changes; `None` until they are known.
     pub fn endpoints(&self) -> watch::Receiver<PublishedEndpoints> {
         self.endpoints.subscribe()
@@ -80,9 +103,15 @@
         self.documents.subscribe()
     }
 
-    /// Registry offset at which the next read continues.
-    pub fn next_offset(&self) -> u64 {
-        self.view.lock().next_offset()
+    /// Position in the registry at which the next read continues.
+    pub fn next_position(&self) -> RegistryPosition {
+        self.view.lock().next()
+    }
+
+    /// Receives the era of the registry's history whenever it changes; `None` before the first
+    /// data.
+    pub fn era(&self) -> watch::Receiver<Option<RegistryEra>> {
+        self.era.subscribe()
     }
 
     /// Publishes a document if it is newer than the active one.
@@ -99,28 +128,21 @@
         self.record_version(version);
     }
 
-    /// Applies the records of a registry read that started at `read_started`, up to `next_offset`
+    /// Applies the records of a registry read that started at `read_started`, up to `next`
     /// (exclusive).
     pub fn apply_records(
         &self,
         read_started: Instant,
-        next_offset: u64,
+        next: RegistryPosition,
         records: Vec<Observation>,
     ) {
-        self.update_view(|view, now| view.apply_records(now, read_started, next_offset, records));
+        self.update_view(|view, now| view.apply_records(now, read_started, next, records));
         self.view_updated.send_replace(());
     }
 
-    /// Applies a full list of the registry from a read that started at `read_started`. `offsets`
-    /// are the offset up to which the list is complete, and the one at which the next read
-    /// continues.
-    pub fn apply_full_list(
-        &self,
-        read_started: Instant,
-        offsets: (u64, u64),
-        listed: Vec<Observation>,
-    ) {
-        self.update_view(|view, now| view.apply_full_list(now, read_started, offsets, listed));
+    /// Applies a full list of the registry from a read that started at `read_started`.
+    pub fn apply_full_list(&self, read_started: Instant, list: RegistryList) {
+        self.update_view(|view, now| view.apply_full_list(now, read_started, list));
         self.view_updated.send_replace(());
     }
 
@@ -129,10 +151,11 @@
         let mut view_updated = self.view_updated.subscribe();
         loop {
             self.update_view(|view, now| view.expire(now));
+            self.log_era_change();
             let next_expiry = self.view.lock().next_expiry();
             let expiry = async {
                 match next_expiry {
-                    Some(at) => sleep_until(at.into()).await,
+                    Some(at) => self.clock.sleep_until(at).await,
                     None => pending().await,
                 }
             };
@@ -143,6 +166,21 @@
         }
     }
 
+    fn log_era_change(&self) {
+        let completed = self.view.lock().take_completed_era_change();
+        let Some(change) = completed else {
+            return;
+        };
+        counter!(REGISTRY_ERA_CHANGES.name).increment(1);
+        log::warn!(
+            "store returned from an older copy era={} before={} retained={} dropped={}",
+            change.era,
+            change.before,
+            change.retained,
+            change.dropped
+        );
+    }
+
     /// Whether this gateway is connected to an upstream, whether or not its data is fresh.
     pub fn has_upstream(&self) -> bool {
         self.has_upstream.load(Ordering::Relaxed)
@@ -156,9 +194,9 @@
     /// itself.
     pub async fn wait_until_stale(&self) {
         loop {
-            let until = self.view.lock().relay_fresh_until(now());
+            let until = self.view.lock().relay_fresh_until(self.now());
             match until {
-                Some(until) => sleep_until(until.into()).await,
+                Some(until) => self.clock.sleep_until(until).await,
                 None => return,
             }
         }
@@ -193,35 +231,42 @@
 
     /// Whether the relayed data is fresh, so that this gateway need not read the registry.
     pub fn is_relay_fresh(&self) -> bool {
-        self.view.lock().relay_fresh_until(now()).is_some()
+        self.view.lock().relay_fresh_until(self.now()).is_some()
     }
 
     pub(super) fn build_poll(&self, host: &Arc<str>) -> RelayPoll {
         RelayPoll {
             host: Arc::clone(host),
-            from_offset: self.next_offset(),
+            from: self.next_position(),
             document_version: *self.newest_version.borrow(),
         }
     }
 
-    pub(super) fn apply_response(&self, polled_at: Instant, mut response: RelayResponse) {
+    /// Applies the response to the poll that was sent at `polled_at`. Returns false if the upstream
+    /// does not know the present era of the registry.
+    pub(super) fn apply_response(&self, polled_at: Instant, mut response: RelayResponse) -> bool {
         if let Some(document) = response.document.take() {
             self.publish_document(document);
         }
         self.record_version(response.document_version);
-        self.update_view(|view, now| view.apply_response(now, polled_at, &response));
+        let mut is_accepted = false;
+        self.update_view(|view, now| {
+            is_accepted = view.accepts(&response);
+            view.apply_response(now, polled_at, &response)
+        });
         self.view_updated.send_replace(());
+        is_accepted
     }
 
     /// Responds to a poll as soon as there are changes, or without any as a heartbeat.
     pub(super) async fn respond(&self, poll: &RelayPoll) -> RelayResponse {
-        let received = now();
+        let received = self.now();
         let idle_at = received + self.timings.idle_response_after();
         let refresh_deadline = self.view.lock().refresh_deadline(received);
         let grace = received + self.timings.read_grace();
         self.wait_for_update(poll, received, idle_at.min(refresh_deadline.max(grace)))
             .await;
-        let mut response = self.view.lock().response(now(), received, poll);
+        let mut response = self.view.lock().response(self.now(), received, poll);
         response.document_version = *self.newest_version.borrow();
         response.document = self.document_newer_than(poll.document_version);
         response
@@ -238,7 +283,7 @@
             tokio::select! {
                 _ = view_updated.changed() => {}
                 _ = newest_version.changed() => {}
-                () = sleep_until(deadline.into()) => return,
+                () = self.clock.sleep_until(deadline) => return,
             }
         }
     }
@@ -279,11 +324,16 @@
     /// Applies `change` to the view, and publishes the endpoints if one changed.
     fn update_view(&self, change: impl FnOnce(&mut RegistryView, Instant) -> DiscoveryChange) {
         let mut view = self.view.lock();
-        if change(&mut view, now()) == DiscoveryChange::Endpoints {
+        if change(&mut view, self.now()) == DiscoveryChange::Endpoints {
             // Publishing under the lock keeps an older list from replacing a newer one.
             self.endpoints
                 .send_replace(Some(Arc::new(view.endpoints())));
         }
+        let next = view.next();
+        if next != RegistryPosition::default() {
+            self.era
+                .send_if_modified(|era| era.replace(next.era) != Some(next.era));
+        }
     }
 
     /// Time without a response after which this gateway gives up its upstream.
@@ -291,7 +341,3 @@
         self.timings.response_timeout()
     }
 }
-
-pub(super) fn now() -> Instant {
-    tokio::time::Instant::now().into_std()
-}
--- a/crates/turmericloft/src/ops/relay/wire.rs
+++ b/crates/turmericloft/src/ops/relay/wire.rs
@@ -11,7 +11,7 @@
 use super::RelayError;
 
 /// Version of the message format. It has to change with every change of the format.
-const MESSAGE_VERSION: u16 = 1;
+const MESSAGE_VERSION: u16 = 2;
 /// Maximum length of a message: large enough for a document of tens of thousands of routes.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -218,6 +218,15 @@
     help: "Answers on what is new in the registry, sent to followers and taken from upstream",
 };
 
+/// Returns of the registry from an older copy of its data.
+pub const REGISTRY_ERA_CHANGES: Metric = Metric {
+    name: "turmericloft_registry_era_changes_total",
+    kind: MetricKind::Counter,
+    unit: "changes",
+    labels: &[],
+    help: "Returns of the registry from an older copy of its data, which begin a new era",
+};
+
 /// Log lines dropped because the queue of the log writer was full or its output had failed.
 pub const LOG_LINES_DROPPED: Metric = Metric {
     name: "turmericloft_log_lines_dropped_total",
@@ -228,7 +237,7 @@
 };
 
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 22] = [
+pub const ALL: [Metric; 23] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -250,5 +259,6 @@
     INGRESS_PROBES,
     STORE_CALLS,
     RELAY_ANSWERS,
+    REGISTRY_ERA_CHANGES,
     LOG_LINES_DROPPED,
 ];
--- a/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
 use strum::{EnumIter, VariantArray};
@@ -66,6 +69,8 @@
 pub struct Endpoint {
     pub address: SocketAddr,
     pub runs: Arc<Mutex<Vec<Run>>>,
+    /// Number of connections that were opened.
+    connections: Arc<AtomicUsize>,
     /// Has one permit per held request that has arrived.
     pub arrived: Arc<Semaphore>,
     /// Releases one held request per permit.
@@ -81,6 +86,7 @@
         let endpoint = Self {
             address,
             runs: Arc::default(),
+            connections: Arc::default(),
             arrived: Arc::new(Semaphore::new(0)),
             release: Arc::new(Semaphore::new(0)),
             disconnected: Arc::new(Semaphore::new(0)),
@@ -92,14 +98,20 @@
             release: Arc::clone(&endpoint.release),
             disconnected: Arc::clone(&endpoint.disconnected),
         };
+        let connections = Arc::clone(&endpoint.connections);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                connections.fetch_add(1, Ordering::AcqRel);
                 tokio::spawn(server.clone().serve(stream));
             }
         });
         endpoint
     }
 
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Acquire)
+    }
+
     pub fn ran(&self) -> Vec<Run> {
         self.runs.lock().expect("not poisoned").clone()
     }
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -13,6 +13,7 @@
         },
     },
     ops::ingress::{Ingress, IngressFeeds, IngressListeners, IngressSettings, run_ingress},
+    util::host_clock::HostClock,
 };
 
 use super::{endpoint::Endpoint, protocol::TestProtocol};
@@ -34,11 +35,16 @@
     /// Starts a gateway with the routes `/read/` (idempotent) and `/act/` (at most once) of the
     /// host `h`.
     pub async fn start(endpoints: &[Endpoint]) -> Self {
+        Self::start_with_clock(endpoints, HostClock::system()).await
+    }
+
+    /// Starts a gateway whose host has this clock.
+    pub async fn start_with_clock(endpoints: &[Endpoint], clock: HostClock) -> Self {
         let settings = settings();
         let listeners = IngressListeners::bind(&settings).await.expect("free ports");
         let clients = listeners.clients.local_addr().expect("an address");
         let ready = listeners.ready.local_addr().expect("an address");
-        let ingress = Ingress::new(settings, Arc::new(TestProtocol), 1);
+        let ingress = Ingress::with_clock(settings, Arc::new(TestProtocol), 1, clock);
         let table = Arc::new(RouteTable::new(document(1)));
         let known = endpoints.iter().enumerate();
         let known = known.map(|(i, e)| discovered(i, e.address)).collect();
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -8,3 +8,4 @@
 mod pipelining;
 mod protocol;
 mod routes;
+mod suspension;
--- a/crates/turmericloft/tests/testsuite/placement/discovery.rs
+++ b/crates/turmericloft/tests/testsuite/placement/discovery.rs
@@ -3,15 +3,30 @@
 use std::time::{Duration, Instant};
 
 use turmericloft::core::placement::{
-    DiscoveredEndpoint, DiscoveryChange, DiscoveryTable, EndpointState, Observation,
+    DiscoveredEndpoint, DiscoveryChange, DiscoveryTable, EndpointState, Observation, RegistryEra,
+    RegistryList, RegistryPosition,
 };
 
 use super::endpoint;
 
+fn at(offset: u64) -> RegistryPosition {
+    RegistryPosition::new(RegistryEra(0), offset)
+}
+
+fn list(end: u64, observations: Vec<Observation>) -> RegistryList {
+    RegistryList {
+        era: RegistryEra(0),
+        end,
+        next_offset: end,
+        observations,
+    }
+}
+
 fn registration(id: &str, offset: u64) -> Observation {
     Observation {
         id: id.into(),
-        offset,
+        position: at(offset),
+        is_proven: false,
         endpoint: Some(endpoint(id, "a")),
     }
 }
@@ -19,7 +34,8 @@
 fn removal(id: &str, offset: u64) -> Observation {
     Observation {
         id: id.into(),
-        offset,
+        position: at(offset),
+        is_proven: false,
         endpoint: None,
     }
 }
@@ -32,7 +48,8 @@
 fn table(now: Instant) -> DiscoveryTable {
     let mut table = DiscoveryTable::new();
     table.record_registry_response(now);
-    table.apply_full_list(now, 10, vec![registration("e1", 3), registration("e2", 9)]);
+    let listed = vec![registration("e1", 3), registration("e2", 9)];
+    table.apply_full_list(now, list(10, listed));
     table
 }
 
@@ -84,7 +101,8 @@
     };
     let observation = Observation {
         id: "e1".into(),
-        offset: 11,
+        position: at(11),
+        is_proven: false,
         endpoint: Some(draining),
     };
     assert_eq!(
@@ -98,7 +116,7 @@
 fn a_full_list_older_than_the_known_records_changes_nothing() {
     let now = Instant::now();
     let mut table = table(now);
-    let change = table.apply_full_list(now, 5, vec![registration("e1", 3)]);
+    let change = table.apply_full_list(now, list(5, vec![registration("e1", 3)]));
     assert_eq!(change, DiscoveryChange::None);
     assert_eq!(ids(&table), ["e1", "e2"]);
 }
--- a/crates/turmericloft/tests/testsuite/relay/connections.rs
+++ b/crates/turmericloft/tests/testsuite/relay/connections.rs
@@ -18,7 +18,7 @@
     ops::relay::{RelayHub, follow_upstream, serve_followers},
 };
 
-use super::observed;
+use super::{at, observed};
 
 /// Long enough that no timeout expires on a slow machine.
 const DRAIN_TIME: Duration = Duration::from_secs(60);
@@ -104,7 +104,7 @@
 
 fn apply_record(hub: &RelayHub, offset: u64, id: &str, state: EndpointState) {
     let now = tokio::time::Instant::now().into_std();
-    hub.apply_records(now, offset + 1, vec![observed(id, offset, state)]);
+    hub.apply_records(now, at(0, offset + 1), vec![observed(id, offset, state)]);
 }
 
 async fn wait_for_endpoints(hub: &RelayHub, wanted: impl Fn(&[DiscoveredEndpoint]) -> bool) {
@@ -132,7 +132,7 @@
     wait_for_endpoints(&follower, |e| e.len() == 2).await;
     upstream.hub.publish_document(document(5));
     wait_for_version(&follower, 5).await;
-    assert_eq!(follower.next_offset(), 2);
+    assert_eq!(follower.next_position(), at(0, 2));
 }
 
 #[tokio::test]
--- a/crates/turmericloft/tests/testsuite/relay/mod.rs
+++ b/crates/turmericloft/tests/testsuite/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Relaying of registry data between gateways.
 
 mod connections;
+mod registry;
 mod simulation;
 mod upstream;
 mod view;
@@ -8,7 +9,9 @@
 use std::{sync::Arc, time::Duration};
 
 use turmericloft::core::{
-    placement::{DiscoveredEndpoint, EndpointState, Observation},
+    placement::{
+        DiscoveredEndpoint, EndpointState, Observation, RegistryEra, RegistryList, RegistryPosition,
+    },
     relay::{RelayMember, RelayTimings},
 };
 
@@ -27,6 +30,25 @@
     }
 }
 
+/// The place at `offset` in the era numbered `era`.
+fn at(era: u64, offset: u64) -> RegistryPosition {
+    RegistryPosition::new(RegistryEra(era), offset)
+}
+
+/// A list of the whole registry in the era of its entries, complete up to `end`.
+fn list(era: u64, end: u64, observations: Vec<Observation>) -> RegistryList {
+    let in_era = |o: Observation| Observation {
+        position: at(era, o.position.offset),
+        ..o
+    };
+    RegistryList {
+        era: RegistryEra(era),
+        end,
+        next_offset: end,
+        observations: observations.into_iter().map(in_era).collect(),
+    }
+}
+
 fn endpoint(id: &str, state: EndpointState) -> DiscoveredEndpoint {
     DiscoveredEndpoint {
         id: id.into(),
@@ -43,7 +65,8 @@
 fn observed(id: &str, offset: u64, state: EndpointState) -> Observation {
     Observation {
         id: id.into(),
-        offset,
+        position: at(0, offset),
+        is_proven: false,
         endpoint: Some(endpoint(id, state)),
     }
 }
@@ -51,7 +74,8 @@
 fn removed(id: &str, offset: u64) -> Observation {
     Observation {
         id: id.into(),
-        offset,
+        position: at(0, offset),
+        is_proven: false,
         endpoint: None,
     }
 }
--- a/crates/turmericloft/tests/testsuite/relay/simulation.rs
+++ b/crates/turmericloft/tests/testsuite/relay/simulation.rs
@@ -1,62 +1,36 @@
 //! Simulation of many gateways and one registry with message delays (some beyond
-//! the response timeout), suspended hosts, and a registry that is unavailable to some gateways. Time
-//! is simulated; a seed always gives the same run.
+//! the response timeout), suspended hosts, a registry that is unavailable to some gateways, and
+//! returns of the registry from an older copy. Time is simulated; a seed always gives the same run.
 //!
-//! Two invariants are checked at regular steps: a gateway's view reflects the registry as of the
-//! instant that the view states, and a gateway that can reach the registry is never further behind
-//! than the drain time.
+//! Three invariants are checked at regular steps: a gateway's view reflects the registry as of the
+//! instant that the view states; a gateway that can reach the registry is never further behind
+//! than the drain time; and what a gateway knew to be draining or removed is not ready again before
+//! it starts again.
 
 use std::{
-    collections::BTreeMap,
+    collections::HashMap,
     time::{Duration, Instant},
 };
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use turmericloft::core::{
-    placement::{EndpointState, Observation},
+    placement::{
+        DiscoveredEndpoint, EndpointState, InstanceId, Observation, RegistryEra, RegistryPosition,
+    },
     relay::{RegistryView, RelayPoll, RelayResponse, UpstreamChooser},
 };
 
-use super::{DRAIN_TIME, member, observed, removed, timings};
+use super::{DRAIN_TIME, at, member, registry::Registry, timings};
 
 const STEP: Duration = Duration::from_millis(10);
 const STEPS: u32 = 3_000;
 /// Steps between two checks of the invariants.
 const CHECK_STEPS: u32 = 7;
+/// Step from which on the registry may return from an older copy.
+const RETURNS_FROM_STEP: u32 = 500;
 const SEEDS: u64 = 24;
 const GATEWAYS: usize = 12;
-const ENDPOINTS: usize = 6;
-
-/// The registry's log; the index of a record is its offset.
-#[derive(Default)]
-struct Registry {
-    records: Vec<(Instant, Observation)>,
-}
-
-impl Registry {
-    fn write(&mut self, now: Instant, rng: &mut Pcg64Mcg) {
-        let offset = self.records.len() as u64;
-        let id = format!("e{}", rng.random_range(0..ENDPOINTS));
-        let record = match rng.random_range(0..10) {
-            0 => removed(&id, offset),
-            1 => observed(&id, offset, EndpointState::Draining),
-            _ => observed(&id, offset, EndpointState::Ready),
-        };
-        self.records.push((now, record));
-    }
-
-    fn since(&self, from: u64) -> Vec<Observation> {
-        let records = self.records.iter().skip(from as usize);
-        records.map(|(_, record)| record.clone()).collect()
-    }
-
-    /// Newest record of each id among those written before `at`.
-    fn as_of(&self, at: Instant) -> BTreeMap<&str, &Observation> {
-        let before = self.records.iter().filter(|(written, _)| *written < at);
-        before.map(|(_, r)| (&*r.id, r)).collect()
-    }
-}
 
 /// A poll on its way or waiting at the upstream, or its response on the way back.
 struct Exchange {
@@ -69,15 +43,25 @@
     response: Option<RelayResponse>,
 }
 
+/// What a gateway has shown of an endpoint.
+#[derive(Clone, Debug, Default)]
+struct Shown {
+    last: Option<DiscoveredEndpoint>,
+    /// Highest number of a change of state that the gateway knew to be over.
+    over: u32,
+}
+
 struct Gateway {
     view: RegistryView,
+    shown: HashMap<InstanceId, Shown>,
     chooser: UpstreamChooser,
     exchange: Option<Exchange>,
     next_read: Instant,
-    /// The host is suspended until then, and its monotonic clock with it.
+    /// The host is suspended until then.
     suspended_until: Instant,
-    /// Starts and lengths of the host's suspensions.
-    suspensions: Vec<(Instant, Duration)>,
+    /// Starts and lengths of the host's suspensions that its clock leaves out; none unless that bug
+    /// is injected.
+    left_out: Vec<(Instant, Duration)>,
     /// The registry is unavailable to this gateway until then.
     registry_unavailable_until: Instant,
     /// Since when the host has been running and able to reach the registry.
@@ -89,10 +73,10 @@
         self.suspended_until > now
     }
 
-    /// The host's monotonic clock, which leaves out suspensions.
+    /// The host's clock.
     fn clock(&self, now: Instant) -> Instant {
         now - self
-            .suspensions
+            .left_out
             .iter()
             .map(|(_, length)| *length)
             .sum::<Duration>()
@@ -100,8 +84,8 @@
 
     /// The first real instant at which the host's clock showed `clock`.
     fn real_time(&self, clock: Instant) -> Instant {
-        let suspensions = self.suspensions.iter();
-        suspensions.fold(
+        let left_out = self.left_out.iter();
+        left_out.fold(
             clock,
             |at, (started, length)| if at > *started { at + *length } else { at },
         )
@@ -117,6 +101,10 @@
     faults: bool,
     /// Injects a bug: the age of a response counts from its arrival instead of from its poll.
     counts_from_arrival: bool,
+    /// Injects a bug: the hosts' clocks stop while they are suspended.
+    leaves_out_suspensions: bool,
+    /// Injects a bug: gateways take all offsets for positions in one era.
+    ignores_eras: bool,
 }
 
 impl World {
@@ -130,11 +118,12 @@
             chooser.set_members(&members);
             Gateway {
                 view: RegistryView::new(timings()),
+                shown: HashMap::new(),
                 chooser,
                 exchange: None,
                 next_read: started,
                 suspended_until: started,
-                suspensions: Vec::new(),
+                left_out: Vec::new(),
                 registry_unavailable_until: started,
                 healthy_since: started,
             }
@@ -147,6 +136,8 @@
             reads: 0,
             faults,
             counts_from_arrival: false,
+            leaves_out_suspensions: false,
+            ignores_eras: false,
         }
     }
 
@@ -156,6 +147,10 @@
             if self.rng.random_bool(0.3) {
                 self.registry.write(now, &mut self.rng);
             }
+            self.registry.rewrite(now);
+            if self.faults && step > RETURNS_FROM_STEP && self.rng.random_bool(0.000_7) {
+                self.registry.return_from_copy(now, &mut self.rng);
+            }
             for i in 0..GATEWAYS {
                 self.inject_fault(now, i);
                 if !self.gateways[i].is_suspended(now) {
@@ -181,7 +176,9 @@
         if !g.is_suspended(now) && self.rng.random_bool(0.001) {
             let length = Duration::from_millis(self.rng.random_range(50..4_000));
             g.suspended_until = now + length;
-            g.suspensions.push((now, length));
+            if self.leaves_out_suspensions {
+                g.left_out.push((now, length));
+            }
         }
         if self.rng.random_bool(0.001) {
             let length = Duration::from_millis(self.rng.random_range(50..6_000));
@@ -203,9 +200,19 @@
             g.next_read = now + Duration::from_millis(250);
             return;
         }
-        let next_offset = self.registry.records.len() as u64;
-        let records = self.registry.since(g.view.next_offset());
-        g.view.apply_records(clock, clock, next_offset, records);
+        let next = self.registry.end();
+        if self.ignores_eras {
+            let records = self.registry.since(g.view.next().offset);
+            let next = at(0, next.offset);
+            g.view
+                .apply_records(clock, clock, next, without_era(records));
+        } else if g.view.next().era == next.era {
+            let records = self.registry.since(g.view.next().offset);
+            g.view.apply_records(clock, clock, next, records);
+        } else {
+            let list = self.registry.full_list();
+            g.view.apply_full_list(clock, clock, list);
+        }
         g.next_read = now + timings().read_interval();
     }
 
@@ -229,8 +236,9 @@
                     exchange.polled_at
                 };
                 let g = &mut self.gateways[i];
+                let is_accepted = g.view.accepts(response);
                 g.view.apply_response(clock, polled_at, response);
-                if !response.is_current {
+                if !response.is_current || !is_accepted {
                     let host = format!("h{}", exchange.upstream);
                     g.chooser.record_stale(clock, &host);
                 }
@@ -250,7 +258,7 @@
         let upstream = upstream.host[1..].parse().expect("a number");
         let poll = RelayPoll {
             host: format!("h{i}").into(),
-            from_offset: g.view.next_offset(),
+            from: g.view.next(),
             document_version: 0,
         };
         let arrives = now + self.delay();
@@ -290,13 +298,15 @@
         Duration::from_millis(self.rng.random_range(0..max_ms))
     }
 
-    fn check(&self, now: Instant, i: usize) -> Result<(), String> {
-        let g = &self.gateways[i];
-        if g.is_suspended(now) {
+    fn check(&mut self, now: Instant, i: usize) -> Result<(), String> {
+        if self.gateways[i].is_suspended(now) {
             return Ok(());
         }
-        let healthy_for = now.saturating_duration_since(g.healthy_since);
-        if healthy_for <= 2 * DRAIN_TIME {
+        self.check_progress(i)?;
+        let g = &self.gateways[i];
+        let disturbed_at = self.registry.last_return().max(Some(g.healthy_since));
+        let calm_for = disturbed_at.map(|at| now.saturating_duration_since(at));
+        if calm_for.is_some_and(|calm| calm <= 2 * DRAIN_TIME) {
             return Ok(());
         }
         if let Some(as_of) = g.view.as_of() {
@@ -305,20 +315,46 @@
         self.check_state(i, now - DRAIN_TIME, "has to reflect")
     }
 
+    /// Checks that no endpoint is ready in a state that the gateway knew to be over.
+    fn check_progress(&mut self, i: usize) -> Result<(), String> {
+        let g = &mut self.gateways[i];
+        let endpoints = g.view.endpoints();
+        let gone = |id: &InstanceId| endpoints.iter().all(|e| e.id != *id);
+        for (id, shown) in &mut g.shown {
+            let written = self.registry.written(id);
+            if let Some(last) = shown.last.take_if(|_| gone(id))
+                && written != Some(&last)
+            {
+                shown.over = shown.over.max(last.slots);
+            }
+        }
+        for endpoint in endpoints {
+            let shown = g.shown.entry(endpoint.id.clone()).or_default();
+            match endpoint.state {
+                EndpointState::Draining => shown.over = shown.over.max(endpoint.slots - 1),
+                EndpointState::Ready if endpoint.slots <= shown.over => {
+                    let (id, change, over) = (&endpoint.id, endpoint.slots, shown.over);
+                    return Err(format!(
+                        "h{i} has {id} ready by change {change}, though it knew change {over}"
+                    ));
+                }
+                EndpointState::Ready => {}
+            }
+            shown.last = Some(endpoint);
+        }
+        Ok(())
+    }
+
     /// Checks that the gateway's state of each entry is one that the entry had at `at` or later.
     fn check_state(&self, i: usize, at: Instant, why: &str) -> Result<(), String> {
         let known = self.gateways[i].view.endpoints();
-        for (id, last) in self.registry.as_of(at) {
-            let later = self.registry.records.iter().skip(last.offset as usize);
-            let mut allowed = later
-                .filter(|(_, r)| *r.id == *id)
-                .map(|(_, r)| &r.endpoint);
+        for (id, states) in self.registry.held_since(at) {
             let known = known.iter().find(|e| *e.id == *id);
-            if !allowed.any(|e| e.as_ref() == known) {
-                let offset = last.offset;
+            if !states.iter().any(|o| o.endpoint.as_ref() == known) {
+                let position = states.first().map(|o| o.position);
                 let known = known.map(|e| e.state);
                 return Err(format!(
-                    "h{i} {why} record {offset} but has {id} as {known:?}"
+                    "h{i} {why} {position:?} or later but has {id} as {known:?}"
                 ));
             }
         }
@@ -326,6 +362,15 @@
     }
 }
 
+fn without_era(records: Vec<Observation>) -> Vec<Observation> {
+    let records = records.into_iter();
+    let in_first_era = records.map(|o| Observation {
+        position: RegistryPosition::new(RegistryEra(0), o.position.offset),
+        ..o
+    });
+    in_first_era.collect()
+}
+
 fn run(seed: u64, faults: bool) -> Result<u32, String> {
     let mut world = World::new(seed, faults);
     world.run().map_err(|e| format!("seed {seed}: {e}"))?;
@@ -363,3 +408,26 @@
     });
     assert!(detected);
 }
+
+/// The simulation detects clocks that stop while the host is suspended: a poll before and its
+/// response after a suspension make old data look new.
+#[test]
+fn simulation_detects_clocks_that_leave_out_suspensions() {
+    let detected = (0..4 * SEEDS).any(|seed| {
+        let mut world = World::new(seed, true);
+        world.leaves_out_suspensions = true;
+        world.run().is_err()
+    });
+    assert!(detected);
+}
+
+/// The simulation detects gateways that take a returned registry for the one before.
+#[test]
+fn simulation_detects_ignored_eras() {
+    let detected = (0..SEEDS).any(|seed| {
+        let mut world = World::new(seed, true);
+        world.ignores_eras = true;
+        world.run().is_err()
+    });
+    assert!(detected);
+}
--- a/crates/turmericloft/tests/testsuite/relay/view.rs
+++ b/crates/turmericloft/tests/testsuite/relay/view.rs
@@ -3,22 +3,26 @@
 use std::time::{Duration, Instant};
 
 use turmericloft::core::{
-    placement::{DiscoveryChange, EndpointState},
+    placement::{DiscoveryChange, EndpointState, RegistryPosition},
     relay::{RegistryView, RelayPoll, RelayResponse},
 };
 
-use super::{observed, removed, timings};
+use super::{at, list, observed, removed, timings};
 
 const MS: Duration = Duration::from_millis(1);
 
-fn poll(from_offset: u64) -> RelayPoll {
+fn poll_from(from: RegistryPosition) -> RelayPoll {
     RelayPoll {
         host: "follower".into(),
-        from_offset,
+        from,
         document_version: 0,
     }
 }
 
+fn poll(from_offset: u64) -> RelayPoll {
+    poll_from(at(0, from_offset))
+}
+
 fn ids(view: &RegistryView) -> Vec<String> {
     let endpoints = view.endpoints();
     endpoints.iter().map(|e| e.id.to_string()).collect()
@@ -31,7 +35,7 @@
         observed("e1", 3, EndpointState::Ready),
         observed("e2", 9, EndpointState::Ready),
     ];
-    view.apply_full_list(now, now, (10, 10), listed);
+    view.apply_full_list(now, now, list(0, 10, listed));
     view
 }
 
@@ -40,7 +44,8 @@
         as_of_after_poll,
         is_current: true,
         hops: 1,
-        next_offset,
+        next: at(0, next_offset),
+        is_full_list: false,
         changes: Vec::new(),
         document_version: 0,
         document: None,
@@ -52,7 +57,7 @@
     let now = Instant::now();
     let mut upstream = reader(now);
     let mut follower = RegistryView::new(timings());
-    let first = upstream.response(now + MS, now, &poll(follower.next_offset()));
+    let first = upstream.response(now + MS, now, &poll_from(follower.next()));
     assert_eq!(first.changes.len(), 2);
     let change = follower.apply_response(now + MS, now, &first);
     assert_eq!(change, DiscoveryChange::Endpoints);
@@ -61,12 +66,12 @@
     let heartbeat = observed("e1", 10, EndpointState::Ready);
     let draining = observed("e2", 11, EndpointState::Draining);
     let later = now + 500 * MS;
-    upstream.apply_records(later, later, 12, vec![heartbeat, draining]);
-    let second = upstream.response(later, now + 2 * MS, &poll(follower.next_offset()));
+    upstream.apply_records(later, later, at(0, 12), vec![heartbeat, draining]);
+    let second = upstream.response(later, now + 2 * MS, &poll_from(follower.next()));
     let changed: Vec<_> = second.changes.iter().map(|o| &*o.id).collect();
     assert_eq!(changed, ["e2"]);
     follower.apply_response(later + MS, now + 2 * MS, &second);
-    assert_eq!(follower.next_offset(), 12);
+    assert_eq!(follower.next(), at(0, 12));
     let endpoints = follower.endpoints();
     assert_eq!(endpoints[1].state, EndpointState::Draining);
 }
@@ -103,7 +108,7 @@
     let mut upstream = reader(now);
     let mut follower = reader(now);
     let draining = observed("e2", 11, EndpointState::Draining);
-    upstream.apply_records(now + MS, now + MS, 12, vec![draining]);
+    upstream.apply_records(now + MS, now + MS, at(0, 12), vec![draining]);
     let response = upstream.response(now + 20 * MS, now + 10 * MS, &poll(10));
     follower.apply_response(now + 20 * MS, now + 10 * MS, &response);
     assert_eq!(follower.endpoints()[1].state, EndpointState::Draining);
@@ -169,14 +174,14 @@
     let mut upstream = reader(now);
     let mut follower = RegistryView::new(timings());
     follower.apply_response(now, now, &upstream.response(now, now, &poll(0)));
-    upstream.apply_records(back, back, 12, vec![removed("e1", 11)]);
+    upstream.apply_records(back, back, at(0, 12), vec![removed("e1", 11)]);
     assert_eq!(ids(&upstream), ["e1", "e2"]);
-    let response = upstream.response(back + MS, back, &poll(follower.next_offset()));
+    let response = upstream.response(back + MS, back, &poll_from(follower.next()));
     follower.apply_response(back + MS, back, &response);
     assert_eq!(ids(&follower), ["e1", "e2"]);
     let registered = observed("e1", 13, EndpointState::Ready);
-    upstream.apply_records(back + MS, back + MS, 14, vec![registered]);
-    let response = upstream.response(back + 2 * MS, back + MS, &poll(follower.next_offset()));
+    upstream.apply_records(back + MS, back + MS, at(0, 14), vec![registered]);
+    let response = upstream.response(back + 2 * MS, back + MS, &poll_from(follower.next()));
     follower.apply_response(back + 2 * MS, back + MS, &response);
     assert_eq!(follower.next_expiry(), None);
     assert_eq!(ids(&follower), ["e1", "e2"]);
@@ -191,11 +196,11 @@
     let mut follower = reader(now);
     for s in 1..9 {
         let at = now + Duration::from_secs(s);
-        follower.apply_records(at, at, 10, Vec::new());
+        follower.apply_records(at, at, super::at(0, 10), Vec::new());
     }
-    upstream.apply_records(back, back, 12, vec![removed("e1", 11)]);
+    upstream.apply_records(back, back, at(0, 12), vec![removed("e1", 11)]);
     assert_eq!(ids(&upstream), ["e1", "e2"]);
-    let response = upstream.response(back, back, &poll(follower.next_offset()));
+    let response = upstream.response(back, back, &poll_from(follower.next()));
     follower.apply_response(back, back, &response);
     assert_eq!(ids(&follower), ["e2"]);
 }
@@ -205,12 +210,12 @@
     let now = Instant::now();
     let mut follower = reader(now);
     let draining = observed("e1", 20, EndpointState::Draining);
-    follower.apply_records(now + MS, now + MS, 21, vec![draining]);
+    follower.apply_records(now + MS, now + MS, at(0, 21), vec![draining]);
     let mut late = response(Some(8 * MS), 10);
     late.changes = vec![observed("e1", 3, EndpointState::Ready)];
     follower.apply_response(now + 9 * MS, now, &late);
     assert_eq!(follower.endpoints()[0].state, EndpointState::Draining);
-    assert_eq!(follower.next_offset(), 21);
+    assert_eq!(follower.next(), at(0, 21));
 }
 
 /// An entry changes and changes back. The follower reads the first change itself; its upstream
@@ -226,12 +231,12 @@
 
     let draining = observed("e1", 10, EndpointState::Draining);
     let ready = observed("e1", 11, EndpointState::Ready);
-    reader.apply_records(now + MS, now + MS, 12, vec![draining.clone(), ready]);
-    follower.apply_records(now + MS, now + MS, 11, vec![draining]);
-    let response = reader.response(now + MS, now, &poll(upstream.next_offset()));
+    reader.apply_records(now + MS, now + MS, at(0, 12), vec![draining.clone(), ready]);
+    follower.apply_records(now + MS, now + MS, at(0, 11), vec![draining]);
+    let response = reader.response(now + MS, now, &poll_from(upstream.next()));
     upstream.apply_response(now + 2 * MS, now, &response);
-    let response = upstream.response(now + 2 * MS, now, &poll(follower.next_offset()));
+    let response = upstream.response(now + 2 * MS, now, &poll_from(follower.next()));
     follower.apply_response(now + 3 * MS, now, &response);
-    assert_eq!(follower.next_offset(), 12);
+    assert_eq!(follower.next(), at(0, 12));
     assert_eq!(follower.endpoints()[0].state, EndpointState::Ready);
 }
