Fewer calls to the store at starts and during outages of the store

Ruled out: log-join for membership (a tenth of a call instead of one, but its owners' list holds no more members than partitions).

--- a/crates/turmericloft/src/core/relay/mod.rs
+++ b/crates/turmericloft/src/core/relay/mod.rs
@@ -12,6 +12,7 @@
 //! has not.
 
 mod era_change;
+mod read_retry;
 mod registry_view;
 mod relay_member;
 mod relay_poll;
@@ -21,7 +22,7 @@
 mod upstream_chooser;
 
 pub use self::{
-    era_change::EraChange, registry_view::RegistryView, relay_member::RelayMember,
-    relay_poll::RelayPoll, relay_response::RelayResponse, relay_timings::RelayTimings,
-    spread::delay_of_host, upstream_chooser::UpstreamChooser,
+    era_change::EraChange, read_retry::ReadRetry, registry_view::RegistryView,
+    relay_member::RelayMember, relay_poll::RelayPoll, relay_response::RelayResponse,
+    relay_timings::RelayTimings, spread::delay_of_host, upstream_chooser::UpstreamChooser,
 };
--- a/crates/turmericloft/src/ops/relay/follow.rs
+++ b/crates/turmericloft/src/ops/relay/follow.rs
@@ -47,7 +47,10 @@
         );
         match error {
             RelayError::Stale { .. } => chooser.record_stale(hub.now(), &upstream.host),
-            _ => chooser.record_failure(hub.now(), &upstream.host),
+            _ => {
+                hub.record_upstream_lost();
+                chooser.record_failure(hub.now(), &upstream.host);
+            }
         }
     }
 }
@@ -78,10 +81,7 @@
         Err(e) => return e,
     };
     log::info!("connected to upstream host={}", upstream.host);
-    hub.set_has_upstream(true);
-    let error = poll_until_error(hub, host, upstream, &mut connection).await;
-    hub.set_has_upstream(false);
-    error
+    poll_until_error(hub, host, upstream, &mut connection).await
 }
 
 async fn poll_until_error(
--- a/crates/turmericloft/src/ops/relay/hub.rs
+++ b/crates/turmericloft/src/ops/relay/hub.rs
@@ -3,10 +3,7 @@
 
 use std::{
     future::pending,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -26,9 +23,8 @@
     util::{host_clock::HostClock, metrics_table::REGISTRY_ERA_CHANGES},
 };
 
-/// Time that a starting gateway waits for relayed data: a few round trips to the store and within
-/// the zone.
-const START_GRACE: Duration = Duration::from_millis(200);
+/// Time after a response from another gateway within which that gateway counts as running.
+const UPSTREAM_HEARD_FOR: Duration = Duration::from_secs(4);
 
 /// Maximum number of routes of a relayed document. Such a document has some tens of kilobytes.
 const MAX_RELAYED_ROUTES: usize = 200;
@@ -52,7 +48,8 @@
     era: watch::Sender<Option<RegistryEra>>,
     /// Notified after every read or response that was applied to the view.
     view_updated: watch::Sender<()>,
-    has_upstream: AtomicBool,
+    /// When another gateway last responded to a poll, whether or not its data was fresh.
+    upstream_heard_at: Mutex<Option<Instant>>,
     /// Set once there is no gateway to follow, and never reset: only a starting gateway waits for it.
     no_upstream: watch::Sender<bool>,
 }
@@ -74,7 +71,7 @@
             newest_version: watch::Sender::new(0),
             era: watch::Sender::new(None),
             view_updated: watch::Sender::new(()),
-            has_upstream: AtomicBool::new(false),
+            upstream_heard_at: Mutex::new(None),
             no_upstream: watch::Sender::new(false),
         })
     }
@@ -181,13 +178,17 @@
         );
     }
 
-    /// Whether this gateway is connected to an upstream, whether or not its data is fresh.
-    pub fn has_upstream(&self) -> bool {
-        self.has_upstream.load(Ordering::Relaxed)
+    /// Whether another gateway that precedes this one responded lately, whether or not its data was
+    /// fresh. It tries to read the registry too, and relays what it gets.
+    pub fn hears_upstream(&self) -> bool {
+        let heard_at = *self.upstream_heard_at.lock();
+        let silent_for = heard_at.map(|at| self.now().saturating_duration_since(at));
+        silent_for.is_some_and(|silent_for| silent_for < UPSTREAM_HEARD_FOR)
     }
 
-    pub(super) fn set_has_upstream(&self, has_upstream: bool) {
-        self.has_upstream.store(has_upstream, Ordering::Relaxed);
+    /// Records that the upstream cannot be reached any more.
+    pub(super) fn record_upstream_lost(&self) {
+        *self.upstream_heard_at.lock() = None;
     }
 
     /// Waits until there is no fresh relayed data, so that this gateway has to read the registry
@@ -202,15 +203,32 @@
         }
     }
 
-    /// Waits after the start until there is fresh relayed data, but no longer than `START_GRACE`
-    /// and not at all once it is known that there is no gateway to follow.
-    pub async fn wait_for_initial_relay(&self) {
+    /// Waits after the start until there is fresh relayed data, but no longer than `grace` and not at
+    /// all once it is known that there is no gateway to follow.
+    pub async fn wait_for_initial_relay(&self, grace: Duration) {
+        self.wait_unless_alone(grace, self.wait_until_relay_fresh())
+            .await;
+    }
+
+    /// Waits after the start until a document is active, under the same conditions.
+    pub async fn wait_for_initial_document(&self, grace: Duration) {
+        let mut documents = self.documents();
+        let has_document = async { documents.wait_for(Option::is_some).await.is_ok() };
+        self.wait_unless_alone(grace, has_document).await;
+    }
+
+    /// Whether a document is active.
+    pub fn has_document(&self) -> bool {
+        self.documents.borrow().is_some()
+    }
+
+    async fn wait_unless_alone<T>(&self, grace: Duration, relayed: impl Future<Output = T>) {
         let mut no_upstream = self.no_upstream.subscribe();
         let without_upstream = no_upstream.wait_for(|no_upstream| *no_upstream);
         tokio::select! {
             _ = without_upstream => {}
-            () = self.wait_until_relay_fresh() => {}
-            () = sleep(START_GRACE) => {}
+            _ = relayed => {}
+            () = sleep(grace) => {}
         }
     }
 
@@ -219,6 +237,16 @@
         self.no_upstream.send_replace(true);
     }
 
+    /// Waits until the view, read or relayed, is fresh.
+    pub async fn wait_until_current(&self) {
+        let mut view_updated = self.view_updated.subscribe();
+        while !self.view.lock().is_current(self.now()) {
+            if view_updated.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Waits until there is fresh relayed data.
     pub async fn wait_until_relay_fresh(&self) {
         let mut view_updated = self.view_updated.subscribe();
@@ -245,6 +273,7 @@
     /// Applies the response to the poll that was sent at `polled_at`. Returns false if the upstream
     /// does not know the present era of the registry.
     pub(super) fn apply_response(&self, polled_at: Instant, mut response: RelayResponse) -> bool {
+        *self.upstream_heard_at.lock() = Some(self.now());
         if let Some(document) = response.document.take() {
             self.publish_document(document);
         }
--- a/crates/turmericloft/tests/testsuite/relay/connections.rs
+++ b/crates/turmericloft/tests/testsuite/relay/connections.rs
@@ -23,6 +23,9 @@
 /// Long enough that no timeout expires on a slow machine.
 const DRAIN_TIME: Duration = Duration::from_secs(60);
 
+/// Longer than a test takes.
+const LONG_GRACE: Duration = Duration::from_secs(3_600);
+
 struct Upstream {
     hub: Arc<RelayHub>,
     address: SocketAddr,
@@ -141,9 +144,9 @@
     let follower = follower(upstream.address);
     apply_record(&upstream.hub, 0, "e1", EndpointState::Ready);
     wait_for_endpoints(&follower, |e| e.len() == 1).await;
-    assert!(follower.has_upstream());
+    assert!(follower.hears_upstream());
     upstream.stop.cancel();
-    while follower.has_upstream() {
+    while follower.hears_upstream() {
         tokio::task::yield_now().await;
     }
     wait_for_endpoints(&follower, |e| e.len() == 1).await;
@@ -256,6 +259,24 @@
         chooser,
         members,
     ));
-    hub.wait_for_initial_relay().await;
+    hub.wait_for_initial_relay(Duration::from_millis(500)).await;
     assert_eq!(started.elapsed(), Duration::ZERO);
 }
+
+/// A gateway that starts beside others takes its first document from them and not from the store.
+#[tokio::test]
+async fn starting_gateway_waits_for_the_relayed_document() {
+    let upstream = upstream().await;
+    upstream.hub.publish_document(document(4));
+    let follower = follower(upstream.address);
+    follower.wait_for_initial_document(LONG_GRACE).await;
+    assert!(follower.has_document());
+}
+
+#[tokio::test]
+async fn starting_gateway_without_others_reads_its_first_document_itself() {
+    let hub = RelayHub::new(RelayTimings::new(DRAIN_TIME));
+    hub.record_no_upstream();
+    hub.wait_for_initial_document(LONG_GRACE).await;
+    assert!(!hub.has_document());
+}
--- a/crates/turmericloft/tests/testsuite/relay/mod.rs
+++ b/crates/turmericloft/tests/testsuite/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Relaying of registry data between gateways.
 
 mod connections;
+mod read_retry;
 mod registry;
 mod simulation;
 mod upstream;
