Starting gateways wait for a starting upstream, and read the list only when they hear none

An upstream without any data said after 0.15 s that it is not current, and its followers left it for 3 s. It now takes as long as a response may take.

--- a/crates/turmericloft/src/core/relay/registry_view.rs
+++ b/crates/turmericloft/src/core/relay/registry_view.rs
@@ -232,10 +232,13 @@
     }
 
     /// When a due read should have refreshed the view; in the past if the view has been stale for
-    /// longer than the read grace.
+    /// longer than the read grace. A gateway without any data has just started, perhaps together
+    /// with its followers, and gets as much time as a response may take.
     pub fn refresh_deadline(&self, now: Instant) -> Instant {
-        let stale_at = |at: Instant| at + self.timings.stale_after(self.hops(now));
-        self.as_of.map_or(now, stale_at) + self.timings.read_grace()
+        let Some(as_of) = self.as_of else {
+            return now + self.timings.idle_response_after();
+        };
+        as_of + self.timings.stale_after(self.hops(now)) + self.timings.read_grace()
     }
 
     /// Whether the view, read or relayed, is fresh enough to be used.
