--- a/crates/turmericloft-cli/tests/testsuite/check_sessions.rs
+++ b/crates/turmericloft-cli/tests/testsuite/check_sessions.rs
@@ -187,3 +187,22 @@
 "#]]
     );
 }
+
+/// The third equal value is reported against the first one, as the second is.
+#[test]
+fn each_duplicate_is_reported_against_the_first_value() {
+    let operators = OperatorShell::start();
+    operators.write(
+        "zones.toml",
+        "schema = 1\nservices = []\ncallers = []\n\
+         [[zones]]\nname = \"a\"\nregion = \"r\"\n\
+         [[zones]]\nname = \"a\"\nregion = \"r\"\n\
+         [[zones]]\nname = \"a\"\nregion = \"r\"\n",
+    );
+    let session = operators.session("check zones.toml");
+    for i in [1, 2] {
+        let finding =
+            format!("`zones[{i}].name`: duplicate value `a`; already used at `zones[0].name`");
+        assert!(session.contains(&finding), "{session}");
+    }
+}
--- a/crates/turmericloft/src/core/document/check/rules.rs
+++ b/crates/turmericloft/src/core/document/check/rules.rs
@@ -254,13 +254,14 @@
     path: impl Fn(usize) -> KeyPath,
     findings: &mut Findings<'_>,
 ) {
-    let mut last_index = HashMap::new();
+    let mut first_index = HashMap::new();
     for (i, value) in values.enumerate() {
         let text = value.to_string();
-        if let Some(earlier) = last_index.insert(value, i) {
+        let first = *first_index.entry(value).or_insert(i);
+        if first != i {
             let message = format!(
                 "duplicate value `{text}`; already used at `{}`",
-                path(earlier)
+                path(first)
             );
             findings.add(&path(i), message);
         }
--- a/crates/turmericloft/src/ops/gateway/follow_config.rs
+++ b/crates/turmericloft/src/ops/gateway/follow_config.rs
@@ -80,7 +80,7 @@
                 let now = Instant::now().into_std();
                 gateway.config.apply_page(gateway, now, &page);
                 if page.lacks_records_from(from) {
-                    metrics::counter!("config_read_failures").increment(1);
+                    metrics::counter!(metrics_table::CONFIG_READ_FAILURES.name).increment(1);
                     sleep(RETRY_DELAY).await;
                 }
             }
--- a/crates/turmericloft/src/ops/ingress/connection_pool.rs
+++ b/crates/turmericloft/src/ops/ingress/connection_pool.rs
@@ -58,7 +58,6 @@
     /// if there are too many.
     pub(super) fn put(&self, now: Instant, id: &InstanceId, mut connection: ClientConnection) {
         connection.idle_since = now;
-        connection.is_reused = true;
         connection.release_buffer();
         let mut idle = self.idle.lock();
         let connections = idle.entry(id.clone()).or_default();
--- a/crates/turmericloft/src/sources/http1/client_connection.rs
+++ b/crates/turmericloft/src/sources/http1/client_connection.rs
@@ -37,8 +37,6 @@
     /// How long the server keeps the connection open when idle, as set by the caller from the
     /// `Keep-Alive` header; `None` if the server did not say.
     pub keep_alive_timeout: Option<Duration>,
-    /// Whether the connection has carried a request before; set by the caller.
-    pub is_reused: bool,
 }
 
 impl ClientConnection {
@@ -74,7 +72,6 @@
             buf: BytesMut::new(),
             idle_since: tokio::time::Instant::now().into_std(),
             keep_alive_timeout: None,
-            is_reused: false,
         })
     }
 
--- a/crates/turmericloft/src/sources/http1/response_reader.rs
+++ b/crates/turmericloft/src/sources/http1/response_reader.rs
@@ -4,7 +4,10 @@
 use httparse::Status;
 use thiserror::Error;
 
-use super::{BodyFraming, Headers, Response, framing::BodyDecoder};
+use super::{
+    BodyFraming, Headers, Response,
+    framing::{BodyDecodeError, BodyDecoder},
+};
 
 /// Maximum number of header fields of a response.
 const MAX_HEADERS: usize = 100;
@@ -14,17 +17,26 @@
 /// Why the bytes received are not a complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum ResponseError {
-    /// They are not HTTP/1.1, the framing is invalid, or the body is malformed or too large.
+    /// They are not HTTP/1.1, the framing is invalid, or the body is malformed.
     #[error("the bytes received are not an HTTP/1.1 response")]
     Malformed,
     /// The connection was closed before the response was complete.
     #[error("the connection was closed before the response was complete")]
     Truncated,
-    /// The body exceeds the size limit. The reader reports [`Self::Malformed`] instead.
+    /// The body exceeds the size limit.
     #[error("the response body is too large")]
     TooLarge,
 }
 
+impl From<BodyDecodeError> for ResponseError {
+    fn from(e: BodyDecodeError) -> Self {
+        match e {
+            BodyDecodeError::TooLarge => Self::TooLarge,
+            BodyDecodeError::BadChunk => Self::Malformed,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct PartialResponse {
     response: Response,
@@ -63,7 +75,7 @@
             return Ok(None);
         };
         let decoded = partial.body.decode(buf);
-        if !decoded.map_err(|_| ResponseError::Malformed)? {
+        if !decoded? {
             return Ok(None);
         }
         Ok(self.take())
--- a/crates/turmericloft/tests/testsuite/counting/mod.rs
+++ b/crates/turmericloft/tests/testsuite/counting/mod.rs
@@ -3,6 +3,7 @@
 mod conservation;
 mod fault_matrix;
 mod governor;
+mod period;
 mod publishing;
 mod reports;
 mod request_counters;
--- a/crates/turmericloft/tests/testsuite/http1/responses.rs
+++ b/crates/turmericloft/tests/testsuite/http1/responses.rs
@@ -34,6 +34,18 @@
     }
 }
 
+#[test]
+fn body_beyond_the_limit_is_reported_as_such() {
+    let body = "x".repeat(1_001);
+    let declared = format!("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n{body}");
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let chunked = format!("{head}3e9\r\n{body}\r\n0\r\n\r\n");
+    for message in [declared, chunked] {
+        let result = read(message.as_bytes(), 100);
+        assert_eq!(result.err(), Some(ResponseError::TooLarge));
+    }
+}
+
 #[test]
 fn connection_is_reusable_only_after_a_framed_response_without_close() {
     let reusable = |message: &str| read(message.as_bytes(), 100).map(|r| r.can_reuse_connection);
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod ingress;
 mod log_service;
 mod log_writer;
+mod metric_names;
 mod parsers;
 mod peer;
 mod placement;
