Reject at once what a fleet's queues cannot serve, and spread the return of rejected clients

Load pattern: a burst fills all endpoints. Each gateway let six requests wait for a service, whatever the number of gateways: 311 of them hold 1,866 waiting requests for 99 endpoints, most of which wait 0.4 of their target in vain. A request that met a full queue was told to return after 25 ms, the interval of the queue's own checks, and all others after one service time, so they met again.

The queue is limited to the gateway's share of the slots that become free within the wait (placement::queue_limit). Rejected clients return within 0.5 to 1.5 service times if they can still be served in time, else within 1 to 4 (placement::retry_after), at random. The costs of endpoints moved from balancer.rs to endpoint_cost.rs, unchanged.

--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -18,36 +18,18 @@
 use super::{
     AttemptOutcome, DiscoveredEndpoint, LoadReport, PlacementError, PlacementRequest, Probe,
     ProbeOutcome, RetryBudget,
+    endpoint_cost::{cost, is_eligible},
     endpoint_view::EndpointView,
-    service_view::{CONGESTED_SHARE, ServiceBaseline, ServiceView},
+    queue_limit::queue_limit,
+    retry_after::retry_after,
+    service_view::ServiceView,
 };
 
-/// Penalty for an endpoint in another availability zone, in multiples of the mean service time:
-/// traffic between zones is expensive.
-const CROSS_ZONE_PENALTY: f64 = 0.3;
-/// Penalty for an endpoint with all slots in use, in multiples of the mean service time. Of
-/// otherwise equal endpoints, the one with more free slots can absorb more unreported requests.
-const FILL_PENALTY: f64 = 0.2;
-/// Range of the random part of each cost, in multiples of the mean service time: gateways with the
-/// same information must not all choose the same endpoint.
-const JITTER: f64 = 0.2;
-/// Congestion slowdown above which a congested endpoint has a lower throughput than an uncongested
-/// one.
-const MAX_CONGESTION_SLOWDOWN: f64 = 1.2;
-/// Additional share of an endpoint's slots that requests of rank 0 may use.
-const URGENT_EXTRA_SHARE: f64 = 0.2;
-/// Requests by which the expected load may exceed the limit, as it is a mean and not a count.
-const LOAD_TOLERANCE: f64 = 0.3;
-/// Share of the limit up to which requests that need spare capacity may fill an endpoint, such as
-/// retries while the first attempt is pending.
-const SPARE_CAPACITY_SHARE: f64 = 0.75;
 /// Age below which a load report is recent enough to place a request without another probe.
 const FRESHNESS_WINDOW: Duration = Duration::from_millis(12);
 /// Endpoints probed in one round before a request is sent.
 const PROBES_PER_ROUND: usize = 3;
-/// Shortest time after which a rejected client is told to retry.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Time after which a client is told to retry when a service has no endpoint.
+/// Mean time after which a client is told to retry when a service has no endpoint.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// The endpoint that a request is sent to.
@@ -76,6 +58,8 @@
     retry_budget: RetryBudget,
     /// Probes per second and endpoint allowed from this gateway; `None` if unlimited.
     probe_rate: Option<f64>,
+    /// Gateways that share the endpoints, including this one.
+    gateways: usize,
     services: HashMap<Arc<str>, ServiceView>,
     rng: Pcg64Mcg,
 }
@@ -88,6 +72,7 @@
             zone,
             retry_budget,
             probe_rate: None,
+            gateways: 1,
             services: HashMap::new(),
             rng,
         }
@@ -98,6 +83,38 @@
         self.probe_rate = Some(per_endpoint);
     }
 
+    /// Sets the number of gateways that share the endpoints, including this one.
+    pub fn set_gateways(&mut self, gateways: usize) {
+        self.gateways = gateways;
+    }
+
+    /// Number of requests of a service that may wait at this gateway for up to `max_wait`.
+    pub fn queue_limit(&self, req: &PlacementRequest<'_>, max_wait: Duration) -> usize {
+        let Some(service) = self.services.get(req.service) else {
+            return 0;
+        };
+        let views = service.endpoints.values().filter(|v| v.accepts_requests());
+        let slots = views.map(|v| v.endpoint.slots).sum();
+        let service_time_s = service.baseline(req.target_latency).service_time_s;
+        let service_time = Duration::from_secs_f64(service_time_s);
+        queue_limit(slots, self.gateways, max_wait, service_time)
+    }
+
+    /// When the client of a request that is rejected without a placement should return. A response
+    /// within `time_to_target` would meet the target latency.
+    pub fn retry_after(
+        &mut self,
+        req: &PlacementRequest<'_>,
+        time_to_target: Duration,
+    ) -> Duration {
+        let Some(service) = self.services.get(req.service) else {
+            return NO_ENDPOINT_RETRY_AFTER;
+        };
+        let service_time_s = service.baseline(req.target_latency).service_time_s;
+        let service_time = Duration::from_secs_f64(service_time_s);
+        retry_after(service_time, time_to_target, self.rng.random::<f64>())
+    }
+
     /// Applies the full list of endpoints. Estimates of endpoints that stay are kept.
     pub fn set_endpoints(&mut self, now: Instant, endpoints: &[DiscoveredEndpoint]) {
         let listed: HashSet<_> = endpoints.iter().map(|e| &e.id).collect();
@@ -209,7 +226,7 @@
         req: &PlacementRequest<'_>,
     ) -> Result<Placement, PlacementError> {
         let no_endpoint = PlacementError::NoEndpoint {
-            retry_after: NO_ENDPOINT_RETRY_AFTER,
+            retry_after: NO_ENDPOINT_RETRY_AFTER.mul_f64(0.5 + self.rng.random::<f64>()),
         };
         let service = self.services.get_mut(req.service).ok_or(no_endpoint)?;
         let baseline = service.baseline(req.target_latency);
@@ -240,8 +257,10 @@
             }
         }
         let Some((view, _)) = best else {
+            let service_time = Duration::from_secs_f64(baseline.service_time_s);
+            let random = self.rng.random::<f64>();
             return Err(PlacementError::NoCapacity {
-                retry_after: retry_after(&baseline),
+                retry_after: retry_after(service_time, req.max_latency, random),
             });
         };
         let latency_s = view.expected_latency_s(now, &baseline);
@@ -329,64 +348,3 @@
         views.any(EndpointView::accepts_requests)
     }
 }
-
-/// Cost of an endpoint in seconds: expected latency and penalties. The lowest is chosen.
-fn cost(
-    view: &EndpointView,
-    now: Instant,
-    baseline: &ServiceBaseline,
-    zone: &Arc<str>,
-    random: f64,
-) -> f64 {
-    let zone_penalty = if view.endpoint.zone == *zone {
-        0.0
-    } else {
-        CROSS_ZONE_PENALTY
-    };
-    let slots = f64::from(view.endpoint.slots.max(1));
-    let fill_penalty = (view.expected_requests(now, baseline) / slots).min(1.0) * FILL_PENALTY;
-    let other_penalties = (zone_penalty + fill_penalty + random * JITTER) * baseline.service_time_s;
-    view.expected_latency_s(now, baseline) + view.penalty_s(now, baseline) + other_penalties
-}
-
-/// Whether an endpoint has capacity and should respond in time.
-fn is_eligible(
-    view: &EndpointView,
-    now: Instant,
-    baseline: &ServiceBaseline,
-    req: &PlacementRequest<'_>,
-) -> bool {
-    let can_meet_deadline = view.min_latency_s(now, baseline) < req.time_left.as_secs_f64();
-    let is_within_max_latency =
-        view.expected_latency_s(now, baseline) <= req.max_latency.as_secs_f64();
-    can_meet_deadline && is_within_max_latency && has_capacity(view, now, baseline, req)
-}
-
-fn has_capacity(
-    view: &EndpointView,
-    now: Instant,
-    baseline: &ServiceBaseline,
-    req: &PlacementRequest<'_>,
-) -> bool {
-    let slots = f64::from(view.endpoint.slots.max(1));
-    let base_share = if baseline.congestion_slowdown > MAX_CONGESTION_SLOWDOWN {
-        CONGESTED_SHARE
-    } else {
-        1.0
-    };
-    let rank_share = match req.rank {
-        0 => base_share + URGENT_EXTRA_SHARE,
-        _ => base_share,
-    };
-    let share = if req.needs_spare_capacity {
-        rank_share * SPARE_CAPACITY_SHARE
-    } else {
-        rank_share
-    };
-    view.expected_requests(now, baseline) + 1.0 <= (slots * share).max(1.0) + LOAD_TOLERANCE
-}
-
-/// A slot is likely to become free within about one service time.
-fn retry_after(baseline: &ServiceBaseline) -> Duration {
-    Duration::from_secs_f64(baseline.service_time_s).max(MIN_RETRY_AFTER)
-}
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -5,6 +5,7 @@
 mod discovered_endpoint;
 mod discovery;
 mod discovery_change;
+mod endpoint_cost;
 mod endpoint_view;
 mod load_report;
 mod observation;
@@ -12,10 +13,12 @@
 mod placement_request;
 mod probe;
 mod probe_budget;
+mod queue_limit;
 mod registry_entry;
 mod registry_era;
 mod registry_list;
 mod registry_position;
+mod retry_after;
 mod retry_budget;
 mod service_view;
 mod wait_queue;
@@ -32,9 +35,11 @@
     placement_request::PlacementRequest,
     probe::{Probe, ProbeOutcome},
     probe_budget::ProbeBudget,
+    queue_limit::queue_limit,
     registry_era::RegistryEra,
     registry_list::RegistryList,
     registry_position::RegistryPosition,
+    retry_after::retry_after,
     retry_budget::RetryBudget,
     wait_queue::{WaitQueue, WaitTicket},
 };
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -170,11 +170,9 @@
     }
 }
 
-/// Divides the allowed probe rate of an endpoint among the gateways.
+/// Divides the capacity of the endpoints, and the rate at which they may be probed, among the
+/// gateways.
 async fn apply_gateway_count(ingress: Arc<Ingress>, mut feeds: IngressFeeds) {
-    let Some(max_rate) = ingress.settings.max_endpoint_probe_rate else {
-        return;
-    };
     loop {
         let gateways = feeds.gateways.borrow_and_update().unwrap_or_default();
         let sharing = if gateways == 0 {
@@ -182,8 +180,11 @@
         } else {
             gateways
         };
-        let rate = max_rate * PROBE_SHARE / sharing as f64;
-        ingress.balancer.lock().set_probe_rate(rate);
+        ingress.balancer.lock().set_gateways(sharing);
+        if let Some(max_rate) = ingress.settings.max_endpoint_probe_rate {
+            let rate = max_rate * PROBE_SHARE / sharing as f64;
+            ingress.balancer.lock().set_probe_rate(rate);
+        }
         if feeds.gateways.changed().await.is_err() {
             return;
         }
--- a/crates/turmericloft/src/ops/ingress/wait.rs
+++ b/crates/turmericloft/src/ops/ingress/wait.rs
@@ -15,10 +15,6 @@
 /// Share of the time to the deadline within which a response has to be expected once the target
 /// latency cannot be met.
 const LATE_SHARE: f64 = 0.8;
-/// Requests of the same or a more urgent rank that may be queued per service at one gateway. Those
-/// behind them would wait too long.
-const MAX_QUEUED: usize = 6;
-
 /// Rounds of probes before a request is placed.
 const PROBE_ROUNDS: u32 = 4;
 /// Rounds of probes each time that a queued request checks for capacity.
@@ -54,10 +50,12 @@
             placed => return placed,
         },
         true => PlacementError::NoCapacity {
-            retry_after: CAPACITY_CHECK_INTERVAL,
+            retry_after: retry_after(ingress, req, target),
         },
     };
-    let joined = ingress.queue.lock().enqueue(service, req.rank, MAX_QUEUED);
+    let max_wait = until.saturating_duration_since(ingress.now());
+    let limit = ingress.balancer.lock().queue_limit(req, max_wait);
+    let joined = ingress.queue.lock().enqueue(service, req.rank, limit);
     let Some(ticket) = joined else {
         return place_late(ingress, req, unplaced);
     };
@@ -91,6 +89,11 @@
     }
 }
 
+fn retry_after(ingress: &Ingress, req: &PlacementRequest<'_>, target: Instant) -> Duration {
+    let time_to_target = target.saturating_duration_since(ingress.now());
+    ingress.balancer.lock().retry_after(req, time_to_target)
+}
+
 fn place_by(
     ingress: &Ingress,
     req: &PlacementRequest<'_>,
