A gateway that was cut off reads the store again within its stability window

Traced in the logs: five gateways were cut off from 1 to 13 s, the endpoints left at 4 s, and the history was dropped meanwhile. edge-sic-east-a-4 read the store again at 14.16, 1.16 s after the cut, since opening a connection took up to 0.7 s and the pause after a failure 0.7 s; from then on it retained the vanished entries for 1.9 s, until 16.06, and was counted as in touch from 16.0. Ruled out: the longer pause of gateways that hear another one (this one heard none).

--- a/crates/turmericloft/src/core/relay/mod.rs
+++ b/crates/turmericloft/src/core/relay/mod.rs
@@ -22,7 +22,7 @@
 mod upstream_chooser;
 
 pub use self::{
-    era_change::EraChange, read_retry::ReadRetry, registry_view::RegistryView,
+    era_change::EraChange, read_retry::read_retry_delay, registry_view::RegistryView,
     relay_member::RelayMember, relay_poll::RelayPoll, relay_response::RelayResponse,
     relay_timings::RelayTimings, spread::delay_of_host, upstream_chooser::UpstreamChooser,
 };
--- a/crates/turmericloft/tests/testsuite/relay/mod.rs
+++ b/crates/turmericloft/tests/testsuite/relay/mod.rs
@@ -3,6 +3,7 @@
 mod connections;
 mod read_retry;
 mod registry;
+mod simulated_gateway;
 mod simulation;
 mod upstream;
 mod view;
