An endpoint that broke off a request is not preferred for its free slots

Load pattern: an endpoint breaks off requests at once while its health check is good. It always has free slots, so each probe reports some, and an endpoint that has just reported free slots went before all others whatever its failures.

For 2 s after a request broke off, the report of free slots is no reason to prefer the endpoint. Test that failed first: placement::grey_failure (40 of 40 requests went to the failing one of four).

--- a/crates/turmericloft/src/core/placement/endpoint_view.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_view.rs
@@ -21,6 +21,9 @@
 const PRIOR_SUCCESSES: f64 = 2.0;
 /// Penalty at a failure rate of 1, in multiples of the mean service time.
 const FAILURE_PENALTY: f64 = 8.0;
+/// Time after a request broke off within which an endpoint's report of free slots is no reason to
+/// prefer it to others.
+const BROKEN_OFF_FOR: Duration = Duration::from_secs(2);
 /// Slowdown below which an endpoint counts as running at its normal speed.
 const MAX_NORMAL_SLOWDOWN: f64 = 1.5;
 /// Length of the first ejection after an endpoint was unreachable or did not respond.
@@ -60,6 +63,8 @@
     failures: f64,
     outcomes_updated_at: Instant,
     consecutive_failures: u32,
+    /// When a request last ended without a complete response.
+    last_broken_at: Option<Instant>,
     ejections: u32,
     ejected_until: Option<Instant>,
     probe_started_at: Option<Instant>,
@@ -81,6 +86,7 @@
             failures: 0.0,
             outcomes_updated_at: now,
             consecutive_failures: 0,
+            last_broken_at: None,
             ejections: 0,
             ejected_until: None,
             probe_started_at: None,
@@ -139,6 +145,9 @@
                 self.ejections = 0;
             }
             AttemptOutcome::Failed | AttemptOutcome::Broken => {
+                if outcome == AttemptOutcome::Broken {
+                    self.last_broken_at = Some(now);
+                }
                 self.failures += 1.0;
                 self.consecutive_failures += 1;
                 if self.consecutive_failures >= FAILURES_TO_EJECT {
@@ -226,7 +235,8 @@
         report.load.slowdown.filter(|_| is_fresh)
     }
 
-    /// Whether the last report is younger than `age` and shows a free slot and normal speed.
+    /// Whether the last report is younger than `age` and shows a free slot and normal speed, and no
+    /// request broke off lately: an endpoint that breaks requests off at once always has free slots.
     pub(super) fn is_known_available(&self, now: Instant, age: Duration) -> bool {
         let is_fresh = |r: &&ReceivedReport| now.saturating_duration_since(r.received_at) < age;
         let Some(r) = self.last_report.as_ref().filter(is_fresh) else {
@@ -234,7 +244,11 @@
         };
         let sent_since = self.in_flight().saturating_sub(r.own_in_flight);
         let has_normal_speed = r.load.slowdown.is_none_or(|s| s < MAX_NORMAL_SLOWDOWN);
-        has_normal_speed && r.load.running + r.load.waiting + sent_since < r.load.slots
+        let broke_off = |at: Instant| now.saturating_duration_since(at) < BROKEN_OFF_FOR;
+        let is_trusted = !self.last_broken_at.is_some_and(broke_off);
+        is_trusted
+            && has_normal_speed
+            && r.load.running + r.load.waiting + sent_since < r.load.slots
     }
 
     /// Whether one more request fills more slots than the endpoint can use at its normal speed.
--- a/crates/turmericloft/tests/testsuite/placement/mod.rs
+++ b/crates/turmericloft/tests/testsuite/placement/mod.rs
@@ -2,6 +2,7 @@
 
 mod balancer;
 mod discovery;
+mod grey_failure;
 mod rejection;
 mod retry_budget;
 mod wait_queue;
