--- a/crates/turmericloft/tests/testsuite/placement/grey_failure.rs
+++ b/crates/turmericloft/tests/testsuite/placement/grey_failure.rs
@@ -25,7 +25,7 @@
     let mut balancer = Balancer::new("a".into(), budget, Pcg64Mcg::seed_from_u64(7));
     let endpoints: Vec<_> = (0..4).map(|i| endpoint(&format!("e{i}"), "a")).collect();
     balancer.set_endpoints(now, &endpoints);
-    let mut report = |balancer: &mut Balancer, at: Instant, id: &str, load: LoadReport| {
+    let report = |balancer: &mut Balancer, at: Instant, id: &str, load: LoadReport| {
         let probe = Probe {
             endpoint: Arc::new(endpoint(id, "a")),
         };
