A gateway that reads for its zone does not rely on stale upstreams

Found by reading while tracing: a gateway that reads the store for its zone and hears stale gateways before it paused for 2.5 s after each failed read.

A frame of relay message version 1 is refused (test).

--- a/crates/turmericloft/src/ops/relay/hub.rs
+++ b/crates/turmericloft/src/ops/relay/hub.rs
@@ -186,6 +186,12 @@
         silent_for.is_some_and(|silent_for| silent_for < UPSTREAM_HEARD_FOR)
     }
 
+    /// Whether this gateway leaves it to others to find the registry available again. One whose own
+    /// reads keep its view fresh does not: others may follow it.
+    pub fn relies_on_upstream(&self) -> bool {
+        self.hears_upstream() && !self.view.lock().is_current(self.now())
+    }
+
     /// Records that the upstream cannot be reached any more.
     pub(super) fn record_upstream_lost(&self) {
         *self.upstream_heard_at.lock() = None;
--- a/crates/turmericloft/tests/testsuite/relay/connections.rs
+++ b/crates/turmericloft/tests/testsuite/relay/connections.rs
@@ -156,8 +156,10 @@
 #[tokio::test]
 async fn invalid_message_closes_only_its_connection() {
     let upstream = upstream().await;
-    let messages: [&[u8]; 3] = [
+    let messages: [&[u8]; 4] = [
         b"\x00\x00\x00\x03abc",
+        // A poll of a build that speaks version 1: host `h`, offset 7, document version 3.
+        b"\x00\x00\x00\x05\x01\x01h\x07\x03",
         b"\xff\xff\xff\xff",
         b"GET / HTTP/1.1\r\n\r\n",
     ];
@@ -263,6 +265,20 @@
     assert_eq!(started.elapsed(), Duration::ZERO);
 }
 
+/// The upstream responds, but has no data. Once the follower has read the registry by itself, others
+/// may follow it, and it does not wait for its upstream any more.
+#[tokio::test]
+async fn gateway_that_reads_the_registry_relies_on_no_upstream() {
+    let upstream = upstream_with(Duration::from_millis(200)).await;
+    let follower = follower(upstream.address);
+    while !follower.relies_on_upstream() {
+        tokio::task::yield_now().await;
+    }
+    apply_record(&follower, 0, "e1", EndpointState::Ready);
+    assert!(follower.hears_upstream());
+    assert!(!follower.relies_on_upstream());
+}
+
 /// A gateway that starts beside others takes its first document from them and not from the store.
 #[tokio::test]
 async fn starting_gateway_waits_for_the_relayed_document() {
