A lookup on a silent connection to the only endpoint is sent over a new one

Cause: a stalled connection is told from a slow endpoint by a later request that completes. If all open connections of an endpoint are silent and no further request comes, none completes, and both lookups wait until the deadline (20 s). The gateway has two idle connections when its first request meets the warm-up of the service. A new test makes two and stalls both; it failed with the same 502 after 20 s.

Ruled out: the budget of extra calls (10 at the start, none spent), the limit of attempts (one made).

Change: a call whose first attempt is still silent after the stall limit is sent once more, to the same endpoint if there is no other, over a new connection. It counts against the budget of extra calls, as every hedge.

--- a/crates/turmericloft-cli/tests/testsuite/routing.rs
+++ b/crates/turmericloft-cli/tests/testsuite/routing.rs
@@ -219,3 +219,26 @@
     }
     assert_eq!(stalled.await.expect("the lookup ends"), 200);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lookups_are_served_although_all_open_connections_are_silent() {
+    let mut platform = Platform::start();
+    let backend = platform.backend;
+    let link = TcpProxy::start(backend).await;
+    platform.promote_document(&document(&[link.address]));
+    let gateway = platform.caller_address;
+    // Responses are held until both lookups run, each on a connection of its own.
+    set_behaviour(backend, r#"{"hold": true}"#).await;
+    let held = [(); 2].map(|()| tokio::spawn(lookup(gateway)));
+    while runs(backend).await < 2 {}
+    set_behaviour(backend, "{}").await;
+    for lookup in held {
+        assert_eq!(lookup.await.expect("the lookup ends"), 200);
+    }
+    link.stall_open_connections();
+    // Neither lookup sees another one complete.
+    let stalled = [(); 2].map(|()| tokio::spawn(lookup(gateway)));
+    for lookup in stalled {
+        assert_eq!(lookup.await.expect("the lookup ends"), 200);
+    }
+}
--- a/crates/turmericloft/src/core/routing/connection_progress.rs
+++ b/crates/turmericloft/src/core/routing/connection_progress.rs
@@ -50,6 +50,11 @@
         self.last_received > moment
     }
 
+    /// Time without response bytes after which a connection may be stalled.
+    pub fn stall_limit(mean_latency: Duration) -> Duration {
+        Self::MIN_STALL.max(mean_latency * Self::STALL_LATENCIES)
+    }
+
     /// Whether the connection is stalled and should be closed.
     ///
     /// It is stalled if its response has made no progress for several times `mean_latency`, and
@@ -66,7 +71,7 @@
             return false;
         };
         let idle = now.saturating_duration_since(self.last_received.max(pending_since));
-        let limit = Self::MIN_STALL.max(mean_latency * Self::STALL_LATENCIES);
-        idle >= limit && last_completed_sent.is_some_and(|sent| sent > pending_since)
+        idle >= Self::stall_limit(mean_latency)
+            && last_completed_sent.is_some_and(|sent| sent > pending_since)
     }
 }
--- a/crates/turmericloft/src/ops/gateway/attempts.rs
+++ b/crates/turmericloft/src/ops/gateway/attempts.rs
@@ -24,7 +24,7 @@
     core::{
         Step,
         admission::FlowId,
-        routing::{CallChain, CallOutcome, EndpointId},
+        routing::{CallChain, CallOutcome, ConnectionProgress, EndpointId},
     },
     sources::backend::{
         AbortReason, BackendResponse, ConnectionPool, RequestBody, SendContext, SendError,
@@ -70,6 +70,28 @@
     Fail(DispatchError),
 }
 
+/// A second attempt of a call whose first one is late.
+#[derive(Clone, Copy, Debug)]
+struct Hedge {
+    at: Instant,
+    kind: HedgeKind,
+}
+
+/// What a hedge is sent against.
+#[derive(Clone, Copy, Debug)]
+enum HedgeKind {
+    /// A slow endpoint: another one is used.
+    OtherEndpoint,
+    /// A silent connection: the same endpoint is used if there is no other, over a new connection.
+    AnyEndpoint,
+}
+
+impl Hedge {
+    fn new(at: Instant, kind: HedgeKind) -> Self {
+        Self { at, kind }
+    }
+}
+
 impl Attempts<'_> {
     /// Makes attempts until one has a response, no retry is allowed, or the deadline passes.
     /// Attempts that are still open then are cancelled.
@@ -80,24 +102,29 @@
         let sent = AtomicU32::new(0);
         let delays = self.state.delays();
         let deadline = self.deadline.into();
-        let mut hedge_at = self.hedge_time(&delays);
+        let mut hedges = self.hedge_times(&delays);
         let mut open = FuturesUnordered::new();
         let mut next = Some(first);
         loop {
             if let Some(attempt) = next.take()
-                && let Some(req) = self.next_request(&attempt)
+                && let Some(req) = self.request.take()
             {
-                let pool = Arc::clone(self.state.pool(attempt.endpoint()));
+                let endpoint = attempt.endpoint();
+                let pool = Arc::clone(self.state.pool(endpoint));
+                let needs_new_connection = self.tried.contains(&endpoint);
+                self.tried.push(endpoint);
+                let req = self.with_attempt_headers(req);
                 let context = SendContext {
                     is_idempotent: self.is_idempotent,
+                    needs_new_connection,
                     mean_latency: delays.mean_latency,
                     sent: &sent,
                 };
                 open.push(send(pool, attempt, req, context));
             }
             let hedge = async {
-                match hedge_at {
-                    Some(at) => sleep_until(at.into()).await,
+                match hedges.first() {
+                    Some(hedge) => sleep_until(hedge.at.into()).await,
                     None => std::future::pending().await,
                 }
             };
@@ -114,30 +141,46 @@
                     }
                 }
                 () = hedge => {
-                    hedge_at = None;
-                    next = self.state.hedge(self.flow, self.chain, &self.tried);
+                    next = self.hedge(hedges.remove(0).kind);
+                    if next.is_some() {
+                        hedges.clear();
+                    }
                 }
             }
         }
     }
 
-    /// Time of the hedge; `None` unless the call is idempotent and its request is buffered.
-    fn hedge_time(&self, delays: &Delays) -> Option<Instant> {
+    /// Times at which the call is hedged unless a hedge was sent before, the earliest one first;
+    /// none unless the call is idempotent and its request is buffered.
+    fn hedge_times(&self, delays: &Delays) -> SmallVec<[Hedge; 2]> {
         let is_buffered = matches!(self.request, OutgoingRequest::Buffered(..));
-        (self.is_idempotent && is_buffered).then(|| now() + delays.hedge)
+        if !self.is_idempotent || !is_buffered {
+            return SmallVec::new();
+        }
+        let stall_limit = ConnectionProgress::stall_limit(delays.mean_latency);
+        let now = now();
+        let hedges = [
+            Hedge::new(now + delays.hedge, HedgeKind::OtherEndpoint),
+            Hedge::new(now + stall_limit.max(delays.hedge), HedgeKind::AnyEndpoint),
+        ];
+        hedges.into()
+    }
+
+    fn hedge(&self, kind: HedgeKind) -> Option<Attempt> {
+        match kind {
+            HedgeKind::OtherEndpoint => self.state.hedge(self.flow, self.chain, &self.tried),
+            HedgeKind::AnyEndpoint => self.state.retry(self.chain, &self.tried),
+        }
     }
 
-    /// The request of an attempt, with the time left and the call chain in its headers. `None` if a
-    /// streamed request was sent already.
-    fn next_request(&mut self, attempt: &Attempt) -> Option<Request<RequestBody>> {
-        let mut req = self.request.take()?;
-        self.tried.push(attempt.endpoint());
+    /// Adds the time left and the call chain to the headers of an attempt.
+    fn with_attempt_headers(&self, mut req: Request<RequestBody>) -> Request<RequestBody> {
         let left = self.deadline.saturating_duration_since(now());
         let headers = req.headers_mut();
         headers.insert(DEADLINE_HEADER, (left.as_millis() as u64).into());
         let chain = self.chain.forwarded(self.tried.len() as u32);
         chain.write(headers);
-        Some(req)
+        req
     }
 
     fn evaluate(&mut self, finished: FinishedAttempt) -> NextStep {
--- a/crates/turmericloft/src/sources/backend/connection_pool.rs
+++ b/crates/turmericloft/src/sources/backend/connection_pool.rs
@@ -49,6 +49,9 @@
 pub struct SendContext<'a> {
     /// Whether the request may be sent again while this attempt may still run it.
     pub is_idempotent: bool,
+    /// Whether the request is sent on a new connection, as one attempt of the call was sent to this
+    /// endpoint before: what silenced that one may have silenced all idle connections.
+    pub needs_new_connection: bool,
     /// Mean latency of the service, for detecting a stalled connection.
     pub mean_latency: Duration,
     /// Number of attempts of the call that a backend server may have received.
@@ -82,7 +85,9 @@
         mut req: Request<RequestBody>,
         context: SendContext<'_>,
     ) -> Result<BackendResponse, SendError> {
-        while let Some(mut connection) = self.take_idle() {
+        while !context.needs_new_connection
+            && let Some(mut connection) = self.take_idle()
+        {
             if !connection.is_ready().await {
                 continue;
             }
--- a/crates/turmericloft/tests/testsuite/backend_pool.rs
+++ b/crates/turmericloft/tests/testsuite/backend_pool.rs
@@ -74,6 +74,7 @@
         let req = Request::get(path).header("host", "h");
         let req = req.body(RequestBody::new(body)).expect("a request");
         let context = SendContext {
+            needs_new_connection: false,
             is_idempotent,
             mean_latency: MEAN_LATENCY,
             sent: &AtomicU32::new(0),
