Requests that crash endpoints are quarantined, on all gateways of a zone

Cause: a request that crashes each endpoint that runs it was stopped by the retry budget alone; it could crash three endpoints a call (maxAttempts), at every gateway it was sent to, each time.

core/quarantine decides without I/O: three crashes, each of a copy sent after the crash before it, and no response in between; endpoints that are lost together count once. After two crashes a request is not retried within its call. A quarantine lasts 60 s after the last crash, and longer by a spread over the hosts, so that one gateway finds out first whether the request still crashes endpoints.

Gateways tell each other over the relay, behind the messages that are there (message version unchanged: older builds ignore bytes behind a message). Nothing is sent while no request was broken off. Gateways of different zones do not tell each other.

--- a/crates/turmericloft/src/core/guard/fingerprint.rs
+++ b/crates/turmericloft/src/core/guard/fingerprint.rs
@@ -1,5 +1,7 @@
 //! Fingerprints that tell whether two requests are copies of each other.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -26,3 +28,10 @@
         Self(hash.finalize().into())
     }
 }
+
+/// The first bytes in hexadecimal, enough to find a request in a log.
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0[..8].iter().try_for_each(|b| write!(f, "{b:02x}"))
+    }
+}
--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -13,6 +13,7 @@
 mod outcome;
 pub mod placement;
 mod problem;
+pub mod quarantine;
 pub mod relay;
 pub mod routing;
 mod step;
--- /dev/null
+++ b/crates/turmericloft/src/core/quarantine/crash_history.rs
@@ -0,0 +1,106 @@
+//! What is known of one request that endpoints broke off.
+
+use std::time::{Duration, Instant};
+
+use super::{
+    Crash,
+    crash_reports::{CrashReport, ReportedCrash},
+};
+use crate::core::{guard::Fingerprint, placement::InstanceId};
+
+/// Maximum number of crashes that are kept of a request.
+const MAX_CRASHES: usize = 8;
+
+/// The crashes of one request since its last response.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CrashHistory {
+    /// In the order in which the request was sent.
+    crashes: Vec<Crash>,
+    responded_at: Option<Instant>,
+}
+
+impl CrashHistory {
+    /// Adds a crash, unless it is known or a response came after it. Returns whether it was added.
+    pub(super) fn add(&mut self, crash: Crash) -> bool {
+        let is_cleared = self.responded_at.is_some_and(|at| at >= crash.at);
+        // An endpoint may crash again after a restart.
+        let is_same = |c: &Crash| c.endpoint == crash.endpoint && crash.sent_at < c.at;
+        let is_known = self.crashes.iter().any(is_same);
+        if is_cleared || is_known || self.crashes.len() >= MAX_CRASHES {
+            return false;
+        }
+        let index = self.crashes.partition_point(|c| c.sent_at <= crash.sent_at);
+        self.crashes.insert(index, crash);
+        true
+    }
+
+    /// Drops the crashes up to a response. Returns whether anything changed.
+    pub(super) fn clear(&mut self, responded_at: Instant) -> bool {
+        let is_newer = self.responded_at.is_none_or(|at| at < responded_at);
+        if is_newer {
+            self.responded_at = Some(responded_at);
+            self.crashes.retain(|c| c.at > responded_at);
+        }
+        is_newer
+    }
+
+    /// Number of crashes of which each one happened to a request that was sent after the one before.
+    pub(super) fn independent_crashes(&self) -> u32 {
+        let mut count = 0;
+        let mut last: Option<Instant> = None;
+        for crash in &self.crashes {
+            if last.is_none_or(|at| at <= crash.sent_at) {
+                count += 1;
+                last = Some(crash.at);
+            }
+        }
+        count
+    }
+
+    /// Time of the latest crash; `None` if there is none since the last response.
+    pub(super) fn last_crash(&self) -> Option<Instant> {
+        self.crashes.iter().map(|c| c.at).max()
+    }
+
+    /// Time of the latest crash or response.
+    pub(super) fn last_change(&self) -> Option<Instant> {
+        self.last_crash().max(self.responded_at)
+    }
+
+    pub(super) fn report(&self, now: Instant, request: Fingerprint) -> CrashReport {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let crashes = self.crashes.iter().map(|c| ReportedCrash {
+            endpoint: InstanceId::clone(&c.endpoint),
+            age: age(c.at),
+            ran_for: c.at.saturating_duration_since(c.sent_at),
+        });
+        CrashReport {
+            request,
+            crashes: crashes.collect(),
+            response_age: self.responded_at.map(age),
+        }
+    }
+
+    /// Adds what another gateway reports. Returns whether anything changed.
+    pub(super) fn merge(&mut self, now: Instant, report: CrashReport) -> bool {
+        let before = |age: Duration| now.checked_sub(age);
+        let mut is_changed = false;
+        if let Some(responded_at) = report.response_age.and_then(before) {
+            is_changed |= self.merge_response(responded_at);
+        }
+        for reported in report.crashes {
+            if let Some(crash) = reported.into_crash(now) {
+                is_changed |= self.add(crash);
+            }
+        }
+        is_changed
+    }
+
+    /// Takes over a response unless it is known. The same response is reported with a slightly
+    /// different time by each gateway, and must not be passed on without end.
+    fn merge_response(&mut self, responded_at: Instant) -> bool {
+        let clears = self.crashes.iter().any(|c| c.at <= responded_at);
+        let is_first = self.responded_at.is_none();
+        (clears || is_first) && self.clear(responded_at)
+    }
+}
--- /dev/null
+++ b/crates/turmericloft/src/core/quarantine/mod.rs
@@ -0,0 +1,21 @@
+//! Quarantine of requests that crash the endpoints that run them.
+//!
+//! Load pattern: one request crashes each endpoint that begins to run it, and its client sends it
+//! again and again, each time to another gateway. Every crash takes an endpoint away for seconds
+//! and breaks off all other requests that it was running. Each gateway sees few of the crashes, so
+//! gateways exchange what they saw; after the third crash none of them sends the request.
+//!
+//! An endpoint that crashes for another reason breaks off sound requests too. They are told apart
+//! by the order of events: a crash counts only if the request was sent after the crash before it,
+//! so that endpoints which crash together count once, and any response to the request clears it.
+
+mod crash;
+mod crash_history;
+mod crash_reports;
+mod request_quarantine;
+
+pub use self::{
+    crash::Crash,
+    crash_reports::{CrashReport, CrashReports, ReportedCrash},
+    request_quarantine::{RequestQuarantine, SendDecision},
+};
--- /dev/null
+++ b/crates/turmericloft/src/core/quarantine/request_quarantine.rs
@@ -0,0 +1,158 @@
+//! Table of requests that endpoints broke off.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use super::{Crash, CrashReport, CrashReports, crash_history::CrashHistory};
+use crate::core::{guard::Fingerprint, relay::delay_of_host};
+
+/// Number of crashes after which a request is not sent any more.
+const MAX_CRASHES: u32 = 3;
+/// Time since the last crash after which a quarantined request may be sent again.
+const QUARANTINE_PERIOD: Duration = Duration::from_secs(60);
+/// Time over which the gateways spread the end of a quarantine, so that the first one to send the
+/// request can tell the others that it still crashes endpoints.
+const RELEASE_SPREAD: Duration = Duration::from_secs(60);
+/// Time after which a request is forgotten of which nothing new is known. A released one that
+/// crashes an endpoint again within it is in quarantine at once.
+const FORGET_AFTER: Duration = Duration::from_secs(300);
+/// Maximum number of requests in the table.
+const MAX_REQUESTS: usize = 256;
+/// Maximum number of reports in one message.
+const MAX_REPORTS: usize = 32;
+
+/// Whether a request may be sent to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendDecision {
+    /// It may be sent, and sent again if an endpoint breaks it off.
+    Allowed,
+    /// It may be sent, but not again in the same call: one more crash puts it in quarantine.
+    Once,
+    /// It is in quarantine.
+    Refused {
+        /// When the quarantine ends unless another crash becomes known.
+        until: Instant,
+    },
+}
+
+/// Requests that endpoints broke off, by fingerprint, and which of them are in quarantine.
+#[derive(Clone, Debug)]
+pub struct RequestQuarantine {
+    release_delay: Duration,
+    requests: HashMap<Fingerprint, TrackedRequest>,
+    revision: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct TrackedRequest {
+    history: CrashHistory,
+    /// Revision of the table at the last change of the history.
+    revision: u64,
+}
+
+impl RequestQuarantine {
+    /// An empty table of the gateway on `host`.
+    pub fn new(host: &str) -> Self {
+        Self {
+            release_delay: delay_of_host(host, RELEASE_SPREAD),
+            requests: HashMap::new(),
+            revision: 0,
+        }
+    }
+
+    /// Whether no request was broken off lately, so that no fingerprint needs to be computed.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Number of changes of the table.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Records that an endpoint broke off a request. Returns whether the request is in quarantine.
+    pub fn record_crash(&mut self, now: Instant, request: Fingerprint, crash: Crash) -> bool {
+        self.forget_old(now);
+        self.change(request, |history| history.add(crash));
+        matches!(self.decide(now, &request), SendDecision::Refused { .. })
+    }
+
+    /// Records that an endpoint responded to a request: it did not cause the crashes before.
+    pub fn record_response(&mut self, now: Instant, request: &Fingerprint) {
+        if self.requests.contains_key(request) {
+            self.change(*request, |history| history.clear(now));
+        }
+    }
+
+    /// Decides whether a request may be sent.
+    pub fn decide(&self, now: Instant, request: &Fingerprint) -> SendDecision {
+        let Some(history) = self.requests.get(request).map(|r| &r.history) else {
+            return SendDecision::Allowed;
+        };
+        let crashes = history.independent_crashes();
+        let Some(last_crash) = history.last_crash().filter(|_| crashes + 1 >= MAX_CRASHES) else {
+            return SendDecision::Allowed;
+        };
+        let until = last_crash + QUARANTINE_PERIOD + self.release_delay;
+        if crashes >= MAX_CRASHES && until > now {
+            SendDecision::Refused { until }
+        } else {
+            SendDecision::Once
+        }
+    }
+
+    /// What changed after the revision `since`; the earliest changes only if there are many.
+    pub fn reports_since(&self, now: Instant, since: u64) -> CrashReports {
+        let mut changed: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|(_, r)| r.revision > since)
+            .collect();
+        changed.sort_by_key(|(_, r)| r.revision);
+        changed.truncate(MAX_REPORTS);
+        let reports = changed.iter().map(|(f, r)| r.history.report(now, **f));
+        CrashReports {
+            revision: changed.last().map_or(since, |(_, r)| r.revision),
+            reports: reports.collect(),
+        }
+    }
+
+    /// Adds what another gateway reports. Returns whether anything changed.
+    pub fn merge(&mut self, now: Instant, reports: Vec<CrashReport>) -> bool {
+        self.forget_old(now);
+        let before = self.revision;
+        for report in reports {
+            self.change(report.request, |history| history.merge(now, report));
+        }
+        self.revision > before
+    }
+
+    fn change(&mut self, request: Fingerprint, change: impl FnOnce(&mut CrashHistory) -> bool) {
+        if self.requests.len() >= MAX_REQUESTS && !self.requests.contains_key(&request) {
+            self.forget_least_suspect();
+        }
+        let tracked = self.requests.entry(request).or_default();
+        if change(&mut tracked.history) {
+            self.revision += 1;
+            tracked.revision = self.revision;
+        } else if tracked.revision == 0 {
+            self.requests.remove(&request);
+        }
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < FORGET_AFTER;
+        self.requests
+            .retain(|_, r| r.history.last_change().is_some_and(is_recent));
+    }
+
+    fn forget_least_suspect(&mut self) {
+        let suspicion = |r: &TrackedRequest| (r.history.independent_crashes(), r.revision);
+        let least = self.requests.iter().min_by_key(|(_, r)| suspicion(r));
+        if let Some(request) = least.map(|(f, _)| *f) {
+            self.requests.remove(&request);
+        }
+    }
+}
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -16,6 +16,7 @@
 use crate::{
     core::{
         placement::{AttemptOutcome, LoadReport},
+        quarantine::Crash,
         traffic::Route,
     },
     sources::http1::{ClientConnection, ExchangeError, Request, Response},
@@ -59,6 +60,8 @@
     NotRun,
     /// The endpoint may have run the request; no complete response arrived.
     Unknown(AttemptOutcome),
+    /// Like `Unknown`, with the connection ended by the endpoint, which may have crashed.
+    Disconnected(Crash),
 }
 
 /// Sends a request to the endpoint of `in_flight`, classifies the result, logs it unless the
@@ -175,6 +178,18 @@
         Some(Err(e)) if e.is_unsent() => {
             return (AttemptEnd::NotRun, AttemptOutcome::Unreachable, None);
         }
+        Some(Err(e)) if e.is_disconnect() => {
+            let crash = Crash {
+                endpoint: in_flight.placement().endpoint.id.clone(),
+                sent_at: in_flight.placement().started_at,
+                at: ingress.now(),
+            };
+            return (
+                AttemptEnd::Disconnected(crash),
+                AttemptOutcome::Broken,
+                None,
+            );
+        }
         Some(Err(_)) => return unknown(AttemptOutcome::Broken, None),
         None => return unknown(AttemptOutcome::TimedOut, None),
     };
--- a/crates/turmericloft/src/ops/ingress/client_response.rs
+++ b/crates/turmericloft/src/ops/ingress/client_response.rs
@@ -28,6 +28,11 @@
         /// Delay before the client should retry.
         retry_after: Duration,
     },
+    /// The request has not run now and will not: earlier copies of it crashed endpoints.
+    Quarantined {
+        /// Time until the quarantine ends.
+        retry_after: Duration,
+    },
     /// The request may have run; no complete response arrived.
     NoAnswer,
     /// The request may have run; no response arrived before the deadline.
@@ -42,7 +47,7 @@
             Self::NoRequestId => 400,
             Self::NoRoute => 404,
             Self::TooSlow => 408,
-            Self::NotReady | Self::Refused { .. } => 503,
+            Self::NotReady | Self::Refused { .. } | Self::Quarantined { .. } => 503,
             Self::NoAnswer => 502,
             Self::OutOfTime => 504,
         }
@@ -67,7 +72,7 @@
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Refused { retry_after } => Some(retry_after),
+            Self::Refused { retry_after } | Self::Quarantined { retry_after } => Some(retry_after),
             Self::NotReady => Some(Duration::from_millis(500)),
             _ => None,
         }
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -13,6 +13,7 @@
 use super::{
     attempt::{AttemptEnd, ForwardedRequest, run_attempt},
     client_response::{ClientResponse, GatewayResponse},
+    crash_watch::CrashWatch,
     in_flight_attempt::InFlightAttempt,
     metrics::count_response,
     shared::Ingress,
@@ -80,6 +81,7 @@
         tried: Vec::new(),
         attempts: FuturesUnordered::new(),
         may_have_run: false,
+        crash_watch: CrashWatch::default(),
         arrived,
     };
     let (response, attempts) = forwarder.run().await;
@@ -127,6 +129,7 @@
     tried: Vec<InstanceId>,
     attempts: FuturesUnordered<Attempt>,
     may_have_run: bool,
+    crash_watch: CrashWatch,
     arrived: Instant,
 }
 
@@ -134,10 +137,15 @@
     /// Returns the response and the number of endpoints that the request was sent to.
     async fn run(mut self) -> (ClientResponse, usize) {
         let response = self.respond().await;
+        self.crash_watch
+            .record_end(&self.ingress, &self.forwarded, &response);
         (response, self.tried.len())
     }
 
     async fn respond(&mut self) -> ClientResponse {
+        if let Some(refusal) = self.crash_watch.refusal(&self.ingress, &self.forwarded.req) {
+            return ClientResponse::Gateway(refusal);
+        }
         let first = match self.place_first().await {
             Ok(placement) => placement,
             Err(unplaced) => return rejection(unplaced),
@@ -189,21 +197,27 @@
                     },
                 }))
             }
-            AttemptEnd::Unknown(outcome) => {
-                self.may_have_run = true;
-                let is_retried =
-                    self.is_idempotent() && (!self.attempts.is_empty() || self.retry().await);
-                if is_retried {
-                    return None;
-                }
-                Some(ClientResponse::Gateway(match outcome {
-                    AttemptOutcome::TimedOut => GatewayResponse::OutOfTime,
-                    _ => GatewayResponse::NoAnswer,
-                }))
+            AttemptEnd::Disconnected(crash) => {
+                self.crash_watch.add(crash);
+                self.handle_unknown(AttemptOutcome::Broken).await
             }
+            AttemptEnd::Unknown(outcome) => self.handle_unknown(outcome).await,
         }
     }
 
+    /// Handles an attempt that may have run and gave no response.
+    async fn handle_unknown(&mut self, outcome: AttemptOutcome) -> Option<ClientResponse> {
+        self.may_have_run = true;
+        let is_retried = self.is_idempotent() && (!self.attempts.is_empty() || self.retry().await);
+        if is_retried {
+            return None;
+        }
+        Some(ClientResponse::Gateway(match outcome {
+            AttemptOutcome::TimedOut => GatewayResponse::OutOfTime,
+            _ => GatewayResponse::NoAnswer,
+        }))
+    }
+
     /// Sends the request to another endpoint, as a retry or a hedge, if the deadline, the route's
     /// limit of attempts and the retry budget allow it. Returns whether it was sent.
     async fn retry(&mut self) -> bool {
@@ -213,6 +227,12 @@
         if left < MIN_RETRY_TIME || attempts >= self.forwarded.route.max_attempts {
             return false;
         }
+        if !self
+            .crash_watch
+            .allows_retry(&self.ingress, &self.forwarded.req)
+        {
+            return false;
+        }
         let Ok(placement) = self.place_retry().await else {
             return false;
         };
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -8,6 +8,7 @@
 mod client;
 mod client_response;
 mod connection_pool;
+mod crash_watch;
 mod forward;
 mod in_flight_attempt;
 mod metrics;
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -26,6 +26,7 @@
         placement::{Balancer, DiscoveredEndpoint, WaitQueue},
         traffic::{Route, RouteTable, Splitter},
     },
+    ops::SharedQuarantine,
     util::host_clock::HostClock,
 };
 
@@ -47,6 +48,8 @@
     pub(super) settings: IngressSettings,
     pub(super) clock: HostClock,
     pub(super) protocol: Arc<dyn EndpointProtocol>,
+    /// Requests that crash endpoints.
+    pub(super) quarantine: Arc<SharedQuarantine>,
     pub(super) table: ArcSwapOption<RouteTable>,
     pub(super) balancer: Mutex<Balancer>,
     pub(super) queue: Mutex<WaitQueue>,
@@ -70,15 +73,17 @@
     pub fn new(
         settings: IngressSettings,
         protocol: Arc<dyn EndpointProtocol>,
+        quarantine: Arc<SharedQuarantine>,
         seed: u64,
     ) -> Arc<Self> {
-        Self::with_clock(settings, protocol, seed, HostClock::system())
+        Self::with_clock(settings, protocol, quarantine, seed, HostClock::system())
     }
 
     /// Like [`new`](Self::new), with another clock than that of the host.
     pub fn with_clock(
         settings: IngressSettings,
         protocol: Arc<dyn EndpointProtocol>,
+        quarantine: Arc<SharedQuarantine>,
         seed: u64,
         clock: HostClock,
     ) -> Arc<Self> {
@@ -89,6 +94,7 @@
             settings,
             clock,
             protocol,
+            quarantine,
             table: ArcSwapOption::empty(),
             balancer: Mutex::new(balancer),
             queue: Mutex::new(WaitQueue::new()),
--- a/crates/turmericloft/src/ops/mod.rs
+++ b/crates/turmericloft/src/ops/mod.rs
@@ -12,6 +12,7 @@
 pub mod relay;
 pub mod report;
 pub mod reporter;
+mod shared_quarantine;
 mod status;
 
 pub use self::{
@@ -20,5 +21,6 @@
     promote::{PromoteOptions, promote, read_document, settle, trial},
     promotion::{PromoteError, PromotionOutcome},
     report::{ReportError, ReportOptions, read_history, read_report},
+    shared_quarantine::SharedQuarantine,
     status::{GatewayCondition, GatewayStatus, Status, StatusError, read_status},
 };
--- /dev/null
+++ b/crates/turmericloft/src/ops/relay/crash_exchange.rs
@@ -0,0 +1,27 @@
+//! Crash reports on one relay connection, in both directions.
+
+use super::RelayHub;
+use crate::core::quarantine::CrashReport;
+
+/// What one end of a connection has told the other.
+#[derive(Debug, Default)]
+pub(super) struct CrashExchange {
+    /// Revision of the own table that the other end knows.
+    sent: u64,
+}
+
+impl CrashExchange {
+    /// The reports to send with the next message.
+    pub(super) fn next_reports(&mut self, hub: &RelayHub) -> Vec<CrashReport> {
+        let changes = hub.quarantine().reports_since(hub.now(), self.sent);
+        self.sent = changes.revision;
+        changes.reports
+    }
+
+    /// Waits until there is something that the other end does not know.
+    pub(super) async fn wait_for_change(&self, hub: &RelayHub) {
+        let mut revision = hub.quarantine().revision();
+        // The hub holds the sender, so this ends only with a change.
+        let _ = revision.wait_for(|revision| *revision > self.sent).await;
+    }
+}
--- a/crates/turmericloft/src/ops/relay/follow.rs
+++ b/crates/turmericloft/src/ops/relay/follow.rs
@@ -2,13 +2,12 @@
 
 use std::{future::pending, sync::Arc, time::Duration};
 
-use metrics::counter;
 use tokio::{net::TcpStream, sync::watch, time::timeout};
 
-use super::{RelayError, RelayHub, wire::RelayConnection};
+use super::{RelayError, RelayHub, upstream_polls::UpstreamPolls, wire::RelayConnection};
 use crate::{
-    core::relay::{RelayMember, RelayResponse, UpstreamChooser},
-    util::{error_chain, metrics_table::RELAY_ANSWERS},
+    core::relay::{RelayMember, UpstreamChooser},
+    util::error_chain,
 };
 
 /// Timeout for opening a connection within the zone.
@@ -76,25 +75,14 @@
 
 /// Follows `upstream` until it fails or its data is stale, and returns the reason.
 async fn follow(hub: &RelayHub, host: &Arc<str>, upstream: &RelayMember) -> RelayError {
-    let mut connection = match connect(upstream).await {
+    let connection = match connect(upstream).await {
         Ok(connection) => connection,
         Err(e) => return e,
     };
     log::info!("connected to upstream host={}", upstream.host);
-    poll_until_error(hub, host, upstream, &mut connection).await
-}
-
-async fn poll_until_error(
-    hub: &RelayHub,
-    host: &Arc<str>,
-    upstream: &RelayMember,
-    connection: &mut RelayConnection,
-) -> RelayError {
-    loop {
-        if let Err(e) = poll(hub, host, upstream, connection).await {
-            return e;
-        }
-    }
+    UpstreamPolls::new(hub, host, upstream.address, connection)
+        .run_until_error()
+        .await
 }
 
 async fn connect(upstream: &RelayMember) -> Result<RelayConnection, RelayError> {
@@ -107,28 +95,3 @@
     stream.set_nodelay(true).map_err(io)?;
     Ok(RelayConnection::new(peer, stream))
 }
-
-async fn poll(
-    hub: &RelayHub,
-    host: &Arc<str>,
-    upstream: &RelayMember,
-    connection: &mut RelayConnection,
-) -> Result<(), RelayError> {
-    let peer = upstream.address;
-    let limit = hub.response_timeout();
-    let polled_at = hub.now();
-    let exchange = async {
-        connection.send(hub.build_poll(host)).await?;
-        connection.receive().await
-    };
-    let exchanged = timeout(limit, exchange).await;
-    let response: RelayResponse = exchanged.map_err(|_| RelayError::Timeout { peer, limit })??;
-    let is_current = response.is_current;
-    let is_accepted = hub.apply_response(polled_at, response);
-    counter!(RELAY_ANSWERS.name, "direction" => "taken").increment(1);
-    if is_current && is_accepted {
-        Ok(())
-    } else {
-        Err(RelayError::Stale { peer })
-    }
-}
--- a/crates/turmericloft/src/ops/relay/hub.rs
+++ b/crates/turmericloft/src/ops/relay/hub.rs
@@ -20,6 +20,7 @@
         relay::{RegistryView, RelayPoll, RelayResponse, RelayTimings},
         traffic::{RouteTable, TrafficDocument},
     },
+    ops::SharedQuarantine,
     util::{host_clock::HostClock, metrics_table::REGISTRY_ERA_CHANGES},
 };
 
@@ -39,6 +40,7 @@
 pub struct RelayHub {
     timings: RelayTimings,
     clock: HostClock,
+    quarantine: Arc<SharedQuarantine>,
     view: Mutex<RegistryView>,
     endpoints: watch::Sender<PublishedEndpoints>,
     documents: watch::Sender<PublishedDocument>,
@@ -57,14 +59,15 @@
 impl RelayHub {
     /// A hub with an empty view and without a document.
     pub fn new(timings: RelayTimings) -> Arc<Self> {
-        Self::with_clock(timings, HostClock::system())
+        Self::with_quarantine(timings, Arc::new(SharedQuarantine::new("")))
     }
 
-    /// Like [`new`](Self::new), with another clock than that of the host.
-    pub fn with_clock(timings: RelayTimings, clock: HostClock) -> Arc<Self> {
+    /// Like [`new`](Self::new), with the quarantine table of this gateway.
+    pub fn with_quarantine(timings: RelayTimings, quarantine: Arc<SharedQuarantine>) -> Arc<Self> {
         Arc::new(Self {
             timings,
-            clock,
+            clock: HostClock::system(),
+            quarantine,
             view: Mutex::new(RegistryView::new(timings)),
             endpoints: watch::Sender::new(None),
             documents: watch::Sender::new(None),
@@ -86,6 +89,11 @@
         &self.clock
     }
 
+    /// Requests that crash endpoints, which the gateways of the zone tell each other of.
+    pub fn quarantine(&self) -> &SharedQuarantine {
+        &self.quarantine
+    }
+
     pub(super) fn now(&self) -> Instant {
         self.clock.now()
     }
@@ -189,7 +197,7 @@
     /// Whether this gateway leaves it to others to find the registry available again. One whose own
     /// reads keep its view fresh does not: others may follow it.
     pub fn relies_on_upstream(&self) -> bool {
-        self.hears_upstream() && !self.view.lock().is_current(self.now())
+        self.hears_upstream() && !self.is_current()
     }
 
     /// Records that the upstream cannot be reached any more.
@@ -243,10 +251,15 @@
         self.no_upstream.send_replace(true);
     }
 
+    /// Whether the view, read or relayed, is fresh.
+    pub(super) fn is_current(&self) -> bool {
+        self.view.lock().is_current(self.now())
+    }
+
     /// Waits until the view, read or relayed, is fresh.
     pub async fn wait_until_current(&self) {
         let mut view_updated = self.view_updated.subscribe();
-        while !self.view.lock().is_current(self.now()) {
+        while !self.is_current() {
             if view_updated.changed().await.is_err() {
                 return;
             }
@@ -293,14 +306,18 @@
         is_accepted
     }
 
-    /// Responds to a poll as soon as there are changes, or without any as a heartbeat.
-    pub(super) async fn respond(&self, poll: &RelayPoll) -> RelayResponse {
-        let received = self.now();
+    /// Waits until there are changes for the response to a poll that arrived at `received`, or until
+    /// it is due without any as a heartbeat.
+    pub(super) async fn wait_for_response(&self, poll: &RelayPoll, received: Instant) {
         let idle_at = received + self.timings.idle_response_after();
         let refresh_deadline = self.view.lock().refresh_deadline(received);
         let grace = received + self.timings.read_grace();
         self.wait_for_update(poll, received, idle_at.min(refresh_deadline.max(grace)))
             .await;
+    }
+
+    /// The response to a poll that arrived at `received`.
+    pub(super) fn response(&self, poll: &RelayPoll, received: Instant) -> RelayResponse {
         let mut response = self.view.lock().response(self.now(), received, poll);
         response.document_version = *self.newest_version.borrow();
         response.document = self.document_newer_than(poll.document_version);
--- a/crates/turmericloft/src/ops/relay/mod.rs
+++ b/crates/turmericloft/src/ops/relay/mod.rs
@@ -4,10 +4,12 @@
 //! are not encrypted: they carry only what every gateway of the zone reads from the store in plain
 //! text.
 
+mod crash_exchange;
 mod follow;
 mod hub;
 mod relay_error;
 mod serve;
+mod upstream_polls;
 mod wire;
 
 pub use self::{
--- a/crates/turmericloft/src/ops/relay/relay_error.rs
+++ b/crates/turmericloft/src/ops/relay/relay_error.rs
@@ -58,6 +58,12 @@
         /// The timeout that expired.
         limit: Duration,
     },
+    /// The upstream sent a response that no poll waits for.
+    #[error("the gateway at {peer} sent a response without a poll")]
+    Unasked {
+        /// Address of the upstream.
+        peer: SocketAddr,
+    },
     /// The upstream responds, but its data is stale.
     #[error("the gateway at {peer} has only stale data")]
     Stale {
--- a/crates/turmericloft/src/ops/relay/serve.rs
+++ b/crates/turmericloft/src/ops/relay/serve.rs
@@ -16,7 +16,11 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use super::{RelayError, RelayHub, wire::RelayConnection};
+use super::{
+    RelayError, RelayHub,
+    crash_exchange::CrashExchange,
+    wire::{Received, RelayConnection},
+};
 use crate::{
     core::relay::RelayPoll,
     util::{error_chain, metrics_table::RELAY_ANSWERS},
@@ -91,13 +95,36 @@
     let io = |source| RelayError::Io { peer, source };
     stream.set_nodelay(true).map_err(io)?;
     let mut connection = RelayConnection::new(peer, stream);
+    let mut exchange = CrashExchange::default();
     let limit = FOLLOWER_TIMEOUT;
     let timed_out = |_| RelayError::Timeout { peer, limit };
+    let mut next: Option<Received<RelayPoll>> = None;
     loop {
-        let received = timeout(limit, connection.receive()).await;
-        let poll: RelayPoll = received.map_err(timed_out)??;
-        let response = hub.respond(&poll).await;
-        timeout(limit, connection.send(response))
+        let poll = match next.take() {
+            Some(poll) => poll,
+            None => timeout(limit, connection.receive())
+                .await
+                .map_err(timed_out)??,
+        };
+        let received_at = hub.now();
+        hub.quarantine().merge(received_at, poll.reports);
+        let is_due = tokio::select! {
+            biased;
+            () = hub.wait_for_response(&poll.message, received_at) => true,
+            () = exchange.wait_for_change(hub) => hub.is_current(),
+            // The follower has more to tell. Each poll gets a response.
+            following = connection.receive() => {
+                next = Some(following?);
+                hub.is_current()
+            }
+        };
+        if !is_due {
+            // A response now would make the follower give up this gateway.
+            hub.wait_for_response(&poll.message, received_at).await;
+        }
+        let response = hub.response(&poll.message, received_at);
+        let reports = exchange.next_reports(hub);
+        timeout(limit, connection.send(response, &reports))
             .await
             .map_err(timed_out)??;
         counter!(RELAY_ANSWERS.name, "direction" => "sent").increment(1);
--- /dev/null
+++ b/crates/turmericloft/src/ops/relay/upstream_polls.rs
@@ -0,0 +1,107 @@
+//! Polls of one upstream over one connection.
+
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Instant};
+
+use metrics::counter;
+use tokio::time::{Instant as TimerInstant, timeout_at};
+
+use super::{
+    RelayError, RelayHub,
+    crash_exchange::CrashExchange,
+    wire::{Received, RelayConnection},
+};
+use crate::{core::relay::RelayResponse, util::metrics_table::RELAY_ANSWERS};
+
+/// Polls that wait for a response. A second one carries crash reports to the upstream that cannot
+/// wait until the first one is answered.
+const MAX_OUTSTANDING: usize = 2;
+
+/// A connection to an upstream and the polls sent on it.
+pub(super) struct UpstreamPolls<'a> {
+    hub: &'a RelayHub,
+    host: &'a Arc<str>,
+    peer: SocketAddr,
+    connection: RelayConnection,
+    exchange: CrashExchange,
+    /// When the polls were sent that have no response yet, the earliest first. Responses arrive in
+    /// this order.
+    outstanding: VecDeque<Instant>,
+}
+
+impl<'a> UpstreamPolls<'a> {
+    pub(super) fn new(
+        hub: &'a RelayHub,
+        host: &'a Arc<str>,
+        peer: SocketAddr,
+        connection: RelayConnection,
+    ) -> Self {
+        Self {
+            hub,
+            host,
+            peer,
+            connection,
+            exchange: CrashExchange::default(),
+            outstanding: VecDeque::new(),
+        }
+    }
+
+    /// Polls until the upstream fails or its data is stale, and returns the reason.
+    pub(super) async fn run_until_error(mut self) -> RelayError {
+        loop {
+            if let Err(e) = self.poll().await {
+                return e;
+            }
+        }
+    }
+
+    /// Sends a poll unless one is outstanding, and applies the next response.
+    async fn poll(&mut self) -> Result<(), RelayError> {
+        let peer = self.peer;
+        let limit = self.hub.response_timeout();
+        let timed_out = |_| RelayError::Timeout { peer, limit };
+        let deadline = TimerInstant::now() + limit;
+        if self.outstanding.is_empty() {
+            timeout_at(deadline, self.send())
+                .await
+                .map_err(timed_out)??;
+        }
+        loop {
+            let may_send = self.outstanding.len() < MAX_OUTSTANDING;
+            let received = tokio::select! {
+                biased;
+                received = timeout_at(deadline, self.connection.receive()) => received,
+                () = self.exchange.wait_for_change(self.hub), if may_send => {
+                    timeout_at(deadline, self.send()).await.map_err(timed_out)??;
+                    continue;
+                }
+            };
+            return self.apply(received.map_err(timed_out)??);
+        }
+    }
+
+    async fn send(&mut self) -> Result<(), RelayError> {
+        self.outstanding.push_back(self.hub.now());
+        let poll = self.hub.build_poll(self.host);
+        let reports = self.exchange.next_reports(self.hub);
+        self.connection.send(poll, &reports).await
+    }
+
+    fn apply(&mut self, received: Received<RelayResponse>) -> Result<(), RelayError> {
+        let peer = self.peer;
+        let Some(polled_at) = self.outstanding.pop_front() else {
+            return Err(RelayError::Unasked { peer });
+        };
+        let response = received.message;
+        let is_current = response.is_current;
+        self.hub
+            .quarantine()
+            .merge(self.hub.now(), received.reports);
+        let is_accepted = self.hub.apply_response(polled_at, response);
+        counter!(RELAY_ANSWERS.name, "direction" => "taken").increment(1);
+        if is_current && is_accepted {
+            Ok(())
+        } else {
+            Err(RelayError::Stale { peer })
+        }
+    }
+}
--- a/crates/turmericloft/src/ops/relay/wire.rs
+++ b/crates/turmericloft/src/ops/relay/wire.rs
@@ -9,6 +9,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::RelayError;
+use crate::core::quarantine::CrashReport;
 
 /// Version of the message format. It has to change with every change of the format.
 const MESSAGE_VERSION: u16 = 2;
@@ -21,6 +22,14 @@
     message: T,
 }
 
+/// A message, and the crash reports that came with it.
+///
+/// Gateways that know no crash reports ignore the bytes behind a message and send none.
+pub(super) struct Received<T> {
+    pub(super) message: T,
+    pub(super) reports: Vec<CrashReport>,
+}
+
 /// One end of a connection between a follower and its upstream.
 pub(super) struct RelayConnection {
     peer: SocketAddr,
@@ -35,16 +44,25 @@
         Self { peer, framed }
     }
 
-    pub(super) async fn send<T: Serialize>(&mut self, message: T) -> Result<(), RelayError> {
+    /// Sends a message, and crash reports behind it unless there are none.
+    pub(super) async fn send<T: Serialize>(
+        &mut self,
+        message: T,
+        reports: &[CrashReport],
+    ) -> Result<(), RelayError> {
         let peer = self.peer;
+        let malformed = |source| RelayError::Malformed { peer, source };
         let version = MESSAGE_VERSION;
-        let bytes = postcard::to_stdvec(&Versioned { version, message })
-            .map_err(|source| RelayError::Malformed { peer, source })?;
+        let mut bytes = postcard::to_stdvec(&Versioned { version, message }).map_err(malformed)?;
+        if !reports.is_empty() {
+            bytes = postcard::to_extend(reports, bytes).map_err(malformed)?;
+        }
         let sent = self.framed.send(Bytes::from(bytes)).await;
         sent.map_err(|source| RelayError::Io { peer, source })
     }
 
-    pub(super) async fn receive<T: DeserializeOwned>(&mut self) -> Result<T, RelayError> {
+    /// Receives a message and the crash reports behind it. Can be cancelled without a loss.
+    pub(super) async fn receive<T: DeserializeOwned>(&mut self) -> Result<Received<T>, RelayError> {
         let peer = self.peer;
         let frame = self
             .framed
@@ -58,6 +76,12 @@
             let ours = MESSAGE_VERSION;
             return Err(RelayError::Version { peer, theirs, ours });
         }
-        postcard::from_bytes(message).map_err(malformed)
+        let (message, rest) = postcard::take_from_bytes(message).map_err(malformed)?;
+        let reports = if rest.is_empty() {
+            Vec::new()
+        } else {
+            postcard::from_bytes(rest).map_err(malformed)?
+        };
+        Ok(Received { message, reports })
     }
 }
--- a/crates/turmericloft/src/sources/http1/exchange_error.rs
+++ b/crates/turmericloft/src/sources/http1/exchange_error.rs
@@ -43,6 +43,14 @@
 }
 
 impl ExchangeError {
+    /// Whether the connection ended after the request was sent and before its response was complete.
+    pub fn is_disconnect(&self) -> bool {
+        match self {
+            Self::Io { step, .. } => *step == ExchangeStep::Sent,
+            Self::Response { source, .. } => *source == ResponseError::Truncated,
+        }
+    }
+
     /// Whether it is certain that the server received no byte of the request, so that a retry
     /// cannot execute it twice.
     pub fn is_unsent(&self) -> bool {
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -200,6 +200,15 @@
     help: "Probes of endpoints' load that have ended, by whether an answer came",
 };
 
+/// Requests put in quarantine because they crash endpoints.
+pub const QUARANTINED_REQUESTS: Metric = Metric {
+    name: "turmericloft_ingress_quarantined_requests_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &[],
+    help: "Crashes seen by this gateway that put a request in quarantine or kept it there",
+};
+
 /// Calls to the platform's store.
 pub const STORE_CALLS: Metric = Metric {
     name: "turmericloft_store_calls_total",
@@ -237,7 +246,7 @@
 };
 
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 23] = [
+pub const ALL: [Metric; 24] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -257,6 +266,7 @@
     INGRESS_ATTEMPTS,
     INGRESS_ATTEMPT_SECONDS,
     INGRESS_PROBES,
+    QUARANTINED_REQUESTS,
     STORE_CALLS,
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -12,6 +12,7 @@
             TrafficDocument,
         },
     },
+    ops::SharedQuarantine,
     ops::ingress::{Ingress, IngressFeeds, IngressListeners, IngressSettings, run_ingress},
     util::host_clock::HostClock,
 };
@@ -44,7 +45,13 @@
         let listeners = IngressListeners::bind(&settings).await.expect("free ports");
         let clients = listeners.clients.local_addr().expect("an address");
         let ready = listeners.ready.local_addr().expect("an address");
-        let ingress = Ingress::with_clock(settings, Arc::new(TestProtocol), 1, clock);
+        let ingress = Ingress::with_clock(
+            settings,
+            Arc::new(TestProtocol),
+            Arc::new(SharedQuarantine::new("gw")),
+            1,
+            clock,
+        );
         let table = Arc::new(RouteTable::new(document(1)));
         let known = endpoints.iter().enumerate();
         let known = known.map(|(i, e)| discovered(i, e.address)).collect();
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod parsers;
 mod peer;
 mod placement;
+mod quarantine;
 mod relay;
 mod routing;
 mod traffic;
--- a/crates/turmericloft/tests/testsuite/relay/connections.rs
+++ b/crates/turmericloft/tests/testsuite/relay/connections.rs
@@ -11,7 +11,9 @@
 use tokio_util::sync::CancellationToken;
 use turmericloft::{
     core::{
+        guard::Fingerprint,
         placement::{DiscoveredEndpoint, EndpointState},
+        quarantine::{Crash, SendDecision},
         relay::{RelayMember, RelayTimings, UpstreamChooser},
         traffic::{RequestLimits, Route, RouteKind, TrafficDocument},
     },
@@ -296,3 +298,39 @@
     hub.wait_for_initial_document(LONG_GRACE).await;
     assert!(!hub.has_document());
 }
+
+/// Two followers and their upstream each see one crash; a sound request is not affected.
+#[tokio::test]
+async fn crashes_that_gateways_saw_apart_put_a_request_in_quarantine_on_all_of_them() {
+    let upstream = upstream().await;
+    let hubs = [
+        Arc::clone(&upstream.hub),
+        follower(upstream.address),
+        follower(upstream.address),
+    ];
+    // A gateway whose data is not current keeps a poll until it is.
+    let read_at = std::time::Instant::now();
+    upstream
+        .hub
+        .apply_full_list(read_at, super::list(0, 1, Vec::new()));
+    let request = Fingerprint::of("h", "POST", "/act/1", b"");
+    for (i, hub) in hubs.iter().enumerate() {
+        let at = std::time::Instant::now();
+        let crash = Crash {
+            endpoint: format!("e{i}").into(),
+            sent_at: at,
+            at,
+        };
+        hub.quarantine().record_crash(at, request, crash);
+        // The others know of it before the next one happens.
+        for other in &hubs {
+            let mut revision = other.quarantine().revision();
+            let known = revision.wait_for(|revision| *revision > i as u64);
+            known.await.expect("the hub is alive");
+        }
+    }
+    for hub in &hubs {
+        let decision = hub.quarantine().decide(std::time::Instant::now(), &request);
+        assert!(matches!(decision, SendDecision::Refused { .. }));
+    }
+}
