A client's bytes behind a pending request are read up to 1 MiB

Cause: while a response was pending the ingress read on without a limit, to notice a disconnect. A client that sends on without end filled the gateway's memory (test: more than 64 MiB taken before, now bounded; the first request still gets its response). Beyond the limit a disconnect is noticed only when the response is written.

--- a/crates/turmericloft/src/ops/ingress/client.rs
+++ b/crates/turmericloft/src/ops/ingress/client.rs
@@ -29,6 +29,9 @@
 const MAX_PIPELINED: usize = 16;
 /// Bytes buffered beyond the requests in flight.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
+/// The same while a response is pending. A client that has sent more is not read, and its disconnect
+/// not noticed, before the response is written.
+const MAX_PENDING_READ_AHEAD_BYTES: usize = 1 << 20;
 /// Bytes reserved in the buffer for each read.
 const READ_BYTES: usize = 4 << 10;
 /// Time within which a response has to be written completely.
@@ -104,7 +107,13 @@
             }
             let is_quiet = self.pending.is_empty();
             let is_idle = is_quiet && !self.reader.has_partial_request();
-            let can_read = self.is_accepting && self.reader.buffer().len() < MAX_READ_AHEAD_BYTES;
+            let unread = self.reader.buffer().len();
+            let can_read = if is_quiet {
+                self.is_accepting && unread < MAX_READ_AHEAD_BYTES
+            } else {
+                // Reading notices that the client disconnects.
+                unread < MAX_PENDING_READ_AHEAD_BYTES
+            };
             let deadline = self.read_deadline();
             self.reader.buffer().reserve(READ_BYTES);
             tokio::select! {
@@ -114,7 +123,7 @@
                         return;
                     }
                 }
-                read = self.stream.read_buf(self.reader.buffer()), if can_read || !is_quiet => {
+                read = self.stream.read_buf(self.reader.buffer()), if can_read => {
                     match read {
                         Ok(n) if n > 0 => self.last_activity = self.ingress.now(),
                         _ => return,
--- a/crates/turmericloft/tests/testsuite/ingress/pipelining.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/pipelining.rs
@@ -1,5 +1,7 @@
 //! Requests that are sent before the responses to earlier ones.
 
+use tokio::task::yield_now;
+
 use super::{
     client::{Client, request},
     endpoint::{Behaviour, Endpoint},
@@ -32,6 +34,38 @@
     }
 }
 
+/// A client sends without end while the response to its first request is pending.
+#[tokio::test]
+async fn bytes_behind_a_pending_request_are_read_up_to_a_limit() {
+    /// Times without progress after which the gateway and both socket buffers are full.
+    const MAX_BLOCKED: usize = 20_000;
+    /// More than the socket buffers and the gateway's limit hold.
+    const MAX_BYTES: usize = 64 << 20;
+    let endpoint = Endpoint::start(Behaviour::Hold).await;
+    let gateway = Gateway::start(std::slice::from_ref(&endpoint)).await;
+    let mut client = Client::connect(gateway.clients).await;
+    client.send(&request("POST", "/act/1", "r0")).await;
+    endpoint.arrived.acquire().await.expect("open").forget();
+    let bytes = request("POST", "/act/1", "r1").repeat(1_000);
+    let mut sent = 0;
+    let mut blocked = 0;
+    while blocked < MAX_BLOCKED {
+        match client.stream.try_write(bytes.as_bytes()) {
+            Ok(n) => {
+                sent += n;
+                blocked = 0;
+            }
+            Err(_) => {
+                blocked += 1;
+                yield_now().await;
+            }
+        }
+        assert!(sent < MAX_BYTES, "the gateway reads without a limit");
+    }
+    endpoint.release.add_permits(1);
+    assert_eq!(client.response().await.expect("a response").status, 200);
+}
+
 #[tokio::test]
 async fn pipelined_at_most_once_request_starts_after_earlier_requests_complete() {
     let endpoint = Endpoint::start(Behaviour::Respond).await;
