--- a/crates/turmericloft-bench/src/main.rs
+++ b/crates/turmericloft-bench/src/main.rs
@@ -11,7 +11,7 @@
 mod figure;
 mod fit;
 
-use experiments::{capacity, config, guarded, overhead, reporting, routing};
+use experiments::{capacity, config, guarded, overhead, reporting, routing, worth};
 
 /// Measures turmericloft against baselines on the loopback interface and in simulated time
 #[derive(Debug, Parser)]
@@ -35,6 +35,7 @@
     Overhead(overhead::Args),
     Reporting(reporting::Args),
     Routing(routing::Args),
+    Worth(worth::Args),
 }
 
 #[tokio::main]
@@ -48,6 +49,7 @@
         Experiment::Overhead(args) => overhead::exec(args, cli.seed, &figures).await,
         Experiment::Reporting(args) => reporting::exec(args, cli.seed, &figures).await,
         Experiment::Routing(args) => routing::exec(args, cli.seed, &figures).await,
+        Experiment::Worth(args) => worth::exec(args),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
