A gateway without current data keeps polls open when a newer document arrives

Change: a newer document or crash report is passed on at once only by a gateway whose data is current; others answer with their data, or when the response is due. Test: a follower whose upstream has only the document yet keeps its connection (2 connections before). Two tests with an upstream that never had any endpoints waited for its idle response (27 s); their upstream has one endpoint now, assertions unchanged.

--- a/crates/turmericloft/src/ops/relay/hub.rs
+++ b/crates/turmericloft/src/ops/relay/hub.rs
@@ -329,7 +329,8 @@
         let mut newest_version = self.newest_version.subscribe();
         loop {
             let is_newer = *newest_version.borrow_and_update() > poll.document_version;
-            if is_newer || self.view.lock().has_update(received, poll) {
+            // The follower gives up a gateway that responds without being current.
+            if is_newer && self.is_current() || self.view.lock().has_update(received, poll) {
                 return;
             }
             tokio::select! {
--- a/crates/turmericloft/tests/testsuite/relay/connections.rs
+++ b/crates/turmericloft/tests/testsuite/relay/connections.rs
@@ -1,12 +1,20 @@
 //! Following over TCP connections on the loopback interface. Only the test as a whole has a time
 //! limit.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional},
     net::{TcpListener, TcpStream},
     sync::watch,
+    task::yield_now,
 };
 use tokio_util::sync::CancellationToken;
 use turmericloft::{
@@ -194,6 +202,7 @@
 #[tokio::test]
 async fn large_document_is_announced_but_not_relayed() {
     let upstream = upstream().await;
+    apply_record(&upstream.hub, 0, "e1", EndpointState::Ready);
     let follower = follower(upstream.address);
     upstream.hub.publish_document(large_document(4));
     follower.wait_until_document_outdated().await;
@@ -285,6 +294,7 @@
 #[tokio::test]
 async fn starting_gateway_waits_for_the_relayed_document() {
     let upstream = upstream().await;
+    apply_record(&upstream.hub, 0, "e1", EndpointState::Ready);
     upstream.hub.publish_document(document(4));
     let follower = follower(upstream.address);
     follower.wait_for_initial_document(LONG_GRACE).await;
@@ -309,10 +319,7 @@
         follower(upstream.address),
     ];
     // A gateway whose data is not current keeps a poll until it is.
-    let read_at = std::time::Instant::now();
-    upstream
-        .hub
-        .apply_full_list(read_at, super::list(0, 1, Vec::new()));
+    apply_record(&upstream.hub, 0, "e1", EndpointState::Ready);
     let request = Fingerprint::of("h", "POST", "/act/1", b"");
     for (i, hub) in hubs.iter().enumerate() {
         let at = std::time::Instant::now();
@@ -334,3 +341,32 @@
         assert!(matches!(decision, SendDecision::Refused { .. }));
     }
 }
+
+/// All gateways start together, and the first of a zone has the document before the endpoints.
+#[tokio::test]
+async fn follower_keeps_an_upstream_that_has_only_its_document_yet() {
+    let upstream = upstream().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let connections = Arc::new(AtomicUsize::new(0));
+    let accepted = Arc::clone(&connections);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            accepted.fetch_add(1, Ordering::AcqRel);
+            let mut forwarded = TcpStream::connect(upstream.address).await.expect("open");
+            tokio::spawn(async move { copy_bidirectional(&mut stream, &mut forwarded).await });
+        }
+    });
+    let follower = follower(address);
+    while connections.load(Ordering::Acquire) == 0 {
+        yield_now().await;
+    }
+    upstream.hub.publish_document(document(4));
+    for _ in 0..1_000 {
+        yield_now().await;
+    }
+    apply_record(&upstream.hub, 0, "e1", EndpointState::Ready);
+    wait_for_endpoints(&follower, |e| e.len() == 1).await;
+    wait_for_version(&follower, 4).await;
+    assert_eq!(connections.load(Ordering::Acquire), 1);
+}
