--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -20,7 +20,7 @@
     ProbeOutcome, RetryBudget,
     endpoint_cost::{cost, is_eligible},
     endpoint_view::EndpointView,
-    queue_limit::queue_limit,
+    queue_limit::{SlotShare, queue_limit},
     retry_after::retry_after,
     service_view::ServiceView,
 };
@@ -93,11 +93,15 @@
         let Some(service) = self.services.get(req.service) else {
             return 0;
         };
-        let views = service.endpoints.values().filter(|v| v.accepts_requests());
-        let slots = views.map(|v| v.endpoint.slots).sum();
+        let views = || service.endpoints.values().filter(|v| v.accepts_requests());
+        let share = SlotShare {
+            slots: views().map(|v| v.endpoint.slots).sum(),
+            gateways: self.gateways,
+            own_in_flight: views().map(EndpointView::in_flight).sum(),
+        };
         let service_time_s = service.baseline(req.target_latency).service_time_s;
         let service_time = Duration::from_secs_f64(service_time_s);
-        queue_limit(slots, self.gateways, max_wait, service_time)
+        queue_limit(share, max_wait, service_time)
     }
 
     /// When the client of a request that is rejected without a placement should return. A response
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -35,7 +35,7 @@
     placement_request::PlacementRequest,
     probe::{Probe, ProbeOutcome},
     probe_budget::ProbeBudget,
-    queue_limit::queue_limit,
+    queue_limit::{SlotShare, queue_limit},
     registry_era::RegistryEra,
     registry_list::RegistryList,
     registry_position::RegistryPosition,
--- a/crates/turmericloft/tests/testsuite/placement/rejection.rs
+++ b/crates/turmericloft/tests/testsuite/placement/rejection.rs
@@ -4,7 +4,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use turmericloft::core::placement::{queue_limit, retry_after};
+use turmericloft::core::placement::{SlotShare, queue_limit, retry_after};
 
 const SERVICE_TIME: Duration = Duration::from_millis(150);
 const MS: Duration = Duration::from_millis(1);
@@ -46,13 +46,36 @@
 fn queues_of_a_large_fleet_together_can_be_served_within_the_wait() {
     let (slots, gateways) = (4 * 99, 311);
     let (max_wait, service_time) = (480 * MS, 470 * MS);
-    let waiting = queue_limit(slots, gateways, max_wait, service_time) * gateways;
+    let share = SlotShare {
+        slots,
+        gateways,
+        own_in_flight: 1,
+    };
+    let waiting = queue_limit(share, max_wait, service_time) * gateways;
     let served_within_wait = f64::from(slots) * max_wait.as_secs_f64() / service_time.as_secs_f64();
     assert!((waiting as f64) < 2.0 * served_within_wait);
 }
 
+/// Limit of the queue of a gateway whose requests may wait a third longer than a slot is used.
+fn limit_of(slots: u32, gateways: usize, own_in_flight: u32) -> usize {
+    let share = SlotShare {
+        slots,
+        gateways,
+        own_in_flight,
+    };
+    queue_limit(share, 80 * MS, 60 * MS)
+}
+
 #[test]
 fn gateway_among_few_keeps_a_queue_for_a_burst() {
-    assert_eq!(queue_limit(52, 3, 80 * MS, 60 * MS), 6);
-    assert_eq!(queue_limit(0, 311, 80 * MS, 60 * MS), 1);
+    assert_eq!(limit_of(52, 3, 0), 6);
+    assert_eq!(limit_of(0, 311, 0), 1);
+}
+
+/// Clients are spread by a hash, so that one gateway has four times the requests of another.
+#[test]
+fn gateway_with_more_requests_than_others_keeps_a_longer_queue() {
+    assert_eq!(limit_of(396, 311, 1), 2);
+    assert_eq!(limit_of(396, 311, 4), 6);
+    assert_eq!(limit_of(396, 311, 40), 6);
 }
