--- a/crates/turmericloft/src/ops/relay/hub.rs
+++ b/crates/turmericloft/src/ops/relay/hub.rs
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 use tokio::{sync::watch, time::sleep};
 
+use super::active_document::{ActiveDocument, PublishedDocument};
 use crate::{
     core::{
         placement::{
@@ -18,7 +19,7 @@
             RegistryPosition,
         },
         relay::{RegistryView, RelayPoll, RelayResponse, RelayTimings},
-        traffic::{RouteTable, TrafficDocument},
+        traffic::TrafficDocument,
     },
     ops::SharedQuarantine,
     util::{host_clock::HostClock, metrics_table::REGISTRY_ERA_CHANGES},
@@ -27,13 +28,8 @@
 /// Time after a response from another gateway within which that gateway counts as running.
 const UPSTREAM_HEARD_FOR: Duration = Duration::from_secs(4);
 
-/// Maximum number of routes of a relayed document. Such a document has some tens of kilobytes.
-const MAX_RELAYED_ROUTES: usize = 200;
-
 /// Published list of all endpoints; `None` until they are known.
 pub type PublishedEndpoints = Option<Arc<Vec<DiscoveredEndpoint>>>;
-/// Published document as a route table; `None` until there is one.
-pub type PublishedDocument = Option<Arc<RouteTable>>;
 
 /// One gateway's view of the registry, and its active document.
 #[derive(Debug)]
@@ -43,9 +39,7 @@
     quarantine: Arc<SharedQuarantine>,
     view: Mutex<RegistryView>,
     endpoints: watch::Sender<PublishedEndpoints>,
-    documents: watch::Sender<PublishedDocument>,
-    /// Newest document version known to exist, whether or not that document was received.
-    newest_version: watch::Sender<u64>,
+    document: ActiveDocument,
     /// Era of the registry's history in the view; `None` before the first data.
     era: watch::Sender<Option<RegistryEra>>,
     /// Notified after every read or response that was applied to the view.
@@ -70,8 +64,7 @@
             quarantine,
             view: Mutex::new(RegistryView::new(timings)),
             endpoints: watch::Sender::new(None),
-            documents: watch::Sender::new(None),
-            newest_version: watch::Sender::new(0),
+            document: ActiveDocument::default(),
             era: watch::Sender::new(None),
             view_updated: watch::Sender::new(()),
             upstream_heard_at: Mutex::new(None),
@@ -105,7 +98,27 @@
 
     /// Receives the active document whenever it changes; `None` until there is one.
     pub fn documents(&self) -> watch::Receiver<PublishedDocument> {
-        self.documents.subscribe()
+        self.document.subscribe()
+    }
+
+    /// Publishes a document if it is newer than the active one.
+    pub fn publish_document(&self, document: TrafficDocument) {
+        self.document.publish(document);
+    }
+
+    /// Whether a document is active.
+    pub fn has_document(&self) -> bool {
+        self.document.is_some()
+    }
+
+    /// Whether a newer document than the active one is known to exist.
+    pub fn is_document_outdated(&self) -> bool {
+        self.document.is_outdated()
+    }
+
+    /// Waits until a newer document than the active one is known to exist.
+    pub async fn wait_until_document_outdated(&self) {
+        self.document.wait_until_outdated().await;
     }
 
     /// Position in the registry at which the next read continues.
@@ -119,20 +132,6 @@
         self.era.subscribe()
     }
 
-    /// Publishes a document if it is newer than the active one.
-    pub fn publish_document(&self, document: TrafficDocument) {
-        let version = document.version;
-        self.documents.send_if_modified(|active| {
-            let before = active.as_ref().map(|t| t.document().version);
-            let is_newer = before.is_none_or(|before| before < version);
-            if is_newer {
-                *active = Some(Arc::new(RouteTable::new(document)));
-            }
-            is_newer
-        });
-        self.record_version(version);
-    }
-
     /// Applies the records of a registry read that started at `read_started`, up to `next`
     /// (exclusive).
     pub fn apply_records(
@@ -231,11 +230,6 @@
         self.wait_unless_alone(grace, has_document).await;
     }
 
-    /// Whether a document is active.
-    pub fn has_document(&self) -> bool {
-        self.documents.borrow().is_some()
-    }
-
     async fn wait_unless_alone<T>(&self, grace: Duration, relayed: impl Future<Output = T>) {
         let mut no_upstream = self.no_upstream.subscribe();
         let without_upstream = no_upstream.wait_for(|no_upstream| *no_upstream);
@@ -285,7 +279,7 @@
         RelayPoll {
             host: Arc::clone(host),
             from: self.next_position(),
-            document_version: *self.newest_version.borrow(),
+            document_version: self.document.newest_version(),
         }
     }
 
@@ -296,7 +290,7 @@
         if let Some(document) = response.document.take() {
             self.publish_document(document);
         }
-        self.record_version(response.document_version);
+        self.document.record_version(response.document_version);
         let mut is_accepted = false;
         self.update_view(|view, now| {
             is_accepted = view.accepts(&response);
@@ -319,14 +313,14 @@
     /// The response to a poll that arrived at `received`.
     pub(super) fn response(&self, poll: &RelayPoll, received: Instant) -> RelayResponse {
         let mut response = self.view.lock().response(self.now(), received, poll);
-        response.document_version = *self.newest_version.borrow();
-        response.document = self.document_newer_than(poll.document_version);
+        response.document_version = self.document.newest_version();
+        response.document = self.document.newer_than(poll.document_version);
         response
     }
 
     async fn wait_for_update(&self, poll: &RelayPoll, received: Instant, deadline: Instant) {
         let mut view_updated = self.view_updated.subscribe();
-        let mut newest_version = self.newest_version.subscribe();
+        let mut newest_version = self.document.newest_versions();
         loop {
             let is_newer = *newest_version.borrow_and_update() > poll.document_version;
             // The follower gives up a gateway that responds without being current.
@@ -341,39 +335,6 @@
         }
     }
 
-    /// The active document, if it is newer than `version` and small enough to be relayed.
-    fn document_newer_than(&self, version: u64) -> Option<TrafficDocument> {
-        let table = self.documents.borrow();
-        let document = table.as_ref()?.document();
-        let is_small = document.routes.len() <= MAX_RELAYED_ROUTES;
-        (document.version > version && is_small).then(|| document.clone())
-    }
-
-    fn record_version(&self, version: u64) {
-        self.newest_version.send_if_modified(|newest| {
-            let is_newer = *newest < version;
-            *newest = (*newest).max(version);
-            is_newer
-        });
-    }
-
-    /// Waits until a newer document than the active one is known to exist.
-    pub async fn wait_until_document_outdated(&self) {
-        let mut newest_version = self.newest_version.subscribe();
-        while !self.is_document_outdated() {
-            if newest_version.changed().await.is_err() {
-                return;
-            }
-        }
-    }
-
-    /// Whether a newer document than the active one is known to exist.
-    pub fn is_document_outdated(&self) -> bool {
-        let active = self.documents.borrow();
-        let active = active.as_ref().map(|t| t.document().version);
-        *self.newest_version.borrow() > active.unwrap_or_default()
-    }
-
     /// Applies `change` to the view, and publishes the endpoints if one changed.
     fn update_view(&self, change: impl FnOnce(&mut RegistryView, Instant) -> DiscoveryChange) {
         let mut view = self.view.lock();
--- a/crates/turmericloft/src/ops/relay/mod.rs
+++ b/crates/turmericloft/src/ops/relay/mod.rs
@@ -4,6 +4,7 @@
 //! are not encrypted: they carry only what every gateway of the zone reads from the store in plain
 //! text.
 
+mod active_document;
 mod crash_exchange;
 mod follow;
 mod hub;
--- a/crates/turmericloft/tests/testsuite/relay/connections.rs
+++ b/crates/turmericloft/tests/testsuite/relay/connections.rs
@@ -157,7 +157,7 @@
     assert!(follower.hears_upstream());
     upstream.stop.cancel();
     while follower.hears_upstream() {
-        tokio::task::yield_now().await;
+        yield_now().await;
     }
     wait_for_endpoints(&follower, |e| e.len() == 1).await;
 }
@@ -283,7 +283,7 @@
     let upstream = upstream_with(Duration::from_millis(200)).await;
     let follower = follower(upstream.address);
     while !follower.relies_on_upstream() {
-        tokio::task::yield_now().await;
+        yield_now().await;
     }
     apply_record(&follower, 0, "e1", EndpointState::Ready);
     assert!(follower.hears_upstream());
