Crash reports do not end the poll that waits for a read of the registry

Cause: a crash report made the upstream answer the waiting poll at once, and the next poll arrived after the read of the registry had begun, so that the data of that read did not count as fresh for it.

Change: a poll that arrives while one waits has its reports taken in at once and is answered after it, without what the first response told. Reports to followers go with the next response.

--- a/crates/turmericloft/src/ops/relay/crash_exchange.rs
+++ b/crates/turmericloft/src/ops/relay/crash_exchange.rs
@@ -18,7 +18,7 @@
         changes.reports
     }
 
-    /// Waits until there is something that the other end does not know.
+    /// Waits until there is something that has not been sent.
     pub(super) async fn wait_for_change(&self, hub: &RelayHub) {
         let mut revision = hub.quarantine().revision();
         // The hub holds the sender, so this ends only with a change.
--- a/crates/turmericloft/src/ops/relay/serve.rs
+++ b/crates/turmericloft/src/ops/relay/serve.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use metrics::counter;
@@ -22,7 +22,7 @@
     wire::{Received, RelayConnection},
 };
 use crate::{
-    core::relay::RelayPoll,
+    core::relay::{RelayPoll, RelayResponse},
     util::{error_chain, metrics_table::RELAY_ANSWERS},
 };
 
@@ -98,31 +98,33 @@
     let mut exchange = CrashExchange::default();
     let limit = FOLLOWER_TIMEOUT;
     let timed_out = |_| RelayError::Timeout { peer, limit };
-    let mut next: Option<Received<RelayPoll>> = None;
+    let mut next: Option<ArrivedPoll> = None;
     loop {
         let poll = match next.take() {
             Some(poll) => poll,
-            None => timeout(limit, connection.receive())
-                .await
-                .map_err(timed_out)??,
-        };
-        let received_at = hub.now();
-        hub.quarantine().merge(received_at, poll.reports);
-        let is_due = tokio::select! {
-            biased;
-            () = hub.wait_for_response(&poll.message, received_at) => true,
-            () = exchange.wait_for_change(hub) => hub.is_current(),
-            // The follower has more to tell. Each poll gets a response.
-            following = connection.receive() => {
-                next = Some(following?);
-                hub.is_current()
+            None => {
+                let received = timeout(limit, connection.receive()).await;
+                ArrivedPoll::new(hub, received.map_err(timed_out)??)
             }
         };
-        if !is_due {
-            // A response now would make the follower give up this gateway.
-            hub.wait_for_response(&poll.message, received_at).await;
+        {
+            let due = hub.wait_for_response(&poll.poll, poll.arrived_at);
+            tokio::pin!(due);
+            loop {
+                tokio::select! {
+                    biased;
+                    () = &mut due => break,
+                    // The follower has something to tell. Each poll gets a response, in order.
+                    following = connection.receive(), if next.is_none() => {
+                        next = Some(ArrivedPoll::new(hub, following?));
+                    }
+                }
+            }
+        }
+        let response = hub.response(&poll.poll, poll.arrived_at);
+        if let Some(next) = &mut next {
+            next.skip_known(&response);
         }
-        let response = hub.response(&poll.message, received_at);
         let reports = exchange.next_reports(hub);
         timeout(limit, connection.send(response, &reports))
             .await
@@ -130,3 +132,28 @@
         counter!(RELAY_ANSWERS.name, "direction" => "sent").increment(1);
     }
 }
+
+/// A poll of a follower.
+struct ArrivedPoll {
+    poll: RelayPoll,
+    arrived_at: Instant,
+}
+
+impl ArrivedPoll {
+    /// Takes the crash reports in, which do not wait for the response to the poll.
+    fn new(hub: &RelayHub, received: Received<RelayPoll>) -> Self {
+        let arrived_at = hub.now();
+        hub.quarantine().merge(arrived_at, received.reports);
+        Self {
+            poll: received.message,
+            arrived_at,
+        }
+    }
+
+    /// Leaves out what the follower learns from the response to its poll before this one.
+    fn skip_known(&mut self, response: &RelayResponse) {
+        let poll = &mut self.poll;
+        poll.from = poll.from.max(response.next);
+        poll.document_version = poll.document_version.max(response.document_version);
+    }
+}
--- a/crates/turmericloft/src/ops/relay/upstream_polls.rs
+++ b/crates/turmericloft/src/ops/relay/upstream_polls.rs
@@ -12,8 +12,8 @@
 };
 use crate::{core::relay::RelayResponse, util::metrics_table::RELAY_ANSWERS};
 
-/// Polls that wait for a response. A second one carries crash reports to the upstream that cannot
-/// wait until the first one is answered.
+/// Polls that wait for a response. A second one carries crash reports to the upstream, which would
+/// otherwise wait until the first one is answered.
 const MAX_OUTSTANDING: usize = 2;
 
 /// A connection to an upstream and the polls sent on it.
