--- a/crates/turmericloft/tests/testsuite/relay/connections.rs
+++ b/crates/turmericloft/tests/testsuite/relay/connections.rs
@@ -19,10 +19,8 @@
 use tokio_util::sync::CancellationToken;
 use turmericloft::{
     core::{
-        guard::Fingerprint,
         placement::{DiscoveredEndpoint, EndpointState},
-        quarantine::{Crash, CrashReport, ReportedCrash, SendDecision},
-        relay::{RelayMember, RelayPoll, RelayResponse, RelayTimings, UpstreamChooser},
+        relay::{RelayMember, RelayTimings, UpstreamChooser},
         traffic::{RequestLimits, Route, RouteKind, TrafficDocument},
     },
     ops::relay::{RelayHub, follow_upstream, serve_followers},
@@ -36,13 +34,13 @@
 /// Longer than a test takes.
 const LONG_GRACE: Duration = Duration::from_secs(3_600);
 
-struct Upstream {
-    hub: Arc<RelayHub>,
-    address: SocketAddr,
+pub(super) struct Upstream {
+    pub(super) hub: Arc<RelayHub>,
+    pub(super) address: SocketAddr,
     stop: CancellationToken,
 }
 
-async fn upstream() -> Upstream {
+pub(super) async fn upstream() -> Upstream {
     upstream_with(DRAIN_TIME).await
 }
 
@@ -70,7 +68,7 @@
     }
 }
 
-fn follower(upstream: SocketAddr) -> Arc<RelayHub> {
+pub(super) fn follower(upstream: SocketAddr) -> Arc<RelayHub> {
     let hub = RelayHub::new(RelayTimings::new(DRAIN_TIME));
     let (host, other) = two_hosts();
     let chooser = UpstreamChooser::new(Arc::clone(&host), "a".into());
@@ -115,7 +113,7 @@
     }
 }
 
-fn apply_record(hub: &RelayHub, offset: u64, id: &str, state: EndpointState) {
+pub(super) fn apply_record(hub: &RelayHub, offset: u64, id: &str, state: EndpointState) {
     let now = tokio::time::Instant::now().into_std();
     hub.apply_records(now, at(0, offset + 1), vec![observed(id, offset, state)]);
 }
@@ -309,44 +307,6 @@
     assert!(!hub.has_document());
 }
 
-/// Two followers and their upstream each see one crash; a sound request is not affected.
-#[tokio::test]
-async fn crashes_that_gateways_saw_apart_put_a_request_in_quarantine_on_all_of_them() {
-    let upstream = upstream().await;
-    let hubs = [
-        Arc::clone(&upstream.hub),
-        follower(upstream.address),
-        follower(upstream.address),
-    ];
-    // A gateway whose data is not current keeps a poll until it is.
-    apply_record(&upstream.hub, 0, "e1", EndpointState::Ready);
-    let mut offset = 0;
-    let request = Fingerprint::of("h", "POST", "/act/1", b"");
-    for (i, hub) in hubs.iter().enumerate() {
-        let at = std::time::Instant::now();
-        let crash = Crash {
-            endpoint: format!("e{i}").into(),
-            sent_at: at,
-            at,
-        };
-        hub.quarantine().record_crash(at, request, crash);
-        let is_known = || {
-            let mut revisions = hubs.iter().map(|h| *h.quarantine().revision().borrow());
-            revisions.all(|revision| revision > i as u64)
-        };
-        // Followers are told with the next changes of the registry.
-        while !is_known() {
-            offset += 1;
-            apply_record(&upstream.hub, offset, "e1", EndpointState::Ready);
-            yield_now().await;
-        }
-    }
-    for hub in &hubs {
-        let decision = hub.quarantine().decide(std::time::Instant::now(), &request);
-        assert!(matches!(decision, SendDecision::Refused { .. }));
-    }
-}
-
 /// All gateways start together, and the first of a zone has the document before the endpoints.
 #[tokio::test]
 async fn follower_keeps_an_upstream_that_has_only_its_document_yet() {
@@ -375,46 +335,3 @@
     wait_for_version(&follower, 4).await;
     assert_eq!(connections.load(Ordering::Acquire), 1);
 }
-
-/// Encodes a poll as a frame, with a crash report behind it.
-fn poll_frame(reports: &[CrashReport]) -> Vec<u8> {
-    const MESSAGE_VERSION: u16 = 2;
-    let poll = RelayPoll {
-        host: "h1".into(),
-        from: at(0, 0),
-        document_version: 0,
-    };
-    let message = postcard::to_stdvec(&(MESSAGE_VERSION, poll)).expect("a poll");
-    let message = postcard::to_extend(reports, message).expect("reports");
-    [&(message.len() as u32).to_be_bytes()[..], &message].concat()
-}
-
-/// Many endpoints crash while the store is slow: crash reports arrive during each read of the
-/// registry, and must not make the data that follows look old.
-#[tokio::test]
-async fn crash_reports_leave_the_poll_before_them_open() {
-    let upstream = upstream().await;
-    let report = CrashReport {
-        request: Fingerprint::of("h", "POST", "/act/1", b""),
-        crashes: vec![ReportedCrash {
-            endpoint: "e1".into(),
-            age: Duration::ZERO,
-            ran_for: Duration::ZERO,
-        }],
-        response_age: None,
-    };
-    let mut stream = TcpStream::connect(upstream.address).await.expect("open");
-    let polls = [poll_frame(&[]), poll_frame(&[report])].concat();
-    stream.write_all(&polls).await.expect("sent");
-    let mut revision = upstream.hub.quarantine().revision();
-    let merged = revision.wait_for(|revision| *revision > 0);
-    merged.await.expect("the hub is alive");
-    apply_record(&upstream.hub, 0, "e1", EndpointState::Ready);
-    let length = stream.read_u32().await.expect("a length");
-    let mut message = vec![0; length as usize];
-    stream.read_exact(&mut message).await.expect("a message");
-    let decoded = postcard::take_from_bytes::<(u16, RelayResponse)>(&message);
-    let ((_, response), _) = decoded.expect("a response");
-    assert_eq!(response.changes.len(), 1);
-    assert!(response.as_of_after_poll.is_some());
-}
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/relay/crash_reports.rs
@@ -0,0 +1,101 @@
+//! Crash reports on relay connections. Only the test as a whole has a time limit.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::yield_now,
+};
+use turmericloft::core::{
+    guard::Fingerprint,
+    placement::EndpointState,
+    quarantine::{Crash, CrashReport, ReportedCrash, SendDecision},
+    relay::{RelayPoll, RelayResponse},
+};
+
+use super::{
+    at,
+    connections::{apply_record, follower, upstream},
+};
+
+/// Two followers and their upstream each see one crash; a sound request is not affected.
+#[tokio::test]
+async fn crashes_that_gateways_saw_apart_put_a_request_in_quarantine_on_all_of_them() {
+    let upstream = upstream().await;
+    let hubs = [
+        Arc::clone(&upstream.hub),
+        follower(upstream.address),
+        follower(upstream.address),
+    ];
+    // A gateway whose data is not current keeps a poll until it is.
+    apply_record(&upstream.hub, 0, "e1", EndpointState::Ready);
+    let mut offset = 0;
+    let request = Fingerprint::of("h", "POST", "/act/1", b"");
+    for (i, hub) in hubs.iter().enumerate() {
+        let at = std::time::Instant::now();
+        let crash = Crash {
+            endpoint: format!("e{i}").into(),
+            sent_at: at,
+            at,
+        };
+        hub.quarantine().record_crash(at, request, crash);
+        let is_known = || {
+            let mut revisions = hubs.iter().map(|h| *h.quarantine().revision().borrow());
+            revisions.all(|revision| revision > i as u64)
+        };
+        // Followers are told with the next changes of the registry.
+        while !is_known() {
+            offset += 1;
+            apply_record(&upstream.hub, offset, "e1", EndpointState::Ready);
+            yield_now().await;
+        }
+    }
+    for hub in &hubs {
+        let decision = hub.quarantine().decide(std::time::Instant::now(), &request);
+        assert!(matches!(decision, SendDecision::Refused { .. }));
+    }
+}
+
+/// Encodes a poll as a frame, with a crash report behind it.
+fn poll_frame(reports: &[CrashReport]) -> Vec<u8> {
+    const MESSAGE_VERSION: u16 = 2;
+    let poll = RelayPoll {
+        host: "h1".into(),
+        from: at(0, 0),
+        document_version: 0,
+    };
+    let message = postcard::to_stdvec(&(MESSAGE_VERSION, poll)).expect("a poll");
+    let message = postcard::to_extend(reports, message).expect("reports");
+    [&(message.len() as u32).to_be_bytes()[..], &message].concat()
+}
+
+/// Many endpoints crash while the store is slow: crash reports arrive during each read of the
+/// registry, and must not make the data that follows look old.
+#[tokio::test]
+async fn crash_reports_leave_the_poll_before_them_open() {
+    let upstream = upstream().await;
+    let report = CrashReport {
+        request: Fingerprint::of("h", "POST", "/act/1", b""),
+        crashes: vec![ReportedCrash {
+            endpoint: "e1".into(),
+            age: Duration::ZERO,
+            ran_for: Duration::ZERO,
+        }],
+        response_age: None,
+    };
+    let mut stream = TcpStream::connect(upstream.address).await.expect("open");
+    let polls = [poll_frame(&[]), poll_frame(&[report])].concat();
+    stream.write_all(&polls).await.expect("sent");
+    let mut revision = upstream.hub.quarantine().revision();
+    let merged = revision.wait_for(|revision| *revision > 0);
+    merged.await.expect("the hub is alive");
+    apply_record(&upstream.hub, 0, "e1", EndpointState::Ready);
+    let length = stream.read_u32().await.expect("a length");
+    let mut message = vec![0; length as usize];
+    stream.read_exact(&mut message).await.expect("a message");
+    let decoded = postcard::take_from_bytes::<(u16, RelayResponse)>(&message);
+    let ((_, response), _) = decoded.expect("a response");
+    assert_eq!(response.changes.len(), 1);
+    assert!(response.as_of_after_poll.is_some());
+}
--- a/crates/turmericloft/tests/testsuite/relay/mod.rs
+++ b/crates/turmericloft/tests/testsuite/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Relaying of registry data between gateways.
 
 mod connections;
+mod crash_reports;
 mod read_retry;
 mod registry;
 mod simulated_gateway;
