Crash reports: what was forgotten counts as sent; the wait for a response has a function of its own

After suspects were forgotten, the last revision could not be reached any more, and a follower kept a second poll open for good. Found by reading the diff; test fails on the state before by its construction (revision 50 instead of the table's), not run there.

--- a/crates/turmericloft/src/core/quarantine/request_quarantine.rs
+++ b/crates/turmericloft/src/core/quarantine/request_quarantine.rs
@@ -111,10 +111,11 @@
             .filter(|(_, r)| r.revision > since)
             .collect();
         changed.sort_by_key(|(_, r)| r.revision);
+        let later = changed.get(MAX_REPORTS).map(|(_, r)| r.revision);
         changed.truncate(MAX_REPORTS);
         let reports = changed.iter().map(|(f, r)| r.history.report(now, **f));
         CrashReports {
-            revision: changed.last().map_or(since, |(_, r)| r.revision),
+            revision: later.map_or(self.revision, |later| later - 1),
             reports: reports.collect(),
         }
     }
--- a/crates/turmericloft/src/ops/relay/serve.rs
+++ b/crates/turmericloft/src/ops/relay/serve.rs
@@ -107,20 +107,7 @@
                 ArrivedPoll::new(hub, received.map_err(timed_out)??)
             }
         };
-        {
-            let due = hub.wait_for_response(&poll.poll, poll.arrived_at);
-            tokio::pin!(due);
-            loop {
-                tokio::select! {
-                    biased;
-                    () = &mut due => break,
-                    // The follower has something to tell. Each poll gets a response, in order.
-                    following = connection.receive(), if next.is_none() => {
-                        next = Some(ArrivedPoll::new(hub, following?));
-                    }
-                }
-            }
-        }
+        next = wait_until_due(hub, &poll, &mut connection).await?;
         let response = hub.response(&poll.poll, poll.arrived_at);
         if let Some(next) = &mut next {
             next.skip_known(&response);
@@ -133,6 +120,27 @@
     }
 }
 
+/// Waits until the response to `poll` is due. Returns the poll that arrived meanwhile: a follower that
+/// has something to tell does not wait for the response. Each poll gets one, in order.
+async fn wait_until_due(
+    hub: &RelayHub,
+    poll: &ArrivedPoll,
+    connection: &mut RelayConnection,
+) -> Result<Option<ArrivedPoll>, RelayError> {
+    let due = hub.wait_for_response(&poll.poll, poll.arrived_at);
+    tokio::pin!(due);
+    let mut next = None;
+    loop {
+        tokio::select! {
+            biased;
+            () = &mut due => return Ok(next),
+            following = connection.receive(), if next.is_none() => {
+                next = Some(ArrivedPoll::new(hub, following?));
+            }
+        }
+    }
+}
+
 /// A poll of a follower.
 struct ArrivedPoll {
     poll: RelayPoll,
--- a/crates/turmericloft/tests/testsuite/quarantine/mod.rs
+++ b/crates/turmericloft/tests/testsuite/quarantine/mod.rs
@@ -97,6 +97,35 @@
     assert!(is_refused(&table, now));
 }
 
+#[test]
+fn changes_are_reported_once_also_if_there_are_many_or_some_were_forgotten() {
+    let (mut table, now) = table_after(1);
+    for i in 0..100 {
+        let other = Fingerprint::of("h", "POST", &format!("/other/{i}"), b"");
+        table.record_crash(now, other, crash(i, now, Duration::ZERO));
+    }
+    let mut since = 0;
+    let mut reports = 0;
+    while since < table.revision() {
+        let changes = table.reports_since(now, since);
+        assert!(changes.revision > since);
+        since = changes.revision;
+        reports += changes.reports.len();
+    }
+    assert_eq!(reports, 101);
+    // All histories are forgotten but the last one, which a new crash brings.
+    let later = now + Duration::from_secs(301);
+    table.record_crash(later, request(), crash(0, later, Duration::ZERO));
+    let changes = table.reports_since(later, 50);
+    assert_eq!(changes.reports.len(), 1);
+    assert_eq!(changes.revision, table.revision());
+    let much_later = later + Duration::from_secs(301);
+    table.merge(much_later, Vec::new());
+    let changes = table.reports_since(much_later, 50);
+    assert_eq!(changes.reports, []);
+    assert_eq!(changes.revision, table.revision());
+}
+
 /// Passes the changes of each table to all others until nothing changes any more.
 fn exchange(tables: &mut [RequestQuarantine], sent: &mut [u64], now: Instant) {
     for round in 0.. {
