--- a/crates/turmericloft/tests/testsuite/config/mod.rs
+++ b/crates/turmericloft/tests/testsuite/config/mod.rs
@@ -2,6 +2,7 @@
 
 mod documents;
 mod fake_log;
+mod fake_peers;
 mod fault_matrix;
 mod faulty_log;
 mod follower;
--- a/crates/turmericloft/tests/testsuite/config/world.rs
+++ b/crates/turmericloft/tests/testsuite/config/world.rs
@@ -6,7 +6,6 @@
     time::Duration,
 };
 
-use futures_util::future::BoxFuture;
 use parking_lot::Mutex;
 use strum::{Display, EnumIter};
 use tokio::time::sleep;
@@ -15,7 +14,7 @@
     core::{HostId, Name},
     ops::{
         self, PromoteError, PromoteOptions, PromotionOutcome,
-        gateway::{ConfigPeers, ConfigSources, Gateway, follow_config, publish_state},
+        gateway::{ConfigSources, Gateway, follow_config, publish_state},
     },
     sources::log_service::{LogError, LogService},
     util::settings::GuardSettings,
@@ -24,6 +23,7 @@
 use super::{
     documents::document,
     fake_log::{FakeLog, LogClient, response_lost},
+    fake_peers::FakePeers,
 };
 
 /// Latency of each request to the log service, and of each response.
@@ -322,7 +322,7 @@
         });
     }
 
-    fn reaches(&self, from: usize, to: usize) -> bool {
+    pub(super) fn reaches(&self, from: usize, to: usize) -> bool {
         let state = self.state.lock();
         let frozen = |i: usize| state.frozen.contains(&Client::Gateway(i));
         let separated = state.partitioned && from % 2 != to % 2;
@@ -350,40 +350,3 @@
         }
     }
 }
-
-/// Access of one gateway to the others.
-struct FakePeers {
-    world: Weak<World>,
-    index: usize,
-}
-
-impl FakePeers {
-    fn newer(&self, have: u64) -> Option<Arc<Gateway>> {
-        let world = self.world.upgrade()?;
-        let gateways = world.gateways.lock();
-        let mut others = gateways.iter().enumerate();
-        let found = others.find(|(i, other)| {
-            let newer = other.gateway.config.version() > have;
-            newer && other.alive && world.reaches(self.index, *i)
-        });
-        found.map(|(_, other)| Arc::clone(&other.gateway))
-    }
-}
-
-impl ConfigPeers for FakePeers {
-    fn have_newer(&self, have: u64) -> bool {
-        self.newer(have).is_some()
-    }
-
-    fn fetch_newer(&self, have: u64) -> BoxFuture<'_, Option<Vec<u8>>> {
-        Box::pin(async move {
-            let bytes = self.newer(have)?.config.checkpoint_newer_than(have)?;
-            self.world.upgrade()?.on_step(Step::SentToPeer);
-            Some(bytes)
-        })
-    }
-
-    fn announce_version(&self) -> BoxFuture<'_, ()> {
-        Box::pin(async {})
-    }
-}
