turmericloft-bench fleet: what hundreds of gateways know of the endpoints that they share

A simulation of the platform's placement with 311 gateways, beside one queue that knows all: responses alone, probes, subsets, reports shared in the zone.

--- a/crates/turmericloft-bench/src/experiments/mod.rs
+++ b/crates/turmericloft-bench/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod capacity;
 pub mod config;
+pub mod fleet;
 pub mod guarded;
 pub mod overhead;
 pub mod reporting;
--- a/crates/turmericloft-bench/src/main.rs
+++ b/crates/turmericloft-bench/src/main.rs
@@ -11,7 +11,7 @@
 mod figure;
 mod fit;
 
-use experiments::{capacity, config, guarded, overhead, reporting, routing, worth};
+use experiments::{capacity, config, fleet, guarded, overhead, reporting, routing, worth};
 
 /// Measures turmericloft against baselines on the loopback interface and in simulated time
 #[derive(Debug, Parser)]
@@ -31,6 +31,7 @@
 enum Experiment {
     Capacity(capacity::Args),
     Config(config::Args),
+    Fleet(fleet::Args),
     Guarded(guarded::Args),
     Overhead(overhead::Args),
     Reporting(reporting::Args),
@@ -45,6 +46,7 @@
     let result = match cli.experiment {
         Experiment::Capacity(args) => capacity::exec(args, cli.seed, &figures).await,
         Experiment::Config(args) => config::exec(args, cli.seed, &figures).await,
+        Experiment::Fleet(args) => fleet::exec(args, cli.seed, &figures),
         Experiment::Guarded(args) => guarded::exec(args, cli.seed, &figures).await,
         Experiment::Overhead(args) => overhead::exec(args, cli.seed, &figures).await,
         Experiment::Reporting(args) => reporting::exec(args, cli.seed, &figures).await,
