--- a/crates/turmericloft-bench/src/experiments/fleet/mod.rs
+++ b/crates/turmericloft-bench/src/experiments/fleet/mod.rs
@@ -69,6 +69,9 @@
     /// Number of endpoints in a gateway's subset
     #[arg(long, default_value_t = 20)]
     subset: usize,
+    /// Requests that may wait at one gateway [default: as the gateways decide]
+    #[arg(long)]
+    max_waiting: Option<usize>,
     /// Simulated time, in seconds; the first quarter is not measured
     #[arg(long, default_value_t = 20)]
     seconds: u64,
--- a/crates/turmericloft-bench/src/experiments/fleet/simulation.rs
+++ b/crates/turmericloft-bench/src/experiments/fleet/simulation.rs
@@ -224,7 +224,11 @@
         let req = placement_request(self.args, self.now - arrival.at, &[]);
         let gateway = &mut self.gateways[arrival.gateway];
         let max_wait = until.saturating_sub(self.now);
-        if gateway.waiting.len() >= gateway.balancer.queue_limit(&req, max_wait) {
+        let limit = self
+            .args
+            .max_waiting
+            .unwrap_or_else(|| gateway.balancer.queue_limit(&req, max_wait));
+        if gateway.waiting.len() >= limit {
             self.place_late(request, workload);
             return;
         }
