--- a/crates/turmericloft-bench/src/experiments/fleet/mod.rs
+++ b/crates/turmericloft-bench/src/experiments/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! their load, and beside it one queue that knows all. Every variant has the same arrivals.
 
 mod endpoint;
+mod event;
 mod gateway;
 mod one_queue;
 mod simulation;
--- a/crates/turmericloft-bench/src/experiments/fleet/simulation.rs
+++ b/crates/turmericloft-bench/src/experiments/fleet/simulation.rs
@@ -1,7 +1,7 @@
 //! Discrete-event simulation of gateways and endpoints.
 
 use std::{
-    cmp::{Ordering, Reverse},
+    cmp::Reverse,
     collections::BinaryHeap,
     sync::Arc,
     time::{Duration, Instant},
@@ -14,6 +14,7 @@
 use super::{
     Args, Knowledge,
     endpoint::{Accepted, Endpoint, RequestIndex},
+    event::{Event, Scheduled},
     gateway::{Gateway, SERVICE, discovered, endpoint_index, placement_request},
     summary::Summary,
     workload::Workload,
@@ -32,51 +33,6 @@
 /// Endpoints that a request is sent to at most.
 const MAX_ATTEMPTS: usize = 2;
 
-#[derive(Debug)]
-enum Event {
-    Arrived(RequestIndex),
-    /// The responses to probes arrived, in this round.
-    Probed(RequestIndex, Vec<Probe>, u32),
-    /// A waiting request checks for capacity.
-    Check(RequestIndex),
-    /// A request ended at an endpoint.
-    Finished(RequestIndex, usize),
-    /// What one gateway was told of an endpoint reaches the others of its zone.
-    Told {
-        by: usize,
-        endpoint: usize,
-        load: LoadReport,
-    },
-}
-
-/// An event in the order of time, then of scheduling.
-#[derive(Debug)]
-struct Scheduled {
-    at: Duration,
-    number: u64,
-    event: Event,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> Ordering {
-        (self.at, self.number).cmp(&(other.at, other.number))
-    }
-}
-
 /// A request on its way.
 #[derive(Debug, Default)]
 struct RequestState {
