--- a/crates/turmericloft-bench/src/experiments/fleet/mod.rs
+++ b/crates/turmericloft-bench/src/experiments/fleet/mod.rs
@@ -88,7 +88,8 @@
     Probes,
     /// As `Probes`, for a subset of the endpoints that differs between gateways.
     Subset,
-    /// As `Probes`, and every report reaches the other gateways of the zone.
+    /// As `Probes`, and every report reaches the other gateways of the zone, which count it as fresh
+    /// when it arrives.
     Shared,
     /// One queue for all requests, which knows all endpoints at any time.
     OneQueue,
