Logs and a counter tell what a gateway learned of requests that crash endpoints, and from what

Before, a line was written only once a request was in quarantine.

Each crash is a line with fingerprint, endpoint and time; each change of the count says what it was learned from (crash, response, report of another gateway); a quarantine that begins with a report is logged too. The counter turmericloft_ingress_quarantine_changes_total has the same events. RateLimitedLog moves to util, unchanged.

--- a/crates/turmericloft/src/core/quarantine/crash_history.rs
+++ b/crates/turmericloft/src/core/quarantine/crash_history.rs
@@ -57,6 +57,11 @@
         count
     }
 
+    /// Number of crashes since the last response.
+    pub(super) fn crashes(&self) -> usize {
+        self.crashes.len()
+    }
+
     /// Time of the latest crash; `None` if there is none since the last response.
     pub(super) fn last_crash(&self) -> Option<Instant> {
         self.crashes.iter().map(|c| c.at).max()
--- a/crates/turmericloft/src/core/quarantine/mod.rs
+++ b/crates/turmericloft/src/core/quarantine/mod.rs
@@ -12,10 +12,12 @@
 mod crash;
 mod crash_history;
 mod crash_reports;
+mod quarantine_change;
 mod request_quarantine;
 
 pub use self::{
     crash::Crash,
     crash_reports::{CrashReport, CrashReports, ReportedCrash},
+    quarantine_change::{QuarantineChange, QuarantineEvent, RequestCondition},
     request_quarantine::{RequestQuarantine, SendDecision},
 };
--- a/crates/turmericloft/src/core/quarantine/request_quarantine.rs
+++ b/crates/turmericloft/src/core/quarantine/request_quarantine.rs
@@ -5,7 +5,10 @@
     time::{Duration, Instant},
 };
 
-use super::{Crash, CrashReport, CrashReports, crash_history::CrashHistory};
+use super::{
+    Crash, CrashReport, CrashReports, QuarantineChange, QuarantineEvent, RequestCondition,
+    crash_history::CrashHistory,
+};
 use crate::core::{guard::Fingerprint, relay::delay_of_host};
 
 /// Number of crashes after which a request is not sent any more.
@@ -72,18 +75,29 @@
         self.revision
     }
 
-    /// Records that an endpoint broke off a request. Returns whether the request is in quarantine.
-    pub fn record_crash(&mut self, now: Instant, request: Fingerprint, crash: Crash) -> bool {
+    /// Records that an endpoint broke off a request. Returns what changed; `None` if the crash was
+    /// known.
+    pub fn record_crash(
+        &mut self,
+        now: Instant,
+        request: Fingerprint,
+        crash: Crash,
+    ) -> Option<QuarantineChange> {
         self.forget_old(now);
-        self.change(request, |history| history.add(crash));
-        matches!(self.decide(now, &request), SendDecision::Refused { .. })
+        let event = QuarantineEvent::Crash;
+        self.change(now, request, event, |history| history.add(crash))
     }
 
-    /// Records that an endpoint responded to a request: it did not cause the crashes before.
-    pub fn record_response(&mut self, now: Instant, request: &Fingerprint) {
-        if self.requests.contains_key(request) {
-            self.change(*request, |history| history.clear(now));
-        }
+    /// Records that an endpoint responded to a request: it did not cause the crashes before. Returns
+    /// what changed; `None` if no endpoint broke the request off lately.
+    pub fn record_response(
+        &mut self,
+        now: Instant,
+        request: &Fingerprint,
+    ) -> Option<QuarantineChange> {
+        self.requests.get(request)?;
+        let event = QuarantineEvent::Response;
+        self.change(now, *request, event, |history| history.clear(now))
     }
 
     /// Decides whether a request may be sent.
@@ -120,26 +134,50 @@
         }
     }
 
-    /// Adds what another gateway reports. Returns whether anything changed.
-    pub fn merge(&mut self, now: Instant, reports: Vec<CrashReport>) -> bool {
+    /// Adds what another gateway reports. Returns what changed.
+    pub fn merge(&mut self, now: Instant, reports: Vec<CrashReport>) -> Vec<QuarantineChange> {
         self.forget_old(now);
-        let before = self.revision;
-        for report in reports {
-            self.change(report.request, |history| history.merge(now, report));
-        }
-        self.revision > before
+        let event = QuarantineEvent::Report;
+        let changes = reports.into_iter().filter_map(|report| {
+            let request = report.request;
+            self.change(now, request, event, |history| history.merge(now, report))
+        });
+        changes.collect()
     }
 
-    fn change(&mut self, request: Fingerprint, change: impl FnOnce(&mut CrashHistory) -> bool) {
+    fn change(
+        &mut self,
+        now: Instant,
+        request: Fingerprint,
+        event: QuarantineEvent,
+        change: impl FnOnce(&mut CrashHistory) -> bool,
+    ) -> Option<QuarantineChange> {
+        let before = self.condition(now, &request);
         if self.requests.len() >= MAX_REQUESTS && !self.requests.contains_key(&request) {
             self.forget_least_suspect();
         }
         let tracked = self.requests.entry(request).or_default();
-        if change(&mut tracked.history) {
-            self.revision += 1;
-            tracked.revision = self.revision;
-        } else if tracked.revision == 0 {
-            self.requests.remove(&request);
+        if !change(&mut tracked.history) {
+            if tracked.revision == 0 {
+                self.requests.remove(&request);
+            }
+            return None;
+        }
+        self.revision += 1;
+        tracked.revision = self.revision;
+        Some(QuarantineChange {
+            request,
+            event,
+            before,
+            after: self.condition(now, &request),
+        })
+    }
+
+    fn condition(&self, now: Instant, request: &Fingerprint) -> RequestCondition {
+        let history = self.requests.get(request).map(|r| &r.history);
+        RequestCondition {
+            crashes: history.map_or(0, CrashHistory::crashes),
+            is_quarantined: matches!(self.decide(now, request), SendDecision::Refused { .. }),
         }
     }
 
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -14,7 +14,6 @@
 mod metrics;
 mod probe;
 mod protocol;
-mod rate_limited_log;
 mod ready;
 mod run;
 mod settings;
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -18,8 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    connection_pool::ConnectionPool, protocol::EndpointProtocol, rate_limited_log::RateLimitedLog,
-    settings::IngressSettings,
+    connection_pool::ConnectionPool, protocol::EndpointProtocol, settings::IngressSettings,
 };
 use crate::{
     core::{
@@ -27,7 +26,7 @@
         traffic::{Route, RouteTable, Splitter},
     },
     ops::SharedQuarantine,
-    util::host_clock::HostClock,
+    util::{host_clock::HostClock, rate_limited_log::RateLimitedLog},
 };
 
 /// Channels over which an ingress gateway receives its document, its endpoints and the number of
--- a/crates/turmericloft/src/ops/shared_quarantine.rs
+++ b/crates/turmericloft/src/ops/shared_quarantine.rs
@@ -9,9 +9,14 @@
 use crate::{
     core::{
         guard::Fingerprint,
-        quarantine::{Crash, CrashReport, CrashReports, RequestQuarantine, SendDecision},
+        quarantine::{
+            Crash, CrashReport, CrashReports, QuarantineChange, RequestQuarantine, SendDecision,
+        },
+    },
+    util::{
+        metrics_table::{QUARANTINE_CHANGES, QUARANTINED_REQUESTS},
+        rate_limited_log::RateLimitedLog,
     },
-    util::metrics_table::QUARANTINED_REQUESTS,
 };
 
 /// A quarantine table whose changes can be awaited.
@@ -19,6 +24,7 @@
 pub struct SharedQuarantine {
     table: Mutex<RequestQuarantine>,
     revision: watch::Sender<u64>,
+    log: RateLimitedLog,
 }
 
 impl SharedQuarantine {
@@ -27,6 +33,7 @@
         Self {
             table: Mutex::new(RequestQuarantine::new(host)),
             revision: watch::Sender::new(0),
+            log: RateLimitedLog::default(),
         }
     }
 
@@ -43,27 +50,39 @@
     /// Records that an endpoint broke off a request.
     pub fn record_crash(&self, now: Instant, request: Fingerprint, crash: Crash) {
         let endpoint = crash.endpoint.clone();
-        let is_quarantined = self.table.lock().record_crash(now, request, crash);
-        if is_quarantined {
+        let ran_for = crash.at.saturating_duration_since(crash.sent_at);
+        let change = self.table.lock().record_crash(now, request, crash);
+        let Some(change) = change else {
+            return;
+        };
+        self.log.write_line(
+            now,
+            "endpoint broke off a request",
+            format_args!(
+                "fingerprint={request} endpoint={endpoint} ran_for_ms={} crashes={}",
+                ran_for.as_millis(),
+                change.after.crashes,
+            ),
+        );
+        if change.after.is_quarantined {
             counter!(QUARANTINED_REQUESTS.name).increment(1);
-            log::warn!(
-                "request crashes endpoints; no gateway of the zone sends it any more \
-                 request={request} last_endpoint={endpoint}"
-            );
         }
-        self.publish_revision();
+        self.publish(now, &change);
     }
 
     /// Records that an endpoint responded to a request.
     pub fn record_response(&self, now: Instant, request: &Fingerprint) {
-        self.table.lock().record_response(now, request);
-        self.publish_revision();
+        let change = self.table.lock().record_response(now, request);
+        if let Some(change) = change {
+            self.publish(now, &change);
+        }
     }
 
     /// Adds what another gateway reports.
     pub fn merge(&self, now: Instant, reports: Vec<CrashReport>) {
-        if self.table.lock().merge(now, reports) {
-            self.publish_revision();
+        let changes = self.table.lock().merge(now, reports);
+        for change in changes {
+            self.publish(now, &change);
         }
     }
 
@@ -77,6 +96,34 @@
         self.revision.subscribe()
     }
 
+    /// Logs and counts a change, and wakes those who pass it on.
+    fn publish(&self, now: Instant, change: &QuarantineChange) {
+        let QuarantineChange {
+            request,
+            event,
+            before,
+            after,
+        } = change;
+        counter!(QUARANTINE_CHANGES.name, "event" => <&str>::from(event)).increment(1);
+        if change.begins_quarantine() {
+            log::warn!(
+                "request crashes endpoints; it is not sent any more fingerprint={request} \
+                 crashes={} learned_from={event}",
+                after.crashes
+            );
+        } else if before.crashes != after.crashes {
+            self.log.write_line(
+                now,
+                "crashes of a request changed",
+                format_args!(
+                    "fingerprint={request} crashes={} before={} learned_from={event}",
+                    after.crashes, before.crashes
+                ),
+            );
+        }
+        self.publish_revision();
+    }
+
     fn publish_revision(&self) {
         let revision = self.table.lock().revision();
         self.revision.send_if_modified(|published| {
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -209,6 +209,15 @@
     help: "Crashes seen by this gateway that put a request in quarantine or kept it there",
 };
 
+/// Changes of what is known of requests that endpoints broke off.
+pub const QUARANTINE_CHANGES: Metric = Metric {
+    name: "turmericloft_ingress_quarantine_changes_total",
+    kind: MetricKind::Counter,
+    unit: "changes",
+    labels: &["event"],
+    help: "Changes of the table of requests that endpoints broke off, by what this gateway learned them from",
+};
+
 /// Calls to the platform's store.
 pub const STORE_CALLS: Metric = Metric {
     name: "turmericloft_store_calls_total",
@@ -246,7 +255,7 @@
 };
 
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 24] = [
+pub const ALL: [Metric; 25] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -267,6 +276,7 @@
     INGRESS_ATTEMPT_SECONDS,
     INGRESS_PROBES,
     QUARANTINED_REQUESTS,
+    QUARANTINE_CHANGES,
     STORE_CALLS,
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
--- a/crates/turmericloft/src/util/mod.rs
+++ b/crates/turmericloft/src/util/mod.rs
@@ -8,5 +8,6 @@
 pub mod logging;
 pub mod metrics_recorder;
 pub mod metrics_table;
+pub(crate) mod rate_limited_log;
 pub mod settings;
 pub mod timestamp;
--- a/crates/turmericloft/src/ops/ingress/rate_limited_log.rs
+++ b/crates/turmericloft/src/util/rate_limited_log.rs
@@ -23,14 +23,14 @@
 
 /// Writes the first lines of each kind in each window and counts the suppressed ones.
 #[derive(Debug, Default)]
-pub(super) struct RateLimitedLog {
+pub(crate) struct RateLimitedLog {
     windows: Mutex<HashMap<&'static str, Window>>,
 }
 
 impl RateLimitedLog {
     /// Writes a line of this kind unless the window's limit is reached. The line carries the number
     /// of lines suppressed before it in `left_out=`.
-    pub(super) fn write_line(&self, now: Instant, kind: &'static str, line: Arguments<'_>) {
+    pub(crate) fn write_line(&self, now: Instant, kind: &'static str, line: Arguments<'_>) {
         match self.admit(now, kind) {
             None => {}
             Some(0) => log::info!("{kind}: {line}"),
--- a/crates/turmericloft/tests/testsuite/quarantine/mod.rs
+++ b/crates/turmericloft/tests/testsuite/quarantine/mod.rs
@@ -138,7 +138,7 @@
             let changes = tables[from].reports_since(now, sent[from]);
             sent[from] = changes.revision;
             for (to, table) in tables.iter_mut().enumerate() {
-                is_changed |= to != from && table.merge(now, changes.reports.clone());
+                is_changed |= to != from && !table.merge(now, changes.reports.clone()).is_empty();
             }
         }
         if !is_changed {
