A crash that other gateways report back counts once

Cause: a crash was recognised by its endpoint and by overlapping times. A report carries ages in whole milliseconds and arrives later than it was built, so the echo of a crash that took under a millisecond looked like a later one: two gateways raised the count to three between themselves. For the same reason a crash that a response had cleared could come back with a report that was under way.

Evidence: quarantine::incident::crash_that_other_gateways_report_back_counts_once was refused after one crash, and crash_that_a_response_has_cleared_does_not_return_with_a_late_report counted two instead of one, on the code before.

Each crash has an identity now, given by the gateway that saw it, and a report names the crashes that a response has cleared.

--- a/crates/turmericloft/src/core/quarantine/crash_history.rs
+++ b/crates/turmericloft/src/core/quarantine/crash_history.rs
@@ -3,34 +3,50 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    Crash,
+    Crash, CrashId,
     crash_reports::{CrashReport, ReportedCrash},
 };
 use crate::core::{guard::Fingerprint, placement::InstanceId};
 
 /// Maximum number of crashes that are kept of a request.
 const MAX_CRASHES: usize = 8;
+/// Maximum number of cleared crashes that are remembered of a request.
+const MAX_CLEARED: usize = 16;
+
+/// A crash and its identity.
+#[derive(Clone, Debug)]
+pub(super) struct KnownCrash {
+    pub(super) id: CrashId,
+    pub(super) crash: Crash,
+}
 
 /// The crashes of one request since its last response.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashHistory {
     /// In the order in which the request was sent.
-    crashes: Vec<Crash>,
+    crashes: Vec<KnownCrash>,
     responded_at: Option<Instant>,
+    /// Crashes that a response has cleared, and that late reports must not bring back. The latest are
+    /// at the end.
+    cleared: Vec<CrashId>,
 }
 
 impl CrashHistory {
     /// Adds a crash, unless it is known or a response came after it. Returns whether it was added.
-    pub(super) fn add(&mut self, crash: Crash) -> bool {
-        let is_cleared = self.responded_at.is_some_and(|at| at >= crash.at);
-        // An endpoint may crash again after a restart.
-        let is_same = |c: &Crash| c.endpoint == crash.endpoint && crash.sent_at < c.at;
+    pub(super) fn add(&mut self, known: KnownCrash) -> bool {
+        let crash = &known.crash;
+        let is_cleared =
+            self.cleared.contains(&known.id) || self.responded_at.is_some_and(|at| at >= crash.at);
+        // Two copies may be in flight at an endpoint that crashes. It may crash again after a restart.
+        let is_same_end = |c: &Crash| c.endpoint == crash.endpoint && crash.sent_at < c.at;
+        let is_same = |c: &KnownCrash| c.id == known.id || is_same_end(&c.crash);
         let is_known = self.crashes.iter().any(is_same);
         if is_cleared || is_known || self.crashes.len() >= MAX_CRASHES {
             return false;
         }
-        let index = self.crashes.partition_point(|c| c.sent_at <= crash.sent_at);
-        self.crashes.insert(index, crash);
+        let sent_at = crash.sent_at;
+        let index = self.crashes.partition_point(|c| c.crash.sent_at <= sent_at);
+        self.crashes.insert(index, known);
         true
     }
 
@@ -39,16 +55,38 @@
         let is_newer = self.responded_at.is_none_or(|at| at < responded_at);
         if is_newer {
             self.responded_at = Some(responded_at);
-            self.crashes.retain(|c| c.at > responded_at);
+            let is_before = |c: &KnownCrash| c.crash.at <= responded_at;
+            let cleared: Vec<_> = self
+                .crashes
+                .iter()
+                .filter(|c| is_before(c))
+                .map(|c| c.id)
+                .collect();
+            cleared.into_iter().for_each(|id| {
+                self.clear_crash(id);
+            });
         }
         is_newer
     }
 
+    /// Drops one crash for good. Returns false if that is already done.
+    fn clear_crash(&mut self, id: CrashId) -> bool {
+        if self.cleared.contains(&id) {
+            return false;
+        }
+        self.crashes.retain(|c| c.id != id);
+        if self.cleared.len() >= MAX_CLEARED {
+            self.cleared.remove(0);
+        }
+        self.cleared.push(id);
+        true
+    }
+
     /// Number of crashes of which each one happened to a request that was sent after the one before.
     pub(super) fn independent_crashes(&self) -> u32 {
         let mut count = 0;
         let mut last: Option<Instant> = None;
-        for crash in &self.crashes {
+        for KnownCrash { crash, .. } in &self.crashes {
             if last.is_none_or(|at| at <= crash.sent_at) {
                 count += 1;
                 last = Some(crash.at);
@@ -64,7 +102,7 @@
 
     /// Time of the latest crash; `None` if there is none since the last response.
     pub(super) fn last_crash(&self) -> Option<Instant> {
-        self.crashes.iter().map(|c| c.at).max()
+        self.crashes.iter().map(|c| c.crash.at).max()
     }
 
     /// Time of the latest crash or response.
@@ -74,14 +112,19 @@
 
     pub(super) fn report(&self, now: Instant, request: Fingerprint) -> CrashReport {
         let age = |at: Instant| now.saturating_duration_since(at);
-        let crashes = self.crashes.iter().map(|c| ReportedCrash {
-            endpoint: InstanceId::clone(&c.endpoint),
-            age: age(c.at),
-            ran_for: c.at.saturating_duration_since(c.sent_at),
-        });
+        let crashes = self
+            .crashes
+            .iter()
+            .map(|KnownCrash { id, crash }| ReportedCrash {
+                id: *id,
+                endpoint: InstanceId::clone(&crash.endpoint),
+                age: age(crash.at),
+                ran_for: crash.at.saturating_duration_since(crash.sent_at),
+            });
         CrashReport {
             request,
             crashes: crashes.collect(),
+            cleared: self.cleared.clone(),
             response_age: self.responded_at.map(age),
         }
     }
@@ -90,11 +133,14 @@
     pub(super) fn merge(&mut self, now: Instant, report: CrashReport) -> bool {
         let before = |age: Duration| now.checked_sub(age);
         let mut is_changed = false;
+        for id in report.cleared {
+            is_changed |= self.clear_crash(id);
+        }
         if let Some(responded_at) = report.response_age.and_then(before) {
             is_changed |= self.merge_response(responded_at);
         }
         for reported in report.crashes {
-            if let Some(crash) = reported.into_crash(now) {
+            if let Some(crash) = reported.into_known(now) {
                 is_changed |= self.add(crash);
             }
         }
@@ -104,7 +150,7 @@
     /// Takes over a response unless it is known. The same response is reported with a slightly
     /// different time by each gateway, and must not be passed on without end.
     fn merge_response(&mut self, responded_at: Instant) -> bool {
-        let clears = self.crashes.iter().any(|c| c.at <= responded_at);
+        let clears = self.crashes.iter().any(|c| c.crash.at <= responded_at);
         let is_first = self.responded_at.is_none();
         (clears || is_first) && self.clear(responded_at)
     }
--- a/crates/turmericloft/src/core/quarantine/crash_reports.rs
+++ b/crates/turmericloft/src/core/quarantine/crash_reports.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use super::Crash;
+use super::{Crash, CrashId, crash_history::KnownCrash};
 use crate::core::{guard::Fingerprint, placement::InstanceId};
 
 /// Changes of a gateway's table that another gateway is told of.
@@ -25,6 +25,8 @@
     pub request: Fingerprint,
     /// Its crashes since the last response, in the order in which the request was sent.
     pub crashes: Vec<ReportedCrash>,
+    /// Crashes that a response has cleared.
+    pub cleared: Vec<CrashId>,
     /// Time since the last response to the request; `None` if there was none.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     pub response_age: Option<Duration>,
@@ -34,6 +36,8 @@
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReportedCrash {
+    /// Identity of the crash.
+    pub id: CrashId,
     /// The endpoint.
     pub endpoint: InstanceId,
     /// Time since the connection ended.
@@ -46,12 +50,13 @@
 
 impl ReportedCrash {
     /// The crash by the clock of this host; `None` if it is older than the clock can show.
-    pub(super) fn into_crash(self, now: Instant) -> Option<Crash> {
+    pub(super) fn into_known(self, now: Instant) -> Option<KnownCrash> {
         let at = now.checked_sub(self.age)?;
-        Some(Crash {
+        let crash = Crash {
             endpoint: self.endpoint,
             sent_at: at.checked_sub(self.ran_for)?,
             at,
-        })
+        };
+        Some(KnownCrash { id: self.id, crash })
     }
 }
--- a/crates/turmericloft/src/core/quarantine/mod.rs
+++ b/crates/turmericloft/src/core/quarantine/mod.rs
@@ -16,7 +16,7 @@
 mod request_quarantine;
 
 pub use self::{
-    crash::Crash,
+    crash::{Crash, CrashId},
     crash_reports::{CrashReport, CrashReports, ReportedCrash},
     quarantine_change::{QuarantineChange, QuarantineEvent, RequestCondition},
     request_quarantine::{RequestQuarantine, SendDecision},
--- a/crates/turmericloft/src/core/quarantine/request_quarantine.rs
+++ b/crates/turmericloft/src/core/quarantine/request_quarantine.rs
@@ -5,9 +5,12 @@
     time::{Duration, Instant},
 };
 
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
 use super::{
-    Crash, CrashReport, CrashReports, QuarantineChange, QuarantineEvent, RequestCondition,
-    crash_history::CrashHistory,
+    Crash, CrashId, CrashReport, CrashReports, QuarantineChange, QuarantineEvent, RequestCondition,
+    crash_history::{CrashHistory, KnownCrash},
 };
 use crate::core::{guard::Fingerprint, relay::delay_of_host};
 
@@ -46,6 +49,7 @@
     release_delay: Duration,
     requests: HashMap<Fingerprint, TrackedRequest>,
     revision: u64,
+    crash_ids: Pcg64Mcg,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -56,12 +60,14 @@
 }
 
 impl RequestQuarantine {
-    /// An empty table of the gateway on `host`.
-    pub fn new(host: &str) -> Self {
+    /// An empty table of the gateway on `host`. `seed` seeds the identities of the crashes that it sees;
+    /// it has to differ between processes.
+    pub fn new(host: &str, seed: u64) -> Self {
         Self {
             release_delay: delay_of_host(host, RELEASE_SPREAD),
             requests: HashMap::new(),
             revision: 0,
+            crash_ids: Pcg64Mcg::seed_from_u64(seed),
         }
     }
 
@@ -84,8 +90,12 @@
         crash: Crash,
     ) -> Option<QuarantineChange> {
         self.forget_old(now);
+        let known = KnownCrash {
+            id: CrashId(self.crash_ids.random()),
+            crash,
+        };
         let event = QuarantineEvent::Crash;
-        self.change(now, request, event, |history| history.add(crash))
+        self.change(now, request, event, |history| history.add(known))
     }
 
     /// Records that an endpoint responded to a request: it did not cause the crashes before. Returns
--- a/crates/turmericloft/src/ops/shared_quarantine.rs
+++ b/crates/turmericloft/src/ops/shared_quarantine.rs
@@ -31,7 +31,7 @@
     /// An empty table of the gateway on `host`.
     pub fn new(host: &str) -> Self {
         Self {
-            table: Mutex::new(RequestQuarantine::new(host)),
+            table: Mutex::new(RequestQuarantine::new(host, rand::random())),
             revision: watch::Sender::new(0),
             log: RateLimitedLog::default(),
         }
--- a/crates/turmericloft/tests/testsuite/quarantine/mod.rs
+++ b/crates/turmericloft/tests/testsuite/quarantine/mod.rs
@@ -1,6 +1,8 @@
 //! Requests that crash endpoints: when they are put in quarantine, on which gateways, and when they
 //! are let go.
 
+mod incident;
+
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
@@ -27,7 +29,7 @@
 
 /// A table after crashes of different endpoints, one a second, and the time of the last one.
 fn table_after(crashes: usize) -> (RequestQuarantine, Instant) {
-    let mut table = RequestQuarantine::new("gw");
+    let mut table = RequestQuarantine::new("gw", 1);
     let mut now = Instant::now();
     for n in 0..crashes {
         now += Duration::from_secs(1);
@@ -59,7 +61,7 @@
 /// A tenth of the endpoints is lost at one moment, with many copies of a sound request in flight.
 #[test]
 fn endpoints_that_crash_together_count_once() {
-    let mut table = RequestQuarantine::new("gw");
+    let mut table = RequestQuarantine::new("gw", 1);
     let now = Instant::now();
     for n in 0..6 {
         let at = now + Duration::from_millis(n as u64);
@@ -154,9 +156,9 @@
         events in prop::collection::vec((0_usize..4, 0_usize..5, 0_u8..5), 1..12),
         delay_ms in 0_u64..50,
     ) {
-        let mut tables = vec![RequestQuarantine::new("gw"); 4];
+        let mut tables = [1, 2, 3, 4].map(|seed| RequestQuarantine::new("gw", seed));
         let mut sent = [0; 4];
-        let mut alone = RequestQuarantine::new("gw");
+        let mut alone = RequestQuarantine::new("gw", 1);
         let mut now = Instant::now();
         for (gateway, endpoint, kind) in events {
             now += Duration::from_secs(1);
--- a/crates/turmericloft/tests/testsuite/relay/crash_reports.rs
+++ b/crates/turmericloft/tests/testsuite/relay/crash_reports.rs
@@ -10,7 +10,7 @@
 use turmericloft::core::{
     guard::Fingerprint,
     placement::EndpointState,
-    quarantine::{Crash, CrashReport, ReportedCrash, SendDecision},
+    quarantine::{Crash, CrashId, CrashReport, ReportedCrash, SendDecision},
     relay::{RelayPoll, RelayResponse},
 };
 
@@ -59,7 +59,7 @@
 
 /// Encodes a poll as a frame, with a crash report behind it.
 fn poll_frame(reports: &[CrashReport]) -> Vec<u8> {
-    const MESSAGE_VERSION: u16 = 2;
+    const MESSAGE_VERSION: u16 = 3;
     let poll = RelayPoll {
         host: "h1".into(),
         from: at(0, 0),
@@ -78,10 +78,12 @@
     let report = CrashReport {
         request: Fingerprint::of("h", "POST", "/act/1", b""),
         crashes: vec![ReportedCrash {
+            id: CrashId(1),
             endpoint: "e1".into(),
             age: Duration::ZERO,
             ran_for: Duration::ZERO,
         }],
+        cleared: Vec::new(),
         response_age: None,
     };
     let mut stream = TcpStream::connect(upstream.address).await.expect("open");
