A request is quarantined again after each release, and longer each time

Callers saw: a request that goes on crashing endpoints was sent freely after some minutes: each copy took an endpoint, and all requests that it was running, away.

Cause: a history kept eight crashes and ignored later ones, so the last known crash grew old and the quarantine was over for good, until the history was forgotten and three crashes were needed again. And each quarantine was as short as the first one, so a client that never gives up cost an endpoint every minute or two.

Evidence: quarantine::incident::request_with_many_crashes_is_refused_again_after_each_one failed at the ninth crash, request_that_always_crashes_endpoints_is_tried_three_times_at_most_in_twenty_minutes counted more than three sends on the code before.

A full history drops the crash that follows another most closely, never the latest. A quarantine is four times as long as the one before, up to an hour; it is forgotten five minutes after its end. The first one stays at 60 s, since a sound request may be in it.

--- a/crates/turmericloft/src/core/quarantine/crash_history.rs
+++ b/crates/turmericloft/src/core/quarantine/crash_history.rs
@@ -12,6 +12,14 @@
 const MAX_CRASHES: usize = 8;
 /// Maximum number of cleared crashes that are remembered of a request.
 const MAX_CLEARED: usize = 16;
+/// Number of independent crashes after which a request is not sent any more.
+const CRASHES_TO_QUARANTINE: u32 = 3;
+/// Length of the first quarantine, from the last crash.
+const FIRST_PERIOD: Duration = Duration::from_secs(60);
+/// Factor by which a quarantine is longer than the one before it, whose end cost another endpoint.
+const PERIOD_FACTOR: u32 = 4;
+/// Longest quarantine.
+const MAX_PERIOD: Duration = Duration::from_secs(3_600);
 
 /// A crash and its identity.
 #[derive(Clone, Debug)]
@@ -41,13 +49,23 @@
         let is_same_end = |c: &Crash| c.endpoint == crash.endpoint && crash.sent_at < c.at;
         let is_same = |c: &KnownCrash| c.id == known.id || is_same_end(&c.crash);
         let is_known = self.crashes.iter().any(is_same);
-        if is_cleared || is_known || self.crashes.len() >= MAX_CRASHES {
+        if is_cleared || is_known {
             return false;
         }
+        let id = known.id;
         let sent_at = crash.sent_at;
         let index = self.crashes.partition_point(|c| c.crash.sent_at <= sent_at);
         self.crashes.insert(index, known);
-        true
+        self.crashes.len() <= MAX_CRASHES || self.drop_closest() != id
+    }
+
+    /// Drops the crash that follows the one before it most closely, so that those remain which show
+    /// when the request was sent again, and always the latest. Returns the identity of the dropped one.
+    fn drop_closest(&mut self) -> CrashId {
+        let at = |i: usize| self.crashes[i].crash.at;
+        let gap = |i: usize| at(i).saturating_duration_since(at(i - 1));
+        let closest = (1..self.crashes.len() - 1).min_by_key(|i| gap(*i));
+        self.crashes.remove(closest.unwrap_or_default()).id
     }
 
     /// Drops the crashes up to a response. Returns whether anything changed.
@@ -82,6 +100,31 @@
         true
     }
 
+    /// Whether one more crash puts the request in quarantine.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.independent_crashes() + 1 >= CRASHES_TO_QUARANTINE
+    }
+
+    /// When the latest quarantine ends, which is the same on all gateways; `None` if there were not
+    /// enough crashes for one.
+    pub(super) fn quarantine_end(&self) -> Option<Instant> {
+        if self.independent_crashes() < CRASHES_TO_QUARANTINE {
+            return None;
+        }
+        let mut ends: Vec<_> = self.crashes.iter().map(|c| c.crash.at).collect();
+        ends.sort_unstable();
+        let mut later = ends.into_iter().skip(CRASHES_TO_QUARANTINE as usize - 1);
+        let mut last = later.next()?;
+        let mut period = FIRST_PERIOD;
+        for at in later {
+            if at >= last + period {
+                period = MAX_PERIOD.min(period * PERIOD_FACTOR);
+            }
+            last = at;
+        }
+        Some(last + period)
+    }
+
     /// Number of crashes of which each one happened to a request that was sent after the one before.
     pub(super) fn independent_crashes(&self) -> u32 {
         let mut count = 0;
@@ -100,8 +143,7 @@
         self.crashes.len()
     }
 
-    /// Time of the latest crash; `None` if there is none since the last response.
-    pub(super) fn last_crash(&self) -> Option<Instant> {
+    fn last_crash(&self) -> Option<Instant> {
         self.crashes.iter().map(|c| c.crash.at).max()
     }
 
--- a/crates/turmericloft/src/core/quarantine/request_quarantine.rs
+++ b/crates/turmericloft/src/core/quarantine/request_quarantine.rs
@@ -14,15 +14,11 @@
 };
 use crate::core::{guard::Fingerprint, relay::delay_of_host};
 
-/// Number of crashes after which a request is not sent any more.
-const MAX_CRASHES: u32 = 3;
-/// Time since the last crash after which a quarantined request may be sent again.
-const QUARANTINE_PERIOD: Duration = Duration::from_secs(60);
 /// Time over which the gateways spread the end of a quarantine, so that the first one to send the
 /// request can tell the others that it still crashes endpoints.
 const RELEASE_SPREAD: Duration = Duration::from_secs(60);
-/// Time after which a request is forgotten of which nothing new is known. A released one that
-/// crashes an endpoint again within it is in quarantine at once.
+/// Time after the last change, and after the end of a quarantine, after which a request is forgotten.
+/// A released one that crashes an endpoint again within it is in quarantine at once.
 const FORGET_AFTER: Duration = Duration::from_secs(300);
 /// Maximum number of requests in the table.
 const MAX_REQUESTS: usize = 256;
@@ -115,15 +111,11 @@
         let Some(history) = self.requests.get(request).map(|r| &r.history) else {
             return SendDecision::Allowed;
         };
-        let crashes = history.independent_crashes();
-        let Some(last_crash) = history.last_crash().filter(|_| crashes + 1 >= MAX_CRASHES) else {
-            return SendDecision::Allowed;
-        };
-        let until = last_crash + QUARANTINE_PERIOD + self.release_delay;
-        if crashes >= MAX_CRASHES && until > now {
-            SendDecision::Refused { until }
-        } else {
-            SendDecision::Once
+        let until = history.quarantine_end().map(|end| end + self.release_delay);
+        match until {
+            Some(until) if until > now => SendDecision::Refused { until },
+            None if !history.is_suspect() => SendDecision::Allowed,
+            _ => SendDecision::Once,
         }
     }
 
@@ -193,8 +185,10 @@
 
     fn forget_old(&mut self, now: Instant) {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < FORGET_AFTER;
-        self.requests
-            .retain(|_, r| r.history.last_change().is_some_and(is_recent));
+        self.requests.retain(|_, r| {
+            let last = r.history.last_change().max(r.history.quarantine_end());
+            last.is_some_and(is_recent)
+        });
     }
 
     fn forget_least_suspect(&mut self) {
--- a/crates/turmericloft/tests/testsuite/quarantine/incident.rs
+++ b/crates/turmericloft/tests/testsuite/quarantine/incident.rs
@@ -4,7 +4,7 @@
 
 use turmericloft::core::quarantine::{RequestQuarantine, SendDecision};
 
-use super::{crash, request};
+use super::{LONG_QUARANTINE, crash, is_refused, request, table_after};
 
 /// Time that a message takes between two gateways.
 const TRANSIT: Duration = Duration::from_millis(3);
@@ -59,3 +59,39 @@
         assert_eq!(change.after.crashes, 1);
     }
 }
+
+/// A client that never gives up: after each quarantine the request is sent once, and crashes one more
+/// endpoint.
+#[test]
+fn request_with_many_crashes_is_refused_again_after_each_one() {
+    let (mut table, mut now) = table_after(3);
+    for n in 3..20 {
+        while is_refused(&table, now) {
+            now += Duration::from_secs(1);
+        }
+        table.record_crash(now, request(), crash(n, now, Duration::ZERO));
+        assert!(is_refused(&table, now), "crash {n}");
+    }
+}
+
+/// The client sends the request once a second for 20 minutes.
+#[test]
+fn request_that_always_crashes_endpoints_is_tried_three_times_at_most_in_twenty_minutes() {
+    let (mut table, quarantined_at) = table_after(3);
+    let mut sends = 0;
+    for s in 1..1_200 {
+        let now = quarantined_at + Duration::from_secs(s);
+        if !is_refused(&table, now) {
+            sends += 1;
+            table.record_crash(now, request(), crash(sends, now, Duration::ZERO));
+        }
+    }
+    assert!((1..=3).contains(&sends), "{sends} sends");
+}
+
+/// A request that has stopped crashing endpoints is let go after the first quarantine.
+#[test]
+fn request_is_let_go_after_its_first_quarantine() {
+    let (table, now) = table_after(3);
+    assert!(!is_refused(&table, now + LONG_QUARANTINE));
+}
