Copies that crash endpoints together count one by one once another crash came apart from them

Callers saw: more endpoints lost to one request than three, where its copies were in flight in pairs (an endpoint that queued the first one, and a hedge).

Cause: all crashes of copies in flight together counted as one, without end, while each took an endpoint away. The reason for it is that endpoints are lost together for other reasons, which two moments tell as well as three.

Evidence: quarantine::incident::copies_that_crash_endpoints_in_pairs_are_refused_after_the_second_pair was not refused after four crashes on the code before. Now three crashes are needed of which one is independent of another; endpoints_that_crash_together_count_once (six at one moment) holds unchanged. It also bears late reports: a crash that its report shifted by some milliseconds counts, though it may look as if in flight together with another.

--- a/crates/turmericloft/src/core/quarantine/crash_history.rs
+++ b/crates/turmericloft/src/core/quarantine/crash_history.rs
@@ -12,8 +12,10 @@
 const MAX_CRASHES: usize = 8;
 /// Maximum number of cleared crashes that are remembered of a request.
 const MAX_CLEARED: usize = 16;
-/// Number of independent crashes after which a request is not sent any more.
-const CRASHES_TO_QUARANTINE: u32 = 3;
+/// Number of crashes after which a request is not sent any more.
+const CRASHES_TO_QUARANTINE: usize = 3;
+/// Number of independent crashes among these: endpoints that are lost at one moment are no reason.
+const INDEPENDENT_TO_QUARANTINE: u32 = 2;
 /// Length of the first quarantine, from the last crash.
 const FIRST_PERIOD: Duration = Duration::from_secs(60);
 /// Factor by which a quarantine is longer than the one before it, whose end cost another endpoint.
@@ -102,18 +104,19 @@
 
     /// Whether one more crash puts the request in quarantine.
     pub(super) fn is_suspect(&self) -> bool {
-        self.independent_crashes() + 1 >= CRASHES_TO_QUARANTINE
+        self.independent_crashes() >= INDEPENDENT_TO_QUARANTINE
     }
 
     /// When the latest quarantine ends, which is the same on all gateways; `None` if there were not
     /// enough crashes for one.
     pub(super) fn quarantine_end(&self) -> Option<Instant> {
-        if self.independent_crashes() < CRASHES_TO_QUARANTINE {
+        let is_independent = self.independent_crashes() >= INDEPENDENT_TO_QUARANTINE;
+        if self.crashes.len() < CRASHES_TO_QUARANTINE || !is_independent {
             return None;
         }
         let mut ends: Vec<_> = self.crashes.iter().map(|c| c.crash.at).collect();
         ends.sort_unstable();
-        let mut later = ends.into_iter().skip(CRASHES_TO_QUARANTINE as usize - 1);
+        let mut later = ends.into_iter().skip(CRASHES_TO_QUARANTINE - 1);
         let mut last = later.next()?;
         let mut period = FIRST_PERIOD;
         for at in later {
--- a/crates/turmericloft/src/core/quarantine/mod.rs
+++ b/crates/turmericloft/src/core/quarantine/mod.rs
@@ -6,8 +6,8 @@
 //! gateways exchange what they saw; after the third crash none of them sends the request.
 //!
 //! An endpoint that crashes for another reason breaks off sound requests too. They are told apart
-//! by the order of events: a crash counts only if the request was sent after the crash before it,
-//! so that endpoints which crash together count once, and any response to the request clears it.
+//! by the order of events: one of the crashes has to be of a copy that was sent after the crash of
+//! another, since endpoints which are lost together are no reason, and any success clears the request.
 
 mod crash;
 mod crash_history;
--- a/crates/turmericloft/tests/testsuite/quarantine/incident.rs
+++ b/crates/turmericloft/tests/testsuite/quarantine/incident.rs
@@ -95,3 +95,18 @@
     let (table, now) = table_after(3);
     assert!(!is_refused(&table, now + LONG_QUARANTINE));
 }
+
+/// Two copies at a time are in flight at different endpoints, and both endpoints crash.
+#[test]
+fn copies_that_crash_endpoints_in_pairs_are_refused_after_the_second_pair() {
+    let mut table = RequestQuarantine::new("gw", 1);
+    let mut now = Instant::now();
+    for pair in 0..2 {
+        now += Duration::from_secs(1);
+        for n in 0..2 {
+            let ran_for = Duration::from_millis(500);
+            table.record_crash(now, request(), crash(pair * 2 + n, now, ran_for));
+        }
+    }
+    assert!(is_refused(&table, now));
+}
