A crash is recorded when it happens, also if its client has left or another attempt runs

Callers saw: requests of clients that give up early crashed endpoints without ever being refused; while the second attempt of a request waited at a slow endpoint, no gateway knew of the crash in the first one.

Cause: crashes were collected in the call and recorded at its end, by the future that the client's connection owns.

Evidence: ingress::crashing_requests::crash_is_recorded_although_the_client_has_left and crash_is_recorded_while_another_attempt_is_in_flight saw no crash on the code before.

Each attempt records its crash, or the success that clears crashes, when it ends; the attempt of an at-most-once request outlives its client. An idempotent attempt whose client leaves is cancelled as before, so a crash after that is not seen.

--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt of a request at one endpoint.
 
 use std::{
-    sync::Arc,
+    sync::{Arc, OnceLock},
     time::{Duration, Instant},
 };
 
@@ -9,12 +9,14 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    crash_watch::record_attempt,
     in_flight_attempt::InFlightAttempt,
     protocol::{AttemptHeaders, EndpointProtocol},
     shared::Ingress,
 };
 use crate::{
     core::{
+        guard::Fingerprint,
         placement::{AttemptOutcome, LoadReport},
         quarantine::Crash,
         traffic::Route,
@@ -41,9 +43,38 @@
     pub(super) deadline: Instant,
     /// Cancelled when the client's connection ends.
     pub(super) client_disconnected: CancellationToken,
+    fingerprint: OnceLock<Fingerprint>,
 }
 
 impl ForwardedRequest {
+    pub(super) fn new(
+        req: Request,
+        id: Vec<u8>,
+        route: Arc<Route>,
+        deadline: Instant,
+        client_disconnected: CancellationToken,
+    ) -> Self {
+        Self {
+            req,
+            id,
+            route,
+            deadline,
+            client_disconnected,
+            fingerprint: OnceLock::new(),
+        }
+    }
+
+    /// Tells the request from others that are no copies of it. Computed when it is needed first:
+    /// rarely, as hardly any request is broken off.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let req = &self.req;
+            let text = String::from_utf8_lossy;
+            let host = req.headers.get_str("host").unwrap_or_default();
+            Fingerprint::of(host, &text(&req.method), &text(&req.target), &req.body)
+        })
+    }
+
     /// Whether the request is not to be sent any more, for example because the host was suspended
     /// while it waited.
     fn is_past_deadline(&self, now: Instant) -> bool {
@@ -65,7 +96,7 @@
 }
 
 /// Sends a request to the endpoint of `in_flight`, classifies the result, logs it unless the
-/// request was answered, and reports it to the balancer.
+/// request was answered, and reports it to the balancer and the quarantine.
 pub(super) async fn run_attempt(
     ingress: Arc<Ingress>,
     forwarded: Arc<ForwardedRequest>,
@@ -96,6 +127,7 @@
         );
     }
     in_flight.end(outcome, load);
+    record_attempt(&ingress, &forwarded, &end);
     end
 }
 
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -13,7 +13,7 @@
 use super::{
     attempt::{AttemptEnd, ForwardedRequest, run_attempt},
     client_response::{ClientResponse, GatewayResponse},
-    crash_watch::CrashWatch,
+    crash_watch::{CrashWatch, refusal},
     in_flight_attempt::InFlightAttempt,
     metrics::count_response,
     shared::Ingress,
@@ -67,13 +67,14 @@
     };
     let now = ingress.now();
     ingress.balancer.lock().record_request(now, &service);
-    let forwarded = Arc::new(ForwardedRequest {
+    let deadline = arrived + timeout;
+    let forwarded = Arc::new(ForwardedRequest::new(
         req,
         id,
         route,
-        deadline: arrived + timeout,
+        deadline,
         client_disconnected,
-    });
+    ));
     let forwarder = Forwarder {
         ingress: Arc::clone(&ingress),
         forwarded: Arc::clone(&forwarded),
@@ -137,13 +138,11 @@
     /// Returns the response and the number of endpoints that the request was sent to.
     async fn run(mut self) -> (ClientResponse, usize) {
         let response = self.respond().await;
-        self.crash_watch
-            .record_end(&self.ingress, &self.forwarded, &response);
         (response, self.tried.len())
     }
 
     async fn respond(&mut self) -> ClientResponse {
-        if let Some(refusal) = self.crash_watch.refusal(&self.ingress, &self.forwarded.req) {
+        if let Some(refusal) = refusal(&self.ingress, &self.forwarded) {
             return ClientResponse::Gateway(refusal);
         }
         let first = match self.place_first().await {
@@ -197,8 +196,8 @@
                     },
                 }))
             }
-            AttemptEnd::Disconnected(crash) => {
-                self.crash_watch.add(crash);
+            AttemptEnd::Disconnected(_) => {
+                self.crash_watch.add();
                 self.handle_unknown(AttemptOutcome::Broken).await
             }
             AttemptEnd::Unknown(outcome) => self.handle_unknown(outcome).await,
@@ -229,7 +228,7 @@
         }
         if !self
             .crash_watch
-            .allows_retry(&self.ingress, &self.forwarded.req)
+            .allows_retry(&self.ingress, &self.forwarded)
         {
             return false;
         }
--- a/crates/turmericloft/tests/testsuite/ingress/crashing_requests.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/crashing_requests.rs
@@ -1,7 +1,9 @@
 //! Requests that crash the endpoints that run them.
 
+use tokio::task::yield_now;
+
 use super::{
-    client::Client,
+    client::{Client, request},
     endpoint::{Behaviour, Endpoint, Script},
     gateway::Gateway,
 };
@@ -43,3 +45,54 @@
     }
     assert_eq!(endpoint.ran().len(), 4);
 }
+
+/// Waits until the gateway has recorded `changes` changes of its quarantine table. Gives up after a
+/// number of steps that take far longer than a crash takes to be noticed.
+async fn wait_for_changes(gateway: &Gateway, changes: u64) {
+    const STEPS: usize = 200_000;
+    for _ in 0..STEPS {
+        if *gateway.quarantine.revision().borrow() >= changes {
+            return;
+        }
+        yield_now().await;
+    }
+    panic!("fewer than {changes} changes after {STEPS} steps");
+}
+
+/// The client gives up while the endpoint still runs its request, which must not be cancelled.
+#[tokio::test]
+async fn crash_is_recorded_although_the_client_has_left() {
+    let endpoint = Endpoint::start(Behaviour::HoldAndClose).await;
+    let gateway = Gateway::start(std::slice::from_ref(&endpoint)).await;
+    for crashes in 1..=3 {
+        let mut client = Client::connect(gateway.clients).await;
+        client.send(&request("POST", "/act/1", "r1")).await;
+        endpoint.arrived.acquire().await.expect("open").forget();
+        drop(client);
+        // The response to another client shows that the gateway has noticed the first one disconnect.
+        let mut other = Client::connect(gateway.clients).await;
+        assert_eq!(other.call("GET", "/none", "r2").await.status, 404);
+        endpoint.release.add_permits(1);
+        wait_for_changes(&gateway, crashes).await;
+    }
+    let mut client = Client::connect(gateway.clients).await;
+    assert_eq!(client.call("POST", "/act/1", "r1").await.status, 503);
+}
+
+/// The second attempt of an idempotent request waits at an endpoint that is slow.
+#[tokio::test]
+async fn crash_is_recorded_while_another_attempt_is_in_flight() {
+    let script = Script::new(&[Behaviour::RunAndClose], Behaviour::Hold);
+    let endpoints = [
+        Endpoint::start_with_script(&script).await,
+        Endpoint::start_with_script(&script).await,
+    ];
+    let gateway = Gateway::start(&endpoints).await;
+    let mut client = Client::connect(gateway.clients).await;
+    client.send(&request("GET", "/read/1", "r1")).await;
+    wait_for_changes(&gateway, 1).await;
+    // A success clears the crash.
+    endpoints.iter().for_each(|e| e.release.add_permits(1));
+    assert_eq!(client.response().await.expect("a response").status, 200);
+    wait_for_changes(&gateway, 2).await;
+}
