Zones tell each other of requests that crash endpoints, over the store

Callers saw: three endpoints lost to a request in each zone instead of three in all (users' measurement, three zones: 9 copies ran, 5 of them more than 3 s after the third crash; three are allowed). After all gateways had lost power, three more.

Cause: knowledge ended at the relay tree of a zone, and with the processes.

Evidence: crashing_request::request_that_crashed_three_endpoints_is_sent_by_no_gateway_of_any_zone runs six gateways as processes in three zones; without the exchange the other zones never learn of the first crash.

The gateways that read the store for their zone write what the zone knows, one record a zone, and read the records of the others by long poll. A crash is written within 0.5 s together with others, that of a request with two or more at once; what another zone wrote is not written again; what the store lost with an older copy is. Whoever starts again reads the records. While the store is away zones count for themselves.

The check of GUARANTEES finds tests in platform/ too.

--- a/crates/turmericloft-cli/tests/testsuite/docs.rs
+++ b/crates/turmericloft-cli/tests/testsuite/docs.rs
@@ -30,7 +30,11 @@
     let Some((module, test)) = rest.rsplit_once("::") else {
         return false;
     };
-    let suite = root().join("crates").join(package).join("tests/testsuite");
+    let folder = match package {
+        "turmericloft-platform" => root().join("platform"),
+        _ => root().join("crates").join(package),
+    };
+    let suite = folder.join("tests/testsuite");
     let module = module.replace("::", "/");
     let files = [
         suite.join(format!("{module}.rs")),
--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod check_sessions;
 mod command_line;
 mod config_sessions;
+mod crashing_request;
 mod demo;
 mod docs;
 mod early_close;
--- a/crates/turmericloft-cli/tests/testsuite/support/process.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/process.rs
@@ -31,8 +31,14 @@
 impl Process {
     /// Starts a program; standard output is discarded.
     pub fn start(program: &str, args: &[&str]) -> Self {
+        Self::start_with_env(program, args, &[])
+    }
+
+    /// Like [`start`](Self::start), with further environment variables.
+    pub fn start_with_env(program: &str, args: &[&str], env: &[(&str, &str)]) -> Self {
         let mut child = Command::new(program)
             .args(args)
+            .envs(env.iter().copied())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
--- a/crates/turmericloft/src/core/quarantine/crash_reports.rs
+++ b/crates/turmericloft/src/core/quarantine/crash_reports.rs
@@ -48,6 +48,16 @@
     pub ran_for: Duration,
 }
 
+impl CrashReport {
+    /// The same report, which was made `elapsed` earlier than the present one.
+    #[must_use]
+    pub fn aged(mut self, elapsed: Duration) -> Self {
+        self.crashes.iter_mut().for_each(|c| c.age += elapsed);
+        self.response_age = self.response_age.map(|age| age + elapsed);
+        self
+    }
+}
+
 impl ReportedCrash {
     /// The crash by the clock of this host; `None` if it is older than the clock can show.
     pub(super) fn into_known(self, now: Instant) -> Option<KnownCrash> {
--- a/crates/turmericloft/src/core/quarantine/mod.rs
+++ b/crates/turmericloft/src/core/quarantine/mod.rs
@@ -14,10 +14,12 @@
 mod crash_reports;
 mod quarantine_change;
 mod request_quarantine;
+mod stored_crashes;
 
 pub use self::{
     crash::{Crash, CrashId},
     crash_reports::{CrashReport, CrashReports, ReportedCrash},
     quarantine_change::{QuarantineChange, QuarantineEvent, RequestCondition},
     request_quarantine::{RequestQuarantine, SendDecision},
+    stored_crashes::{StoredCrashes, WriteUrgency},
 };
--- a/crates/turmericloft/src/core/quarantine/request_quarantine.rs
+++ b/crates/turmericloft/src/core/quarantine/request_quarantine.rs
@@ -1,6 +1,7 @@
 //! Table of requests that endpoints broke off.
 
 use std::{
+    cmp::Reverse,
     collections::HashMap,
     time::{Duration, Instant},
 };
@@ -136,6 +137,15 @@
         }
     }
 
+    /// What is known of the requests that are most likely to crash endpoints, at most `limit`.
+    pub fn most_suspect(&self, now: Instant, limit: usize) -> Vec<CrashReport> {
+        let mut requests: Vec<_> = self.requests.iter().collect();
+        requests.sort_by_key(|(_, r)| Reverse(suspicion(r)));
+        requests.truncate(limit);
+        let reports = requests.iter().map(|(f, r)| r.history.report(now, **f));
+        reports.collect()
+    }
+
     /// Adds what another gateway reports. Returns what changed.
     pub fn merge(&mut self, now: Instant, reports: Vec<CrashReport>) -> Vec<QuarantineChange> {
         self.forget_old(now);
@@ -192,10 +202,14 @@
     }
 
     fn forget_least_suspect(&mut self) {
-        let suspicion = |r: &TrackedRequest| (r.history.independent_crashes(), r.revision);
         let least = self.requests.iter().min_by_key(|(_, r)| suspicion(r));
         if let Some(request) = least.map(|(f, _)| *f) {
             self.requests.remove(&request);
         }
     }
 }
+
+/// Sort key: requests with more crashes come later, and those that changed last.
+fn suspicion(tracked: &TrackedRequest) -> (u32, u64) {
+    (tracked.history.independent_crashes(), tracked.revision)
+}
--- a/crates/turmericloft/src/ops/shared_quarantine.rs
+++ b/crates/turmericloft/src/ops/shared_quarantine.rs
@@ -91,6 +91,11 @@
         self.table.lock().reports_since(now, since)
     }
 
+    /// What is known of the requests that are most likely to crash endpoints, at most `limit`.
+    pub fn most_suspect(&self, now: Instant, limit: usize) -> Vec<CrashReport> {
+        self.table.lock().most_suspect(now, limit)
+    }
+
     /// Receives the number of changes whenever it rises.
     pub fn revision(&self) -> watch::Receiver<u64> {
         self.revision.subscribe()
--- a/crates/turmericloft/tests/testsuite/quarantine/mod.rs
+++ b/crates/turmericloft/tests/testsuite/quarantine/mod.rs
@@ -2,6 +2,7 @@
 //! are let go.
 
 mod incident;
+mod stored;
 
 use std::time::{Duration, Instant};
 
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/quarantine/stored.rs
@@ -0,0 +1,79 @@
+//! Which crashes a gateway writes to the store.
+
+use std::time::{Duration, Instant};
+
+use turmericloft::core::{
+    guard::Fingerprint,
+    quarantine::{CrashReport, RequestQuarantine, StoredCrashes, WriteUrgency},
+};
+
+use super::{crash, request, table_after};
+
+const LIMIT: usize = 64;
+
+fn reports(table: &RequestQuarantine, now: Instant) -> Vec<CrashReport> {
+    table.most_suspect(now, LIMIT)
+}
+
+#[test]
+fn single_crashes_are_batched_and_repeated_ones_are_not() {
+    for (crashes, expected) in [
+        (0, None),
+        (1, Some(WriteUrgency::Batched)),
+        (2, Some(WriteUrgency::Immediate)),
+    ] {
+        let (table, now) = table_after(crashes);
+        let stored = StoredCrashes::default();
+        assert_eq!(stored.urgency(&reports(&table, now)), expected);
+    }
+}
+
+/// What another zone wrote, and this gateway learned from it, is not written again.
+#[test]
+fn crashes_that_the_store_has_are_not_written_again() {
+    let (table, now) = table_after(3);
+    let read = reports(&table, now);
+    let mut stored = StoredCrashes::default();
+    stored.record(&read);
+    let mut other = RequestQuarantine::new("other", 9);
+    other.merge(now, read);
+    assert_eq!(stored.urgency(&reports(&other, now)), None);
+}
+
+#[test]
+fn response_is_written_only_if_the_store_has_a_crash_that_it_cleared() {
+    let (mut table, now) = table_after(1);
+    let mut stored = StoredCrashes::default();
+    let written = reports(&table, now);
+    table.record_response(now, &request());
+    let cleared = reports(&table, now);
+    assert_eq!(stored.urgency(&cleared), None);
+    stored.record(&written);
+    assert_eq!(stored.urgency(&cleared), Some(WriteUrgency::Batched));
+    stored.record(&cleared);
+    assert_eq!(stored.urgency(&cleared), None);
+}
+
+#[test]
+fn most_suspect_requests_are_reported_first_when_there_are_many() {
+    let (mut table, now) = table_after(3);
+    for i in 0..200 {
+        let sound = Fingerprint::of("h", "POST", &format!("/sound/{i}"), b"");
+        table.record_crash(now, sound, crash(i, now, Duration::ZERO));
+    }
+    let reports = reports(&table, now);
+    assert_eq!(reports.len(), LIMIT);
+    assert_eq!(reports[0].request, request());
+}
+
+/// A gateway that starts long after a record was written does not take its crashes for new.
+#[test]
+fn quarantine_in_an_old_record_ends_when_it_would_have_ended() {
+    let (table, now) = table_after(3);
+    let written = reports(&table, now);
+    let elapsed = super::LONG_QUARANTINE;
+    let aged = written.into_iter().map(|report| report.aged(elapsed));
+    let mut later = RequestQuarantine::new("gw", 2);
+    later.merge(now + elapsed, aged.collect());
+    assert!(!super::is_refused(&later, now + elapsed));
+}
