A request that is quarantined while it waits for capacity is not sent

Callers saw: one more endpoint lost to each copy that was waiting in a gateway's queue when the third crash became known.

Cause: the quarantine was asked when a request arrived, and it may wait for 0.4 of its target latency after that.

Evidence: ingress::crashing_requests::request_that_is_quarantined_while_it_waits_for_capacity_is_not_sent got 200 on the code before. It is asked again once an endpoint is chosen; the placement is given up.

--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -149,6 +149,11 @@
             Ok(placement) => placement,
             Err(unplaced) => return rejection(unplaced),
         };
+        // Another gateway may have reported crashes while the request waited.
+        if let Some(refusal) = refusal(&self.ingress, &self.forwarded) {
+            self.release(first);
+            return ClientResponse::Gateway(refusal);
+        }
         let target = self.forwarded.route.target_latency;
         let hedge_at_first = hedge_at(&first, self.arrived + target);
         let mut hedge_at = Some(hedge_at_first).filter(|_| self.is_idempotent());
@@ -241,13 +246,18 @@
             .lock()
             .try_take_retry(now, &self.service)
         {
-            drop(InFlightAttempt::new(Arc::clone(&self.ingress), placement));
+            self.release(placement);
             return false;
         }
         self.start(placement);
         true
     }
 
+    /// Gives up a placement without sending the request.
+    fn release(&self, placement: Placement) {
+        drop(InFlightAttempt::new(Arc::clone(&self.ingress), placement));
+    }
+
     /// Chooses the endpoint of the first attempt. Waits for capacity only while a response can
     /// still meet the target latency.
     async fn place_first(&mut self) -> Result<Placement, PlacementError> {
--- a/crates/turmericloft/tests/testsuite/ingress/crashing_requests.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/crashing_requests.rs
@@ -1,6 +1,9 @@
 //! Requests that crash the endpoints that run them.
 
+use std::time::Instant;
+
 use tokio::task::yield_now;
+use turmericloft::core::{guard::Fingerprint, quarantine::Crash};
 
 use super::{
     client::{Client, request},
@@ -96,3 +99,40 @@
     assert_eq!(client.response().await.expect("a response").status, 200);
     wait_for_changes(&gateway, 2).await;
 }
+
+/// All slots are taken; while a request waits for one, other gateways report that it crashes endpoints.
+#[tokio::test]
+async fn request_that_is_quarantined_while_it_waits_for_capacity_is_not_sent() {
+    const SLOTS: usize = 16;
+    let endpoint = Endpoint::start(Behaviour::Hold).await;
+    let gateway = Gateway::start(std::slice::from_ref(&endpoint)).await;
+    let mut clients = Vec::new();
+    for i in 0..SLOTS {
+        let mut client = Client::connect(gateway.clients).await;
+        let id = format!("r{i}");
+        client
+            .send(&request("POST", &format!("/act/{i}"), &id))
+            .await;
+        endpoint.arrived.acquire().await.expect("open").forget();
+        clients.push(client);
+    }
+    let mut waiting = Client::connect(gateway.clients).await;
+    waiting.send(&request("POST", "/act/poison", "p")).await;
+    // The response to another client shows that the gateway has read the request before.
+    let mut other = Client::connect(gateway.clients).await;
+    assert_eq!(other.call("GET", "/none", "r").await.status, 404);
+    let poison = Fingerprint::of("h", "POST", "/act/poison", b"");
+    for i in 0..3 {
+        let at = Instant::now();
+        let crash = Crash {
+            endpoint: format!("other{i}").into(),
+            sent_at: at,
+            at,
+        };
+        gateway.quarantine.record_crash(at, poison, crash);
+    }
+    endpoint.release.add_permits(SLOTS + 1);
+    let response = waiting.response().await.expect("a response");
+    assert_eq!(response.status, 503);
+    assert!(endpoint.ran().iter().all(|run| run.target != "/act/poison"));
+}
