Endpoints that leave, or reject for a time, get no requests from the gateway they told so

Bound to address and service, at once, for requests and probes, also when the registry describes the endpoint as ready or its entry comes back under another id; a later start ends the leaving, not the wait.

--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -16,9 +16,10 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::{
-    AttemptOutcome, DiscoveredEndpoint, LoadReport, PlacementError, PlacementRequest, Probe,
-    ProbeOutcome, RetryBudget,
+    AttemptOutcome, DiscoveredEndpoint, EndpointNotice, LoadReport, PlacementError,
+    PlacementRequest, Probe, ProbeOutcome, RetryBudget,
     endpoint_cost::{cost, is_eligible},
+    endpoint_notice::EndpointNotices,
     endpoint_view::EndpointView,
     queue_limit::{SlotShare, queue_limit},
     retry_after::retry_after,
@@ -61,6 +62,7 @@
     /// Gateways that share the endpoints, including this one.
     gateways: usize,
     services: HashMap<Arc<str>, ServiceView>,
+    notices: EndpointNotices,
     rng: Pcg64Mcg,
 }
 
@@ -74,6 +76,7 @@
             probe_rate: None,
             gateways: 1,
             services: HashMap::new(),
+            notices: EndpointNotices::default(),
             rng,
         }
     }
@@ -121,6 +124,7 @@
 
     /// Applies the full list of endpoints. Estimates of endpoints that stay are kept.
     pub fn set_endpoints(&mut self, now: Instant, endpoints: &[DiscoveredEndpoint]) {
+        self.notices.retain_registered(now, endpoints);
         let listed: HashSet<_> = endpoints.iter().map(|e| &e.id).collect();
         for service in self.services.values_mut() {
             service.endpoints.retain(|id, _| listed.contains(id));
@@ -168,8 +172,12 @@
             return Vec::new();
         }
         let baseline = service.baseline(req.target_latency);
+        let notices = &self.notices;
         let can_probe = |v: &&mut EndpointView| {
-            v.accepts_requests() && !v.is_ejected(now) && !req.tried.contains(&v.endpoint.id)
+            v.accepts_requests()
+                && !notices.excludes(now, &v.endpoint)
+                && !v.is_ejected(now)
+                && !req.tried.contains(&v.endpoint.id)
         };
         let zone = &self.zone;
         let rng = &mut self.rng;
@@ -234,8 +242,12 @@
         };
         let service = self.services.get_mut(req.service).ok_or(no_endpoint)?;
         let baseline = service.baseline(req.target_latency);
-        let is_candidate =
-            |v: &&EndpointView| v.accepts_requests() && !req.tried.contains(&v.endpoint.id);
+        let notices = &self.notices;
+        let is_candidate = |v: &&EndpointView| {
+            v.accepts_requests()
+                && !notices.excludes(now, &v.endpoint)
+                && !req.tried.contains(&v.endpoint.id)
+        };
         let views = || service.endpoints.values().filter(is_candidate);
         if views().next().is_none() {
             return Err(no_endpoint);
@@ -286,6 +298,16 @@
         })
     }
 
+    /// Records what an endpoint asked for in a response.
+    pub fn record_notice(
+        &mut self,
+        now: Instant,
+        endpoint: &DiscoveredEndpoint,
+        notice: EndpointNotice,
+    ) {
+        self.notices.record(now, endpoint, notice);
+    }
+
     /// Records the end of an attempt and the load report in its response.
     pub fn record_attempt_end(
         &mut self,
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod discovery_change;
 mod endpoint_cost;
+mod endpoint_notice;
 mod endpoint_view;
 mod load_report;
 mod observation;
@@ -29,6 +30,7 @@
     discovered_endpoint::{DiscoveredEndpoint, EndpointState, InstanceId},
     discovery::DiscoveryTable,
     discovery_change::DiscoveryChange,
+    endpoint_notice::EndpointNotice,
     load_report::LoadReport,
     observation::Observation,
     placement_error::PlacementError,
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -230,6 +230,8 @@
     if metadata.is_other_instance {
         return (AttemptEnd::NotRun, AttemptOutcome::OtherInstance, None);
     }
+    let endpoint = &in_flight.placement().endpoint;
+    ingress.record_notice(endpoint, metadata.notice);
     let is_success = (200..300).contains(&response.status);
     let is_encoded = response.headers.contains("content-encoding");
     if (is_success && !metadata.is_signed) || is_encoded {
--- a/crates/turmericloft/src/ops/ingress/probe.rs
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -111,7 +111,9 @@
     let response = connection
         .exchange(b"GET", &message, is_own_response)
         .await?;
-    let load = ingress.protocol.read_metadata(&response).load;
+    let metadata = ingress.protocol.read_metadata(&response);
+    let load = metadata.load;
+    ingress.record_notice(endpoint, metadata.notice);
     if response.can_reuse_connection {
         ingress.pool.put(ingress.now(), &endpoint.id, connection);
     }
--- a/crates/turmericloft/src/ops/ingress/protocol.rs
+++ b/crates/turmericloft/src/ops/ingress/protocol.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 
 use crate::{
-    core::placement::LoadReport,
+    core::placement::{EndpointNotice, LoadReport},
     sources::http1::{Headers, Response},
 };
 
@@ -31,6 +31,8 @@
     pub is_other_instance: bool,
     /// Load report of the endpoint; `None` if the response has none.
     pub load: Option<LoadReport>,
+    /// What the endpoint asks for.
+    pub notice: EndpointNotice,
 }
 
 /// Names and formats of the headers beyond plain HTTP. An implementation only reads and writes
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -22,7 +22,7 @@
 };
 use crate::{
     core::{
-        placement::{Balancer, DiscoveredEndpoint, WaitQueue},
+        placement::{Balancer, DiscoveredEndpoint, EndpointNotice, WaitQueue},
         traffic::{Route, RouteTable, Splitter},
     },
     ops::SharedQuarantine,
@@ -137,6 +137,29 @@
         self.splitters.lock().retain(|name, _| names.contains(name));
     }
 
+    /// Records what an endpoint asked for in a response, and logs it.
+    pub(super) fn record_notice(&self, endpoint: &DiscoveredEndpoint, notice: EndpointNotice) {
+        if notice == EndpointNotice::default() {
+            return;
+        }
+        let now = self.now();
+        let EndpointNotice {
+            is_leaving,
+            retry_after,
+        } = notice;
+        self.log.write_line(
+            now,
+            "endpoint asks for no requests",
+            format_args!(
+                "endpoint={} peer={} leaving={is_leaving} for_ms={:?}",
+                endpoint.id,
+                endpoint.address,
+                retry_after.map(|d| d.as_millis()),
+            ),
+        );
+        self.balancer.lock().record_notice(now, endpoint, notice);
+    }
+
     /// Counts a request as open until the returned guard is dropped.
     pub(super) fn open_request(self: &Arc<Self>) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::AcqRel);
--- a/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
@@ -31,6 +31,10 @@
     Fail,
     /// Rejects it without running it.
     Shed,
+    /// Rejects it without running it, and asks for no requests for a minute.
+    ShedForAMinute,
+    /// Runs it and responds that it is leaving.
+    Leave,
     /// Responds that the request is for another endpoint.
     OtherInstance,
     /// Closes the connection without running it.
@@ -195,6 +199,13 @@
                 );
                 return send(stream, &shed).await;
             }
+            Behaviour::ShedForAMinute => {
+                let shed = format!(
+                    "HTTP/1.1 503 Busy\r\nId: {id}\r\nNot-Run: 1\r\nWait-S: 60\r\n\
+                     Content-Length: 0\r\n\r\n"
+                );
+                return send(stream, &shed).await;
+            }
             Behaviour::OtherInstance => {
                 let other = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n";
                 return send(stream, other).await;
@@ -229,6 +240,7 @@
                 send(stream, &text).await;
                 false
             }
+            Behaviour::Leave => send(stream, &full.replace("Seal", "Leaving: 1\r\nSeal")).await,
             Behaviour::Unsigned => send(stream, &full.replace("Seal: s\r\n", "")).await,
             Behaviour::Encoded => {
                 send(
--- a/crates/turmericloft/tests/testsuite/ingress/faults.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/faults.rs
@@ -4,7 +4,7 @@
 
 use super::{
     client::Client,
-    endpoint::{Behaviour, Endpoint},
+    endpoint::{Behaviour, Endpoint, Script},
     gateway::Gateway,
 };
 
@@ -37,11 +37,13 @@
         let result = call_endpoint(behaviour, "POST", "/act/1").await;
         assert!(result.runs <= 1, "{behaviour:?}: {} runs", result.runs);
         let expected = match behaviour {
-            Behaviour::Respond | Behaviour::Unframed | Behaviour::Twice | Behaviour::StaleFirst => {
-                200
-            }
+            Behaviour::Leave
+            | Behaviour::Respond
+            | Behaviour::Unframed
+            | Behaviour::Twice
+            | Behaviour::StaleFirst => 200,
             Behaviour::Fail => 500,
-            Behaviour::Shed | Behaviour::OtherInstance => 503,
+            Behaviour::Shed | Behaviour::ShedForAMinute | Behaviour::OtherInstance => 503,
             _ => 502,
         };
         assert_eq!(result.status, expected, "{behaviour:?}");
@@ -160,3 +162,26 @@
     assert_eq!(endpoint.ran().len(), 2);
     assert_eq!(endpoint.disconnected.available_permits(), 0);
 }
+
+/// The endpoint is registered as ready all the while; the other one serves in its place.
+#[tokio::test]
+async fn endpoint_that_asks_for_no_requests_gets_none() {
+    for behaviour in [Behaviour::Leave, Behaviour::ShedForAMinute] {
+        let script = Script::new(&[behaviour], Behaviour::Respond);
+        let endpoints = [
+            Endpoint::start_with_script(&script).await,
+            Endpoint::start_with_script(&script).await,
+        ];
+        let gateway = Gateway::start(&endpoints).await;
+        let mut client = Client::connect(gateway.clients).await;
+        for i in 0..20 {
+            let response = client.call("POST", "/act/1", &format!("r{i}")).await;
+            assert_eq!(response.status, 200, "{behaviour:?}, request {i}");
+        }
+        let mut runs = endpoints.each_ref().map(|e| e.ran().len());
+        runs.sort_unstable();
+        // A rejected request has not run at the endpoint that rejected it.
+        let at_first = usize::from(behaviour == Behaviour::Leave);
+        assert_eq!(runs, [at_first, 20 - at_first], "{behaviour:?}");
+    }
+}
--- a/crates/turmericloft/tests/testsuite/ingress/protocol.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/protocol.rs
@@ -4,7 +4,7 @@
 
 use bytes::{BufMut, BytesMut};
 use turmericloft::{
-    core::placement::LoadReport,
+    core::placement::{EndpointNotice, LoadReport},
     ops::ingress::{AttemptHeaders, EndpointProtocol, ResponseMetadata},
     sources::http1::{Headers, Response},
 };
@@ -52,6 +52,13 @@
                 slots: 4,
                 slowdown: Some(1.0),
             }),
+            notice: EndpointNotice {
+                is_leaving: headers.contains("Leaving"),
+                retry_after: headers
+                    .get_str("Wait-S")
+                    .and_then(|text| text.parse().ok())
+                    .map(Duration::from_secs),
+            },
         }
     }
 }
--- a/crates/turmericloft/tests/testsuite/placement/mod.rs
+++ b/crates/turmericloft/tests/testsuite/placement/mod.rs
@@ -3,6 +3,7 @@
 mod balancer;
 mod discovery;
 mod grey_failure;
+mod notices;
 mod probes;
 mod rejection;
 mod retry_budget;
