Responses without end are rejected after a bounded number of bytes

Callers saw: 504 at the end of their time, and a gateway that spent it on reading what an endpoint in trouble sent: informational responses, trailer fields, chunk extensions or responses to other requests without end.

Cause: only heads and bodies had a bound. Informational responses (16), responses to other requests (4), and the total of chunk extensions and trailer fields (16 KiB) have one now. The connection is closed; the client gets 502, or the answer of another endpoint if the request may be repeated.

--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -28,6 +28,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Largest response body that is forwarded, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
 /// Time past the deadline that the gateway still waits, so that a response which the endpoint sends
 /// at the deadline arrives.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(40);
@@ -191,7 +193,8 @@
             None => !(200..300).contains(&response.status),
         }
     };
-    let response = connection.exchange(&forwarded.req.method, &message, is_own_response);
+    let method = &forwarded.req.method;
+    let response = connection.exchange(method, &message, MAX_BODY_BYTES, is_own_response);
     tokio::select! {
         biased;
         response = response => Some(response),
--- a/crates/turmericloft/src/ops/ingress/probe.rs
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -29,6 +29,9 @@
 /// stopped waiting for them.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Largest body of a response to a probe, in bytes; it is not used.
+const MAX_BODY_BYTES: usize = 64 << 10;
+
 /// Probes the best candidates for a request until one reports available capacity. Probes further
 /// ones while none does, in `rounds` rounds at most.
 pub(super) async fn probe_endpoints(
@@ -109,7 +112,7 @@
     let message = Bytes::from(format!("GET {path} HTTP/1.1\r\nHost: {peer}\r\n\r\n"));
     let is_own_response = |r: &_| ingress.protocol.read_metadata(r).request_id.is_none();
     let response = connection
-        .exchange(b"GET", &message, is_own_response)
+        .exchange(b"GET", &message, MAX_BODY_BYTES, is_own_response)
         .await?;
     let metadata = ingress.protocol.read_metadata(&response);
     let load = metadata.load;
--- a/crates/turmericloft/src/sources/http1/client_connection.rs
+++ b/crates/turmericloft/src/sources/http1/client_connection.rs
@@ -16,8 +16,8 @@
 
 use super::{ExchangeError, ExchangeStep, Response, ResponseError, ResponseReader};
 
-/// Largest response body that is buffered, in bytes.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// Maximum number of responses to other requests that are dropped before the expected one.
+const MAX_UNEXPECTED: u32 = 4;
 /// Idle time before the first TCP keepalive probe and interval between probes; one second is the
 /// shortest that TCP allows. Nothing else detects an idle peer that vanished without a reset.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -91,12 +91,14 @@
     }
 
     /// Sends the encoded request `message` and returns the first response that `is_expected`
-    /// accepts; others belong to earlier requests and are dropped. If the response is complete
+    /// accepts; others belong to earlier requests and are dropped. A body has at most `max_body_bytes`.
+    /// If the response is complete
     /// before the request is fully written, it marks the connection as not reusable.
     pub async fn exchange(
         &mut self,
         method: &[u8],
         message: &[u8],
+        max_body_bytes: usize,
         mut is_expected: impl FnMut(&Response) -> bool,
     ) -> Result<Response, ExchangeError> {
         let peer = self.peer;
@@ -117,7 +119,8 @@
             }
         };
         let (mut rd, mut wr) = self.stream.split();
-        let mut reader = ResponseReader::new(method, MAX_BODY_BYTES);
+        let mut reader = ResponseReader::new(method, max_body_bytes);
+        let mut unexpected = 0;
         let invalid = |source| ExchangeError::Response { peer, source };
         loop {
             self.buf.reserve(READ_BUFFER_BYTES);
@@ -137,7 +140,11 @@
             }
             while let Some(mut response) = reader.next(&mut self.buf).map_err(invalid)? {
                 if !is_expected(&response) {
-                    reader = ResponseReader::new(method, MAX_BODY_BYTES);
+                    unexpected += 1;
+                    if unexpected > MAX_UNEXPECTED {
+                        return Err(invalid(ResponseError::Malformed));
+                    }
+                    reader = ResponseReader::new(method, max_body_bytes);
                     continue;
                 }
                 response.can_reuse_connection &= written == message.len() && self.buf.is_empty();
--- a/crates/turmericloft/src/sources/http1/framing.rs
+++ b/crates/turmericloft/src/sources/http1/framing.rs
@@ -6,6 +6,10 @@
 
 /// Longest chunk size line or trailer line, in bytes.
 const MAX_CHUNK_LINE: usize = 1 << 10;
+/// Longest line with a chunk's size and without an extension, in bytes.
+const PLAIN_CHUNK_LINE: usize = 18;
+/// Largest total of chunk extensions and trailer fields of one body, in bytes. They are discarded.
+const MAX_DISCARDED: usize = 16 << 10;
 
 /// How the end of a message body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,6 +86,8 @@
     state: ChunkState,
     limit: usize,
     body: BytesMut,
+    /// Bytes of chunk extensions and trailer fields so far.
+    discarded: usize,
 }
 
 impl BodyDecoder {
@@ -91,6 +97,7 @@
             state: ChunkState::Size,
             limit,
             body: BytesMut::new(),
+            discarded: 0,
         }
     }
 
@@ -131,12 +138,22 @@
         Ok(n)
     }
 
+    /// Counts bytes that are no part of the body.
+    fn discard(&mut self, bytes: usize) -> Result<(), BodyDecodeError> {
+        self.discarded += bytes;
+        if self.discarded > MAX_DISCARDED {
+            return Err(BodyDecodeError::BadChunk);
+        }
+        Ok(())
+    }
+
     fn decode_chunks(&mut self, buf: &mut BytesMut) -> Result<bool, BodyDecodeError> {
         loop {
             match self.state {
                 ChunkState::Size => match httparse::parse_chunk_size(buf) {
                     Ok(httparse::Status::Complete((used, size))) => {
                         buf.advance(used);
+                        self.discard(used.saturating_sub(PLAIN_CHUNK_LINE))?;
                         self.state = match size {
                             0 => ChunkState::Trailers,
                             n => ChunkState::Data(n),
@@ -169,6 +186,7 @@
                 ChunkState::Trailers => match buf.iter().position(|b| *b == b'\n') {
                     Some(end) => {
                         let line = buf.split_to(end + 1);
+                        self.discard(line.len())?;
                         if line.trim_ascii().is_empty() {
                             self.state = ChunkState::Done;
                         }
--- a/crates/turmericloft/src/sources/http1/response_reader.rs
+++ b/crates/turmericloft/src/sources/http1/response_reader.rs
@@ -13,6 +13,8 @@
 const MAX_HEADERS: usize = 100;
 /// Largest head of a response, in bytes: status line and header fields.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Maximum number of informational responses before a response.
+const MAX_INFORMATIONAL: u32 = 16;
 
 /// Why the bytes received are not a complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -49,6 +51,8 @@
 pub struct ResponseReader {
     is_head_request: bool,
     max_body_bytes: usize,
+    /// Informational responses so far.
+    informational: u32,
     partial: Option<PartialResponse>,
 }
 
@@ -59,6 +63,7 @@
         Self {
             is_head_request: method == b"HEAD",
             max_body_bytes,
+            informational: 0,
             partial: None,
         }
     }
@@ -110,6 +115,10 @@
         let status = parsed.code.ok_or(ResponseError::Malformed)?;
         if (100..200).contains(&status) {
             buf.advance(used);
+            self.informational += 1;
+            if self.informational > MAX_INFORMATIONAL {
+                return Err(ResponseError::Malformed);
+            }
             return Ok(!buf.is_empty());
         }
         let head = buf.split_to(used).freeze();
--- a/crates/turmericloft/tests/testsuite/http1/responses.rs
+++ b/crates/turmericloft/tests/testsuite/http1/responses.rs
@@ -62,6 +62,34 @@
     );
 }
 
+/// Bytes without end are rejected after a bounded number, however they arrive.
+#[test]
+fn responses_without_end_are_rejected_in_time() {
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let extension = format!("1;{}\r\nb\r\n", "e".repeat(900));
+    let cases = [
+        (String::new(), "HTTP/1.1 102 Processing\r\n\r\n"),
+        ("HTTP/1.1 200 OK\r\nA: ".to_owned(), "aaaa"),
+        ("HTTP/1.1 200 OK\r\n".to_owned(), "A: b\r\n"),
+        ("HTTP/1.1 200 OK\r\n\r\n".to_owned(), "body"),
+        (chunked.to_owned(), "4\r\nbody\r\n"),
+        (format!("{chunked}4;"), "eeee"),
+        (chunked.to_owned(), &extension),
+        (format!("{chunked}0\r\n"), "A: b\r\n"),
+    ];
+    for (head, part) in cases {
+        let endless = head.clone() + &part.repeat((1 << 20) / part.len());
+        for size in [7_000, 1 << 20] {
+            let result = read(endless.as_bytes(), size).map(|r| r.status);
+            let is_rejected = matches!(
+                result,
+                Err(ResponseError::Malformed | ResponseError::TooLarge)
+            );
+            assert!(is_rejected, "{head:?} {part:?}: {result:?}");
+        }
+    }
+}
+
 #[test]
 fn truncated_responses_are_never_complete() {
     let message = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
--- a/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
@@ -57,6 +57,24 @@
     StaleOnly,
     /// Sends its response twice.
     Twice,
+    /// Runs it and sends informational responses without end.
+    EndlessInformational,
+    /// Runs it and sends a header field without end.
+    EndlessHeader,
+    /// Runs it and sends header fields without end.
+    EndlessHead,
+    /// Runs it and sends a body without a length and without end.
+    EndlessBody,
+    /// Runs it and sends chunks without end.
+    EndlessChunks,
+    /// Runs it and sends an extension of a chunk without end.
+    EndlessExtension,
+    /// Runs it and sends small chunks with large extensions without end.
+    EndlessExtensions,
+    /// Runs it and sends trailer fields without end.
+    EndlessTrailers,
+    /// Runs it and sends responses to other requests without end.
+    EndlessStale,
     /// Runs it once the test releases it.
     Hold,
     /// Runs it, and closes the connection without a response once the test releases it.
@@ -259,6 +277,33 @@
                 false
             }
             Behaviour::Twice => send(stream, &(full.clone() + &full)).await,
+            Behaviour::EndlessInformational => {
+                send_endlessly(stream, "", "HTTP/1.1 102 Processing\r\n\r\n").await
+            }
+            Behaviour::EndlessHeader => send_endlessly(stream, "HTTP/1.1 200 OK\r\nA: ", "a").await,
+            Behaviour::EndlessHead => {
+                send_endlessly(stream, "HTTP/1.1 200 OK\r\n", "A: b\r\n").await
+            }
+            Behaviour::EndlessBody => {
+                let head = format!("HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n\r\n");
+                send_endlessly(stream, &head, "body").await
+            }
+            Behaviour::EndlessChunks => {
+                send_endlessly(stream, &chunked(&id), "4\r\nbody\r\n").await
+            }
+            Behaviour::EndlessExtension => {
+                send_endlessly(stream, &(chunked(&id) + "4;"), "e").await
+            }
+            Behaviour::EndlessExtensions => {
+                let chunk = format!("1;{}\r\nb\r\n", "e".repeat(900));
+                send_endlessly(stream, &chunked(&id), &chunk).await
+            }
+            Behaviour::EndlessTrailers => {
+                send_endlessly(stream, &(chunked(&id) + "0\r\n"), "A: b\r\n").await
+            }
+            Behaviour::EndlessStale => {
+                send_endlessly(stream, "", &response("another", "stale")).await
+            }
             _ => send(stream, &full).await,
         }
     }
@@ -281,6 +326,22 @@
     format!("HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: {length}\r\n\r\n{body}")
 }
 
+/// Head of a response with a chunked body.
+fn chunked(id: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+}
+
+/// Sends `head` and then `part` again and again until the gateway closes the connection.
+async fn send_endlessly(stream: &mut TcpStream, head: &str, part: &str) -> bool {
+    const PARTS_PER_WRITE: usize = 256;
+    let parts = part.repeat(PARTS_PER_WRITE);
+    let mut is_open = send(stream, head).await;
+    while is_open {
+        is_open = send(stream, &parts).await;
+    }
+    false
+}
+
 /// Returns false if the gateway has closed the connection, which is not an error in these tests.
 async fn send(stream: &mut TcpStream, text: &str) -> bool {
     stream.write_all(text.as_bytes()).await.is_ok()
