Large response bodies share a part of the process's memory

Callers saw (by reading, no run): a gateway of 160 MiB killed for its memory while ten endpoints send bodies without end, up to 16 MiB for each request, and with it all other requests that it had.

Cause: the bound was for each body alone. Small bodies never wait.

Test: http1::responses::large_bodies_share_a_budget_and_leave_small_ones_room (new with the budget).

--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -21,7 +21,7 @@
         quarantine::Crash,
         traffic::Route,
     },
-    sources::http1::{ClientConnection, ExchangeError, Request, Response},
+    sources::http1::{ClientConnection, ExchangeError, Request, Response, ResponseLimits},
 };
 
 /// Timeout for opening a connection to an endpoint: several round trips and one retransmission.
@@ -194,7 +194,11 @@
         }
     };
     let method = &forwarded.req.method;
-    let response = connection.exchange(method, &message, MAX_BODY_BYTES, is_own_response);
+    let limits = ResponseLimits {
+        body_bytes: MAX_BODY_BYTES,
+        budget: Some(ingress.body_budget.clone()),
+    };
+    let response = connection.exchange(method, &message, &limits, is_own_response);
     tokio::select! {
         biased;
         response = response => Some(response),
--- a/crates/turmericloft/src/ops/ingress/probe.rs
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -16,7 +16,7 @@
         placement::{LoadReport, PlacementRequest, Probe, ProbeOutcome},
         traffic::RouteKind,
     },
-    sources::http1::{ClientConnection, ExchangeError},
+    sources::http1::{ClientConnection, ExchangeError, ResponseLimits},
 };
 
 /// Share of the target latency that a request waits for responses to its probes.
@@ -111,8 +111,12 @@
     let peer = endpoint.address;
     let message = Bytes::from(format!("GET {path} HTTP/1.1\r\nHost: {peer}\r\n\r\n"));
     let is_own_response = |r: &_| ingress.protocol.read_metadata(r).request_id.is_none();
+    let limits = ResponseLimits {
+        body_bytes: MAX_BODY_BYTES,
+        budget: None,
+    };
     let response = connection
-        .exchange(b"GET", &message, MAX_BODY_BYTES, is_own_response)
+        .exchange(b"GET", &message, &limits, is_own_response)
         .await?;
     let metadata = ingress.protocol.read_metadata(&response);
     let load = metadata.load;
--- a/crates/turmericloft/src/ops/ingress/settings.rs
+++ b/crates/turmericloft/src/ops/ingress/settings.rs
@@ -24,6 +24,9 @@
     /// Largest number of probes per second that an endpoint may get from all gateways together;
     /// `None` sets no limit.
     pub max_endpoint_probe_rate: Option<f64>,
+    /// Memory for the large bodies of endpoints' responses together, in bytes. A response that finds none
+    /// left counts as incomplete.
+    pub body_memory_bytes: usize,
     /// Budget for the retries that this gateway sends, applied to each service separately.
     pub retry_budget: RetryBudget,
 }
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -26,6 +26,7 @@
         traffic::{Route, RouteTable, Splitter},
     },
     ops::SharedQuarantine,
+    sources::http1::BodyBudget,
     util::{host_clock::HostClock, rate_limited_log::RateLimitedLog},
 };
 
@@ -56,6 +57,8 @@
     /// for capacity.
     pub(super) capacity_freed: Notify,
     pub(super) pool: ConnectionPool,
+    /// Memory for the large bodies of endpoints' responses.
+    pub(super) body_budget: BodyBudget,
     pub(super) log: RateLimitedLog,
     /// Cancelled when the gateway begins to stop; responses then close the clients' connections.
     pub(super) stopping: CancellationToken,
@@ -86,6 +89,7 @@
         seed: u64,
         clock: HostClock,
     ) -> Arc<Self> {
+        let body_budget = BodyBudget::new(settings.body_memory_bytes);
         let budget = settings.retry_budget.clone();
         let zone = Arc::clone(&settings.zone);
         let balancer = Balancer::new(zone, budget, Pcg64Mcg::seed_from_u64(seed));
@@ -99,6 +103,7 @@
             queue: Mutex::new(WaitQueue::new()),
             capacity_freed: Notify::new(),
             pool: ConnectionPool::default(),
+            body_budget,
             log: RateLimitedLog::default(),
             stopping: CancellationToken::new(),
             closing_idle: CancellationToken::new(),
--- a/crates/turmericloft/src/sources/http1/client_connection.rs
+++ b/crates/turmericloft/src/sources/http1/client_connection.rs
@@ -14,7 +14,7 @@
     time::timeout,
 };
 
-use super::{ExchangeError, ExchangeStep, Response, ResponseError, ResponseReader};
+use super::{ExchangeError, ExchangeStep, Response, ResponseError, ResponseLimits, ResponseReader};
 
 /// Maximum number of responses to other requests that are dropped before the expected one.
 const MAX_UNEXPECTED: u32 = 4;
@@ -91,14 +91,13 @@
     }
 
     /// Sends the encoded request `message` and returns the first response that `is_expected`
-    /// accepts; others belong to earlier requests and are dropped. A body has at most `max_body_bytes`.
-    /// If the response is complete
+    /// accepts; others belong to earlier requests and are dropped. If the response is complete
     /// before the request is fully written, it marks the connection as not reusable.
     pub async fn exchange(
         &mut self,
         method: &[u8],
         message: &[u8],
-        max_body_bytes: usize,
+        limits: &ResponseLimits,
         mut is_expected: impl FnMut(&Response) -> bool,
     ) -> Result<Response, ExchangeError> {
         let peer = self.peer;
@@ -119,7 +118,7 @@
             }
         };
         let (mut rd, mut wr) = self.stream.split();
-        let mut reader = ResponseReader::new(method, max_body_bytes);
+        let mut reader = ResponseReader::new(method, limits.clone());
         let mut unexpected = 0;
         let invalid = |source| ExchangeError::Response { peer, source };
         loop {
@@ -144,7 +143,7 @@
                     if unexpected > MAX_UNEXPECTED {
                         return Err(invalid(ResponseError::Malformed));
                     }
-                    reader = ResponseReader::new(method, max_body_bytes);
+                    reader = ResponseReader::new(method, limits.clone());
                     continue;
                 }
                 response.can_reuse_connection &= written == message.len() && self.buf.is_empty();
--- a/crates/turmericloft/src/sources/http1/framing.rs
+++ b/crates/turmericloft/src/sources/http1/framing.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
-use super::Headers;
+use super::{Headers, body_budget::BodyShare};
 
 /// Longest chunk size line or trailer line, in bytes.
 const MAX_CHUNK_LINE: usize = 1 << 10;
@@ -66,7 +66,7 @@
 pub(super) enum BodyDecodeError {
     /// The chunked encoding is malformed.
     BadChunk,
-    /// The body exceeds the size limit.
+    /// The body exceeds the size limit or the memory for bodies.
     TooLarge,
 }
 
@@ -88,16 +88,19 @@
     body: BytesMut,
     /// Bytes of chunk extensions and trailer fields so far.
     discarded: usize,
+    /// Share of the memory for bodies; `None` if it is not limited.
+    share: Option<BodyShare>,
 }
 
 impl BodyDecoder {
-    pub(super) fn new(framing: BodyFraming, limit: usize) -> Self {
+    pub(super) fn new(framing: BodyFraming, limit: usize, share: Option<BodyShare>) -> Self {
         Self {
             framing,
             state: ChunkState::Size,
             limit,
             body: BytesMut::new(),
             discarded: 0,
+            share,
         }
     }
 
@@ -120,13 +123,19 @@
         }
     }
 
-    pub(super) fn into_body(self) -> Bytes {
-        self.body.freeze()
+    /// Returns the body and its share of the memory.
+    pub(super) fn into_body(self) -> (Bytes, Option<BodyShare>) {
+        (self.body.freeze(), self.share)
     }
 
     fn consume(&mut self, buf: &mut BytesMut, max: usize) -> Result<usize, BodyDecodeError> {
         let n = buf.len().min(max);
-        if self.body.len() + n > self.limit {
+        let length = self.body.len() + n;
+        let has_memory = self
+            .share
+            .as_mut()
+            .is_none_or(|share| share.grow_to(length));
+        if length > self.limit || !has_memory {
             return Err(BodyDecodeError::TooLarge);
         }
         if self.body.is_empty() && n > 0 {
--- a/crates/turmericloft/src/sources/http1/mod.rs
+++ b/crates/turmericloft/src/sources/http1/mod.rs
@@ -2,6 +2,7 @@
 //! requests, unexpected bytes after a response, truncated responses, and whether any byte of a
 //! request was sent.
 
+mod body_budget;
 mod client_connection;
 mod exchange_error;
 mod framing;
@@ -13,6 +14,7 @@
 mod response_reader;
 
 pub use self::{
+    body_budget::BodyBudget,
     client_connection::ClientConnection,
     exchange_error::{ExchangeError, ExchangeStep},
     framing::BodyFraming,
@@ -21,5 +23,5 @@
     request_error::RequestError,
     request_reader::{ReaderLimits, RequestReader},
     response::Response,
-    response_reader::{ResponseError, ResponseReader},
+    response_reader::{ResponseError, ResponseLimits, ResponseReader},
 };
--- a/crates/turmericloft/src/sources/http1/request_reader.rs
+++ b/crates/turmericloft/src/sources/http1/request_reader.rs
@@ -74,7 +74,7 @@
         self.expects_continue = false;
         let partial = self.partial.take();
         Ok(partial.map(|partial| Request {
-            body: partial.body.into_body(),
+            body: partial.body.into_body().0,
             ..partial.req
         }))
     }
@@ -129,6 +129,6 @@
         headers,
         body: Bytes::new(),
     };
-    let body = BodyDecoder::new(framing, limits.body_bytes);
+    let body = BodyDecoder::new(framing, limits.body_bytes, None);
     Ok(PartialRequest { req, body })
 }
--- a/crates/turmericloft/src/sources/http1/response.rs
+++ b/crates/turmericloft/src/sources/http1/response.rs
@@ -1,8 +1,10 @@
 //! A complete response of a server.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 
-use super::Headers;
+use super::{Headers, body_budget::BodyShare};
 
 /// A response with its complete body.
 #[derive(Clone, Debug)]
@@ -17,4 +19,6 @@
     pub body: Bytes,
     /// Whether the connection can carry another request.
     pub can_reuse_connection: bool,
+    /// Held until the last copy of the response is dropped.
+    pub(super) _body_share: Option<Arc<BodyShare>>,
 }
--- a/crates/turmericloft/src/sources/http1/response_reader.rs
+++ b/crates/turmericloft/src/sources/http1/response_reader.rs
@@ -1,11 +1,13 @@
 //! Incremental reader of one response.
 
+use std::sync::Arc;
+
 use bytes::{Buf, Bytes, BytesMut};
 use httparse::Status;
 use thiserror::Error;
 
 use super::{
-    BodyFraming, Headers, Response,
+    BodyBudget, BodyFraming, Headers, Response,
     framing::{BodyDecodeError, BodyDecoder},
 };
 
@@ -25,7 +27,7 @@
     /// The connection was closed before the response was complete.
     #[error("the connection was closed before the response was complete")]
     Truncated,
-    /// The body exceeds the size limit.
+    /// The body exceeds the size limit, or the memory that large bodies share.
     #[error("the response body is too large")]
     TooLarge,
 }
@@ -46,11 +48,20 @@
     body: BodyDecoder,
 }
 
+/// How large the body of a response may be.
+#[derive(Clone, Debug)]
+pub struct ResponseLimits {
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Memory that the body shares with others; `None` if it is not limited.
+    pub budget: Option<BodyBudget>,
+}
+
 /// Reads the response to one request from bytes as they arrive.
 #[derive(Debug)]
 pub struct ResponseReader {
     is_head_request: bool,
-    max_body_bytes: usize,
+    limits: ResponseLimits,
     /// Informational responses so far.
     informational: u32,
     partial: Option<PartialResponse>,
@@ -58,11 +69,11 @@
 
 impl ResponseReader {
     /// Creates a reader of the response to a request with this method; the response to `HEAD` has
-    /// no body. `max_body_bytes` is the largest body that is accepted, in bytes.
-    pub fn new(method: &[u8], max_body_bytes: usize) -> Self {
+    /// no body.
+    pub fn new(method: &[u8], limits: ResponseLimits) -> Self {
         Self {
             is_head_request: method == b"HEAD",
-            max_body_bytes,
+            limits,
             informational: 0,
             partial: None,
         }
@@ -98,8 +109,10 @@
 
     fn take(&mut self) -> Option<Response> {
         let partial = self.partial.take()?;
+        let (body, share) = partial.body.into_body();
         Some(Response {
-            body: partial.body.into_body(),
+            body,
+            _body_share: share.map(Arc::new),
             ..partial.response
         })
     }
@@ -141,6 +154,7 @@
             Some(framing) => framing,
             None => BodyFraming::UntilClose,
         };
+        let share = self.limits.budget.as_ref().map(BodyBudget::share);
         let closes = headers.contains_token("connection", "close") || !http_11;
         Ok(PartialResponse {
             response: Response {
@@ -148,10 +162,11 @@
                 reason: Bytes::copy_from_slice(reason.as_bytes()),
                 headers,
                 body: Bytes::new(),
+                _body_share: None,
                 can_reuse_connection: !closes && framing != BodyFraming::UntilClose,
             },
             framing,
-            body: BodyDecoder::new(framing, self.max_body_bytes),
+            body: BodyDecoder::new(framing, self.limits.body_bytes, share),
         })
     }
 }
--- a/crates/turmericloft/tests/testsuite/http1/responses.rs
+++ b/crates/turmericloft/tests/testsuite/http1/responses.rs
@@ -2,12 +2,18 @@
 
 use bytes::BytesMut;
 use proptest::prelude::*;
-use turmericloft::sources::http1::{Response, ResponseError, ResponseReader};
+use turmericloft::sources::http1::{
+    BodyBudget, Response, ResponseError, ResponseLimits, ResponseReader,
+};
 
 /// Reads the response to a `GET` from `bytes`, which arrive in pieces of `size` bytes before the
 /// connection is closed.
 fn read(bytes: &[u8], size: usize) -> Result<Response, ResponseError> {
-    let mut reader = ResponseReader::new(b"GET", 1_000);
+    let limits = ResponseLimits {
+        body_bytes: 1_000,
+        budget: None,
+    };
+    let mut reader = ResponseReader::new(b"GET", limits);
     let mut buf = BytesMut::new();
     for piece in bytes.chunks(size) {
         buf.extend_from_slice(piece);
@@ -62,6 +68,35 @@
     );
 }
 
+/// Reads a response with a body of this length within `budget`.
+fn read_body(length: usize, budget: &BodyBudget) -> Result<Response, ResponseError> {
+    let limits = ResponseLimits {
+        body_bytes: usize::MAX,
+        budget: Some(budget.clone()),
+    };
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+    let mut reader = ResponseReader::new(b"GET", limits);
+    let mut buf = BytesMut::from(text.as_bytes());
+    buf.resize(text.len() + length, b'x');
+    Ok(reader.next(&mut buf)?.expect("complete"))
+}
+
+#[test]
+fn large_bodies_share_a_budget_and_leave_small_ones_room() {
+    const MIB: usize = 1 << 20;
+    let budget = BodyBudget::new(2 * MIB);
+    let first = read_body(2 * MIB, &budget).expect("enough memory");
+    let copy = first.clone();
+    let too_large = |result: Result<Response, _>| result.err() == Some(ResponseError::TooLarge);
+    assert!(too_large(read_body(MIB, &budget)));
+    assert!(read_body(60_000, &budget).is_ok());
+    drop(first);
+    assert!(too_large(read_body(MIB, &budget)));
+    drop(copy);
+    assert!(read_body(2 * MIB, &budget).is_ok());
+    assert!(too_large(read_body(3 * MIB, &budget)));
+}
+
 /// Bytes without end are rejected after a bounded number, however they arrive.
 #[test]
 fn responses_without_end_are_rejected_in_time() {
--- a/crates/turmericloft/tests/testsuite/ingress/client.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/client.rs
@@ -7,7 +7,12 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
-use turmericloft::sources::http1::{Response, ResponseReader};
+use turmericloft::sources::http1::{Response, ResponseLimits, ResponseReader};
+
+const LIMITS: ResponseLimits = ResponseLimits {
+    body_bytes: 1 << 20,
+    budget: None,
+};
 
 /// A client connection to a gateway.
 pub struct Client {
@@ -33,7 +38,7 @@
     /// Reads the next response; `None` if the connection was closed without a reset before one
     /// began.
     pub async fn response(&mut self) -> Option<Response> {
-        let mut reader = ResponseReader::new(b"GET", 1 << 20);
+        let mut reader = ResponseReader::new(b"GET", LIMITS);
         loop {
             let next = reader.next(&mut self.buf);
             if let Some(response) = next.expect("the gateway writes well-formed responses") {
