Gateways hold their reserve of retries back after a restart, and share what the fleet is allowed

Cause: each gateway may send a retry or two without requests, and forgot with its process that it had done so; the number did not depend on what the fleet is allowed together. A gateway that starts while others run holds its reserve back for one window now, and the reserves of the gateways that it knows add up to the slack of the settings at most.

Evidence: placement::retry_budget::retries_of_a_whole_fleet_stay_within_the_limit_when_all_gateways_start_again failed without either.

--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -89,6 +89,9 @@
     /// Sets the number of gateways that share the endpoints, including this one.
     pub fn set_gateways(&mut self, gateways: usize) {
         self.gateways = gateways;
+        self.retry_budget.share_reserve(gateways);
+        let services = self.services.values_mut();
+        services.for_each(|s| s.retry_budget.share_reserve(gateways));
     }
 
     /// Number of requests of a service that may wait at this gateway for up to `max_wait`.
--- a/crates/turmericloft/src/core/placement/retry_budget.rs
+++ b/crates/turmericloft/src/core/placement/retry_budget.rs
@@ -24,7 +24,14 @@
 pub struct RetryBudget {
     window: Duration,
     ratio: f64,
+    /// Reserve of this gateway.
     reserve: f64,
+    /// Largest reserve of a gateway.
+    max_reserve: f64,
+    /// Reserve of all gateways together; `None` if it is not limited.
+    shared_reserve: Option<f64>,
+    /// When the reserve may be used; `None` if at once.
+    reserve_from: Option<Instant>,
     slices: VecDeque<Slice>,
 }
 
@@ -35,10 +42,34 @@
             window,
             ratio,
             reserve,
+            max_reserve: reserve,
+            shared_reserve: None,
+            reserve_from: None,
             slices: VecDeque::new(),
         }
     }
 
+    /// Limits the reserves of all gateways together to `shared_reserve` retries in each window.
+    #[must_use]
+    pub fn with_shared_reserve(mut self, shared_reserve: f64) -> Self {
+        self.shared_reserve = Some(shared_reserve);
+        self
+    }
+
+    /// Holds the reserve back for a window: before a restart the host may have used it already.
+    #[must_use]
+    pub fn after_restart(mut self, now: Instant) -> Self {
+        self.reserve_from = Some(now + self.window);
+        self
+    }
+
+    /// Sets the number of gateways that share the reserve, including this one.
+    pub fn share_reserve(&mut self, gateways: usize) {
+        let equal_share = |shared: f64| shared / gateways.max(1) as f64;
+        let share = self.shared_reserve.map_or(self.max_reserve, equal_share);
+        self.reserve = share.min(self.max_reserve);
+    }
+
     /// Records a request, which adds `ratio` retries to the window.
     pub fn record_request(&mut self, now: Instant) {
         self.current_slice(now).requests += 1;
@@ -49,7 +80,9 @@
         self.current_slice(now);
         let requests: u32 = self.slices.iter().map(|s| s.requests).sum();
         let retries: u32 = self.slices.iter().map(|s| s.retries).sum();
-        let allowed = f64::from(requests) * self.ratio + self.reserve;
+        let has_reserve = self.reserve_from.is_none_or(|from| from <= now);
+        let reserve = if has_reserve { self.reserve } else { 0.0 };
+        let allowed = f64::from(requests) * self.ratio + reserve;
         if f64::from(retries) + 1.0 > allowed {
             return false;
         }
