--- a/crates/turmericloft/src/core/quarantine/mod.rs
+++ b/crates/turmericloft/src/core/quarantine/mod.rs
@@ -21,5 +21,5 @@
     crash_reports::{CrashReport, CrashReports, ReportedCrash},
     quarantine_change::{QuarantineChange, QuarantineEvent, RequestCondition},
     request_quarantine::{RequestQuarantine, SendDecision},
-    stored_crashes::{StoredCrashes, WriteUrgency},
+    stored_crashes::StoredCrashes,
 };
--- a/crates/turmericloft/src/core/quarantine/stored_crashes.rs
+++ b/crates/turmericloft/src/core/quarantine/stored_crashes.rs
@@ -1,12 +1,15 @@
 //! Which crashes have to be written to the store that all availability zones read.
 
-use std::collections::HashSet;
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 use super::{CrashId, CrashReport};
 
 /// How soon a gateway has to write what the store lacks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum WriteUrgency {
+enum WriteUrgency {
     /// Only requests that were broken off once, of which most are sound, or crashes that a response
     /// has cleared.
     Batched,
@@ -14,14 +17,37 @@
     Immediate,
 }
 
+impl WriteUrgency {
+    /// Time for which changes are collected before they are written.
+    fn delay(self) -> Duration {
+        match self {
+            Self::Batched => Duration::from_millis(500),
+            Self::Immediate => Duration::from_millis(20),
+        }
+    }
+
+    /// Least time between two writes.
+    fn interval(self) -> Duration {
+        match self {
+            Self::Batched => Duration::from_secs(4),
+            Self::Immediate => Duration::from_secs(1),
+        }
+    }
+}
+
 /// The crashes that the store holds, as far as the gateway that reads them knows.
 ///
-/// Load pattern: an endpoint that crashes breaks off many sound requests at once, on all gateways, and
-/// calls to the store are few. So most crashes are written together with others, and none twice.
+/// Load pattern: an endpoint that crashes, or resets connections when it is full, breaks off many sound
+/// requests at once, on all gateways, and each write to the store is read by all zones. So the first
+/// crash after a quiet time is written soon, and those that follow together with others. None is
+/// written twice.
 #[derive(Clone, Debug, Default)]
 pub struct StoredCrashes {
     crashes: HashSet<CrashId>,
     cleared: HashSet<CrashId>,
+    /// Since when the store lacks something; `None` if it does not.
+    outdated_since: Option<Instant>,
+    written_at: Option<Instant>,
 }
 
 impl StoredCrashes {
@@ -42,12 +68,27 @@
         self.cleared.retain(|id| known.contains(id));
     }
 
-    /// How soon the table has to be written; `None` if the store lacks nothing of it.
-    pub fn urgency(&self, table: &[CrashReport]) -> Option<WriteUrgency> {
-        table
+    /// Records that the table was written.
+    pub fn record_write(&mut self, now: Instant, table: &[CrashReport]) {
+        self.record(table);
+        self.written_at = Some(now);
+        self.outdated_since = None;
+    }
+
+    /// When the table has to be written; `None` if the store lacks nothing of it.
+    pub fn write_due(&mut self, now: Instant, table: &[CrashReport]) -> Option<Instant> {
+        let urgency = table
             .iter()
             .filter_map(|report| self.urgency_of(report))
-            .max()
+            .max();
+        let Some(urgency) = urgency else {
+            self.outdated_since = None;
+            return None;
+        };
+        let since = *self.outdated_since.get_or_insert(now);
+        let collected_at = since + urgency.delay();
+        let next_write = self.written_at.map(|at| at + urgency.interval());
+        Some(next_write.map_or(collected_at, |at| at.max(collected_at)))
     }
 
     fn urgency_of(&self, report: &CrashReport) -> Option<WriteUrgency> {
--- a/crates/turmericloft/tests/testsuite/quarantine/stored.rs
+++ b/crates/turmericloft/tests/testsuite/quarantine/stored.rs
@@ -4,7 +4,7 @@
 
 use turmericloft::core::{
     guard::Fingerprint,
-    quarantine::{CrashReport, RequestQuarantine, StoredCrashes, WriteUrgency},
+    quarantine::{CrashReport, RequestQuarantine, StoredCrashes},
 };
 
 use super::{crash, request, table_after};
@@ -16,16 +16,37 @@
 }
 
 #[test]
-fn single_crashes_are_batched_and_repeated_ones_are_not() {
-    for (crashes, expected) in [
-        (0, None),
-        (1, Some(WriteUrgency::Batched)),
-        (2, Some(WriteUrgency::Immediate)),
-    ] {
+fn single_crashes_are_collected_and_repeated_ones_are_written_sooner() {
+    let due_after = |crashes| {
         let (table, now) = table_after(crashes);
-        let stored = StoredCrashes::default();
-        assert_eq!(stored.urgency(&reports(&table, now)), expected);
+        let due = StoredCrashes::default().write_due(now, &reports(&table, now));
+        due.map(|at| at - now)
+    };
+    assert_eq!(due_after(0), None);
+    let single = due_after(1).expect("a write");
+    let repeated = due_after(2).expect("a write");
+    assert!(repeated < single);
+    // A third of the shortest time within which all gateways have to know.
+    assert!(single <= Duration::from_secs(1));
+}
+
+/// Endpoints that reset connections when they are full break off a request every 10 ms for a minute.
+#[test]
+fn single_crashes_of_many_requests_are_written_a_few_times_a_minute() {
+    let (mut table, start) = table_after(0);
+    let mut stored = StoredCrashes::default();
+    let mut writes = 0;
+    for i in 0..6_000 {
+        let now = start + Duration::from_millis(10) * i;
+        let sound = Fingerprint::of("h", "POST", &format!("/sound/{i}"), b"");
+        table.record_crash(now, sound, crash(i as usize, now, Duration::ZERO));
+        let table = reports(&table, now);
+        if stored.write_due(now, &table).is_some_and(|at| at <= now) {
+            stored.record_write(now, &table);
+            writes += 1;
+        }
     }
+    assert!((5..=20).contains(&writes), "{writes} writes");
 }
 
 /// What another zone wrote, and this gateway learned from it, is not written again.
@@ -37,7 +58,7 @@
     stored.record(&read);
     let mut other = RequestQuarantine::new("other", 9);
     other.merge(now, read);
-    assert_eq!(stored.urgency(&reports(&other, now)), None);
+    assert_eq!(stored.write_due(now, &reports(&other, now)), None);
 }
 
 #[test]
@@ -47,11 +68,11 @@
     let written = reports(&table, now);
     table.record_response(now, &request());
     let cleared = reports(&table, now);
-    assert_eq!(stored.urgency(&cleared), None);
+    assert_eq!(stored.write_due(now, &cleared), None);
     stored.record(&written);
-    assert_eq!(stored.urgency(&cleared), Some(WriteUrgency::Batched));
+    assert!(stored.write_due(now, &cleared).is_some());
     stored.record(&cleared);
-    assert_eq!(stored.urgency(&cleared), None);
+    assert_eq!(stored.write_due(now, &cleared), None);
 }
 
 #[test]
