--- a/crates/turmericloft-cli/tests/testsuite/crashing_request.rs
+++ b/crates/turmericloft-cli/tests/testsuite/crashing_request.rs
@@ -1,18 +1,18 @@
 //! A request that crashes endpoints, sent to gateways of three availability zones. The gateways are
 //! separate processes.
 
-use std::{
-    fs,
-    net::{Ipv4Addr, SocketAddr},
-};
+use std::{fs, net::SocketAddr};
 
-use serde_json::json;
+use bytes::BytesMut;
 use tempfile::TempDir;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
-use turmericloft_platform::standin::{CrashingEndpoint, StandinStore};
+use turmericloft::sources::http1::{Response, ResponseLimits, ResponseReader};
+use turmericloft_platform::standin::{
+    CrashingEndpoint, GatewayHost, StandinStore, config, readiness_check, request,
+};
 
 use crate::support::{Process, eventually};
 
@@ -23,65 +23,56 @@
 /// Metric that counts what a gateway learns of requests that crash endpoints.
 const CHANGES: &str = "turmericloft_ingress_quarantine_changes_total";
 
+const METRICS_REQUEST: &str = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n";
+
 /// A gateway on a loopback address of its own, since the port of its metrics is fixed.
 struct Gateway {
-    ip: Ipv4Addr,
+    clients: SocketAddr,
+    ready: SocketAddr,
+    metrics: SocketAddr,
     _process: Process,
 }
 
 impl Gateway {
     fn start(folder: &TempDir, index: usize, store: SocketAddr) -> Self {
-        let ip = Ipv4Addr::new(127, 0, 8, 1 + index as u8);
-        let zone = ZONES[index / GATEWAYS_PER_ZONE];
-        let settings = format!(
-            "nodeName: n{index}\nzone: {zone}\nip: {ip}\ninternalPorts: [7620]\n\
-             listen: {{front: \"{ip}:8641\", ready: \"{ip}:8640\"}}\n\
-             platform: {{address: \"{store}\"}}\nbounds: [\"drainS=0.5\"]\n"
-        );
-        let file = folder.path().join(format!("n{index}.yaml"));
-        fs::write(&file, settings).expect("written");
+        let name = format!("n{index}");
+        let host = GatewayHost {
+            name: &name,
+            zone: ZONES[index / GATEWAYS_PER_ZONE],
+            ip: [127, 0, 8, 1 + index as u8].into(),
+        };
+        let file = folder.path().join(format!("{name}.yaml"));
+        fs::write(&file, host.settings(store)).expect("written");
         let path = file.to_str().expect("UTF-8");
         let env = [("TURMERICLOFT_SETTINGS", path)];
-        let process = Process::start_with_env(TURMERICLOFT, &["gateway", "--platform"], &env);
         Self {
-            ip,
-            _process: process,
+            clients: host.clients(),
+            ready: host.ready(),
+            metrics: host.metrics(),
+            _process: Process::start_with_env(TURMERICLOFT, &["gateway", "--platform"], &env),
         }
     }
 
-    /// Sends a request on a connection of its own; `None` if the gateway does not listen.
-    async fn exchange(&self, port: u16, head: &str) -> Option<String> {
-        let mut stream = TcpStream::connect((self.ip, port)).await.ok()?;
-        let text = format!("{head}Host: h\r\nConnection: close\r\n\r\n");
-        stream.write_all(text.as_bytes()).await.ok()?;
-        let mut response = String::new();
-        stream.read_to_string(&mut response).await.ok()?;
-        Some(response)
-    }
-
     async fn wait_until_ready(&self) {
         eventually(async || {
-            let response = self.exchange(8640, "GET /-/ready HTTP/1.1\r\n").await?;
-            response.starts_with("HTTP/1.1 200").then_some(())
+            let response = exchange(self.ready, &readiness_check()).await?;
+            (response.status == 200).then_some(())
         })
         .await;
     }
 
     /// Sends the request that crashes endpoints, and returns the status of the response.
     async fn send(&self, id: usize) -> u16 {
-        let head = format!(
-            "POST /a/1 HTTP/1.1\r\nX-Attempt-Id: r{id}\r\nX-Deadline-Ms: 20000\r\n\
-             Content-Length: 0\r\n"
-        );
-        let response = self.exchange(8641, &head).await.expect("a response");
-        let status = response.split(' ').nth(1).expect("a status");
-        status.parse().expect("a number")
+        let text = request("/a/1", &format!("r{id}"));
+        let response = exchange(self.clients, &text).await;
+        response.expect("a response").status
     }
 
     /// Waits until the gateway knows of this many crashes.
     async fn wait_for_crashes(&self, crashes: usize) {
         eventually(async || {
-            let metrics = self.exchange(9464, "GET /metrics HTTP/1.1\r\n").await?;
+            let response = exchange(self.metrics, METRICS_REQUEST).await?;
+            let metrics = String::from_utf8_lossy(&response.body);
             let counts = metrics.lines().filter(|line| line.starts_with(CHANGES));
             let counts = counts.filter_map(|line| line.rsplit(' ').next()?.parse::<usize>().ok());
             (counts.sum::<usize>() >= crashes).then_some(())
@@ -90,36 +81,36 @@
     }
 }
 
-fn config() -> Vec<u8> {
-    let config = json!({
-        "version": 1,
-        "routes": { "r1": {
-            "host": "h", "pathPrefix": "/a/", "routeType": "unsafe", "timeoutS": 30,
-            "targetLatencyS": 20, "priority": 0, "service": "s1", "maxAttempts": 3,
-        } },
-        "services": { "s1": {
-            "healthPath": "/health", "maxConnections": 50, "protocol": "h1", "tls": false,
-        } },
-        "limits": {
-            "maxHeaderBytes": 8192, "maxBodyBytes": 1024, "headerTimeoutS": 30, "idleTimeoutS": 30,
-        },
-    });
-    config.to_string().into_bytes()
+/// Sends a request on a connection of its own; `None` if nobody listens.
+async fn exchange(address: SocketAddr, text: &str) -> Option<Response> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    stream.write_all(text.as_bytes()).await.ok()?;
+    let limits = ResponseLimits {
+        body_bytes: 1 << 20,
+        budget: None,
+    };
+    let mut reader = ResponseReader::new(b"GET", limits);
+    let mut buf = BytesMut::new();
+    loop {
+        if let Some(response) = reader.next(&mut buf).expect("well-formed") {
+            return Some(response);
+        }
+        let n = stream.read_buf(&mut buf).await.ok()?;
+        if n == 0 {
+            return reader.finish().ok();
+        }
+    }
 }
 
 #[tokio::test]
 async fn request_that_crashed_three_endpoints_is_sent_by_no_gateway_of_any_zone() {
     let store = StandinStore::start().await.expect("a port");
-    store.put("keyed.op", "config", &config());
+    store.put_config(&config(1, "/a/"));
     let mut endpoints = Vec::new();
     for i in 0..ENDPOINTS {
         let endpoint = CrashingEndpoint::start().await.expect("a port");
         let zone = ZONES[i % ZONES.len()];
-        store.put(
-            "keyed.servers",
-            &format!("e{i}"),
-            &endpoint.entry("s1", zone),
-        );
+        store.put_endpoint(&format!("e{i}"), &endpoint.entry("s1", zone));
         endpoints.push(endpoint);
     }
     let folder = TempDir::new().expect("a folder");
