Successes that clear no crash are not reported to other gateways

Callers saw nothing; gateways did: once a popular lookup had been broken off, each of its successes was a change, which a follower tells its upstream at once, for five minutes (by reading; quarantine::incident:: successes_that_clear_nothing_are_not_reported failed before).

--- a/crates/turmericloft/src/core/quarantine/crash_history.rs
+++ b/crates/turmericloft/src/core/quarantine/crash_history.rs
@@ -70,23 +70,22 @@
         self.crashes.remove(closest.unwrap_or_default()).id
     }
 
-    /// Drops the crashes up to a response. Returns whether anything changed.
+    /// Drops the crashes up to a response. Returns whether other gateways have to know of it: if it is
+    /// the first one, or cleared a crash.
     pub(super) fn clear(&mut self, responded_at: Instant) -> bool {
-        let is_newer = self.responded_at.is_none_or(|at| at < responded_at);
-        if is_newer {
-            self.responded_at = Some(responded_at);
-            let is_before = |c: &KnownCrash| c.crash.at <= responded_at;
-            let cleared: Vec<_> = self
-                .crashes
-                .iter()
-                .filter(|c| is_before(c))
-                .map(|c| c.id)
-                .collect();
-            cleared.into_iter().for_each(|id| {
-                self.clear_crash(id);
-            });
+        let is_first = self.responded_at.is_none();
+        self.responded_at = self.responded_at.max(Some(responded_at));
+        let is_before = |c: &&KnownCrash| c.crash.at <= responded_at;
+        let cleared: Vec<_> = self
+            .crashes
+            .iter()
+            .filter(is_before)
+            .map(|c| c.id)
+            .collect();
+        for id in &cleared {
+            self.clear_crash(*id);
         }
-        is_newer
+        is_first || !cleared.is_empty()
     }
 
     /// Drops one crash for good. Returns false if that is already done.
--- a/crates/turmericloft/tests/testsuite/quarantine/incident.rs
+++ b/crates/turmericloft/tests/testsuite/quarantine/incident.rs
@@ -110,3 +110,19 @@
     }
     assert!(is_refused(&table, now));
 }
+
+/// Popular lookups succeed all the time, and one of them was broken off.
+#[test]
+fn successes_that_clear_nothing_are_not_reported() {
+    let (mut table, now) = table_after(1);
+    assert!(table.record_response(now, &request()).is_some());
+    for i in 1..100 {
+        let later = now + TRANSIT * i;
+        assert_eq!(table.record_response(later, &request()), None);
+    }
+    let late = crash(1, now + TRANSIT * 50, Duration::ZERO);
+    assert_eq!(
+        table.record_crash(now + TRANSIT * 100, request(), late),
+        None
+    );
+}
