A client is told to return when the first rejecting endpoint accepts requests again

The gateway knows when the first of them accepts requests; the time is spread so that clients do not return together. Test: placement::notices::client_returns_when_the_first_rejecting_endpoint_accepts_requests, failed before.

--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -240,10 +240,11 @@
         now: Instant,
         req: &PlacementRequest<'_>,
     ) -> Result<Placement, PlacementError> {
-        let no_endpoint = PlacementError::NoEndpoint {
-            retry_after: NO_ENDPOINT_RETRY_AFTER.mul_f64(0.5 + self.rng.random::<f64>()),
+        let spread = NO_ENDPOINT_RETRY_AFTER.mul_f64(0.5 + self.rng.random::<f64>());
+        let no_service = PlacementError::NoEndpoint {
+            retry_after: spread,
         };
-        let service = self.services.get_mut(req.service).ok_or(no_endpoint)?;
+        let service = self.services.get_mut(req.service).ok_or(no_service)?;
         let baseline = service.baseline(req.target_latency);
         let notices = &self.notices;
         let is_candidate = |v: &&EndpointView| {
@@ -253,7 +254,12 @@
         };
         let views = || service.endpoints.values().filter(is_candidate);
         if views().next().is_none() {
-            return Err(no_endpoint);
+            let registered = service.endpoints.values().filter(|v| v.accepts_requests());
+            let accepts_at = registered.filter_map(|v| notices.accepts_at(now, &v.endpoint));
+            let wait = accepts_at.min().map(|at| at.saturating_duration_since(now));
+            return Err(PlacementError::NoEndpoint {
+                retry_after: wait.unwrap_or_default() + spread,
+            });
         }
         let zone = &self.zone;
         let rng = &mut self.rng;
--- a/crates/turmericloft/src/core/placement/endpoint_notice.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_notice.rs
@@ -98,6 +98,20 @@
         is_leaving || active.rejects_until.is_some_and(|until| until > now)
     }
 
+    /// When an endpoint that rejects requests accepts them again; `None` if it does not reject them, or is
+    /// leaving.
+    pub(super) fn accepts_at(
+        &self,
+        now: Instant,
+        endpoint: &DiscoveredEndpoint,
+    ) -> Option<Instant> {
+        let active = self.active.get(&Place::of(endpoint))?;
+        let is_leaving = active.leaving_started_at_ms == Some(endpoint.started_at_ms);
+        active
+            .rejects_until
+            .filter(|until| !is_leaving && *until > now)
+    }
+
     /// Drops the notices that are over, given the list of all endpoints.
     pub(super) fn retain_registered(&mut self, now: Instant, endpoints: &[DiscoveredEndpoint]) {
         if self.active.is_empty() {
--- a/crates/turmericloft/src/core/placement/placement_error.rs
+++ b/crates/turmericloft/src/core/placement/placement_error.rs
@@ -7,7 +7,7 @@
 pub enum PlacementError {
     /// The service has no endpoint that accepts requests and was not tried.
     NoEndpoint {
-        /// Time after which an endpoint may have registered.
+        /// Time after which an endpoint may have registered, or accepts requests again.
         retry_after: Duration,
     },
     /// All endpoints are full, or too slow for the request's limits.
--- a/crates/turmericloft/tests/testsuite/placement/notices.rs
+++ b/crates/turmericloft/tests/testsuite/placement/notices.rs
@@ -118,3 +118,26 @@
     let placed = balancer.place(now, &req);
     assert!(matches!(placed, Err(PlacementError::NoEndpoint { .. })));
 }
+
+/// The client returns when the first of them accepts requests again, and not all clients at one moment.
+#[test]
+fn client_returns_when_the_first_rejecting_endpoint_accepts_requests() {
+    let now = Instant::now();
+    let endpoints = [endpoint_at("e1", 1, 1), endpoint_at("e2", 2, 1)];
+    let mut balancer = balancer(now, &endpoints);
+    balancer.record_notice(now, &endpoints[0], REJECTING);
+    let longer = EndpointNotice {
+        retry_after: Some(WAIT * 10),
+        ..REJECTING
+    };
+    balancer.record_notice(now, &endpoints[1], longer);
+    let mut times: Vec<_> = (0..20)
+        .map(|_| match balancer.place(now, &request(&[])) {
+            Err(PlacementError::NoEndpoint { retry_after }) => retry_after,
+            placed => panic!("{placed:?}"),
+        })
+        .collect();
+    assert!(times.iter().all(|t| *t >= WAIT && *t < WAIT * 2));
+    times.dedup();
+    assert!(times.len() > 1);
+}
