Log lines of quarantined requests name the request's id beside its fingerprint

An operator with the id of a refused request could not get to the endpoints that its copies had crashed: the lines about crashes had the fingerprint only, those about requests the id only.

--- a/crates/turmericloft/src/ops/ingress/crash_watch.rs
+++ b/crates/turmericloft/src/ops/ingress/crash_watch.rs
@@ -7,7 +7,7 @@
     client_response::GatewayResponse,
     shared::Ingress,
 };
-use crate::core::quarantine::SendDecision;
+use crate::core::quarantine::{Crash, SendDecision};
 
 /// Number of crashes during one call after which the request is not sent again in it.
 const MAX_CRASHES: usize = 2;
@@ -34,12 +34,21 @@
 /// The response to a request that is in quarantine; `None` if it may be sent.
 pub(super) fn refusal(ingress: &Ingress, forwarded: &ForwardedRequest) -> Option<GatewayResponse> {
     let now = ingress.now();
-    match decide(ingress, now, forwarded) {
-        SendDecision::Refused { until } => Some(GatewayResponse::Quarantined {
-            retry_after: until.saturating_duration_since(now),
-        }),
-        SendDecision::Allowed | SendDecision::Once => None,
-    }
+    let SendDecision::Refused { until } = decide(ingress, now, forwarded) else {
+        return None;
+    };
+    let retry_after = until.saturating_duration_since(now);
+    ingress.log.write_line(
+        now,
+        "request is in quarantine",
+        format_args!(
+            "request={} fingerprint={} left_ms={}",
+            String::from_utf8_lossy(&forwarded.id),
+            forwarded.fingerprint(),
+            retry_after.as_millis(),
+        ),
+    );
+    Some(GatewayResponse::Quarantined { retry_after })
 }
 
 /// Records how an attempt ended, at once and whether or not its client still waits. A success shows
@@ -49,9 +58,7 @@
     let quarantine = &ingress.quarantine;
     let now = ingress.now();
     match end {
-        AttemptEnd::Disconnected(crash) => {
-            quarantine.record_crash(now, forwarded.fingerprint(), crash.clone());
-        }
+        AttemptEnd::Disconnected(crash) => record_crash(ingress, now, forwarded, crash),
         AttemptEnd::Response(response) if is_success(response.status) && !quarantine.is_empty() => {
             quarantine.record_response(now, &forwarded.fingerprint());
         }
@@ -59,6 +66,28 @@
     }
 }
 
+fn record_crash(ingress: &Ingress, now: Instant, forwarded: &ForwardedRequest, crash: &Crash) {
+    let fingerprint = forwarded.fingerprint();
+    let quarantine = &ingress.quarantine;
+    let Some(change) = quarantine.record_crash(now, fingerprint, crash.clone()) else {
+        return;
+    };
+    ingress.log.write_line(
+        now,
+        "endpoint broke off a request",
+        format_args!(
+            "request={} fingerprint={fingerprint} endpoint={} ran_for_ms={} crashes={}",
+            String::from_utf8_lossy(&forwarded.id),
+            crash.endpoint,
+            crash
+                .at
+                .saturating_duration_since(crash.sent_at)
+                .as_millis(),
+            change.after.crashes,
+        ),
+    );
+}
+
 fn decide(ingress: &Ingress, now: Instant, forwarded: &ForwardedRequest) -> SendDecision {
     if ingress.quarantine.is_empty() {
         return SendDecision::Allowed;
--- a/crates/turmericloft/src/ops/shared_quarantine.rs
+++ b/crates/turmericloft/src/ops/shared_quarantine.rs
@@ -47,27 +47,20 @@
         self.table.lock().decide(now, request)
     }
 
-    /// Records that an endpoint broke off a request.
-    pub fn record_crash(&self, now: Instant, request: Fingerprint, crash: Crash) {
-        let endpoint = crash.endpoint.clone();
-        let ran_for = crash.at.saturating_duration_since(crash.sent_at);
-        let change = self.table.lock().record_crash(now, request, crash);
-        let Some(change) = change else {
-            return;
-        };
-        self.log.write_line(
-            now,
-            "endpoint broke off a request",
-            format_args!(
-                "fingerprint={request} endpoint={endpoint} ran_for_ms={} crashes={}",
-                ran_for.as_millis(),
-                change.after.crashes,
-            ),
-        );
+    /// Records that an endpoint broke off a request. Returns what changed; `None` if the crash was
+    /// known.
+    pub fn record_crash(
+        &self,
+        now: Instant,
+        request: Fingerprint,
+        crash: Crash,
+    ) -> Option<QuarantineChange> {
+        let change = self.table.lock().record_crash(now, request, crash)?;
         if change.after.is_quarantined {
             counter!(QUARANTINED_REQUESTS.name).increment(1);
         }
         self.publish(now, &change);
+        Some(change)
     }
 
     /// Records that an endpoint responded to a request.
