--- a/crates/turmericloft-cli/tests/testsuite/crashing_request.rs
+++ b/crates/turmericloft-cli/tests/testsuite/crashing_request.rs
@@ -1,5 +1,5 @@
-//! A request that crashes endpoints, sent to gateways of three availability zones. The gateways are
-//! separate processes.
+//! Requests that crash endpoints, sent to gateways of one or several availability zones. The gateways
+//! are separate processes.
 
 use std::{fs, net::SocketAddr};
 
@@ -17,7 +17,6 @@
 use crate::support::{Process, eventually};
 
 const TURMERICLOFT: &str = env!("CARGO_BIN_EXE_turmericloft");
-const ZONES: [&str; 3] = ["a", "b", "c"];
 const GATEWAYS_PER_ZONE: usize = 2;
 const ENDPOINTS: usize = 16;
 /// Metric that counts what a gateway learns of requests that crash endpoints.
@@ -34,14 +33,8 @@
 }
 
 impl Gateway {
-    fn start(folder: &TempDir, index: usize, store: SocketAddr) -> Self {
-        let name = format!("n{index}");
-        let host = GatewayHost {
-            name: &name,
-            zone: ZONES[index / GATEWAYS_PER_ZONE],
-            ip: [127, 0, 8, 1 + index as u8].into(),
-        };
-        let file = folder.path().join(format!("{name}.yaml"));
+    fn start(folder: &TempDir, host: GatewayHost<'_>, store: SocketAddr) -> Self {
+        let file = folder.path().join(format!("{}.yaml", host.name));
         fs::write(&file, host.settings(store)).expect("written");
         let path = file.to_str().expect("UTF-8");
         let env = [("TURMERICLOFT_SETTINGS", path)];
@@ -61,14 +54,14 @@
         .await;
     }
 
-    /// Sends the request that crashes endpoints, and returns the status of the response.
-    async fn send(&self, id: usize) -> u16 {
-        let text = request("/a/1", &format!("r{id}"));
+    /// Sends a request, and returns the status of the response.
+    async fn send(&self, path: &str, id: usize) -> u16 {
+        let text = request(path, &format!("r{id}"));
         let response = exchange(self.clients, &text).await;
         response.expect("a response").status
     }
 
-    /// Waits until the gateway knows of this many crashes.
+    /// Waits until the gateway knows of this many crashes. It counts each crash once.
     async fn wait_for_crashes(&self, crashes: usize) {
         eventually(async || {
             let response = exchange(self.metrics, METRICS_REQUEST).await?;
@@ -102,39 +95,84 @@
     }
 }
 
-#[tokio::test]
-async fn request_that_crashed_three_endpoints_is_sent_by_no_gateway_of_any_zone() {
-    let store = StandinStore::start().await.expect("a port");
-    store.put_config(&config(1, "/a/"));
-    let mut endpoints = Vec::new();
-    for i in 0..ENDPOINTS {
-        let endpoint = CrashingEndpoint::start().await.expect("a port");
-        let zone = ZONES[i % ZONES.len()];
-        store.put_endpoint(&format!("e{i}"), &endpoint.entry("s1", zone));
-        endpoints.push(endpoint);
+/// Gateways and endpoints of some availability zones, with a store.
+struct Fleet {
+    /// By zone, each zone's together.
+    gateways: Vec<Gateway>,
+    endpoints: Vec<CrashingEndpoint>,
+    _folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts two gateways in each of `zones`, on addresses of `subnet`, and waits until they are ready.
+    async fn start(subnet: u8, zones: &[&str]) -> Self {
+        let store = StandinStore::start().await.expect("a port");
+        store.put_config(&config(1, "/a/"));
+        let mut endpoints = Vec::new();
+        for i in 0..ENDPOINTS {
+            let endpoint = CrashingEndpoint::start().await.expect("a port");
+            let zone = zones[i % zones.len()];
+            store.put_endpoint(&format!("e{i}"), &endpoint.entry("s1", zone));
+            endpoints.push(endpoint);
+        }
+        let folder = TempDir::new().expect("a folder");
+        let gateways: Vec<_> = (0..zones.len() * GATEWAYS_PER_ZONE)
+            .map(|i| {
+                let host = GatewayHost {
+                    name: &format!("n{i}"),
+                    zone: zones[i / GATEWAYS_PER_ZONE],
+                    ip: [127, 0, subnet, 1 + i as u8].into(),
+                };
+                Gateway::start(&folder, host, store.address())
+            })
+            .collect();
+        for gateway in &gateways {
+            gateway.wait_until_ready().await;
+        }
+        Self {
+            gateways,
+            endpoints,
+            _folder: folder,
+        }
     }
-    let folder = TempDir::new().expect("a folder");
-    let count = ZONES.len() * GATEWAYS_PER_ZONE;
-    let gateways: Vec<_> = (0..count)
-        .map(|i| Gateway::start(&folder, i, store.address()))
-        .collect();
-    for gateway in &gateways {
-        gateway.wait_until_ready().await;
+
+    fn crashes(&self) -> usize {
+        self.endpoints.iter().map(CrashingEndpoint::crashes).sum()
     }
-    let crashes = || {
-        endpoints
-            .iter()
-            .map(CrashingEndpoint::crashes)
-            .sum::<usize>()
-    };
+
+    /// Waits until all gateways know of the crashes so far.
+    async fn wait_until_known(&self) {
+        for gateway in &self.gateways {
+            gateway.wait_for_crashes(self.crashes()).await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn request_that_crashed_three_endpoints_is_sent_by_no_gateway_of_any_zone() {
+    let zones = ["a", "b", "c"];
+    let fleet = Fleet::start(8, &zones).await;
     // To the zones in turn, and in each to its gateways in turn.
-    for i in 0..count {
-        let index = i % ZONES.len() * GATEWAYS_PER_ZONE + i / ZONES.len();
-        let status = gateways[index].send(i).await;
+    for i in 0..fleet.gateways.len() {
+        let index = i % zones.len() * GATEWAYS_PER_ZONE + i / zones.len();
+        let status = fleet.gateways[index].send("/a/1", i).await;
         assert_eq!(status, if i < 3 { 502 } else { 503 }, "copy {i}");
-        for gateway in &gateways {
-            gateway.wait_for_crashes(crashes()).await;
+        fleet.wait_until_known().await;
+    }
+    assert_eq!(fleet.crashes(), 3);
+}
+
+/// Endpoints reset a connection within a millisecond, for example because they are full.
+#[tokio::test]
+async fn requests_that_one_endpoint_broke_off_are_sent_again_by_the_other_gateway() {
+    const REQUESTS: usize = 8;
+    let fleet = Fleet::start(9, &["a"]).await;
+    for gateway in &fleet.gateways {
+        for i in 0..REQUESTS {
+            let status = gateway.send(&format!("/a/{i}"), i).await;
+            assert_eq!(status, 502, "request {i}");
+            fleet.wait_until_known().await;
         }
     }
-    assert_eq!(crashes(), 3);
+    assert_eq!(fleet.crashes(), REQUESTS * GATEWAYS_PER_ZONE);
 }
