--- a/crates/turmericloft-bench/src/experiments/routing/gateway_side.rs
+++ b/crates/turmericloft-bench/src/experiments/routing/gateway_side.rs
@@ -14,8 +14,9 @@
     balancer::{Balancer, SchedulerGateway},
     calls::{Attempt, Completion, Response},
     case::CALLER_WEIGHTS,
+    event_queue::Event,
     fake_endpoint::EndpointState,
-    simulation::{Event, Simulation},
+    simulation::Simulation,
 };
 
 /// Mean latency that stands in for the baselines, which measure none.
--- a/crates/turmericloft-bench/src/experiments/routing/mod.rs
+++ b/crates/turmericloft-bench/src/experiments/routing/mod.rs
@@ -8,6 +8,7 @@
 mod case;
 mod connections;
 mod decision;
+mod event_queue;
 mod fake_endpoint;
 mod faults;
 mod gateway_side;
--- a/crates/turmericloft-bench/src/experiments/routing/simulation.rs
+++ b/crates/turmericloft-bench/src/experiments/routing/simulation.rs
@@ -1,10 +1,6 @@
 //! Event loop in simulated time around the gateway's scheduler or a baseline policy.
 
-use std::{
-    cmp::Reverse,
-    collections::BinaryHeap,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -15,6 +11,7 @@
     calls::{Attempt, AttemptState, Call, Completion, Response},
     case::{AFFECTED_ENDPOINTS, CALLER_WEIGHTS, COLD_SLOWDOWN, Case, Fault},
     connections::Connections,
+    event_queue::{Event, EventQueue},
     fake_endpoint::{EndpointState, FakeEndpoint, HISTORY_STEP_NS},
     workload::Arrival,
 };
@@ -28,22 +25,6 @@
 /// Interval between checks for silent connections.
 const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// An event; `usize` fields are indices of calls or attempts, and the load of a response is in
-/// requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Event {
-    Arrive(usize),
-    Fault,
-    ReachEndpoint(usize),
-    Finish(usize),
-    Response(usize, Response, u32),
-    Cancel(usize),
-    Hedge(usize),
-    Deadline(usize),
-    RecordLoad,
-    CheckConnections,
-}
-
 /// State of one run of one policy.
 pub(super) struct Simulation<'a> {
     pub(super) case: &'a Case,
@@ -58,10 +39,7 @@
     pub(super) endpoints: Vec<FakeEndpoint>,
     /// By gateway, then by endpoint.
     pub(super) connections: Vec<Vec<Connections>>,
-    /// Time in nanoseconds, sequence number and event; the earliest first.
-    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
-    /// Number of the last event; events of the same time run in the order of scheduling.
-    sequence: u64,
+    events: EventQueue,
     pub(super) rng: Pcg64Mcg,
 }
 
@@ -79,8 +57,7 @@
         attempts: Vec::with_capacity(arrivals.len()),
         endpoints: case.fake_endpoints(seed),
         connections: vec![vec![Connections::default(); case.endpoints]; case.gateways],
-        events: BinaryHeap::new(),
-        sequence: 0,
+        events: EventQueue::default(),
         rng: Pcg64Mcg::seed_from_u64(seed),
     };
     simulation.run();
@@ -95,7 +72,7 @@
 impl Simulation<'_> {
     fn run(&mut self) {
         self.prepare();
-        while let Some(Reverse((at, _, event))) = self.events.pop() {
+        while let Some((at, event)) = self.events.pop() {
             self.now_ns = at;
             self.handle(event);
         }
@@ -381,8 +358,6 @@
     }
 
     fn schedule(&mut self, at: Duration, event: Event) {
-        self.sequence += 1;
-        let entry = (at.as_nanos() as u64, self.sequence, event);
-        self.events.push(Reverse(entry));
+        self.events.push(at, event);
     }
 }
