--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -16,7 +16,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::{
-    AttemptOutcome, DiscoveredEndpoint, EndpointNotice, LoadReport, PlacementError,
+    AttemptOutcome, DiscoveredEndpoint, EndpointNotice, LoadReport, Placement, PlacementError,
     PlacementRequest, Probe, ProbeOutcome, RetryBudget,
     endpoint_cost::{cost, is_eligible},
     endpoint_notice::EndpointNotices,
@@ -33,25 +33,6 @@
 /// Mean time after which a client is told to retry when a service has no endpoint.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// The endpoint that a request is sent to.
-#[derive(Clone, Debug)]
-pub struct Placement {
-    /// Endpoint as discovery last described it.
-    pub endpoint: Arc<DiscoveredEndpoint>,
-    /// Expected time to the response, with queueing and slowdown.
-    pub expected_latency: Duration,
-    /// Mean service time of the service's requests at an endpoint that is not slowed down.
-    pub service_time: Duration,
-    /// Start of the attempt, which identifies it when it ends.
-    pub started_at: Instant,
-    /// Age of the endpoint's last load report; `None` without one.
-    pub report_age: Option<Duration>,
-    /// Slowdown in a recent load report of the endpoint.
-    reported_slowdown: Option<f64>,
-    /// Whether the endpoint is congested with this request.
-    is_congested: bool,
-}
-
 /// One gateway's estimates of all endpoints, and the choice between them.
 #[derive(Debug)]
 pub struct Balancer {
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -12,6 +12,7 @@
 mod observation;
 mod placement_error;
 mod placement_request;
+mod placement_result;
 mod probe;
 mod probe_budget;
 mod queue_limit;
@@ -26,7 +27,7 @@
 
 pub use self::{
     attempt_outcome::AttemptOutcome,
-    balancer::{Balancer, Placement},
+    balancer::Balancer,
     discovered_endpoint::{DiscoveredEndpoint, EndpointState, InstanceId},
     discovery::DiscoveryTable,
     discovery_change::DiscoveryChange,
@@ -35,6 +36,7 @@
     observation::Observation,
     placement_error::PlacementError,
     placement_request::PlacementRequest,
+    placement_result::Placement,
     probe::{Probe, ProbeOutcome},
     probe_budget::ProbeBudget,
     queue_limit::{SlotShare, queue_limit},
