Test: a request that crashes endpoints after its clients have left is sent without limit (fails)

An idempotent request whose client leaves is cancelled with its connection, so the gateway sees no crash. Fails on: 'fewer than 1 changes'.

--- a/crates/turmericloft/tests/testsuite/ingress/crashing_requests.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/crashing_requests.rs
@@ -1,8 +1,9 @@
 //! Requests that crash the endpoints that run them.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use tokio::task::yield_now;
+use futures_util::future::select_all;
+use tokio::{task::yield_now, time::timeout};
 use turmericloft::core::{guard::Fingerprint, quarantine::Crash};
 
 use super::{
@@ -82,6 +83,40 @@
     assert_eq!(client.call("POST", "/act/1", "r1").await.status, 503);
 }
 
+/// The clients give up while an endpoint runs their idempotent request. The gateway closes the connection,
+/// and the endpoint crashes later.
+#[tokio::test]
+async fn request_that_crashes_endpoints_after_its_clients_left_is_refused_after_the_third_crash() {
+    let mut endpoints = Vec::new();
+    for _ in 0..8 {
+        endpoints.push(Endpoint::start(Behaviour::Hold).await);
+    }
+    let gateway = Gateway::start(&endpoints).await;
+    for crashes in 1..=3 {
+        let mut client = Client::connect(gateway.clients).await;
+        client.send(&request("GET", "/read/1", "r1")).await;
+        let arrivals = endpoints.iter().map(|e| Box::pin(e.arrived.acquire()));
+        let (permit, reached, _) = select_all(arrivals).await;
+        permit.expect("open").forget();
+        drop(client);
+        let closed = endpoints[reached].disconnected.acquire().await;
+        closed.expect("open").forget();
+        endpoints[reached].crash();
+        wait_until_concluded(&gateway, crashes).await;
+    }
+    let mut client = Client::connect(gateway.clients).await;
+    assert_eq!(client.call("GET", "/read/1", "r1").await.status, 503);
+}
+
+/// Waits until the gateway has recorded `changes` changes of its quarantine table, of which it learns by
+/// checks. The limit is far beyond any that the gateway has.
+async fn wait_until_concluded(gateway: &Gateway, changes: u64) {
+    const LIMIT: Duration = Duration::from_secs(30);
+    let mut revision = gateway.quarantine.revision();
+    let concluded = timeout(LIMIT, revision.wait_for(|known| *known >= changes)).await;
+    assert!(concluded.is_ok(), "fewer than {changes} changes");
+}
+
 /// The second attempt of an idempotent request waits at an endpoint that is slow.
 #[tokio::test]
 async fn crash_is_recorded_while_another_attempt_is_in_flight() {
--- a/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
@@ -15,6 +15,7 @@
     net::{TcpListener, TcpStream},
     sync::Semaphore,
 };
+use tokio_util::sync::CancellationToken;
 use turmericloft::sources::http1::{ReaderLimits, Request, RequestReader};
 
 const LIMITS: ReaderLimits = ReaderLimits {
@@ -124,6 +125,8 @@
     pub release: Arc<Semaphore>,
     /// Has one permit per held request whose connection was closed.
     pub disconnected: Arc<Semaphore>,
+    /// Cancelled when its process ends.
+    ended: CancellationToken,
 }
 
 impl Endpoint {
@@ -141,6 +144,7 @@
             arrived: Arc::new(Semaphore::new(0)),
             release: Arc::new(Semaphore::new(0)),
             disconnected: Arc::new(Semaphore::new(0)),
+            ended: CancellationToken::new(),
         };
         let server = EndpointServer {
             script: script.clone(),
@@ -150,15 +154,23 @@
             disconnected: Arc::clone(&endpoint.disconnected),
         };
         let connections = Arc::clone(&endpoint.connections);
-        tokio::spawn(async move {
+        let ended = endpoint.ended.clone();
+        let accept = ended.clone().run_until_cancelled_owned(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 connections.fetch_add(1, Ordering::AcqRel);
-                tokio::spawn(server.clone().serve(stream));
+                let serve = server.clone().serve(stream);
+                tokio::spawn(ended.clone().run_until_cancelled_owned(serve));
             }
         });
+        tokio::spawn(accept);
         endpoint
     }
 
+    /// Ends its process: all connections end, and new ones are refused.
+    pub fn crash(&self) {
+        self.ended.cancel();
+    }
+
     pub fn connections(&self) -> usize {
         self.connections.load(Ordering::Acquire)
     }
