A request that crashes endpoints after its clients have left is put in quarantine

Cause: the gateway cancels an idempotent attempt with its connection when the client leaves, another attempt wins or the time is over. What happens to the endpoint after that was not observed by anyone. Class: state of the system that is observed only through a connection which one client's patience ends.

Change: abandoned attempts are kept by endpoint, and their endpoints checked until they have responded after the attempt's time was over. An endpoint that refuses connections, has another identity or has lapsed from the registry while silent has crashed with them; one that had announced its end has not (property test over crashes, silent crashes and planned ends). Timed out attempts, so silent endpoints, are covered by the same table.

--- a/crates/turmericloft-cli/tests/testsuite/crashing_request.rs
+++ b/crates/turmericloft-cli/tests/testsuite/crashing_request.rs
@@ -11,7 +11,8 @@
 };
 use turmericloft::sources::http1::{Response, ResponseLimits, ResponseReader};
 use turmericloft_platform::standin::{
-    CrashingEndpoint, GatewayHost, StandinStore, config, readiness_check, request,
+    CrashMode, CrashingEndpoint, GatewayHost, StandinStore, config, idempotent_config,
+    idempotent_request, readiness_check, request,
 };
 
 use crate::support::{Process, eventually};
@@ -61,6 +62,27 @@
         response.expect("a response").status
     }
 
+    /// Sends an idempotent request, leaves once it has reached an endpoint of `fleet`, and waits until that
+    /// has crashed.
+    async fn send_and_leave(&self, path: &str, id: usize, fleet: &Fleet) {
+        let (received, crashes) = (fleet.received(), fleet.crashes());
+        let mut stream = TcpStream::connect(self.clients).await.expect("it listens");
+        let text = idempotent_request(path, &format!("r{id}"));
+        stream.write_all(text.as_bytes()).await.expect("it reads");
+        self.poll_until(|| fleet.received() > received).await;
+        drop(stream);
+        self.poll_until(|| fleet.crashes() > crashes).await;
+    }
+
+    /// Waits until `is_met`. Each poll is a round trip.
+    async fn poll_until(&self, is_met: impl Fn() -> bool) {
+        eventually(async || {
+            exchange(self.ready, &readiness_check()).await?;
+            is_met().then_some(())
+        })
+        .await;
+    }
+
     /// Waits until the gateway knows of this many crashes. It counts each crash once.
     async fn wait_for_crashes(&self, crashes: usize) {
         eventually(async || {
@@ -105,12 +127,15 @@
 
 impl Fleet {
     /// Starts two gateways in each of `zones`, on addresses of `subnet`, and waits until they are ready.
-    async fn start(subnet: u8, zones: &[&str]) -> Self {
+    async fn start(subnet: u8, zones: &[&str], mode: CrashMode) -> Self {
         let store = StandinStore::start().await.expect("a port");
-        store.put_config(&config(1, "/a/"));
+        store.put_config(&match mode {
+            CrashMode::AtOnce => config(1, "/a/"),
+            CrashMode::OnceAbandoned => idempotent_config(1, "/a/"),
+        });
         let mut endpoints = Vec::new();
         for i in 0..ENDPOINTS {
-            let endpoint = CrashingEndpoint::start().await.expect("a port");
+            let endpoint = CrashingEndpoint::start(mode).await.expect("a port");
             let zone = zones[i % zones.len()];
             store.put_endpoint(&format!("e{i}"), &endpoint.entry("s1", zone));
             endpoints.push(endpoint);
@@ -136,6 +161,10 @@
         }
     }
 
+    fn received(&self) -> usize {
+        self.endpoints.iter().map(CrashingEndpoint::received).sum()
+    }
+
     fn crashes(&self) -> usize {
         self.endpoints.iter().map(CrashingEndpoint::crashes).sum()
     }
@@ -151,7 +180,7 @@
 #[tokio::test]
 async fn request_that_crashed_three_endpoints_is_sent_by_no_gateway_of_any_zone() {
     let zones = ["a", "b", "c"];
-    let fleet = Fleet::start(8, &zones).await;
+    let fleet = Fleet::start(8, &zones, CrashMode::AtOnce).await;
     // To the zones in turn, and in each to its gateways in turn.
     for i in 0..fleet.gateways.len() {
         let index = i % zones.len() * GATEWAYS_PER_ZONE + i / zones.len();
@@ -162,11 +191,29 @@
     assert_eq!(fleet.crashes(), 3);
 }
 
+/// Each client leaves while an endpoint runs its request, and the endpoint crashes after that.
+#[tokio::test]
+async fn request_that_crashed_three_endpoints_after_its_clients_left_is_sent_by_no_gateway() {
+    let zones = ["a", "b", "c"];
+    let fleet = Fleet::start(10, &zones, CrashMode::OnceAbandoned).await;
+    for zone in 0..zones.len() {
+        let gateway = &fleet.gateways[zone * GATEWAYS_PER_ZONE];
+        gateway.send_and_leave("/a/1", zone, &fleet).await;
+        fleet.wait_until_known().await;
+    }
+    for (i, gateway) in fleet.gateways.iter().enumerate() {
+        let text = idempotent_request("/a/1", &format!("late{i}"));
+        let response = exchange(gateway.clients, &text).await.expect("a response");
+        assert_eq!(response.status, 503, "gateway {i}");
+    }
+    assert_eq!(fleet.received(), 3);
+}
+
 /// Endpoints reset a connection within a millisecond, for example because they are full.
 #[tokio::test]
 async fn requests_that_one_endpoint_broke_off_are_sent_again_by_the_other_gateway() {
     const REQUESTS: usize = 8;
-    let fleet = Fleet::start(9, &["a"]).await;
+    let fleet = Fleet::start(9, &["a"], CrashMode::AtOnce).await;
     for gateway in &fleet.gateways {
         for i in 0..REQUESTS {
             let status = gateway.send(&format!("/a/{i}"), i).await;
--- a/crates/turmericloft/src/core/quarantine/mod.rs
+++ b/crates/turmericloft/src/core/quarantine/mod.rs
@@ -9,14 +9,17 @@
 //! by the order of events: one of the crashes has to be of a copy that was sent after the crash of
 //! another, since endpoints which are lost together are no reason, and any success clears the request.
 
+mod abandoned_attempts;
 mod crash;
 mod crash_history;
 mod crash_reports;
 mod quarantine_change;
 mod request_quarantine;
 mod stored_crashes;
+mod watched_endpoint;
 
 pub use self::{
+    abandoned_attempts::{AbandonedAttempt, AbandonedAttempts, ConcludedCrash, EndpointSign},
     crash::{Crash, CrashId},
     crash_reports::{CrashReport, CrashReports, ReportedCrash},
     quarantine_change::{QuarantineChange, QuarantineEvent, RequestCondition},
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -10,6 +10,7 @@
 
 use super::{
     crash_watch::record_attempt,
+    followed_attempt::FollowedAttempt,
     in_flight_attempt::InFlightAttempt,
     protocol::{AttemptHeaders, EndpointProtocol},
     shared::Ingress,
@@ -104,7 +105,14 @@
     forwarded: Arc<ForwardedRequest>,
     in_flight: InFlightAttempt,
 ) -> AttemptEnd {
-    let (end, outcome, load) = send_request(&ingress, &forwarded, &in_flight).await;
+    let mut followed = FollowedAttempt::new(
+        Arc::clone(&ingress),
+        Arc::clone(&forwarded),
+        Arc::clone(&in_flight.placement().endpoint),
+    );
+    let sending = send_request(&ingress, &forwarded, &in_flight, &mut followed);
+    let (end, outcome, load) = sending.await;
+    followed.record_end(&end);
     if outcome != AttemptOutcome::Answered {
         let endpoint = &in_flight.placement().endpoint;
         let now = ingress.now();
@@ -142,6 +150,7 @@
     ingress: &Ingress,
     forwarded: &ForwardedRequest,
     in_flight: &InFlightAttempt,
+    followed: &mut FollowedAttempt,
 ) -> ClassifiedEnd {
     let endpoint = &in_flight.placement().endpoint;
     let now = ingress.now();
@@ -150,8 +159,9 @@
     }
     let pooled = ingress.pool.take(now, &endpoint.id, forwarded.route.kind);
     if let Some(mut connection) = pooled {
+        followed.record_sending();
         match exchange(ingress, forwarded, in_flight, &mut connection).await {
-            Some(Err(e)) if e.is_unsent() => {}
+            Some(Err(e)) if e.is_unsent() => followed.record_unsent(),
             result => return classify(ingress, in_flight, connection, result),
         }
     }
@@ -164,6 +174,7 @@
     if forwarded.client_disconnected.is_cancelled() || forwarded.is_past_deadline(ingress.now()) {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
+    followed.record_sending();
     let result = exchange(ingress, forwarded, in_flight, &mut connection).await;
     classify(ingress, in_flight, connection, result)
 }
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -4,11 +4,13 @@
 //! plain HTTP/1.1 is supplied as an [`EndpointProtocol`]. Documents and endpoints arrive over watch
 //! channels ([`IngressFeeds`]), so the program chooses their source.
 
+mod abandoned_checks;
 mod attempt;
 mod client;
 mod client_response;
 mod connection_pool;
 mod crash_watch;
+mod followed_attempt;
 mod forward;
 mod in_flight_attempt;
 mod metrics;
--- a/crates/turmericloft/src/ops/ingress/probe.rs
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -13,7 +13,9 @@
 use super::{metrics::count_probe, shared::Ingress};
 use crate::{
     core::{
-        placement::{LoadReport, PlacementRequest, Probe, ProbeOutcome},
+        placement::{
+            DiscoveredEndpoint, InstanceId, LoadReport, PlacementRequest, Probe, ProbeOutcome,
+        },
         traffic::RouteKind,
     },
     sources::http1::{ClientConnection, ExchangeError, ResponseLimits},
@@ -27,11 +29,20 @@
 const MAX_PROBE_WAIT: Duration = Duration::from_millis(40);
 /// Time after which a probe without a response has failed. Probes go on after the request has
 /// stopped waiting for them.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Largest body of a response to a probe, in bytes; it is not used.
 const MAX_BODY_BYTES: usize = 64 << 10;
 
+/// What an endpoint responded to a probe.
+#[derive(Debug)]
+pub(super) struct ProbeResponse {
+    /// Its load report; `None` if the response has none.
+    load: Option<LoadReport>,
+    /// The id that it states; `None` if it states none.
+    pub(super) instance: Option<InstanceId>,
+}
+
 /// Probes the best candidates for a request until one reports available capacity. Probes further
 /// ones while none does, in `rounds` rounds at most.
 pub(super) async fn probe_endpoints(
@@ -73,7 +84,8 @@
     false
 }
 
-fn health_path(ingress: &Ingress, service: &str) -> Option<Arc<str>> {
+/// Path of the health check of a service; `None` if the active document does not have the service.
+pub(super) fn health_path(ingress: &Ingress, service: &str) -> Option<Arc<str>> {
     let table = ingress.table.load();
     let services = &table.as_ref()?.document().services;
     Some(services.get(service)?.health_path.as_str().into())
@@ -81,10 +93,11 @@
 
 /// Returns whether the endpoint has available capacity.
 async fn run_probe(ingress: Arc<Ingress>, probe: Probe, path: Arc<str>) -> bool {
-    let response = timeout(PROBE_TIMEOUT, send_probe(&ingress, &probe, &path)).await;
-    let outcome = match response {
-        Ok(Ok(Some(load))) => ProbeOutcome::Reported(load),
-        Ok(Ok(None)) => ProbeOutcome::NoReport,
+    let probing = send_probe(&ingress, &probe.endpoint, &path);
+    let outcome = match timeout(PROBE_TIMEOUT, probing).await {
+        Ok(Ok(response)) => response
+            .load
+            .map_or(ProbeOutcome::NoReport, ProbeOutcome::Reported),
         Ok(Err(_)) | Err(_) => ProbeOutcome::NoResponse,
     };
     count_probe(outcome != ProbeOutcome::NoResponse);
@@ -95,12 +108,12 @@
         .record_probe_end(now, &probe, outcome)
 }
 
-async fn send_probe(
+/// Sends a health check on a pooled or new connection.
+pub(super) async fn send_probe(
     ingress: &Ingress,
-    probe: &Probe,
+    endpoint: &DiscoveredEndpoint,
     path: &str,
-) -> Result<Option<LoadReport>, ExchangeError> {
-    let endpoint = &probe.endpoint;
+) -> Result<ProbeResponse, ExchangeError> {
     let pooled = ingress
         .pool
         .take(ingress.now(), &endpoint.id, RouteKind::Idempotent);
@@ -120,9 +133,10 @@
         .await?;
     let metadata = ingress.protocol.read_metadata(&response);
     let load = metadata.load;
+    let instance = metadata.instance.map(InstanceId::from);
     ingress.record_notice(endpoint, metadata.notice);
     if response.can_reuse_connection {
         ingress.pool.put(ingress.now(), &endpoint.id, connection);
     }
-    Ok(load)
+    Ok(ProbeResponse { load, instance })
 }
--- a/crates/turmericloft/src/ops/ingress/protocol.rs
+++ b/crates/turmericloft/src/ops/ingress/protocol.rs
@@ -29,6 +29,8 @@
     pub is_not_run: bool,
     /// Whether the response is from another endpoint than the request was for.
     pub is_other_instance: bool,
+    /// Id that the endpoint states in a response to a health check; `None` if it states none.
+    pub instance: Option<&'a str>,
     /// Load report of the endpoint; `None` if the response has none.
     pub load: Option<LoadReport>,
     /// What the endpoint asks for.
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -12,6 +12,7 @@
 use crate::{core::placement::DiscoveredEndpoint, util::metrics_recorder};
 
 use super::{
+    abandoned_checks::{apply_entries, check_abandoned},
     client::serve_client,
     ready::{serve_metrics, serve_readiness},
     settings::IngressSettings,
@@ -96,6 +97,7 @@
     tokio::spawn(apply_documents(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(apply_gateway_count(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(apply_endpoints(Arc::clone(&ingress), feeds));
+    tokio::spawn(check_abandoned(Arc::clone(&ingress)));
     let clock = ingress.clock.clone();
     tokio::spawn(async move { clock.watch_suspensions().await });
     metrics_recorder::install();
@@ -213,6 +215,7 @@
         if !is_applied {
             log::info!("endpoints changed count={}", endpoints.len());
             ingress.balancer.lock().set_endpoints(now, &endpoints);
+            apply_entries(&ingress, now, &endpoints);
             applied = Some(Arc::clone(&endpoints));
         }
         let registered: HashSet<_> = endpoints.iter().map(|e| &e.id).collect();
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -23,6 +23,7 @@
 use crate::{
     core::{
         placement::{Balancer, DiscoveredEndpoint, EndpointNotice, WaitQueue},
+        quarantine::AbandonedAttempts,
         traffic::{Route, RouteTable, Splitter},
     },
     ops::SharedQuarantine,
@@ -50,6 +51,10 @@
     pub(super) protocol: Arc<dyn EndpointProtocol>,
     /// Requests that crash endpoints.
     pub(super) quarantine: Arc<SharedQuarantine>,
+    /// Attempts whose end the gateway does not see.
+    pub(super) abandoned: Mutex<AbandonedAttempts>,
+    /// Notified when an attempt is added to `abandoned`.
+    pub(super) attempt_abandoned: Notify,
     pub(super) table: ArcSwapOption<RouteTable>,
     pub(super) balancer: Mutex<Balancer>,
     pub(super) queue: Mutex<WaitQueue>,
@@ -98,6 +103,8 @@
             clock,
             protocol,
             quarantine,
+            abandoned: Mutex::default(),
+            attempt_abandoned: Notify::new(),
             table: ArcSwapOption::empty(),
             balancer: Mutex::new(balancer),
             queue: Mutex::new(WaitQueue::new()),
@@ -163,6 +170,9 @@
             ),
         );
         self.balancer.lock().record_notice(now, endpoint, notice);
+        if is_leaving {
+            self.abandoned.lock().record_leaving(&endpoint.id);
+        }
     }
 
     /// Counts a request as open until the returned guard is dropped.
--- a/crates/turmericloft/tests/testsuite/ingress/protocol.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/protocol.rs
@@ -46,6 +46,7 @@
             is_signed: headers.contains("Seal"),
             is_not_run: headers.contains("Not-Run"),
             is_other_instance: response.status == 421,
+            instance: headers.get_str("Instance-Id"),
             load: headers.contains("Idle").then_some(LoadReport {
                 running: 0,
                 waiting: 0,
--- a/crates/turmericloft/tests/testsuite/quarantine/mod.rs
+++ b/crates/turmericloft/tests/testsuite/quarantine/mod.rs
@@ -1,6 +1,7 @@
 //! Requests that crash endpoints: when they are put in quarantine, on which gateways, and when they
 //! are let go.
 
+mod abandoned;
 mod incident;
 mod stored;
 
