Long polls for crashes are checked while a request is suspected

Callers would see: the store does not wake a long poll that begins while a record is being added; the gateways of a zone then learned of the crashes in other zones with the end of the poll, 10 s later, and sent the request meanwhile. The rule asks for 3 s.

Cause: left the checks of these polls out, as each of the many records of sound requests that were broken off cost a check in each zone. Class: a rare event that is missed because checking the frequent ones was too dear.

--- a/crates/turmericloft/src/core/quarantine/request_quarantine.rs
+++ b/crates/turmericloft/src/core/quarantine/request_quarantine.rs
@@ -21,6 +21,8 @@
 /// Time after the last change, and after the end of a quarantine, after which a request is forgotten.
 /// A released one that crashes an endpoint again within it is in quarantine at once.
 const FORGET_AFTER: Duration = Duration::from_secs(300);
+/// Time after the last change for which copies of a suspected request are expected at any gateway.
+const RECENT_CHANGE: Duration = Duration::from_secs(10);
 /// Maximum number of requests in the table.
 const MAX_REQUESTS: usize = 256;
 /// Maximum number of reports in one message.
@@ -78,6 +80,14 @@
         self.revision
     }
 
+    /// Whether one more crash puts a request in quarantine, or has lately done so: copies of it may crash
+    /// endpoints at other gateways now.
+    pub fn has_recent_suspect(&self, now: Instant) -> bool {
+        let is_recent = |at| now.saturating_duration_since(at) < RECENT_CHANGE;
+        let mut histories = self.requests.values().map(|r| &r.history);
+        histories.any(|h| h.is_suspect() && h.last_change().is_some_and(is_recent))
+    }
+
     /// Records that an endpoint broke off a request. Returns what changed; `None` if the crash was
     /// known.
     pub fn record_crash(
--- a/crates/turmericloft/src/ops/shared_quarantine.rs
+++ b/crates/turmericloft/src/ops/shared_quarantine.rs
@@ -42,6 +42,11 @@
         self.table.lock().is_empty()
     }
 
+    /// Whether one more crash puts a request in quarantine, or has lately done so.
+    pub fn has_recent_suspect(&self, now: Instant) -> bool {
+        self.table.lock().has_recent_suspect(now)
+    }
+
     /// Decides whether a request may be sent.
     pub fn decide(&self, now: Instant, request: &Fingerprint) -> SendDecision {
         self.table.lock().decide(now, request)
