An upstream tells its followers of a suspected request at once

Cause: what an upstream knows was sent with the next response to a poll, which waits for the next read of the registry. Class: urgent news on a channel whose pace is set by something else.

Change: an upstream's messages are responses or crash reports alone; the latter are sent while a request has two independent crashes that are recent. Polls stay open, as before.

--- a/crates/turmericloft/src/core/relay/mod.rs
+++ b/crates/turmericloft/src/core/relay/mod.rs
@@ -20,9 +20,11 @@
 mod relay_timings;
 mod spread;
 mod upstream_chooser;
+mod upstream_message;
 
 pub use self::{
     era_change::EraChange, read_retry::read_retry_delay, registry_view::RegistryView,
     relay_member::RelayMember, relay_poll::RelayPoll, relay_response::RelayResponse,
     relay_timings::RelayTimings, spread::delay_of_host, upstream_chooser::UpstreamChooser,
+    upstream_message::UpstreamMessage,
 };
--- a/crates/turmericloft/src/ops/relay/crash_exchange.rs
+++ b/crates/turmericloft/src/ops/relay/crash_exchange.rs
@@ -24,4 +24,14 @@
         // The hub holds the sender, so this ends only with a change.
         let _ = revision.wait_for(|revision| *revision > self.sent).await;
     }
+
+    /// Waits until there is something that has not been sent and that cannot wait for the next message: a
+    /// request is suspected, and copies of it may crash endpoints at any gateway now.
+    pub(super) async fn wait_for_suspicion(&self, hub: &RelayHub) {
+        let mut revision = hub.quarantine().revision();
+        let is_urgent = |revision: &u64| {
+            *revision > self.sent && hub.quarantine().has_recent_suspect(hub.now())
+        };
+        let _ = revision.wait_for(is_urgent).await;
+    }
 }
--- a/crates/turmericloft/src/ops/relay/serve.rs
+++ b/crates/turmericloft/src/ops/relay/serve.rs
@@ -22,7 +22,10 @@
     wire::{Received, RelayConnection},
 };
 use crate::{
-    core::relay::{RelayPoll, RelayResponse},
+    core::{
+        quarantine::CrashReport,
+        relay::{RelayPoll, RelayResponse, UpstreamMessage},
+    },
     util::{error_chain, metrics_table::RELAY_ANSWERS},
 };
 
@@ -107,25 +110,38 @@
                 ArrivedPoll::new(hub, received.map_err(timed_out)??)
             }
         };
-        next = wait_until_due(hub, &poll, &mut connection).await?;
+        next = wait_until_due(hub, &poll, &mut connection, &mut exchange).await?;
         let response = hub.response(&poll.poll, poll.arrived_at);
         if let Some(next) = &mut next {
             next.skip_known(&response);
         }
         let reports = exchange.next_reports(hub);
-        timeout(limit, connection.send(response, &reports))
-            .await
-            .map_err(timed_out)??;
+        let message = UpstreamMessage::Response(Box::new(response));
+        send(&mut connection, message, &reports).await?;
         counter!(RELAY_ANSWERS.name, "direction" => "sent").increment(1);
     }
 }
 
+/// Sends a message to a follower that has to take it in time.
+async fn send(
+    connection: &mut RelayConnection,
+    message: UpstreamMessage,
+    reports: &[CrashReport],
+) -> Result<(), RelayError> {
+    let peer = connection.peer();
+    let limit = FOLLOWER_TIMEOUT;
+    let sent = timeout(limit, connection.send(message, reports)).await;
+    sent.map_err(|_| RelayError::Timeout { peer, limit })?
+}
+
 /// Waits until the response to `poll` is due. Returns the poll that arrived meanwhile: a follower that
-/// has something to tell does not wait for the response. Each poll gets one, in order.
+/// has something to tell does not wait for the response. Each poll gets one, in order. Reports of a
+/// suspected request are sent before it.
 async fn wait_until_due(
     hub: &RelayHub,
     poll: &ArrivedPoll,
     connection: &mut RelayConnection,
+    exchange: &mut CrashExchange,
 ) -> Result<Option<ArrivedPoll>, RelayError> {
     let due = hub.wait_for_response(&poll.poll, poll.arrived_at);
     tokio::pin!(due);
@@ -137,6 +153,10 @@
             following = connection.receive(), if next.is_none() => {
                 next = Some(ArrivedPoll::new(hub, following?));
             }
+            () = exchange.wait_for_suspicion(hub) => {
+                let reports = exchange.next_reports(hub);
+                send(connection, UpstreamMessage::CrashReports, &reports).await?;
+            }
         }
     }
 }
--- a/crates/turmericloft/src/ops/relay/upstream_polls.rs
+++ b/crates/turmericloft/src/ops/relay/upstream_polls.rs
@@ -10,7 +10,10 @@
     crash_exchange::CrashExchange,
     wire::{Received, RelayConnection},
 };
-use crate::{core::relay::RelayResponse, util::metrics_table::RELAY_ANSWERS};
+use crate::{
+    core::relay::{RelayResponse, UpstreamMessage},
+    util::metrics_table::RELAY_ANSWERS,
+};
 
 /// Polls that wait for a response. A second one carries crash reports to the upstream, which would
 /// otherwise wait until the first one is answered.
@@ -54,7 +57,7 @@
         }
     }
 
-    /// Sends a poll unless one is outstanding, and applies the next response.
+    /// Sends a poll unless one is outstanding, and applies what the upstream sends up to the next response.
     async fn poll(&mut self) -> Result<(), RelayError> {
         let peer = self.peer;
         let limit = self.hub.response_timeout();
@@ -75,7 +78,12 @@
                     continue;
                 }
             };
-            return self.apply(received.map_err(timed_out)??);
+            let Received { message, reports } = received.map_err(timed_out)??;
+            self.hub.quarantine().merge(self.hub.now(), reports);
+            match message {
+                UpstreamMessage::Response(response) => return self.apply(*response),
+                UpstreamMessage::CrashReports => {}
+            }
         }
     }
 
@@ -86,16 +94,12 @@
         self.connection.send(poll, &reports).await
     }
 
-    fn apply(&mut self, received: Received<RelayResponse>) -> Result<(), RelayError> {
+    fn apply(&mut self, response: RelayResponse) -> Result<(), RelayError> {
         let peer = self.peer;
         let Some(polled_at) = self.outstanding.pop_front() else {
             return Err(RelayError::Unasked { peer });
         };
-        let response = received.message;
         let is_current = response.is_current;
-        self.hub
-            .quarantine()
-            .merge(self.hub.now(), received.reports);
         let is_accepted = self.hub.apply_response(polled_at, response);
         counter!(RELAY_ANSWERS.name, "direction" => "taken").increment(1);
         if is_current && is_accepted {
--- a/crates/turmericloft/src/ops/relay/wire.rs
+++ b/crates/turmericloft/src/ops/relay/wire.rs
@@ -12,7 +12,7 @@
 use crate::core::quarantine::CrashReport;
 
 /// Version of the message format. It has to change with every change of the format.
-const MESSAGE_VERSION: u16 = 3;
+const MESSAGE_VERSION: u16 = 4;
 /// Maximum length of a message: large enough for a document of tens of thousands of routes.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
@@ -44,6 +44,10 @@
         Self { peer, framed }
     }
 
+    pub(super) fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
     /// Sends a message, and crash reports behind it unless there are none.
     pub(super) async fn send<T: Serialize>(
         &mut self,
--- a/crates/turmericloft/tests/testsuite/relay/crash_reports.rs
+++ b/crates/turmericloft/tests/testsuite/relay/crash_reports.rs
@@ -6,12 +6,13 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     task::yield_now,
+    time::timeout,
 };
 use turmericloft::core::{
     guard::Fingerprint,
     placement::EndpointState,
     quarantine::{Crash, CrashId, CrashReport, ReportedCrash, SendDecision},
-    relay::{RelayPoll, RelayResponse},
+    relay::{RelayPoll, UpstreamMessage},
 };
 
 use super::{
@@ -57,9 +58,45 @@
     }
 }
 
+/// Copies come to all gateways at once: the second crash and those after it are reported without a wait for
+/// the next read of the registry, down a tree of gateways too.
+#[tokio::test]
+async fn crashes_of_a_suspected_request_reach_followers_before_the_next_read() {
+    let upstream = upstream().await;
+    apply_record(&upstream.hub, 0, "e1", EndpointState::Ready);
+    let hubs = [follower(upstream.address), follower(upstream.address)];
+    for hub in &hubs {
+        hub.wait_until_current().await;
+    }
+    let request = Fingerprint::of("h", "POST", "/act/1", b"");
+    for i in 0..3 {
+        let at = std::time::Instant::now();
+        let crash = Crash {
+            endpoint: format!("e{i}").into(),
+            sent_at: at,
+            at,
+        };
+        hubs[0].quarantine().record_crash(at, request, crash);
+    }
+    let refused = async {
+        let mut revision = hubs[1].quarantine().revision();
+        loop {
+            let now = std::time::Instant::now();
+            let decision = hubs[1].quarantine().decide(now, &request);
+            if matches!(decision, SendDecision::Refused { .. }) {
+                return;
+            }
+            revision.changed().await.expect("the hub is alive");
+        }
+    };
+    // The idle response to a poll comes far later.
+    let limit = Duration::from_secs(20);
+    timeout(limit, refused).await.expect("known without a read");
+}
+
 /// Encodes a poll as a frame, with a crash report behind it.
 fn poll_frame(reports: &[CrashReport]) -> Vec<u8> {
-    const MESSAGE_VERSION: u16 = 3;
+    const MESSAGE_VERSION: u16 = 4;
     let poll = RelayPoll {
         host: "h1".into(),
         from: at(0, 0),
@@ -96,8 +133,11 @@
     let length = stream.read_u32().await.expect("a length");
     let mut message = vec![0; length as usize];
     stream.read_exact(&mut message).await.expect("a message");
-    let decoded = postcard::take_from_bytes::<(u16, RelayResponse)>(&message);
-    let ((_, response), _) = decoded.expect("a response");
+    let decoded = postcard::take_from_bytes::<(u16, UpstreamMessage)>(&message);
+    let ((_, message), _) = decoded.expect("a message");
+    let UpstreamMessage::Response(response) = message else {
+        panic!("a single crash is no suspicion");
+    };
     assert_eq!(response.changes.len(), 1);
     assert!(response.as_of_after_poll.is_some());
 }
