A request that cannot be answered by its deadline is rejected at once

Callers saw: a request with 3 s left, on a route with a target latency of 20 s, was answered 503 after 8.0 s, five seconds after its client had gone. A client's second call has such a short rest: it waited beyond it, and could be placed where its response was expected too late.

Cause: the wait and the latest response were bounded by the route's target latency alone, and the time left was that of the request's arrival, however long it had waited since.

Evidence: ingress::deadlines::request_that_cannot_be_answered_by_its_deadline_is_rejected_at_once failed before (503 after 24 s of paused time instead of milliseconds) and passes now.

Change: PlacementTimes bounds target and wait by the deadline, and the time left is that of the moment. A request for which even an idle endpoint is too slow gets 503 without Retry-After, since no return within its time could be served.

--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -91,6 +91,15 @@
         queue_limit(share, max_wait, service_time)
     }
 
+    /// Whether an idle endpoint of the service is expected to respond within `time_left`. Always true if the
+    /// service is not known.
+    pub fn can_respond_within(&self, req: &PlacementRequest<'_>, time_left: Duration) -> bool {
+        let Some(service) = self.services.get(req.service) else {
+            return true;
+        };
+        service.baseline(req.target_latency).service_time_s < time_left.as_secs_f64()
+    }
+
     /// When the client of a request that is rejected without a placement should return. A response
     /// within `time_to_target` would meet the target latency.
     pub fn retry_after(
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -13,6 +13,7 @@
 mod placement_error;
 mod placement_request;
 mod placement_result;
+mod placement_times;
 mod probe;
 mod probe_budget;
 mod queue_limit;
@@ -37,6 +38,7 @@
     placement_error::PlacementError,
     placement_request::PlacementRequest,
     placement_result::Placement,
+    placement_times::PlacementTimes,
     probe::{Probe, ProbeOutcome},
     probe_budget::ProbeBudget,
     queue_limit::{SlotShare, queue_limit},
--- a/crates/turmericloft/src/core/placement/placement_error.rs
+++ b/crates/turmericloft/src/core/placement/placement_error.rs
@@ -15,4 +15,6 @@
         /// Time after which a slot is likely to be free.
         retry_after: Duration,
     },
+    /// No endpoint, however idle, is expected to respond before the deadline.
+    TooLate,
 }
--- a/crates/turmericloft/src/ops/ingress/client_response.rs
+++ b/crates/turmericloft/src/ops/ingress/client_response.rs
@@ -28,6 +28,9 @@
         /// Delay before the client should retry.
         retry_after: Duration,
     },
+    /// The request has not run and never will: no endpoint is expected to respond before its deadline, nor
+    /// would one if the client retried.
+    TooLate,
     /// The request has not run now and will not: earlier copies of it crashed endpoints.
     Quarantined {
         /// Time until the quarantine ends.
@@ -47,7 +50,7 @@
             Self::NoRequestId => 400,
             Self::NoRoute => 404,
             Self::TooSlow => 408,
-            Self::NotReady | Self::Refused { .. } | Self::Quarantined { .. } => 503,
+            Self::NotReady | Self::Refused { .. } | Self::TooLate | Self::Quarantined { .. } => 503,
             Self::NoAnswer => 502,
             Self::OutOfTime => 504,
         }
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -21,7 +21,9 @@
 };
 use crate::{
     core::{
-        placement::{AttemptOutcome, InstanceId, Placement, PlacementError, PlacementRequest},
+        placement::{
+            AttemptOutcome, InstanceId, Placement, PlacementError, PlacementRequest, PlacementTimes,
+        },
         traffic::{Route, RouteKind},
     },
     sources::http1::Request,
@@ -33,8 +35,6 @@
 /// Time reserved for the second endpoint, and least time given to the first one, in multiples of
 /// the service time.
 const HEDGE_SERVICE_TIMES: f64 = 1.2;
-/// Share of the target latency that a request may wait for capacity.
-const MAX_WAIT_SHARE: f64 = 0.4;
 /// `Retry-After` of a rejection that no estimate is available for.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Time to the deadline below which a request is not retried.
@@ -259,13 +259,14 @@
     }
 
     /// Chooses the endpoint of the first attempt. Waits for capacity only while a response can
-    /// still meet the target latency.
+    /// still meet the target latency and the deadline.
     async fn place_first(&mut self) -> Result<Placement, PlacementError> {
-        let target = self.forwarded.route.target_latency;
-        let until = self.arrived + target.mul_f64(MAX_WAIT_SHARE);
+        let ForwardedRequest {
+            route, deadline, ..
+        } = &*self.forwarded;
+        let times = PlacementTimes::new(self.arrived, route.target_latency, *deadline);
         let req = self.placement_request(false);
-        let target = self.arrived + target;
-        place_or_wait(&self.ingress, &self.service, &req, target, until).await
+        place_or_wait(&self.ingress, &self.service, &req, &times).await
     }
 
     async fn place_retry(&mut self) -> Result<Placement, PlacementError> {
@@ -324,7 +325,10 @@
 }
 
 fn rejection(unplaced: PlacementError) -> ClientResponse {
-    let (PlacementError::NoEndpoint { retry_after } | PlacementError::NoCapacity { retry_after }) =
-        unplaced;
-    ClientResponse::Gateway(GatewayResponse::Refused { retry_after })
+    ClientResponse::Gateway(match unplaced {
+        PlacementError::NoEndpoint { retry_after } | PlacementError::NoCapacity { retry_after } => {
+            GatewayResponse::Refused { retry_after }
+        }
+        PlacementError::TooLate => GatewayResponse::TooLate,
+    })
 }
--- a/crates/turmericloft/src/ops/ingress/wait.rs
+++ b/crates/turmericloft/src/ops/ingress/wait.rs
@@ -8,13 +8,12 @@
 use tokio::time::timeout;
 
 use super::{probe::probe_endpoints, shared::Ingress};
-use crate::core::placement::{Placement, PlacementError, PlacementRequest, WaitTicket};
+use crate::core::placement::{
+    Placement, PlacementError, PlacementRequest, PlacementTimes, WaitTicket,
+};
 
 /// Interval at which a queued request checks for capacity without a notification.
 const CAPACITY_CHECK_INTERVAL: Duration = Duration::from_millis(25);
-/// Share of the time to the deadline within which a response has to be expected once the target
-/// latency cannot be met.
-const LATE_SHARE: f64 = 0.8;
 /// Rounds of probes before a request is placed.
 const PROBE_ROUNDS: u32 = 4;
 /// Rounds of probes each time that a queued request checks for capacity.
@@ -33,40 +32,43 @@
     }
 }
 
-/// Places a request at an endpoint whose response is expected by `target`. If there is none, the
-/// request waits for one until `until`, and is then placed at any endpoint with available capacity
-/// whose response is expected before the deadline.
+/// Places a request at an endpoint whose response is expected by the target. If there is none, the
+/// request waits for one, and is then placed at any endpoint with available capacity whose response is
+/// expected before the deadline. It does not wait if no endpoint can respond before the deadline.
 pub(super) async fn place_or_wait(
     ingress: &Arc<Ingress>,
     service: &Arc<str>,
     req: &PlacementRequest<'_>,
-    target: Instant,
-    until: Instant,
+    times: &PlacementTimes,
 ) -> Result<Placement, PlacementError> {
     let has_requests_ahead = ingress.queue.lock().has_requests_ahead(service, req.rank);
     let mut unplaced = match has_requests_ahead {
-        false => match probe_and_place_by(ingress, req, target).await {
+        false => match probe_and_place(ingress, &by_target(ingress, req, times)).await {
             Err(full @ PlacementError::NoCapacity { .. }) => full,
             placed => return placed,
         },
         true => PlacementError::NoCapacity {
-            retry_after: retry_after(ingress, req, target),
+            retry_after: retry_after(ingress, req, times),
         },
     };
-    let max_wait = until.saturating_duration_since(ingress.now());
+    let max_wait = times.wait_until.saturating_duration_since(ingress.now());
     let limit = ingress.balancer.lock().queue_limit(req, max_wait);
     let joined = ingress.queue.lock().enqueue(service, req.rank, limit);
     let Some(ticket) = joined else {
-        return place_late(ingress, req, unplaced);
+        return place_late(ingress, req, times, unplaced);
     };
     let queued = QueuedRequest {
         ingress: Arc::clone(ingress),
         ticket,
     };
     loop {
-        let left = until.saturating_duration_since(ingress.now());
+        let now = ingress.now();
+        let left = times.wait_until.saturating_duration_since(now);
         if left.is_zero() {
-            return place_late(ingress, req, unplaced);
+            return place_late(ingress, req, times, unplaced);
+        }
+        if is_too_late(ingress, req, times, now) {
+            return Err(PlacementError::TooLate);
         }
         let notified = timeout(
             left.min(CAPACITY_CHECK_INTERVAL),
@@ -79,9 +81,11 @@
         // An attempt that has just ended also reported its endpoint's load, so only a timeout calls
         // for a probe.
         if notified.is_err() {
-            probe_endpoints(ingress, req, QUEUED_PROBE_ROUNDS).await;
+            let req = by_target(ingress, req, times);
+            probe_endpoints(ingress, &req, QUEUED_PROBE_ROUNDS).await;
         }
-        let placed = place_by(ingress, req, target);
+        let req = by_target(ingress, req, times);
+        let placed = ingress.balancer.lock().place(ingress.now(), &req);
         match placed {
             Err(full @ PlacementError::NoCapacity { .. }) => unplaced = full,
             placed => return placed,
@@ -89,51 +93,49 @@
     }
 }
 
-fn retry_after(ingress: &Ingress, req: &PlacementRequest<'_>, target: Instant) -> Duration {
-    let time_to_target = target.saturating_duration_since(ingress.now());
+fn retry_after(ingress: &Ingress, req: &PlacementRequest<'_>, times: &PlacementTimes) -> Duration {
+    let time_to_target = times.max_latency(ingress.now());
     ingress.balancer.lock().retry_after(req, time_to_target)
 }
 
-fn place_by(
+/// The request as it stands now, at an endpoint that responds by the target.
+fn by_target<'a>(
     ingress: &Ingress,
-    req: &PlacementRequest<'_>,
-    target: Instant,
-) -> Result<Placement, PlacementError> {
+    req: &PlacementRequest<'a>,
+    times: &PlacementTimes,
+) -> PlacementRequest<'a> {
     let now = ingress.now();
-    let max_latency = target.saturating_duration_since(now);
-    let req = PlacementRequest {
-        max_latency,
+    PlacementRequest {
+        time_left: times.time_left(now),
+        max_latency: times.max_latency(now),
         ..*req
-    };
-    ingress.balancer.lock().place(now, &req)
+    }
 }
 
-async fn probe_and_place_by(
-    ingress: &Arc<Ingress>,
+fn is_too_late(
+    ingress: &Ingress,
     req: &PlacementRequest<'_>,
-    target: Instant,
-) -> Result<Placement, PlacementError> {
-    let max_latency = target.saturating_duration_since(ingress.now());
-    probe_and_place(
-        ingress,
-        &PlacementRequest {
-            max_latency,
-            ..*req
-        },
-    )
-    .await
+    times: &PlacementTimes,
+    now: Instant,
+) -> bool {
+    let balancer = ingress.balancer.lock();
+    !balancer.can_respond_within(req, times.time_left(now))
 }
 
 /// Places a request that misses its target latency; a response before the deadline is still useful.
 fn place_late(
     ingress: &Ingress,
     req: &PlacementRequest<'_>,
+    times: &PlacementTimes,
     unplaced: PlacementError,
 ) -> Result<Placement, PlacementError> {
     let now = ingress.now();
-    let max_latency = req.time_left.mul_f64(LATE_SHARE);
+    if is_too_late(ingress, req, times, now) {
+        return Err(PlacementError::TooLate);
+    }
     let req = PlacementRequest {
-        max_latency,
+        time_left: times.time_left(now),
+        max_latency: times.max_late_latency(now),
         needs_spare_capacity: true,
         ..*req
     };
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod crashing_requests;
+mod deadlines;
 mod drain;
 mod endpoint;
 mod faults;
