Endpoints of attempts that another one outran with success are not checked

Cause: an attempt that is dropped was followed whatever became of its request. A request that an endpoint answered with success crashes none, as everywhere in the quarantine.

--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -1,7 +1,10 @@
 //! One attempt of a request at one endpoint.
 
 use std::{
-    sync::{Arc, OnceLock},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -47,6 +50,7 @@
     /// Cancelled when the client's connection ends.
     pub(super) client_disconnected: CancellationToken,
     fingerprint: OnceLock<Fingerprint>,
+    has_succeeded: AtomicBool,
 }
 
 impl ForwardedRequest {
@@ -64,9 +68,20 @@
             deadline,
             client_disconnected,
             fingerprint: OnceLock::new(),
+            has_succeeded: AtomicBool::new(false),
         }
     }
 
+    /// Records that an endpoint responded with success.
+    pub(super) fn record_success(&self) {
+        self.has_succeeded.store(true, Ordering::Release);
+    }
+
+    /// Whether an endpoint has responded with success, which shows that the request crashes none.
+    pub(super) fn has_succeeded(&self) -> bool {
+        self.has_succeeded.load(Ordering::Acquire)
+    }
+
     /// Tells the request from others that are no copies of it. Computed when it is needed first:
     /// rarely, as hardly any request is broken off.
     pub(super) fn fingerprint(&self) -> Fingerprint {
--- a/crates/turmericloft/src/ops/ingress/crash_watch.rs
+++ b/crates/turmericloft/src/ops/ingress/crash_watch.rs
@@ -59,8 +59,11 @@
     let now = ingress.now();
     match end {
         AttemptEnd::Disconnected(crash) => record_crash(ingress, now, forwarded, crash),
-        AttemptEnd::Response(response) if is_success(response.status) && !quarantine.is_empty() => {
-            quarantine.record_response(now, &forwarded.fingerprint());
+        AttemptEnd::Response(response) if is_success(response.status) => {
+            forwarded.record_success();
+            if !quarantine.is_empty() {
+                quarantine.record_response(now, &forwarded.fingerprint());
+            }
         }
         _ => {}
     }
--- a/crates/turmericloft/src/ops/ingress/followed_attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/followed_attempt.rs
@@ -12,7 +12,7 @@
 };
 
 /// An attempt that is followed from when its request is sent. It counts as abandoned if it is dropped
-/// after that, or has timed out.
+/// after that, or has timed out, unless another attempt of the request has succeeded.
 #[derive(Debug)]
 pub(super) struct FollowedAttempt {
     ingress: Arc<Ingress>,
@@ -60,6 +60,9 @@
         let Some(sent_at) = self.sent_at else {
             return;
         };
+        if self.forwarded.has_succeeded() {
+            return;
+        }
         let attempt = AbandonedAttempt {
             request: self.forwarded.fingerprint(),
             sent_at,
--- a/crates/turmericloft/tests/testsuite/ingress/crashing_requests.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/crashing_requests.rs
@@ -3,7 +3,10 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::select_all;
-use tokio::{task::yield_now, time::timeout};
+use tokio::{
+    task::yield_now,
+    time::{sleep, timeout},
+};
 use turmericloft::core::{guard::Fingerprint, quarantine::Crash};
 
 use super::{
@@ -108,6 +111,36 @@
     assert_eq!(client.call("GET", "/read/1", "r1").await.status, 503);
 }
 
+/// The first attempt is late and a hedge succeeds, so the request crashes no endpoint: that of the first
+/// attempt is not checked. Time is paused.
+#[tokio::test(start_paused = true)]
+async fn endpoint_of_an_attempt_that_a_hedge_outran_is_not_checked() {
+    // Quick responses before it, so that a second endpoint is expected to respond in time.
+    const QUICK: usize = 20;
+    let mut steps = vec![Behaviour::Respond; QUICK];
+    steps.push(Behaviour::Hold);
+    let script = Script::new(&steps, Behaviour::Respond);
+    let endpoints = [
+        Endpoint::start_with_script(&script).await,
+        Endpoint::start_with_script(&script).await,
+    ];
+    let gateway = Gateway::start(&endpoints).await;
+    let mut client = Client::connect(gateway.clients).await;
+    for i in 0..=QUICK {
+        let id = format!("r{i}");
+        assert_eq!(client.call("GET", "/read/1", &id).await.status, 200);
+    }
+    let held: usize = endpoints
+        .iter()
+        .map(|e| e.arrived.available_permits())
+        .sum();
+    assert_eq!(held, 1);
+    let checks = || endpoints.iter().map(Endpoint::health_checks).sum::<usize>();
+    let checks_before = checks();
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(checks(), checks_before);
+}
+
 /// Waits until the gateway has recorded `changes` changes of its quarantine table, of which it learns by
 /// checks. The limit is far beyond any that the gateway has.
 async fn wait_until_concluded(gateway: &Gateway, changes: u64) {
--- a/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
@@ -119,6 +119,7 @@
     pub runs: Arc<Mutex<Vec<Run>>>,
     /// Number of connections that were opened.
     connections: Arc<AtomicUsize>,
+    health_checks: Arc<AtomicUsize>,
     /// Has one permit per held request that has arrived.
     pub arrived: Arc<Semaphore>,
     /// Releases one held request per permit.
@@ -141,6 +142,7 @@
             address,
             runs: Arc::default(),
             connections: Arc::default(),
+            health_checks: Arc::default(),
             arrived: Arc::new(Semaphore::new(0)),
             release: Arc::new(Semaphore::new(0)),
             disconnected: Arc::new(Semaphore::new(0)),
@@ -149,6 +151,7 @@
         let server = EndpointServer {
             script: script.clone(),
             runs: Arc::clone(&endpoint.runs),
+            health_checks: Arc::clone(&endpoint.health_checks),
             arrived: Arc::clone(&endpoint.arrived),
             release: Arc::clone(&endpoint.release),
             disconnected: Arc::clone(&endpoint.disconnected),
@@ -171,6 +174,11 @@
         self.ended.cancel();
     }
 
+    /// Number of health checks that it has answered.
+    pub fn health_checks(&self) -> usize {
+        self.health_checks.load(Ordering::Acquire)
+    }
+
     pub fn connections(&self) -> usize {
         self.connections.load(Ordering::Acquire)
     }
@@ -184,6 +192,7 @@
 struct EndpointServer {
     script: Script,
     runs: Arc<Mutex<Vec<Run>>>,
+    health_checks: Arc<AtomicUsize>,
     arrived: Arc<Semaphore>,
     release: Arc<Semaphore>,
     disconnected: Arc<Semaphore>,
@@ -213,6 +222,7 @@
     /// Returns whether the connection stays open.
     async fn respond(&self, stream: &mut TcpStream, req: &Request) -> bool {
         if req.target() == "/health" {
+            self.health_checks.fetch_add(1, Ordering::AcqRel);
             return send(
                 stream,
                 "HTTP/1.1 200 OK\r\nIdle: 1\r\nContent-Length: 0\r\n\r\n",
