Reads after a store outage begin within the stability window

Cause: a follower whose read had failed waited 2.5 s after a read that takes 1.5 s to fail, so its reads began 4 s apart; the bound is 3 s. The test of that bound compared the wait with a read of 0.3 s, the timeout of a connection, which is wrong for a store that accepts connections and is silent. It now takes the timeout of the call, and covers windows of 0.5 to 20 s. Change: timeouts and pauses of reads of the store are fractions of the stability window (RecoveryTimings), and a constant assertion keeps their sum within it. A follower's reads are a period apart however fast they fail, so an outage in which the store answers 503 is not probed more often than before (2.55 s instead of 2.5 s and the answer); a silent one is, by a period of 2.55 instead of 4 s.

--- a/crates/turmericloft/src/core/relay/mod.rs
+++ b/crates/turmericloft/src/core/relay/mod.rs
@@ -12,8 +12,9 @@
 //! has not.
 
 mod era_change;
-mod read_retry;
+mod recovery_timings;
 mod registry_view;
+mod relay_bounds;
 mod relay_member;
 mod relay_poll;
 mod relay_response;
@@ -23,8 +24,8 @@
 mod upstream_message;
 
 pub use self::{
-    era_change::EraChange, read_retry::read_retry_delay, registry_view::RegistryView,
-    relay_member::RelayMember, relay_poll::RelayPoll, relay_response::RelayResponse,
-    relay_timings::RelayTimings, spread::delay_of_host, upstream_chooser::UpstreamChooser,
-    upstream_message::UpstreamMessage,
+    era_change::EraChange, recovery_timings::RecoveryTimings, registry_view::RegistryView,
+    relay_bounds::RelayBounds, relay_member::RelayMember, relay_poll::RelayPoll,
+    relay_response::RelayResponse, relay_timings::RelayTimings, spread::delay_of_host,
+    upstream_chooser::UpstreamChooser, upstream_message::UpstreamMessage,
 };
--- /dev/null
+++ b/crates/turmericloft/src/core/relay/recovery_timings.rs
@@ -0,0 +1,72 @@
+//! Waits between the return of a registry that did not respond and the first read that succeeds.
+//!
+//! Load pattern: the registry is unavailable to hundreds of gateways for seconds. If every gateway
+//! tried again several times a second, they would make thousands of calls for the one that finds it
+//! available. The gateways that nobody precedes try often and relay what they get; the others try
+//! seldom, in case the registry is available to them alone. A gateway that has just read the registry
+//! by itself may have followers, and goes on trying often.
+//!
+//! A read that begins just before the return is lost. So a gateway that nobody relays to waits for its
+//! next read, and then reads the endpoints and the document one after the other. All of it has to fit
+//! into the stability window, so each part is a fraction of it.
+
+use std::time::{Duration, Instant};
+
+/// Timeout of one read, as a fraction of the stability window.
+const CALL_TIMEOUT_FRACTION: f64 = 0.5;
+/// Timeout of one read with a long stability window: a lost response is noticed after it.
+const MAX_CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Timeout for opening a connection, as a fraction of the stability window. It is part of the call's.
+const CONNECT_TIMEOUT_FRACTION: f64 = 0.1;
+/// Time from the end of a failed read to the next one of a gateway that relies on no other, as a fraction of the stability window. Entries that
+/// vanished are retained from the first successful read on, so a late one keeps endpoints that have left.
+const LONE_DELAY_FRACTION: f64 = 0.08;
+/// Time from the start of a failed read to the next one of a gateway that relies on one which precedes
+/// it, as a fraction of the stability window.
+const FOLLOWER_PERIOD_FRACTION: f64 = 0.85;
+/// Time for two successful reads on a busy host, as a fraction of the stability window.
+const READS_FRACTION: f64 = 0.15;
+
+const _: () = assert!(FOLLOWER_PERIOD_FRACTION + READS_FRACTION <= 1.0);
+const _: () = assert!(CALL_TIMEOUT_FRACTION + LONE_DELAY_FRACTION < FOLLOWER_PERIOD_FRACTION);
+const _: () = assert!(CONNECT_TIMEOUT_FRACTION < CALL_TIMEOUT_FRACTION);
+
+/// Timeouts and delays of reads of the registry, all in proportion to the stability window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecoveryTimings {
+    stability_window: Duration,
+}
+
+impl RecoveryTimings {
+    /// `stability_window` is the time after the registry's return within which every gateway that
+    /// reaches it has to be up to date.
+    pub fn new(stability_window: Duration) -> Self {
+        Self { stability_window }
+    }
+
+    /// Timeout of a call to the registry, with the time for opening a connection.
+    pub fn call_timeout(&self) -> Duration {
+        self.part(CALL_TIMEOUT_FRACTION).min(MAX_CALL_TIMEOUT)
+    }
+
+    /// Timeout for opening a connection to the registry.
+    pub fn connect_timeout(&self) -> Duration {
+        self.part(CONNECT_TIMEOUT_FRACTION)
+    }
+
+    /// When a read that started at `started` and has failed `now` is repeated. `relies_on_upstream` says
+    /// whether a gateway that precedes this one responds, even with old data, and this one has no fresh
+    /// data. Its reads are a period apart however fast they fail.
+    pub fn next_read(&self, now: Instant, started: Instant, relies_on_upstream: bool) -> Instant {
+        let soon = now + self.part(LONE_DELAY_FRACTION);
+        if relies_on_upstream {
+            soon.max(started + self.part(FOLLOWER_PERIOD_FRACTION))
+        } else {
+            soon
+        }
+    }
+
+    fn part(&self, fraction: f64) -> Duration {
+        self.stability_window.mul_f64(fraction)
+    }
+}
--- a/crates/turmericloft/src/core/relay/relay_timings.rs
+++ b/crates/turmericloft/src/core/relay/relay_timings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::{RecoveryTimings, RelayBounds};
+
 /// Time between the starts of two reads by one gateway, as a fraction of the drain time.
 const READ_INTERVAL_FRACTION: f64 = 0.35;
 /// Age at which a gateway's data is stale, as a fraction of the drain time. The remainder leaves
@@ -22,43 +24,55 @@
 /// responds that it is not current, as a fraction of the drain time.
 const READ_GRACE_FRACTION: f64 = 0.05;
 
-/// Intervals and timeouts of the relay, all in proportion to the drain time.
+/// Intervals and timeouts of the relay, all in proportion to the bounds of the deployment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RelayTimings {
-    drain_time: Duration,
+    bounds: RelayBounds,
 }
 
 impl RelayTimings {
-    /// `drain_time` is the time within which every gateway has to know that an endpoint is
-    /// draining.
-    pub fn new(drain_time: Duration) -> Self {
-        Self { drain_time }
+    /// Timings that keep `bounds`.
+    pub fn new(bounds: RelayBounds) -> Self {
+        Self { bounds }
+    }
+
+    /// Timeouts and delays of reads while the registry does not respond.
+    pub fn recovery(&self) -> RecoveryTimings {
+        RecoveryTimings::new(self.bounds.stability_window)
+    }
+
+    /// Time after its acknowledgement within which a document has to be active.
+    pub fn config_deadline(&self) -> Duration {
+        self.bounds.config_deadline
     }
 
     /// Time between the starts of two reads of the registry by one gateway.
     pub fn read_interval(&self) -> Duration {
-        self.drain_time.mul_f64(READ_INTERVAL_FRACTION)
+        self.of_drain_time(READ_INTERVAL_FRACTION)
     }
 
     /// Age at which data that was relayed over `hops` hops is stale.
     pub fn stale_after(&self, hops: u32) -> Duration {
         let hops = f64::from(hops.min(MAX_STALE_HOPS));
-        self.drain_time
-            .mul_f64(STALE_FRACTION + STALE_FRACTION_PER_HOP * hops)
+        self.of_drain_time(STALE_FRACTION + STALE_FRACTION_PER_HOP * hops)
     }
 
     /// Time after which an upstream answers a poll even without changes.
     pub fn idle_response_after(&self) -> Duration {
-        self.drain_time.mul_f64(IDLE_RESPONSE_FRACTION)
+        self.of_drain_time(IDLE_RESPONSE_FRACTION)
     }
 
     /// Time without a response after which a follower gives up its upstream.
     pub fn response_timeout(&self) -> Duration {
-        self.drain_time.mul_f64(RESPONSE_TIMEOUT_FRACTION)
+        self.of_drain_time(RESPONSE_TIMEOUT_FRACTION)
     }
 
     /// Time granted to a read of the registry before followers are told that there are no changes.
     pub fn read_grace(&self) -> Duration {
-        self.drain_time.mul_f64(READ_GRACE_FRACTION)
+        self.of_drain_time(READ_GRACE_FRACTION)
+    }
+
+    fn of_drain_time(&self, fraction: f64) -> Duration {
+        self.bounds.drain_time.mul_f64(fraction)
     }
 }
--- a/crates/turmericloft/tests/testsuite/relay/connections.rs
+++ b/crates/turmericloft/tests/testsuite/relay/connections.rs
@@ -20,13 +20,13 @@
 use turmericloft::{
     core::{
         placement::{DiscoveredEndpoint, EndpointState},
-        relay::{RelayMember, RelayTimings, UpstreamChooser},
+        relay::{RelayMember, UpstreamChooser},
         traffic::{RequestLimits, Route, RouteKind, TrafficDocument},
     },
     ops::relay::{RelayHub, follow_upstream, serve_followers},
 };
 
-use super::{at, observed};
+use super::{at, observed, timings_of};
 
 /// Long enough that no timeout expires on a slow machine.
 const DRAIN_TIME: Duration = Duration::from_secs(60);
@@ -45,7 +45,7 @@
 }
 
 async fn upstream_with(drain_time: Duration) -> Upstream {
-    let hub = RelayHub::new(RelayTimings::new(drain_time));
+    let hub = RelayHub::new(timings_of(drain_time));
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let stop = CancellationToken::new();
@@ -69,7 +69,7 @@
 }
 
 pub(super) fn follower(upstream: SocketAddr) -> Arc<RelayHub> {
-    let hub = RelayHub::new(RelayTimings::new(DRAIN_TIME));
+    let hub = RelayHub::new(timings_of(DRAIN_TIME));
     let (host, other) = two_hosts();
     let chooser = UpstreamChooser::new(Arc::clone(&host), "a".into());
     let member = RelayMember {
@@ -246,7 +246,7 @@
         ..m.clone()
     });
     let (_tx, members) = watch::channel(Some(members.collect()));
-    let hub = RelayHub::new(RelayTimings::new(drain_time));
+    let hub = RelayHub::new(timings_of(drain_time));
     let host = Arc::clone(&last.host);
     tokio::spawn(follow_upstream(
         Arc::clone(&hub),
@@ -261,7 +261,7 @@
 #[tokio::test(start_paused = true)]
 async fn gateway_without_others_starts_immediately() {
     let started = tokio::time::Instant::now();
-    let hub = RelayHub::new(RelayTimings::new(DRAIN_TIME));
+    let hub = RelayHub::new(timings_of(DRAIN_TIME));
     let chooser = UpstreamChooser::new("h0".into(), "a".into());
     let (_tx, members) = watch::channel(Some(Vec::new()));
     tokio::spawn(follow_upstream(
@@ -301,7 +301,7 @@
 
 #[tokio::test]
 async fn starting_gateway_without_others_reads_its_first_document_itself() {
-    let hub = RelayHub::new(RelayTimings::new(DRAIN_TIME));
+    let hub = RelayHub::new(timings_of(DRAIN_TIME));
     hub.record_no_upstream();
     hub.wait_for_initial_document(LONG_GRACE).await;
     assert!(!hub.has_document());
--- a/crates/turmericloft/tests/testsuite/relay/mod.rs
+++ b/crates/turmericloft/tests/testsuite/relay/mod.rs
@@ -2,7 +2,7 @@
 
 mod connections;
 mod crash_reports;
-mod read_retry;
+mod recovery;
 mod registry;
 mod simulated_gateway;
 mod simulation;
@@ -15,14 +15,23 @@
     placement::{
         DiscoveredEndpoint, EndpointState, Observation, RegistryEra, RegistryList, RegistryPosition,
     },
-    relay::{RelayMember, RelayTimings},
+    relay::{RelayBounds, RelayMember, RelayTimings},
 };
 
 /// Time within which every gateway has to know that an endpoint is draining.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
 fn timings() -> RelayTimings {
-    RelayTimings::new(DRAIN_TIME)
+    timings_of(DRAIN_TIME)
+}
+
+/// Timings of a deployment whose other bounds are in proportion to its drain time.
+fn timings_of(drain_time: Duration) -> RelayTimings {
+    RelayTimings::new(RelayBounds {
+        drain_time,
+        config_deadline: drain_time,
+        stability_window: drain_time.mul_f64(1.5),
+    })
 }
 
 fn member(host: &str, zone: &str) -> RelayMember {
