Followers wait at a stale upstream while the store is unavailable to all

Cause: an upstream with stale data is excluded for 3 s, also when all others are stale. Change: a gateway whose own data is stale tries four upstreams and then waits at its parent, with a poll that is answered when the parent's data is fresh. Others are tried in turn every 3 s, those that were not tried first. Messages of the relay have version 5.

--- a/crates/turmericloft/src/core/relay/upstream_chooser.rs
+++ b/crates/turmericloft/src/core/relay/upstream_chooser.rs
@@ -3,7 +3,8 @@
 //! Load pattern: a hundred gateways start together, and any number of them fails at once. The
 //! gateways of a zone form a tree, ordered by a hash of their host names. The followers of a failed
 //! gateway spread over all gateways that precede them, and a gateway without a usable upstream
-//! reads the registry itself.
+//! reads the registry itself. While the registry is unavailable to all of them, each waits at its parent,
+//! so that the first gateway that reads it again feeds the whole tree at once.
 
 use std::{
     collections::HashMap,
@@ -22,6 +23,9 @@
 const FAILED_BACKOFF: Duration = Duration::from_secs(10);
 /// Time for which an upstream with stale data is not selected; others may have fresher data.
 const STALE_BACKOFF: Duration = Duration::from_secs(3);
+/// Number of upstreams found stale within that time from which on the registry counts as unavailable
+/// to all, if it is unavailable to this gateway too.
+const MAX_STALE: usize = 4;
 
 /// Selects the upstream of one gateway.
 #[derive(Clone, Debug)]
@@ -30,7 +34,21 @@
     zone: Arc<str>,
     /// Gateways of the zone that precede this one, in order of preference.
     candidates: Vec<RelayMember>,
-    excluded_until: HashMap<Arc<str>, Instant>,
+    excluded: HashMap<Arc<str>, Exclusion>,
+}
+
+/// Why a gateway is not selected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    Failed,
+    Stale,
+}
+
+/// The last exclusion of a gateway, which may be over.
+#[derive(Clone, Copy, Debug)]
+struct Exclusion {
+    cause: Cause,
+    until: Instant,
 }
 
 impl UpstreamChooser {
@@ -40,7 +58,7 @@
             host,
             zone,
             candidates: Vec::new(),
-            excluded_until: HashMap::new(),
+            excluded: HashMap::new(),
         }
     }
 
@@ -59,34 +77,62 @@
         predecessors.sort_by_key(|m| rendezvous_weight(&self.host, &m.host));
         self.candidates = parent.into_iter().chain(predecessors).collect();
         let known = &self.candidates;
-        self.excluded_until
+        self.excluded
             .retain(|host, _| known.iter().any(|m| m.host == *host));
     }
 
-    /// The gateway to follow now; `None` if this gateway has to read the registry.
+    /// The gateway to follow now; `None` if this gateway has to read the registry. The parent in the tree
+    /// comes first, then those that were never excluded, then those whose exclusion ended first.
     pub fn upstream(&self, now: Instant) -> Option<&RelayMember> {
-        let excluded = |m: &RelayMember| self.excluded_until.get(&m.host).is_some_and(|t| *t > now);
-        self.candidates.iter().find(|m| !excluded(m))
+        let usable = self.candidates.iter().enumerate();
+        let usable = usable.filter(|(_, m)| self.exclusion(now, m).is_none());
+        let preferred = usable.min_by_key(|(index, m)| {
+            let last = self.excluded.get(&m.host).map(|e| e.until);
+            (*index > 0, last, *index)
+        });
+        preferred.map(|(_, m)| m)
+    }
+
+    /// The gateway at which to wait for fresh data, while the registry is unavailable to this gateway and
+    /// to several others, or to all that can be reached; `None` while there is one to try.
+    pub fn stale_upstream(&self, now: Instant) -> Option<&RelayMember> {
+        let is_stale = |m: &&RelayMember| self.exclusion(now, m) == Some(Cause::Stale);
+        let mut stale = self.candidates.iter().filter(is_stale);
+        let first = stale.next()?;
+        let count = 1 + stale.count();
+        (count >= MAX_STALE || self.upstream(now).is_none()).then_some(first)
     }
 
     /// Records that following `host` failed, and excludes it for `FAILED_BACKOFF`.
     pub fn record_failure(&mut self, now: Instant, host: &str) {
-        self.excluded_until
-            .insert(host.into(), now + FAILED_BACKOFF);
+        self.exclude(host, Cause::Failed, now + FAILED_BACKOFF);
     }
 
     /// Records that `host` responds with stale data, and excludes it for `STALE_BACKOFF`.
     pub fn record_stale(&mut self, now: Instant, host: &str) {
-        self.excluded_until.insert(host.into(), now + STALE_BACKOFF);
+        self.exclude(host, Cause::Stale, now + STALE_BACKOFF);
+    }
+
+    /// Records that the data of `host` is fresh again.
+    pub fn record_current(&mut self, host: &str) {
+        self.excluded.remove(host);
+    }
+
+    fn exclude(&mut self, host: &str, cause: Cause, until: Instant) {
+        self.excluded
+            .insert(host.into(), Exclusion { cause, until });
+    }
+
+    /// Why a gateway is excluded now; `None` if it is not.
+    fn exclusion(&self, now: Instant, member: &RelayMember) -> Option<Cause> {
+        let exclusion = self.excluded.get(&member.host)?;
+        (exclusion.until > now).then_some(exclusion.cause)
     }
 
     /// When the next excluded gateway can be selected again; `None` if none is excluded.
     pub fn next_retry(&self, now: Instant) -> Option<Instant> {
-        self.excluded_until
-            .values()
-            .copied()
-            .filter(|t| *t > now)
-            .min()
+        let ends = self.excluded.values().map(|e| e.until);
+        ends.filter(|t| *t > now).min()
     }
 }
 
--- a/crates/turmericloft/src/ops/relay/follow.rs
+++ b/crates/turmericloft/src/ops/relay/follow.rs
@@ -31,6 +31,17 @@
             continue;
         };
         chooser.set_members(&known);
+        let stale = chooser.stale_upstream(hub.now()).cloned();
+        if let Some(upstream) = stale.filter(|_| !hub.is_current()) {
+            hub.record_no_upstream();
+            let waited = await_current(&hub, &host, &upstream, &mut chooser, &mut members).await;
+            match waited {
+                Waited::Ended(error) => exclude(&hub, &mut chooser, &upstream, &error),
+                Waited::MayChoose => {}
+                Waited::Stopped => return,
+            }
+            continue;
+        }
         let Some(upstream) = chooser.upstream(hub.now()).cloned() else {
             hub.record_no_upstream();
             if !wait_for_candidate(&hub, &chooser, &mut members).await {
@@ -39,19 +50,66 @@
             continue;
         };
         let error = follow(&hub, &host, &upstream).await;
-        log::info!(
-            "upstream unusable, selecting another one: host={} cause=\"{}\"",
-            upstream.host,
-            error_chain::one_line(&error)
-        );
-        match error {
-            RelayError::Stale { .. } => chooser.record_stale(hub.now(), &upstream.host),
-            _ => {
-                hub.record_upstream_lost();
-                chooser.record_failure(hub.now(), &upstream.host);
-            }
+        exclude(&hub, &mut chooser, &upstream, &error);
+    }
+}
+
+/// Excludes an upstream for a while after `error`.
+fn exclude(
+    hub: &RelayHub,
+    chooser: &mut UpstreamChooser,
+    upstream: &RelayMember,
+    error: &RelayError,
+) {
+    log::info!(
+        "upstream unusable, selecting another one: host={} cause=\"{}\"",
+        upstream.host,
+        error_chain::one_line(error)
+    );
+    match error {
+        RelayError::Stale { .. } => chooser.record_stale(hub.now(), &upstream.host),
+        _ => {
+            hub.record_upstream_lost();
+            chooser.record_failure(hub.now(), &upstream.host);
+        }
+    }
+}
+
+/// How waiting for an upstream's fresh data ended.
+enum Waited {
+    /// The upstream failed, or it was followed until its data was stale again.
+    Ended(RelayError),
+    /// Another gateway may have fresh data.
+    MayChoose,
+    /// The sender of the members is gone.
+    Stopped,
+}
+
+/// Waits until `upstream`, whose data was found stale, has fresh data, and then follows it. Waits no
+/// longer than until another gateway can be selected.
+async fn await_current(
+    hub: &RelayHub,
+    host: &Arc<str>,
+    upstream: &RelayMember,
+    chooser: &mut UpstreamChooser,
+    members: &mut watch::Receiver<Option<Vec<RelayMember>>>,
+) -> Waited {
+    let mut polls = match connect(upstream).await {
+        Ok(connection) => UpstreamPolls::new(hub, host, upstream.address, connection),
+        Err(e) => return Waited::Ended(e),
+    };
+    tokio::select! {
+        biased;
+        current = polls.run_until_current() => if let Err(e) = current {
+            return Waited::Ended(e);
+        },
+        has_members = wait_for_candidate(hub, chooser, members) => {
+            return if has_members { Waited::MayChoose } else { Waited::Stopped };
         }
     }
+    log::info!("upstream has fresh data again host={}", upstream.host);
+    chooser.record_current(&upstream.host);
+    Waited::Ended(polls.run_until_error().await)
 }
 
 /// Waits until the members change or an excluded gateway can be selected again. Returns whether
--- a/crates/turmericloft/src/ops/relay/hub.rs
+++ b/crates/turmericloft/src/ops/relay/hub.rs
@@ -275,11 +275,13 @@
         self.view.lock().relay_fresh_until(self.now()).is_some()
     }
 
-    pub(super) fn build_poll(&self, host: &Arc<str>) -> RelayPoll {
+    /// A poll; `awaits_current` says that the upstream was found stale.
+    pub(super) fn build_poll(&self, host: &Arc<str>, awaits_current: bool) -> RelayPoll {
         RelayPoll {
             host: Arc::clone(host),
             from: self.next_position(),
             document_version: self.document.newest_version(),
+            awaits_current,
         }
     }
 
@@ -304,10 +306,14 @@
     /// it is due without any as a heartbeat.
     pub(super) async fn wait_for_response(&self, poll: &RelayPoll, received: Instant) {
         let idle_at = received + self.timings.idle_response_after();
-        let refresh_deadline = self.view.lock().refresh_deadline(received);
-        let grace = received + self.timings.read_grace();
-        self.wait_for_update(poll, received, idle_at.min(refresh_deadline.max(grace)))
-            .await;
+        let deadline = if poll.awaits_current {
+            idle_at
+        } else {
+            let refresh_deadline = self.view.lock().refresh_deadline(received);
+            let grace = received + self.timings.read_grace();
+            idle_at.min(refresh_deadline.max(grace))
+        };
+        self.wait_for_update(poll, received, deadline).await;
     }
 
     /// The response to a poll that arrived at `received`.
@@ -323,8 +329,9 @@
         let mut newest_version = self.document.newest_versions();
         loop {
             let is_newer = *newest_version.borrow_and_update() > poll.document_version;
-            // The follower gives up a gateway that responds without being current.
-            if is_newer && self.is_current() || self.view.lock().has_update(received, poll) {
+            // The follower gives up a gateway that responds without being current, unless it awaits that.
+            let may_respond = poll.awaits_current || self.is_current();
+            if is_newer && may_respond || self.view.lock().has_update(received, poll) {
                 return;
             }
             tokio::select! {
--- a/crates/turmericloft/src/ops/relay/upstream_polls.rs
+++ b/crates/turmericloft/src/ops/relay/upstream_polls.rs
@@ -29,6 +29,8 @@
     /// When the polls were sent that have no response yet, the earliest first. Responses arrive in
     /// this order.
     outstanding: VecDeque<Instant>,
+    /// Whether the upstream's data was found stale, and this gateway waits until it is not.
+    awaits_current: bool,
 }
 
 impl<'a> UpstreamPolls<'a> {
@@ -45,6 +47,7 @@
             connection,
             exchange: CrashExchange::default(),
             outstanding: VecDeque::new(),
+            awaits_current: false,
         }
     }
 
@@ -57,6 +60,21 @@
         }
     }
 
+    /// Polls until the upstream's data is fresh, and so is that of this gateway. Can be cancelled by
+    /// dropping the polls.
+    pub(super) async fn run_until_current(&mut self) -> Result<(), RelayError> {
+        self.awaits_current = true;
+        loop {
+            match self.poll().await {
+                Ok(()) => break,
+                Err(RelayError::Stale { .. }) => {}
+                Err(e) => return Err(e),
+            }
+        }
+        self.awaits_current = false;
+        Ok(())
+    }
+
     /// Sends a poll unless one is outstanding, and applies what the upstream sends up to the next response.
     async fn poll(&mut self) -> Result<(), RelayError> {
         let peer = self.peer;
@@ -89,7 +107,7 @@
 
     async fn send(&mut self) -> Result<(), RelayError> {
         self.outstanding.push_back(self.hub.now());
-        let poll = self.hub.build_poll(self.host);
+        let poll = self.hub.build_poll(self.host, self.awaits_current);
         let reports = self.exchange.next_reports(self.hub);
         self.connection.send(poll, &reports).await
     }
--- a/crates/turmericloft/tests/testsuite/relay/crash_reports.rs
+++ b/crates/turmericloft/tests/testsuite/relay/crash_reports.rs
@@ -96,11 +96,12 @@
 
 /// Encodes a poll as a frame, with a crash report behind it.
 fn poll_frame(reports: &[CrashReport]) -> Vec<u8> {
-    const MESSAGE_VERSION: u16 = 4;
+    const MESSAGE_VERSION: u16 = 5;
     let poll = RelayPoll {
         host: "h1".into(),
         from: at(0, 0),
         document_version: 0,
+        awaits_current: false,
     };
     let message = postcard::to_stdvec(&(MESSAGE_VERSION, poll)).expect("a poll");
     let message = postcard::to_extend(reports, message).expect("reports");
--- a/crates/turmericloft/tests/testsuite/relay/simulation.rs
+++ b/crates/turmericloft/tests/testsuite/relay/simulation.rs
@@ -203,6 +203,7 @@
             host: format!("h{i}").into(),
             from: g.view.next(),
             document_version: 0,
+            awaits_current: false,
         };
         let arrives = now + self.delay();
         self.gateways[i].exchange = Some(Exchange {
--- a/crates/turmericloft/tests/testsuite/relay/upstream.rs
+++ b/crates/turmericloft/tests/testsuite/relay/upstream.rs
@@ -112,6 +112,65 @@
     );
 }
 
+/// The registry is unavailable to the whole zone: a gateway tries a few others, and then waits at the one
+/// that it follows otherwise, which may be the first to know of the registry's return.
+#[test]
+fn gateway_of_a_zone_with_stale_data_waits_at_its_parent() {
+    let now = Instant::now();
+    let members = zone_of(60);
+    for own in &members {
+        let mut chooser = chooser(own, &members);
+        let Some(parent) = chooser.upstream(now).map(|m| Arc::clone(&m.host)) else {
+            continue;
+        };
+        let mut tried = Vec::new();
+        while chooser.stale_upstream(now).is_none() {
+            let next = chooser.upstream(now).map(|m| Arc::clone(&m.host));
+            let next = next.expect("one to try or to wait at");
+            chooser.record_stale(now, &next);
+            tried.push(next);
+        }
+        assert!(tried.len() <= 4, "{tried:?}");
+        let waits_at = chooser.stale_upstream(now).map(|m| Arc::clone(&m.host));
+        assert_eq!(waits_at, Some(parent));
+    }
+}
+
+/// Only a part of the zone has the registry: a gateway that looks for fresh data asks all others in time.
+#[test]
+fn gateways_that_were_not_tried_yet_are_preferred_to_those_that_were_stale() {
+    let members = zone_of(30);
+    let last = members.iter().find(|own| {
+        let others = members.iter();
+        others
+            .filter(|m| upstream(m, &[(*own).clone()], Instant::now()).is_some())
+            .count()
+            == 0
+    });
+    let mut chooser = chooser(last.expect("one follows all others"), &members);
+    let mut now = Instant::now();
+    let parent = chooser.upstream(now).map(|m| Arc::clone(&m.host));
+    let mut tried = HashMap::new();
+    // The parent is asked again whenever its exclusion is over.
+    for _ in 0..2 * members.len() {
+        let host = match chooser.upstream(now) {
+            Some(next) => Arc::clone(&next.host),
+            None => break,
+        };
+        chooser.record_stale(now, &host);
+        *tried.entry(host).or_insert(0) += 1;
+        now += Duration::from_secs(1);
+    }
+    tried.retain(|host, _| Some(host) != parent.as_ref());
+    assert_eq!(tried.len(), members.len() - 2);
+    let (fewest, most) = (tried.values().min(), tried.values().max());
+    assert!(
+        most.zip(fewest)
+            .is_some_and(|(most, fewest)| most - fewest <= 1),
+        "{tried:?}"
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: proptest::test_runner::RngSeed::Fixed(11),
--- a/crates/turmericloft/tests/testsuite/relay/view.rs
+++ b/crates/turmericloft/tests/testsuite/relay/view.rs
@@ -16,6 +16,7 @@
         host: "follower".into(),
         from,
         document_version: 0,
+        awaits_current: false,
     }
 }
 
