A gateway reads a configuration that nobody has confirmed in time

Cause: the instant that says how fresh a gateway's data is came from reads of the endpoints alone. A gateway with current endpoints vouched for its configuration too, and its followers never read it, however old. Class: one topic vouches for another. Change: the configuration has an instant of its own, as of which no newer version was acknowledged. It is the start of the last read, or what the upstream says relative to the follower's poll, in each response and in a message of its own after each check.

--- a/crates/turmericloft/src/core/relay/mod.rs
+++ b/crates/turmericloft/src/core/relay/mod.rs
@@ -11,6 +11,10 @@
 //! seen it yet is no upstream for one that has; one that has sends all entries to a follower that
 //! has not.
 
+mod document_as_of;
+mod document_freshness;
+mod document_notice;
+mod document_timings;
 mod era_change;
 mod recovery_timings;
 mod registry_view;
@@ -24,8 +28,19 @@
 mod upstream_message;
 
 pub use self::{
-    era_change::EraChange, recovery_timings::RecoveryTimings, registry_view::RegistryView,
-    relay_bounds::RelayBounds, relay_member::RelayMember, relay_poll::RelayPoll,
-    relay_response::RelayResponse, relay_timings::RelayTimings, spread::delay_of_host,
-    upstream_chooser::UpstreamChooser, upstream_message::UpstreamMessage,
+    document_as_of::{DocumentAsOf, PollOffset},
+    document_freshness::DocumentFreshness,
+    document_notice::DocumentNotice,
+    document_timings::DocumentTimings,
+    era_change::EraChange,
+    recovery_timings::RecoveryTimings,
+    registry_view::RegistryView,
+    relay_bounds::RelayBounds,
+    relay_member::RelayMember,
+    relay_poll::RelayPoll,
+    relay_response::RelayResponse,
+    relay_timings::RelayTimings,
+    spread::delay_of_host,
+    upstream_chooser::UpstreamChooser,
+    upstream_message::UpstreamMessage,
 };
--- a/crates/turmericloft/src/core/relay/recovery_timings.rs
+++ b/crates/turmericloft/src/core/relay/recovery_timings.rs
@@ -54,11 +54,16 @@
         self.part(CONNECT_TIMEOUT_FRACTION)
     }
 
+    /// Time from the end of a failed read to the next one of a gateway that relies on no other.
+    pub fn lone_delay(&self) -> Duration {
+        self.part(LONE_DELAY_FRACTION)
+    }
+
     /// When a read that started at `started` and has failed `now` is repeated. `relies_on_upstream` says
     /// whether a gateway that precedes this one responds, even with old data, and this one has no fresh
     /// data. Its reads are a period apart however fast they fail.
     pub fn next_read(&self, now: Instant, started: Instant, relies_on_upstream: bool) -> Instant {
-        let soon = now + self.part(LONE_DELAY_FRACTION);
+        let soon = now + self.lone_delay();
         if relies_on_upstream {
             soon.max(started + self.part(FOLLOWER_PERIOD_FRACTION))
         } else {
--- a/crates/turmericloft/src/core/relay/registry_view.rs
+++ b/crates/turmericloft/src/core/relay/registry_view.rs
@@ -211,6 +211,7 @@
             is_full_list,
             changes,
             document_version: 0,
+            document_as_of: None,
             document: None,
         }
     }
--- a/crates/turmericloft/src/core/relay/relay_response.rs
+++ b/crates/turmericloft/src/core/relay/relay_response.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::DocumentAsOf;
 use crate::core::{
     placement::{Observation, RegistryPosition},
     traffic::TrafficDocument,
@@ -30,6 +31,8 @@
     pub changes: Vec<Observation>,
     /// Newest document version that the upstream knows to exist; 0 if it knows of none.
     pub document_version: u64,
+    /// As of when that version is the newest one; `None` if the upstream does not know.
+    pub document_as_of: Option<DocumentAsOf>,
     /// The document of the upstream, if it is newer than the follower's and small. Each gateway
     /// reads a large document from the store instead, because relaying it would occupy the links
     /// between the gateways one after the other.
--- a/crates/turmericloft/src/core/relay/relay_timings.rs
+++ b/crates/turmericloft/src/core/relay/relay_timings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{RecoveryTimings, RelayBounds};
+use super::{DocumentTimings, RecoveryTimings, RelayBounds};
 
 /// Time between the starts of two reads by one gateway, as a fraction of the drain time.
 const READ_INTERVAL_FRACTION: f64 = 0.35;
@@ -41,9 +41,9 @@
         RecoveryTimings::new(self.bounds.stability_window)
     }
 
-    /// Time after its acknowledgement within which a document has to be active.
-    pub fn config_deadline(&self) -> Duration {
-        self.bounds.config_deadline
+    /// Intervals of reads and confirmations of the document.
+    pub fn document(&self) -> DocumentTimings {
+        DocumentTimings::new(self.bounds.config_deadline)
     }
 
     /// Time between the starts of two reads of the registry by one gateway.
--- a/crates/turmericloft/src/core/relay/upstream_message.rs
+++ b/crates/turmericloft/src/core/relay/upstream_message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::RelayResponse;
+use super::{DocumentNotice, RelayResponse};
 
 /// A message of an upstream. Crash reports may be behind either kind.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,4 +11,6 @@
     Response(Box<RelayResponse>),
     /// Crash reports alone, which cannot wait until a response is due.
     CrashReports,
+    /// The upstream's document was confirmed.
+    DocumentConfirmed(DocumentNotice),
 }
--- a/crates/turmericloft/src/ops/relay/active_document.rs
+++ b/crates/turmericloft/src/ops/relay/active_document.rs
@@ -1,10 +1,21 @@
-//! The active document of a gateway, and the newest version that is known to exist.
+//! The active document of a gateway, the newest version that is known to exist, and as of when that
+//! version is the newest one.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use crate::core::traffic::{RouteTable, TrafficDocument};
+use crate::{
+    core::{
+        relay::{DocumentAsOf, DocumentFreshness, DocumentNotice, DocumentTimings},
+        traffic::{RouteTable, TrafficDocument},
+    },
+    util::host_clock::HostClock,
+};
 
 /// Maximum number of routes of a relayed document. Such a document has some tens of kilobytes.
 const MAX_RELAYED_ROUTES: usize = 200;
@@ -14,27 +25,36 @@
 
 /// The active document, which only a newer one replaces.
 #[derive(Debug)]
-pub(super) struct ActiveDocument {
+pub struct ActiveDocument {
+    timings: DocumentTimings,
+    clock: HostClock,
     published: watch::Sender<PublishedDocument>,
     /// Newest document version known to exist, whether or not that document was received.
     newest_version: watch::Sender<u64>,
+    freshness: Mutex<DocumentFreshness>,
+    /// Notified after every confirmation of the newest version.
+    confirmed: watch::Sender<()>,
 }
 
-impl Default for ActiveDocument {
-    fn default() -> Self {
+impl ActiveDocument {
+    /// There is no document yet. Ages go by `clock`.
+    pub(super) fn new(timings: DocumentTimings, clock: HostClock) -> Self {
         Self {
+            timings,
+            clock,
             published: watch::Sender::new(None),
             newest_version: watch::Sender::new(0),
+            freshness: Mutex::new(DocumentFreshness::new(timings)),
+            confirmed: watch::Sender::new(()),
         }
     }
-}
 
-impl ActiveDocument {
     pub(super) fn subscribe(&self) -> watch::Receiver<PublishedDocument> {
         self.published.subscribe()
     }
 
-    pub(super) fn is_some(&self) -> bool {
+    /// Whether there is one.
+    pub fn is_some(&self) -> bool {
         self.published.borrow().is_some()
     }
 
@@ -80,13 +100,14 @@
     }
 
     /// Whether a newer document than the active one is known to exist.
-    pub(super) fn is_outdated(&self) -> bool {
+    pub fn is_outdated(&self) -> bool {
         let active = self.published.borrow();
         let active = active.as_ref().map(|t| t.document().version);
         self.newest_version() > active.unwrap_or_default()
     }
 
-    pub(super) async fn wait_until_outdated(&self) {
+    /// Waits until a newer document than the active one is known to exist.
+    pub async fn wait_until_outdated(&self) {
         let mut newest_version = self.newest_version.subscribe();
         while !self.is_outdated() {
             if newest_version.changed().await.is_err() {
@@ -94,4 +115,86 @@
             }
         }
     }
+
+    /// Records that a read which started at `read_started` found no newer document than the newest known
+    /// version, which has to be recorded before.
+    pub fn confirm(&self, read_started: Instant) {
+        if self.freshness.lock().record_read(read_started) {
+            self.confirmed.send_replace(());
+        }
+    }
+
+    /// Records what an upstream says in response to the poll that was sent at `polled_at`.
+    pub(super) fn confirm_relayed(&self, polled_at: Instant, as_of: DocumentAsOf) {
+        let now = self.clock.now();
+        if self.freshness.lock().record_relayed(now, polled_at, as_of) {
+            self.confirmed.send_replace(());
+        }
+    }
+
+    /// Whether the newest known version was confirmed lately.
+    pub fn is_fresh(&self) -> bool {
+        let until = self.freshness.lock().fresh_until();
+        until.is_some_and(|until| until > self.clock.now())
+    }
+
+    /// Waits until the newest known version has not been confirmed for too long, so that this gateway has
+    /// to read the document itself.
+    pub async fn wait_until_stale(&self) {
+        loop {
+            let until = self.freshness.lock().fresh_until();
+            match until {
+                Some(until) if until > self.clock.now() => self.clock.sleep_until(until).await,
+                _ => return,
+            }
+        }
+    }
+
+    /// Time until a long poll that begins now has to be checked.
+    pub fn first_check_delay(&self) -> Duration {
+        let as_of = self.freshness.lock().as_of();
+        let due = as_of.map(|at| at + self.timings.check_interval());
+        let left = due.map(|at| at.saturating_duration_since(self.clock.now()));
+        left.unwrap_or_default().min(self.timings.first_check())
+    }
+
+    /// As of when the newest known version is the newest one, for a follower whose poll arrived at
+    /// `received`.
+    pub(super) fn relayed_as_of(&self, received: Instant) -> Option<DocumentAsOf> {
+        self.freshness.lock().relayed(received)
+    }
+
+    /// Waits until the newest known version is confirmed as of a later instant than `told`, and returns
+    /// that instant.
+    pub(super) async fn wait_until_confirmed_after(&self, told: Option<Instant>) -> Instant {
+        let mut confirmed = self.confirmed.subscribe();
+        loop {
+            let as_of = self.freshness.lock().as_of();
+            if let Some(as_of) = as_of.filter(|at| told.is_none_or(|told| *at > told)) {
+                return as_of;
+            }
+            // The sender is not dropped while it is borrowed.
+            let _ = confirmed.changed().await;
+        }
+    }
+
+    /// As of when the newest known version is the newest one.
+    pub(super) fn as_of(&self) -> Option<Instant> {
+        self.freshness.lock().as_of()
+    }
+
+    /// What to tell a follower whose earliest poll without a response arrived at `received`.
+    pub(super) fn notice(&self, received: Instant) -> Option<DocumentNotice> {
+        let as_of = self.relayed_as_of(received)?;
+        Some(DocumentNotice {
+            version: self.newest_version(),
+            as_of,
+        })
+    }
+
+    /// Records what an upstream says between two responses, in the order of its poll at `polled_at`.
+    pub(super) fn apply_notice(&self, polled_at: Instant, notice: DocumentNotice) {
+        self.record_version(notice.version);
+        self.confirm_relayed(polled_at, notice.as_of);
+    }
 }
--- a/crates/turmericloft/src/ops/relay/hub.rs
+++ b/crates/turmericloft/src/ops/relay/hub.rs
@@ -58,13 +58,14 @@
 
     /// Like [`new`](Self::new), with the quarantine table of this gateway.
     pub fn with_quarantine(timings: RelayTimings, quarantine: Arc<SharedQuarantine>) -> Arc<Self> {
+        let clock = HostClock::system();
         Arc::new(Self {
             timings,
-            clock: HostClock::system(),
+            clock: clock.clone(),
             quarantine,
             view: Mutex::new(RegistryView::new(timings)),
             endpoints: watch::Sender::new(None),
-            document: ActiveDocument::default(),
+            document: ActiveDocument::new(timings.document(), clock),
             era: watch::Sender::new(None),
             view_updated: watch::Sender::new(()),
             upstream_heard_at: Mutex::new(None),
@@ -106,19 +107,9 @@
         self.document.publish(document);
     }
 
-    /// Whether a document is active.
-    pub fn has_document(&self) -> bool {
-        self.document.is_some()
-    }
-
-    /// Whether a newer document than the active one is known to exist.
-    pub fn is_document_outdated(&self) -> bool {
-        self.document.is_outdated()
-    }
-
-    /// Waits until a newer document than the active one is known to exist.
-    pub async fn wait_until_document_outdated(&self) {
-        self.document.wait_until_outdated().await;
+    /// The active document, and what is known of newer ones.
+    pub fn document(&self) -> &ActiveDocument {
+        &self.document
     }
 
     /// Position in the registry at which the next read continues.
@@ -293,6 +284,9 @@
             self.publish_document(document);
         }
         self.document.record_version(response.document_version);
+        if let Some(as_of) = response.document_as_of {
+            self.document.confirm_relayed(polled_at, as_of);
+        }
         let mut is_accepted = false;
         self.update_view(|view, now| {
             is_accepted = view.accepts(&response);
@@ -320,6 +314,7 @@
     pub(super) fn response(&self, poll: &RelayPoll, received: Instant) -> RelayResponse {
         let mut response = self.view.lock().response(self.now(), received, poll);
         response.document_version = self.document.newest_version();
+        response.document_as_of = self.document.relayed_as_of(received);
         response.document = self.document.newer_than(poll.document_version);
         response
     }
--- a/crates/turmericloft/src/ops/relay/mod.rs
+++ b/crates/turmericloft/src/ops/relay/mod.rs
@@ -7,6 +7,7 @@
 mod active_document;
 mod crash_exchange;
 mod follow;
+mod follower_connection;
 mod hub;
 mod relay_error;
 mod serve;
@@ -14,5 +15,6 @@
 mod wire;
 
 pub use self::{
-    follow::follow_upstream, hub::RelayHub, relay_error::RelayError, serve::serve_followers,
+    active_document::ActiveDocument, follow::follow_upstream, hub::RelayHub,
+    relay_error::RelayError, serve::serve_followers,
 };
--- a/crates/turmericloft/src/ops/relay/upstream_polls.rs
+++ b/crates/turmericloft/src/ops/relay/upstream_polls.rs
@@ -101,6 +101,11 @@
             match message {
                 UpstreamMessage::Response(response) => return self.apply(*response),
                 UpstreamMessage::CrashReports => {}
+                UpstreamMessage::DocumentConfirmed(notice) => {
+                    let polled_at = self.outstanding.front();
+                    let polled_at = polled_at.ok_or(RelayError::Unasked { peer })?;
+                    self.hub.document().apply_notice(*polled_at, notice);
+                }
             }
         }
     }
--- a/crates/turmericloft/tests/testsuite/relay/connections.rs
+++ b/crates/turmericloft/tests/testsuite/relay/connections.rs
@@ -203,7 +203,7 @@
     apply_record(&upstream.hub, 0, "e1", EndpointState::Ready);
     let follower = follower(upstream.address);
     upstream.hub.publish_document(large_document(4));
-    follower.wait_until_document_outdated().await;
+    follower.document().wait_until_outdated().await;
     assert!(follower.documents().borrow().is_none());
     follower.publish_document(large_document(4));
     upstream.hub.publish_document(document(5));
@@ -296,7 +296,7 @@
     upstream.hub.publish_document(document(4));
     let follower = follower(upstream.address);
     follower.wait_for_initial_document(LONG_GRACE).await;
-    assert!(follower.has_document());
+    assert!(follower.document().is_some());
 }
 
 #[tokio::test]
@@ -304,7 +304,7 @@
     let hub = RelayHub::new(timings_of(DRAIN_TIME));
     hub.record_no_upstream();
     hub.wait_for_initial_document(LONG_GRACE).await;
-    assert!(!hub.has_document());
+    assert!(!hub.document().is_some());
 }
 
 /// All gateways start together, and the first of a zone has the document before the endpoints.
--- a/crates/turmericloft/tests/testsuite/relay/view.rs
+++ b/crates/turmericloft/tests/testsuite/relay/view.rs
@@ -49,6 +49,7 @@
         is_full_list: false,
         changes: Vec::new(),
         document_version: 0,
+        document_as_of: None,
         document: None,
     }
 }
