--- a/crates/turmericloft/src/ops/relay/active_document.rs
+++ b/crates/turmericloft/src/ops/relay/active_document.rs
@@ -138,6 +138,12 @@
         until.is_some_and(|until| until > self.clock.now())
     }
 
+    /// Time since the newest known version was last confirmed; `None` if it never was.
+    pub fn age(&self) -> Option<Duration> {
+        let as_of = self.freshness.lock().as_of();
+        as_of.map(|at| self.clock.now().saturating_duration_since(at))
+    }
+
     /// Waits until the newest known version has not been confirmed for too long, so that this gateway has
     /// to read the document itself.
     pub async fn wait_until_stale(&self) {
