--- a/crates/turmericloft/src/core/relay/mod.rs
+++ b/crates/turmericloft/src/core/relay/mod.rs
@@ -16,6 +16,7 @@
 mod document_notice;
 mod document_timings;
 mod era_change;
+mod read_pace;
 mod recovery_timings;
 mod registry_view;
 mod relay_bounds;
@@ -33,6 +34,7 @@
     document_notice::DocumentNotice,
     document_timings::DocumentTimings,
     era_change::EraChange,
+    read_pace::ReadPace,
     recovery_timings::RecoveryTimings,
     registry_view::RegistryView,
     relay_bounds::RelayBounds,
--- a/crates/turmericloft/src/core/relay/recovery_timings.rs
+++ b/crates/turmericloft/src/core/relay/recovery_timings.rs
@@ -24,10 +24,13 @@
 /// Time from the start of a failed read to the next one of a gateway that relies on one which precedes
 /// it, as a fraction of the stability window.
 const FOLLOWER_PERIOD_FRACTION: f64 = 0.85;
+/// Time that a gateway with fresh relayed endpoints waits for its upstream to confirm the document too, as a
+/// fraction of the stability window.
+const RELAY_GRACE_FRACTION: f64 = 0.04;
 /// Time for two successful reads on a busy host, as a fraction of the stability window.
-const READS_FRACTION: f64 = 0.15;
+const READS_FRACTION: f64 = 0.11;
 
-const _: () = assert!(FOLLOWER_PERIOD_FRACTION + READS_FRACTION <= 1.0);
+const _: () = assert!(FOLLOWER_PERIOD_FRACTION + RELAY_GRACE_FRACTION + READS_FRACTION <= 1.0);
 const _: () = assert!(CALL_TIMEOUT_FRACTION + LONE_DELAY_FRACTION < FOLLOWER_PERIOD_FRACTION);
 const _: () = assert!(CONNECT_TIMEOUT_FRACTION < CALL_TIMEOUT_FRACTION);
 
@@ -54,6 +57,16 @@
         self.part(CONNECT_TIMEOUT_FRACTION)
     }
 
+    /// Time from the start of a failed read to the next one of a gateway that relies on another.
+    pub fn follower_period(&self) -> Duration {
+        self.part(FOLLOWER_PERIOD_FRACTION)
+    }
+
+    /// Time that a gateway with fresh relayed endpoints waits for its upstream to confirm the document.
+    pub fn relay_grace(&self) -> Duration {
+        self.part(RELAY_GRACE_FRACTION)
+    }
+
     /// Time from the end of a failed read to the next one of a gateway that relies on no other.
     pub fn lone_delay(&self) -> Duration {
         self.part(LONE_DELAY_FRACTION)
@@ -65,7 +78,7 @@
     pub fn next_read(&self, now: Instant, started: Instant, relies_on_upstream: bool) -> Instant {
         let soon = now + self.lone_delay();
         if relies_on_upstream {
-            soon.max(started + self.part(FOLLOWER_PERIOD_FRACTION))
+            soon.max(started + self.follower_period())
         } else {
             soon
         }
--- a/crates/turmericloft/src/ops/relay/active_document.rs
+++ b/crates/turmericloft/src/ops/relay/active_document.rs
@@ -132,6 +132,15 @@
         }
     }
 
+    /// Waits until the newest known version was confirmed lately.
+    pub async fn wait_until_fresh(&self) {
+        let mut confirmed = self.confirmed.subscribe();
+        while !self.is_fresh() {
+            // The sender is not dropped while it is borrowed.
+            let _ = confirmed.changed().await;
+        }
+    }
+
     /// Whether the newest known version was confirmed lately.
     pub fn is_fresh(&self) -> bool {
         let until = self.freshness.lock().fresh_until();
--- a/crates/turmericloft/src/ops/relay/hub.rs
+++ b/crates/turmericloft/src/ops/relay/hub.rs
@@ -18,7 +18,7 @@
             DiscoveredEndpoint, DiscoveryChange, Observation, RegistryEra, RegistryList,
             RegistryPosition,
         },
-        relay::{RegistryView, RelayPoll, RelayResponse, RelayTimings},
+        relay::{ReadPace, RegistryView, RelayPoll, RelayResponse, RelayTimings},
         traffic::TrafficDocument,
     },
     ops::SharedQuarantine,
@@ -44,6 +44,8 @@
     era: watch::Sender<Option<RegistryEra>>,
     /// Notified after every read or response that was applied to the view.
     view_updated: watch::Sender<()>,
+    /// Reads that failed lately, of any topic.
+    pace: Mutex<ReadPace>,
     /// When another gateway last responded to a poll, whether or not its data was fresh.
     upstream_heard_at: Mutex<Option<Instant>>,
     /// Set once there is no gateway to follow, and never reset: only a starting gateway waits for it.
@@ -68,6 +70,7 @@
             document: ActiveDocument::new(timings.document(), clock),
             era: watch::Sender::new(None),
             view_updated: watch::Sender::new(()),
+            pace: Mutex::new(ReadPace::new(timings.recovery())),
             upstream_heard_at: Mutex::new(None),
             no_upstream: watch::Sender::new(false),
         })
@@ -190,6 +193,21 @@
         self.hears_upstream() && !self.is_current()
     }
 
+    /// Records the end of a read, of any topic, that started at `started`.
+    pub fn record_read(&self, started: Instant, is_answered: bool) {
+        let mut pace = self.pace.lock();
+        if is_answered {
+            pace.record_response();
+        } else {
+            pace.record_failure(self.now(), started);
+        }
+    }
+
+    /// When the next read is due after one of any topic that failed; `None` if there was none.
+    pub fn next_read(&self, relies_on_upstream: bool) -> Option<Instant> {
+        self.pace.lock().next_read(relies_on_upstream)
+    }
+
     /// Records that the upstream cannot be reached any more.
     pub(super) fn record_upstream_lost(&self) {
         *self.upstream_heard_at.lock() = None;
@@ -237,7 +255,7 @@
     }
 
     /// Whether the view, read or relayed, is fresh.
-    pub(super) fn is_current(&self) -> bool {
+    pub fn is_current(&self) -> bool {
         self.view.lock().is_current(self.now())
     }
 
