--- a/crates/turmericloft/src/core/relay/read_pace.rs
+++ b/crates/turmericloft/src/core/relay/read_pace.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: a gateway reads several topics of one registry, and hundreds of gateways do. While the
 //! registry does not respond, a failed read of one topic says as much as one of each, so all of them share
-//! one pace. A read that has no response yet holds back those of the other topics.
+//! one pace.
 
 use std::time::Instant;
 
