Limits that endpoints state are read, logged and counted

Nothing acts on them yet. Each change is a line 'endpoint limit', which explain prints with a request, and a metric; a value that is no limit is logged, and neither states nor ends one.

--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -25,6 +25,7 @@
     retry_after::retry_after,
     service_view::ServiceView,
 };
+use crate::core::rate_limit::{EndpointLimits, LimitChange, StatedLimit};
 
 /// Age below which a load report is recent enough to place a request without another probe.
 const FRESHNESS_WINDOW: Duration = Duration::from_millis(12);
@@ -44,6 +45,7 @@
     gateways: usize,
     services: HashMap<Arc<str>, ServiceView>,
     notices: EndpointNotices,
+    limits: EndpointLimits,
     rng: Pcg64Mcg,
 }
 
@@ -58,6 +60,7 @@
             gateways: 1,
             services: HashMap::new(),
             notices: EndpointNotices::default(),
+            limits: EndpointLimits::default(),
             rng,
         }
     }
@@ -118,6 +121,7 @@
     /// Applies the full list of endpoints. Estimates of endpoints that stay are kept.
     pub fn set_endpoints(&mut self, now: Instant, endpoints: &[DiscoveredEndpoint]) {
         self.notices.retain_registered(now, endpoints);
+        self.limits.retain_registered(now, endpoints);
         let listed: HashSet<_> = endpoints.iter().map(|e| &e.id).collect();
         for service in self.services.values_mut() {
             service.endpoints.retain(|id, _| listed.contains(id));
@@ -307,6 +311,23 @@
         self.notices.record(now, endpoint, notice);
     }
 
+    /// Records what a response of `endpoint` to a request sent at `sent_at` says of its limit, and returns
+    /// what has changed.
+    pub fn record_limit(
+        &mut self,
+        now: Instant,
+        sent_at: Instant,
+        endpoint: &DiscoveredEndpoint,
+        stated: StatedLimit,
+    ) -> Option<LimitChange> {
+        self.limits.record_response(now, sent_at, endpoint, stated)
+    }
+
+    /// Number of endpoints with a known limit.
+    pub fn limited_endpoints(&self) -> usize {
+        self.limits.count()
+    }
+
     /// Records the end of an attempt and the load report in its response.
     pub fn record_attempt_end(
         &mut self,
--- a/crates/turmericloft/src/ops/explain.rs
+++ b/crates/turmericloft/src/ops/explain.rs
@@ -56,9 +56,10 @@
 
 /// Beginnings of log lines that record a state change. The last line of each kind gives the state
 /// in which a request was handled.
-const STATE_LINES: [&str; 4] = [
+const STATE_LINES: [&str; 5] = [
     "document in force",
     "endpoints changed",
+    "endpoint limit",
     "store ",
     "gateway ",
 ];
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use metrics::{counter, histogram};
+use metrics::{counter, gauge, histogram};
 
 use crate::{
-    core::placement::AttemptOutcome,
+    core::{placement::AttemptOutcome, rate_limit::LimitEvent},
     util::metrics_table::{
         INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS,
-        INGRESS_PROBES,
+        INGRESS_PROBES, LIMIT_CHANGES, LIMITED_ENDPOINTS,
     },
 };
 
@@ -37,3 +37,10 @@
     let answered = if is_answered { "yes" } else { "no" };
     counter!(INGRESS_PROBES.name, "answered" => answered).increment(1);
 }
+
+/// Counts a change of a limit; `limited_endpoints` have one now.
+pub(super) fn count_limit_change(event: LimitEvent, limited_endpoints: usize) {
+    let event: &'static str = event.into();
+    counter!(LIMIT_CHANGES.name, "event" => event).increment(1);
+    gauge!(LIMITED_ENDPOINTS.name).set(limited_endpoints as f64);
+}
--- a/crates/turmericloft/src/ops/ingress/probe.rs
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -114,9 +114,10 @@
     endpoint: &DiscoveredEndpoint,
     path: &str,
 ) -> Result<ProbeResponse, ExchangeError> {
+    let sent_at = ingress.now();
     let pooled = ingress
         .pool
-        .take(ingress.now(), &endpoint.id, RouteKind::Idempotent);
+        .take(sent_at, &endpoint.id, RouteKind::Idempotent);
     let mut connection = match pooled {
         Some(connection) => connection,
         None => ClientConnection::open(endpoint.address, PROBE_TIMEOUT, PROBE_TIMEOUT).await?,
@@ -135,6 +136,10 @@
     let load = metadata.load;
     let instance = metadata.instance.map(InstanceId::from);
     ingress.record_notice(endpoint, metadata.notice);
+    let is_own = instance.as_ref().is_none_or(|id| *id == endpoint.id);
+    if is_own {
+        ingress.record_limit(sent_at, endpoint, metadata.limit);
+    }
     if response.can_reuse_connection {
         ingress.pool.put(ingress.now(), &endpoint.id, connection);
     }
--- a/crates/turmericloft/src/ops/ingress/protocol.rs
+++ b/crates/turmericloft/src/ops/ingress/protocol.rs
@@ -5,7 +5,10 @@
 use bytes::BytesMut;
 
 use crate::{
-    core::placement::{EndpointNotice, LoadReport},
+    core::{
+        placement::{EndpointNotice, LoadReport},
+        rate_limit::StatedLimit,
+    },
     sources::http1::{Headers, Response},
 };
 
@@ -35,6 +38,8 @@
     pub load: Option<LoadReport>,
     /// What the endpoint asks for.
     pub notice: EndpointNotice,
+    /// Limit of requests that the endpoint states.
+    pub limit: StatedLimit,
 }
 
 /// Names and formats of the headers beyond plain HTTP. An implementation only reads and writes
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -18,12 +18,14 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    connection_pool::ConnectionPool, protocol::EndpointProtocol, settings::IngressSettings,
+    connection_pool::ConnectionPool, metrics::count_limit_change, protocol::EndpointProtocol,
+    settings::IngressSettings,
 };
 use crate::{
     core::{
         placement::{Balancer, DiscoveredEndpoint, EndpointNotice, WaitQueue},
         quarantine::AbandonedAttempts,
+        rate_limit::StatedLimit,
         traffic::{Route, RouteTable, Splitter},
     },
     ops::SharedQuarantine,
@@ -175,6 +177,43 @@
         }
     }
 
+    /// Records what a response of an endpoint to a request sent at `sent_at` says of its limit, and logs what
+    /// has changed.
+    pub(super) fn record_limit(
+        &self,
+        sent_at: Instant,
+        endpoint: &DiscoveredEndpoint,
+        stated: StatedLimit,
+    ) {
+        let now = self.now();
+        if stated == StatedLimit::Invalid {
+            let (id, peer) = (&endpoint.id, endpoint.address);
+            let line = format_args!("endpoint={id} peer={peer}; what is known of it stays");
+            self.log.write_line(now, "invalid endpoint limit", line);
+        }
+        let mut balancer = self.balancer.lock();
+        let change = balancer.record_limit(now, sent_at, endpoint, stated);
+        let limited_endpoints = balancer.limited_endpoints();
+        drop(balancer);
+        let Some(change) = change else {
+            return;
+        };
+        count_limit_change(change.event, limited_endpoints);
+        self.log.write_line(
+            now,
+            "endpoint limit",
+            format_args!(
+                "endpoint={} peer={} event={} per_second={} known_for_ms={} limited_endpoints={}",
+                endpoint.id,
+                endpoint.address,
+                change.event,
+                change.limit,
+                change.known_for.as_millis(),
+                limited_endpoints,
+            ),
+        );
+    }
+
     /// Counts a request as open until the returned guard is dropped.
     pub(super) fn open_request(self: &Arc<Self>) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::AcqRel);
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -218,6 +218,24 @@
     help: "Changes of the table of requests that endpoints broke off, by what this gateway learned them from",
 };
 
+/// Endpoints that have stated a limit of requests and not ended it, as far as this gateway knows.
+pub const LIMITED_ENDPOINTS: Metric = Metric {
+    name: "turmericloft_ingress_limited_endpoints",
+    kind: MetricKind::Gauge,
+    unit: "endpoints",
+    labels: &[],
+    help: "Endpoints with a limit of requests that this gateway knows",
+};
+
+/// Changes of the limits that endpoints state.
+pub const LIMIT_CHANGES: Metric = Metric {
+    name: "turmericloft_ingress_limit_changes_total",
+    kind: MetricKind::Counter,
+    unit: "changes",
+    labels: &["event"],
+    help: "Changes of what this gateway knows of the limits of endpoints, by what has changed",
+};
+
 /// Calls to the platform's store.
 pub const STORE_CALLS: Metric = Metric {
     name: "turmericloft_store_calls_total",
@@ -255,7 +273,7 @@
 };
 
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 25] = [
+pub const ALL: [Metric; 27] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -277,6 +295,8 @@
     INGRESS_PROBES,
     QUARANTINED_REQUESTS,
     QUARANTINE_CHANGES,
+    LIMITED_ENDPOINTS,
+    LIMIT_CHANGES,
     STORE_CALLS,
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
--- a/crates/turmericloft/tests/testsuite/ingress/protocol.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/protocol.rs
@@ -4,7 +4,10 @@
 
 use bytes::{BufMut, BytesMut};
 use turmericloft::{
-    core::placement::{EndpointNotice, LoadReport},
+    core::{
+        placement::{EndpointNotice, LoadReport},
+        rate_limit::{RateLimit, StatedLimit},
+    },
     ops::ingress::{AttemptHeaders, EndpointProtocol, ResponseMetadata},
     sources::http1::{Headers, Response},
 };
@@ -60,6 +63,13 @@
                     .and_then(|text| text.parse().ok())
                     .map(Duration::from_secs),
             },
+            limit: match headers.get_str("Limit").map(str::parse) {
+                None => StatedLimit::None,
+                Some(per_second) => per_second
+                    .ok()
+                    .and_then(RateLimit::new)
+                    .map_or(StatedLimit::Invalid, StatedLimit::Limit),
+            },
         }
     }
 }
