Endpoints that state a limit get what it allows from all gateways together

Cause: nothing acted on the limit, which holds for the sum over all gateways. A bound that each gateway keeps for itself adds up to 17 or 300 times as much.

Change: the limit is divided into whole requests for each six seconds, and each of them belongs to one gateway by a hash of endpoint and host (core::rate_limit). The quota is half of what the users accept, since two views of who shares it may be in effect, less one check. Shares work like leases: they need a list of gateways that is at most 12 s old, and a gateway that joins waits for 18 s, until no list without it is in use. Constant assertions tie the parts together, so that a longer one does not compile. Probes are requests too: an endpoint with a limit gets none beyond the share. A gateway without a list, or without a share, sends nothing. The end of a limit is noticed by those with a share, who write it to the store; if they are gone the others take turns to check, by the order of the log.

--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -25,7 +25,7 @@
     retry_after::retry_after,
     service_view::ServiceView,
 };
-use crate::core::rate_limit::{EndpointLimits, LimitChange, StatedLimit};
+use crate::core::rate_limit::{EndpointLimits, LimitChange, SharingGateways, StatedLimit};
 
 /// Age below which a load report is recent enough to place a request without another probe.
 const FRESHNESS_WINDOW: Duration = Duration::from_millis(12);
@@ -83,7 +83,14 @@
         let Some(service) = self.services.get(req.service) else {
             return 0;
         };
-        let views = || service.endpoints.values().filter(|v| v.accepts_requests());
+        let limits = &self.limits;
+        // What an endpoint with a limit accepts does not depend on its slots.
+        let has_slots =
+            |v: &&EndpointView| v.accepts_requests() && !limits.is_limited(&v.endpoint.id);
+        let views = || service.endpoints.values().filter(has_slots);
+        if views().next().is_none() {
+            return 0;
+        }
         let share = SlotShare {
             slots: views().map(|v| v.endpoint.slots).sum(),
             gateways: self.gateways,
@@ -169,9 +176,10 @@
             return Vec::new();
         }
         let baseline = service.baseline(req.target_latency);
-        let notices = &self.notices;
+        let (notices, limits) = (&self.notices, &self.limits);
         let can_probe = |v: &&mut EndpointView| {
             v.accepts_requests()
+                && !limits.is_limited(&v.endpoint.id)
                 && !notices.excludes(now, &v.endpoint)
                 && !v.is_ejected(now)
                 && !req.tried.contains(&v.endpoint.id)
@@ -240,17 +248,22 @@
         };
         let service = self.services.get_mut(req.service).ok_or(no_service)?;
         let baseline = service.baseline(req.target_latency);
-        let notices = &self.notices;
+        let (notices, limits) = (&self.notices, &self.limits);
         let is_candidate = |v: &&EndpointView| {
             v.accepts_requests()
                 && !notices.excludes(now, &v.endpoint)
+                && limits.allows_request(now, &v.endpoint.id)
                 && !req.tried.contains(&v.endpoint.id)
         };
         let views = || service.endpoints.values().filter(is_candidate);
         if views().next().is_none() {
-            let registered = service.endpoints.values().filter(|v| v.accepts_requests());
-            let accepts_at = registered.filter_map(|v| notices.accepts_at(now, &v.endpoint));
-            let wait = accepts_at.min().map(|at| at.saturating_duration_since(now));
+            let registered = || service.endpoints.values().filter(|v| v.accepts_requests());
+            let accepts_at = registered().filter_map(|v| notices.accepts_at(now, &v.endpoint));
+            let excluded = |v: &&EndpointView| notices.excludes(now, &v.endpoint);
+            let limited = registered().filter(|v| !excluded(v));
+            let request_due = limited.filter_map(|v| limits.request_due(now, &v.endpoint.id));
+            let next = accepts_at.chain(request_due).min();
+            let wait = next.map(|at| at.saturating_duration_since(now));
             return Err(PlacementError::NoEndpoint {
                 retry_after: wait.unwrap_or_default() + spread,
             });
@@ -290,6 +303,7 @@
         if let Some(view) = service.endpoints.get_mut(&endpoint.id) {
             view.record_attempt_start(now);
         }
+        self.limits.record_sent(now, &endpoint.id);
         Ok(Placement {
             endpoint,
             expected_latency: Duration::from_secs_f64(latency_s),
@@ -323,9 +337,19 @@
         self.limits.record_response(now, sent_at, endpoint, stated)
     }
 
-    /// Number of endpoints with a known limit.
-    pub fn limited_endpoints(&self) -> usize {
-        self.limits.count()
+    /// Sets which gateways share the limits of endpoints.
+    pub fn set_sharing(&mut self, sharing: SharingGateways) {
+        self.limits.set_sharing(sharing);
+    }
+
+    /// Limits of endpoints that this gateway knows.
+    pub fn limits(&self) -> &EndpointLimits {
+        &self.limits
+    }
+
+    /// Limits of endpoints that this gateway knows, to be changed.
+    pub fn limits_mut(&mut self) -> &mut EndpointLimits {
+        &mut self.limits
     }
 
     /// Records the end of an attempt and the load report in its response.
--- a/crates/turmericloft/src/core/rate_limit/endpoint_limits.rs
+++ b/crates/turmericloft/src/core/rate_limit/endpoint_limits.rs
@@ -1,34 +1,36 @@
-//! Limits of endpoints that one gateway knows.
+//! Limits of endpoints that one gateway knows, and what it may send to these endpoints.
 
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
 };
 
-use super::{LimitChange, LimitEvent, RateLimit, StatedLimit};
+use super::{
+    LimitChange, LimitEvent, RateLimit, SharingGateways, StatedLimit, known_limit::KnownLimit,
+};
 use crate::core::placement::{DiscoveredEndpoint, InstanceId};
 
 /// Time for which the limit of an endpoint that is not registered any more is kept: its entry may come
 /// back from an older copy of the registry.
 const UNREGISTERED_RETENTION: Duration = Duration::from_secs(600);
 
-#[derive(Clone, Copy, Debug)]
-struct KnownLimit {
-    limit: RateLimit,
-    /// Incarnation that states it, by its start in Unix milliseconds. Another one has none.
-    endpoint_started_at_ms: u64,
-    since: Instant,
-    last_stated_at: Instant,
-    last_registered_at: Instant,
-}
-
-/// Limits of endpoints that one gateway knows from their responses.
+/// Limits of endpoints that one gateway knows from their responses. A limit ends with a response without
+/// one, here or at another gateway, and never by silence.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointLimits {
     known: HashMap<InstanceId, KnownLimit>,
+    sharing: Option<SharingGateways>,
 }
 
 impl EndpointLimits {
+    /// Sets who shares the limits.
+    pub fn set_sharing(&mut self, sharing: SharingGateways) {
+        self.sharing = Some(sharing);
+        for known in self.known.values_mut() {
+            known.update_share(self.sharing.as_ref());
+        }
+    }
+
     /// Records what a response of `endpoint` to a request sent at `sent_at` says, and returns what has
     /// changed.
     ///
@@ -43,7 +45,11 @@
     ) -> Option<LimitChange> {
         match stated {
             StatedLimit::Limit(limit) => self.record_limit(now, endpoint, limit),
-            StatedLimit::None => self.record_none(now, sent_at, endpoint),
+            StatedLimit::None => {
+                let known = self.known.get(&endpoint.id)?;
+                let is_later = sent_at >= known.last_stated_at;
+                is_later.then(|| self.end(now, &endpoint.id, LimitEvent::Ended))?
+            }
             StatedLimit::Invalid => None,
         }
     }
@@ -54,59 +60,46 @@
         endpoint: &DiscoveredEndpoint,
         limit: RateLimit,
     ) -> Option<LimitChange> {
-        let started_at_ms = endpoint.started_at_ms;
-        let known = self.known.get_mut(&endpoint.id);
-        let same = known.filter(|k| k.endpoint_started_at_ms == started_at_ms);
-        let Some(known) = same else {
-            let known = KnownLimit {
-                limit,
-                endpoint_started_at_ms: started_at_ms,
-                since: now,
-                last_stated_at: now,
-                last_registered_at: now,
-            };
+        let Some(known) = self.known.get_mut(&endpoint.id) else {
+            let mut known = KnownLimit::new(now, endpoint, limit);
+            known.update_share(self.sharing.as_ref());
+            let change = known.change(now, LimitEvent::Started);
             self.known.insert(endpoint.id.clone(), known);
-            return Some(known.change(now, LimitEvent::Started));
+            return Some(change);
         };
         known.last_stated_at = now;
+        known.silence.record_news(now);
         if known.limit == limit {
             return None;
         }
         known.limit = limit;
+        known.update_share(self.sharing.as_ref());
         Some(known.change(now, LimitEvent::Changed))
     }
 
-    fn record_none(
-        &mut self,
-        now: Instant,
-        sent_at: Instant,
-        endpoint: &DiscoveredEndpoint,
-    ) -> Option<LimitChange> {
-        let known = self.known.get(&endpoint.id)?;
-        let is_same = known.endpoint_started_at_ms == endpoint.started_at_ms;
-        if !is_same || sent_at < known.last_stated_at {
-            return None;
-        }
-        let change = known.change(now, LimitEvent::Ended);
-        self.known.remove(&endpoint.id);
-        Some(change)
+    /// Records that another gateway got a response of an endpoint without a limit.
+    pub fn record_end_elsewhere(&mut self, now: Instant, endpoint: &str) -> Option<LimitChange> {
+        self.end(now, endpoint, LimitEvent::EndedElsewhere)
     }
 
-    /// Applies the list of all endpoints: a later incarnation has no limit, and the limits of endpoints
-    /// that have been gone for long are dropped.
+    fn end(&mut self, now: Instant, endpoint: &str, event: LimitEvent) -> Option<LimitChange> {
+        let known = self.known.remove(endpoint)?;
+        Some(known.change(now, event))
+    }
+
+    /// Applies the list of all endpoints. Limits of endpoints that have been gone for long are dropped. One of
+    /// an endpoint that has started again under its id stays until a response ends it.
     pub fn retain_registered(&mut self, now: Instant, endpoints: &[DiscoveredEndpoint]) {
         if self.known.is_empty() {
             return;
         }
-        let started: HashMap<_, _> = endpoints.iter().map(|e| (&e.id, e.started_at_ms)).collect();
+        let registered: HashMap<_, _> = endpoints.iter().map(|e| (&e.id, e)).collect();
         self.known.retain(|id, known| {
-            let registered = started.get(id).copied();
-            if registered.is_some() {
+            if let Some(endpoint) = registered.get(id) {
+                known.endpoint = DiscoveredEndpoint::clone(endpoint);
                 known.last_registered_at = now;
             }
-            let is_replaced = registered.is_some_and(|at| at > known.endpoint_started_at_ms);
-            let gone_for = now.saturating_duration_since(known.last_registered_at);
-            !is_replaced && gone_for < UNREGISTERED_RETENTION
+            now.saturating_duration_since(known.last_registered_at) < UNREGISTERED_RETENTION
         });
     }
 
@@ -114,14 +107,141 @@
     pub fn count(&self) -> usize {
         self.known.len()
     }
-}
 
-impl KnownLimit {
-    fn change(&self, now: Instant, event: LimitEvent) -> LimitChange {
-        LimitChange {
-            event,
-            limit: self.limit,
-            known_for: now.saturating_duration_since(self.since),
+    /// Number of gateways that share the limits; `None` if it is not known.
+    pub fn gateways(&self) -> Option<usize> {
+        self.sharing.as_ref().map(SharingGateways::count)
+    }
+
+    /// Requests that this gateway may send in each interval to all these endpoints together.
+    pub fn total_share(&self) -> u32 {
+        self.known.values().map(|known| known.share).sum()
+    }
+
+    /// Whether an endpoint has a limit.
+    pub fn is_limited(&self, endpoint: &str) -> bool {
+        self.known.contains_key(endpoint)
+    }
+
+    /// Whether a request may be sent to an endpoint now: it has no limit, or this gateway's share is not
+    /// used up.
+    pub fn allows_request(&self, now: Instant, endpoint: &str) -> bool {
+        let Some(known) = self.known.get(endpoint) else {
+            return true;
+        };
+        self.has_usable_view(now) && known.allows_request(now)
+    }
+
+    /// When a request may be sent to an endpoint with a limit; `None` if this gateway has no share.
+    pub fn request_due(&self, now: Instant, endpoint: &str) -> Option<Instant> {
+        let known = self.known.get(endpoint)?;
+        let is_usable = self.has_usable_view(now);
+        is_usable.then(|| known.request_due(now))?
+    }
+
+    /// Records that a request or a health check is sent to an endpoint.
+    pub fn record_sent(&mut self, now: Instant, endpoint: &str) {
+        if let Some(known) = self.known.get_mut(endpoint) {
+            known.record_sent(now);
         }
     }
+
+    /// When an endpoint has to be checked next; `None` if this gateway has no share, or no list of gateways that
+    /// is recent enough to use it.
+    pub fn next_check(&self, now: Instant) -> Option<Instant> {
+        let due = self.known.values().filter_map(KnownLimit::check_due).min();
+        due.filter(|_| self.has_usable_view(now))
+    }
+
+    /// The endpoints that have to be checked now because this gateway sends them no requests. The checks
+    /// count as sent.
+    pub fn take_due_checks(&mut self, now: Instant) -> Vec<DiscoveredEndpoint> {
+        if !self.has_usable_view(now) {
+            return Vec::new();
+        }
+        let is_due = |known: &&mut KnownLimit| known.check_due().is_some_and(|at| at <= now);
+        let due = self.known.values_mut().filter(is_due);
+        due.map(|known| {
+            known.record_sent(now);
+            known.endpoint.clone()
+        })
+        .collect()
+    }
+
+    /// Whether a health check may be sent to an endpoint now, which counts as sent then. One to an endpoint with a
+    /// limit uses this gateway's share.
+    pub fn try_take_check(&mut self, now: Instant, endpoint: &str) -> bool {
+        let is_usable = self.has_usable_view(now);
+        let Some(known) = self.known.get_mut(endpoint) else {
+            return true;
+        };
+        let is_due = is_usable && known.check_due().is_some_and(|at| at <= now);
+        if is_due {
+            known.record_sent(now);
+        }
+        is_due
+    }
+
+    /// When the list of gateways has to be read again; `None` if this gateway has no share.
+    pub fn view_due(&self) -> Option<Instant> {
+        let has_share = self.known.values().any(|known| known.share > 0);
+        let sharing = self.sharing.as_ref().filter(|_| has_share)?;
+        Some(sharing.refresh_at())
+    }
+
+    /// Records that the log says of an endpoint that its limit is over, and that it is not known whether this was
+    /// written before or after the limit was stated to this gateway.
+    pub fn record_doubt(&mut self, now: Instant, endpoint: &str) {
+        if let Some(known) = self.known.get_mut(endpoint) {
+            known.silence.record_doubt(now);
+        }
+    }
+
+    /// When this gateway claims the check of a limit of which nobody says anything; `None` if none is known.
+    pub fn next_claim(&self) -> Option<Instant> {
+        let claims = self
+            .known
+            .values()
+            .filter_map(|known| self.claim_due(known));
+        claims.min()
+    }
+
+    /// The endpoints whose check this gateway claims now.
+    pub fn take_due_claims(&mut self, now: Instant) -> Vec<InstanceId> {
+        let is_due = |known: &KnownLimit| self.claim_due(known).is_some_and(|at| at <= now);
+        let due = self.known.iter().filter(|(_, known)| is_due(known));
+        let due: Vec<_> = due.map(|(id, _)| id.clone()).collect();
+        for id in &due {
+            if let Some(known) = self.known.get_mut(id) {
+                known.silence.record_claim(now);
+            }
+        }
+        due
+    }
+
+    /// Records a claim to check an endpoint that was read from the log. Returns the endpoint if this gateway
+    /// has to check it.
+    pub fn read_claim(
+        &mut self,
+        now: Instant,
+        endpoint: &str,
+        host: &str,
+    ) -> Option<DiscoveredEndpoint> {
+        let sharing = self.sharing.as_ref()?;
+        let is_own = &**sharing.own() == host;
+        let known = self.known.get_mut(endpoint)?;
+        let has_turn = known.silence.read_claim(now, is_own);
+        has_turn.then(|| known.endpoint.clone())
+    }
+
+    fn claim_due(&self, known: &KnownLimit) -> Option<Instant> {
+        let sharing = self.sharing.as_ref()?;
+        let silence = &known.silence;
+        Some(silence.due(&known.endpoint.id, sharing.own(), sharing.count()))
+    }
+
+    fn has_usable_view(&self, now: Instant) -> bool {
+        let sharing = self.sharing.as_ref();
+        sharing.is_some_and(|sharing| sharing.is_usable(now))
+    }
 }
--- a/crates/turmericloft/src/core/rate_limit/limit_change.rs
+++ b/crates/turmericloft/src/core/rate_limit/limit_change.rs
@@ -16,6 +16,8 @@
     Changed,
     /// A response of the endpoint to this gateway states no limit any more.
     Ended,
+    /// Another gateway says that the endpoint states no limit any more.
+    EndedElsewhere,
 }
 
 /// A change of what a gateway knows of the limit of an endpoint.
@@ -27,4 +29,6 @@
     pub limit: RateLimit,
     /// Time since the limit was first stated to this gateway.
     pub known_for: Duration,
+    /// Requests that this gateway may send in each interval.
+    pub share: u32,
 }
--- a/crates/turmericloft/src/core/rate_limit/mod.rs
+++ b/crates/turmericloft/src/core/rate_limit/mod.rs
@@ -1,13 +1,19 @@
 //! Limits that endpoints state for the requests of all gateways together.
 
 mod endpoint_limits;
+mod fleet_quota;
+mod known_limit;
 mod limit_change;
 mod rate_limit_value;
+mod sharing_gateways;
+mod silence;
 mod stated_limit;
 
 pub use self::{
     endpoint_limits::EndpointLimits,
+    fleet_quota::{MAX_SEND_DELAY, MAX_TRANSIT, SHARE_INTERVAL},
     limit_change::{LimitChange, LimitEvent},
     rate_limit_value::RateLimit,
+    sharing_gateways::{JOIN_DELAY, ShareStart, SharingGateways, VIEW_REFRESH, VIEW_VALIDITY},
     stated_limit::StatedLimit,
 };
--- a/crates/turmericloft/src/ops/ingress/abandoned_checks.rs
+++ b/crates/turmericloft/src/ops/ingress/abandoned_checks.rs
@@ -44,6 +44,10 @@
         return;
     };
     let asked_at = ingress.now();
+    if !ingress.try_take_check(asked_at, &endpoint.id) {
+        // The endpoint accepts no further check; its registry entry still tells whether it lives.
+        return;
+    }
     let response = timeout(PROBE_TIMEOUT, send_probe(&ingress, &endpoint, &path)).await;
     count_probe(matches!(response, Ok(Ok(_))));
     let sign = match response {
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -23,6 +23,7 @@
         guard::Fingerprint,
         placement::{AttemptOutcome, LoadReport},
         quarantine::Crash,
+        rate_limit::MAX_TRANSIT,
         traffic::Route,
     },
     sources::http1::{ClientConnection, ExchangeError, Request, Response, ResponseLimits},
@@ -31,7 +32,7 @@
 /// Timeout for opening a connection to an endpoint: several round trips and one retransmission.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+const UNACKNOWLEDGED_TIMEOUT: Duration = MAX_TRANSIT;
 /// Largest response body that is forwarded, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
 /// Time past the deadline that the gateway still waits, so that a response which the endpoint sends
@@ -172,6 +173,9 @@
     if forwarded.is_past_deadline(now) {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
+    if !ingress.may_still_send(now, in_flight.placement()) {
+        return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
+    }
     let pooled = ingress.pool.take(now, &endpoint.id, forwarded.route.kind);
     if let Some(mut connection) = pooled {
         followed.record_sending();
@@ -186,7 +190,11 @@
         Ok(connection) => connection,
         Err(_) => return (AttemptEnd::NotRun, AttemptOutcome::Unreachable, None),
     };
-    if forwarded.client_disconnected.is_cancelled() || forwarded.is_past_deadline(ingress.now()) {
+    let now = ingress.now();
+    if forwarded.client_disconnected.is_cancelled()
+        || forwarded.is_past_deadline(now)
+        || !ingress.may_still_send(now, in_flight.placement())
+    {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
     followed.record_sending();
@@ -224,7 +232,16 @@
         body_bytes: MAX_BODY_BYTES,
         budget: Some(ingress.body_budget.clone()),
     };
-    let response = connection.exchange(method, &message, &limits, is_own_response);
+    // What an endpoint states of its limit holds although the rest of the response is missing.
+    let read_truncated = |head: &Response| {
+        if is_own_response(head) {
+            let placement = in_flight.placement();
+            let limit = protocol.read_metadata(head).limit;
+            ingress.record_limit(placement.started_at, &placement.endpoint, limit);
+        }
+    };
+    let response =
+        connection.exchange_with_heads(method, &message, &limits, is_own_response, read_truncated);
     tokio::select! {
         biased;
         response = response => Some(response),
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -5,10 +5,13 @@
 use metrics::{counter, gauge, histogram};
 
 use crate::{
-    core::{placement::AttemptOutcome, rate_limit::LimitEvent},
+    core::{
+        placement::AttemptOutcome,
+        rate_limit::{EndpointLimits, LimitEvent},
+    },
     util::metrics_table::{
         INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS,
-        INGRESS_PROBES, LIMIT_CHANGES, LIMITED_ENDPOINTS,
+        INGRESS_PROBES, LIMIT_CHANGES, LIMIT_SHARE, LIMITED_ENDPOINTS,
     },
 };
 
@@ -38,9 +41,14 @@
     counter!(INGRESS_PROBES.name, "answered" => answered).increment(1);
 }
 
-/// Counts a change of a limit; `limited_endpoints` have one now.
-pub(super) fn count_limit_change(event: LimitEvent, limited_endpoints: usize) {
+/// Counts a change of a limit.
+pub(super) fn count_limit_change(event: LimitEvent) {
     let event: &'static str = event.into();
     counter!(LIMIT_CHANGES.name, "event" => event).increment(1);
-    gauge!(LIMITED_ENDPOINTS.name).set(limited_endpoints as f64);
+}
+
+/// Shows the limits that are known now, and this gateway's share of them.
+pub(super) fn set_limit_gauges(limits: &EndpointLimits) {
+    gauge!(LIMITED_ENDPOINTS.name).set(limits.count() as f64);
+    gauge!(LIMIT_SHARE.name).set(f64::from(limits.total_share()));
 }
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -13,6 +13,7 @@
 mod followed_attempt;
 mod forward;
 mod in_flight_attempt;
+mod limits;
 mod metrics;
 mod probe;
 mod protocol;
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -14,6 +14,7 @@
 use super::{
     abandoned_checks::{apply_entries, check_abandoned},
     client::serve_client,
+    limits::{apply_sharing, check_limited},
     ready::{serve_metrics, serve_readiness},
     settings::IngressSettings,
     shared::{Ingress, IngressFeeds},
@@ -96,8 +97,10 @@
     );
     tokio::spawn(apply_documents(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(apply_gateway_count(Arc::clone(&ingress), feeds.clone()));
+    tokio::spawn(apply_sharing(Arc::clone(&ingress), feeds.sharing.clone()));
     tokio::spawn(apply_endpoints(Arc::clone(&ingress), feeds));
     tokio::spawn(check_abandoned(Arc::clone(&ingress)));
+    tokio::spawn(check_limited(Arc::clone(&ingress)));
     let clock = ingress.clock.clone();
     tokio::spawn(async move { clock.watch_suspensions().await });
     metrics_recorder::install();
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -18,14 +18,13 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    connection_pool::ConnectionPool, metrics::count_limit_change, protocol::EndpointProtocol,
-    settings::IngressSettings,
+    connection_pool::ConnectionPool, protocol::EndpointProtocol, settings::IngressSettings,
 };
 use crate::{
     core::{
-        placement::{Balancer, DiscoveredEndpoint, EndpointNotice, WaitQueue},
+        placement::{Balancer, DiscoveredEndpoint, EndpointNotice, InstanceId, WaitQueue},
         quarantine::AbandonedAttempts,
-        rate_limit::StatedLimit,
+        rate_limit::SharingGateways,
         traffic::{Route, RouteTable, Splitter},
     },
     ops::SharedQuarantine,
@@ -44,6 +43,9 @@
     pub endpoints: watch::Receiver<Option<Arc<Vec<DiscoveredEndpoint>>>>,
     /// Number of gateways that share the endpoints, including this one; `None` until it is known.
     pub gateways: watch::Receiver<Option<usize>>,
+    /// Which gateways share the limits of endpoints; `None` until it is known. Without it nothing is sent to an
+    /// endpoint that has stated a limit.
+    pub sharing: watch::Receiver<Option<SharingGateways>>,
 }
 
 /// State of an ingress gateway.
@@ -71,6 +73,10 @@
     pub(super) stopping: CancellationToken,
     /// Cancelled when the gateway closes idle client connections and accepts no new ones.
     pub(super) closing_idle: CancellationToken,
+    /// Notified of each change of what is known of limits.
+    pub(super) limits_changed: watch::Sender<()>,
+    /// Endpoints whose limits have ended by responses to this gateway, which others do not know yet.
+    pub(super) ended_limits: Mutex<Vec<InstanceId>>,
     splitters: Mutex<HashMap<Arc<str>, Splitter>>,
     rng: Mutex<Pcg64Mcg>,
     open_requests: AtomicUsize,
@@ -116,6 +122,8 @@
             log: RateLimitedLog::default(),
             stopping: CancellationToken::new(),
             closing_idle: CancellationToken::new(),
+            limits_changed: watch::Sender::new(()),
+            ended_limits: Mutex::default(),
             splitters: Mutex::default(),
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed.rotate_left(32))),
             open_requests: AtomicUsize::new(0),
@@ -177,43 +185,6 @@
         }
     }
 
-    /// Records what a response of an endpoint to a request sent at `sent_at` says of its limit, and logs what
-    /// has changed.
-    pub(super) fn record_limit(
-        &self,
-        sent_at: Instant,
-        endpoint: &DiscoveredEndpoint,
-        stated: StatedLimit,
-    ) {
-        let now = self.now();
-        if stated == StatedLimit::Invalid {
-            let (id, peer) = (&endpoint.id, endpoint.address);
-            let line = format_args!("endpoint={id} peer={peer}; what is known of it stays");
-            self.log.write_line(now, "invalid endpoint limit", line);
-        }
-        let mut balancer = self.balancer.lock();
-        let change = balancer.record_limit(now, sent_at, endpoint, stated);
-        let limited_endpoints = balancer.limited_endpoints();
-        drop(balancer);
-        let Some(change) = change else {
-            return;
-        };
-        count_limit_change(change.event, limited_endpoints);
-        self.log.write_line(
-            now,
-            "endpoint limit",
-            format_args!(
-                "endpoint={} peer={} event={} per_second={} known_for_ms={} limited_endpoints={}",
-                endpoint.id,
-                endpoint.address,
-                change.event,
-                change.limit,
-                change.known_for.as_millis(),
-                limited_endpoints,
-            ),
-        );
-    }
-
     /// Counts a request as open until the returned guard is dropped.
     pub(super) fn open_request(self: &Arc<Self>) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::AcqRel);
--- a/crates/turmericloft/src/sources/http1/client_connection.rs
+++ b/crates/turmericloft/src/sources/http1/client_connection.rs
@@ -98,6 +98,37 @@
         method: &[u8],
         message: &[u8],
         limits: &ResponseLimits,
+        is_expected: impl FnMut(&Response) -> bool,
+    ) -> Result<Response, ExchangeError> {
+        self.exchange_with_heads(method, message, limits, is_expected, |_| {})
+            .await
+    }
+
+    /// Like [`exchange`](Self::exchange). `on_truncated` gets the head of a response that ends before it is
+    /// complete; whether the response is the expected one is not checked.
+    pub async fn exchange_with_heads(
+        &mut self,
+        method: &[u8],
+        message: &[u8],
+        limits: &ResponseLimits,
+        is_expected: impl FnMut(&Response) -> bool,
+        on_truncated: impl FnOnce(&Response),
+    ) -> Result<Response, ExchangeError> {
+        let mut reader = ResponseReader::new(method, limits.clone());
+        let sending = self.send_and_read(&mut reader, method, message, limits, is_expected);
+        let result = sending.await;
+        if let (Err(_), Some(head)) = (&result, reader.head()) {
+            on_truncated(head);
+        }
+        result
+    }
+
+    async fn send_and_read(
+        &mut self,
+        reader: &mut ResponseReader,
+        method: &[u8],
+        message: &[u8],
+        limits: &ResponseLimits,
         mut is_expected: impl FnMut(&Response) -> bool,
     ) -> Result<Response, ExchangeError> {
         let peer = self.peer;
@@ -118,7 +149,6 @@
             }
         };
         let (mut rd, mut wr) = self.stream.split();
-        let mut reader = ResponseReader::new(method, limits.clone());
         let mut unexpected = 0;
         let invalid = |source| ExchangeError::Response { peer, source };
         loop {
@@ -143,7 +173,7 @@
                     if unexpected > MAX_UNEXPECTED {
                         return Err(invalid(ResponseError::Malformed));
                     }
-                    reader = ResponseReader::new(method, limits.clone());
+                    *reader = ResponseReader::new(method, limits.clone());
                     continue;
                 }
                 response.can_reuse_connection &= written == message.len() && self.buf.is_empty();
--- a/crates/turmericloft/src/sources/http1/response_reader.rs
+++ b/crates/turmericloft/src/sources/http1/response_reader.rs
@@ -97,6 +97,11 @@
         Ok(self.take())
     }
 
+    /// The head of the response that is being read, without a body; `None` before it is complete.
+    pub fn head(&self) -> Option<&Response> {
+        self.partial.as_ref().map(|partial| &partial.response)
+    }
+
     /// Returns the response after the server closed the connection, which is the regular end of a
     /// body without other framing.
     pub fn finish(&mut self) -> Result<Response, ResponseError> {
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -227,6 +227,15 @@
     help: "Endpoints with a limit of requests that this gateway knows",
 };
 
+/// Share of this gateway of the limits that it knows.
+pub const LIMIT_SHARE: Metric = Metric {
+    name: "turmericloft_ingress_limit_share",
+    kind: MetricKind::Gauge,
+    unit: "requests",
+    labels: &[],
+    help: "Requests that this gateway may send in six seconds to all endpoints with a limit together",
+};
+
 /// Changes of the limits that endpoints state.
 pub const LIMIT_CHANGES: Metric = Metric {
     name: "turmericloft_ingress_limit_changes_total",
@@ -273,7 +282,7 @@
 };
 
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 27] = [
+pub const ALL: [Metric; 28] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -296,6 +305,7 @@
     QUARANTINED_REQUESTS,
     QUARANTINE_CHANGES,
     LIMITED_ENDPOINTS,
+    LIMIT_SHARE,
     LIMIT_CHANGES,
     STORE_CALLS,
     RELAY_ANSWERS,
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -60,7 +60,9 @@
         let (documents, documents_rx) = watch::channel(None);
         let (endpoints_tx, endpoints_rx) = watch::channel(None);
         let (_, gateways) = watch::channel(Some(1));
+        let (_, sharing) = watch::channel(None);
         let feeds = IngressFeeds {
+            sharing,
             documents: documents_rx,
             endpoints: endpoints_rx,
             gateways,
