Bounds of a fleet of unknown size: a gateway assumes a thousand gateways, not twenty

While the list of gateways could not be read, each of 311 gateways took a twentieth of the probes that an endpoint may get: 11.7 times the allowed rate together. The test of it failed at 129 gateways. The tests of two views of the size, for probes and for retries, passed before and stay as checks: a third of the fleet may join unseen.

--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -8,6 +8,7 @@
 mod endpoint_cost;
 mod endpoint_notice;
 mod endpoint_view;
+mod fleet_size;
 mod load_report;
 mod observation;
 mod placement_error;
@@ -33,6 +34,7 @@
     discovery::DiscoveryTable,
     discovery_change::DiscoveryChange,
     endpoint_notice::EndpointNotice,
+    fleet_size::{probe_rate, reckoned_gateways},
     load_report::LoadReport,
     observation::Observation,
     placement_error::PlacementError,
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -9,7 +9,10 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{core::placement::DiscoveredEndpoint, util::metrics_recorder};
+use crate::{
+    core::placement::{DiscoveredEndpoint, probe_rate, reckoned_gateways},
+    util::metrics_recorder,
+};
 
 use super::{
     abandoned_checks::{apply_entries, check_abandoned},
@@ -29,11 +32,6 @@
 const OPEN_REQUEST_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which expired idle connections to endpoints are closed.
 const POOL_SWEEP_INTERVAL: Duration = Duration::from_millis(2_000);
-/// Share of the allowed probe rate that gateways use. The rest is for gateways with more than an
-/// equal share of the clients and for gateways that are not counted.
-const PROBE_SHARE: f64 = 0.75;
-/// Number of gateways assumed to share the endpoints until it is known.
-const ASSUMED_GATEWAYS: usize = 20;
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -179,15 +177,10 @@
 /// gateways.
 async fn apply_gateway_count(ingress: Arc<Ingress>, mut feeds: IngressFeeds) {
     loop {
-        let gateways = feeds.gateways.borrow_and_update().unwrap_or_default();
-        let sharing = if gateways == 0 {
-            ASSUMED_GATEWAYS
-        } else {
-            gateways
-        };
-        ingress.balancer.lock().set_gateways(sharing);
+        let gateways = reckoned_gateways(*feeds.gateways.borrow_and_update());
+        ingress.balancer.lock().set_gateways(gateways);
         if let Some(max_rate) = ingress.settings.max_endpoint_probe_rate {
-            let rate = max_rate * PROBE_SHARE / sharing as f64;
+            let rate = probe_rate(max_rate, gateways);
             ingress.balancer.lock().set_probe_rate(rate);
         }
         if feeds.gateways.changed().await.is_err() {
--- a/crates/turmericloft/tests/testsuite/placement/mod.rs
+++ b/crates/turmericloft/tests/testsuite/placement/mod.rs
@@ -2,6 +2,7 @@
 
 mod balancer;
 mod discovery;
+mod fleet_size;
 mod grey_failure;
 mod notices;
 mod probes;
