Crashes are known in all zones within the stability window, among many others too

Single crashes in three zones, while sound requests are broken off everywhere: late in 11 of 30 phases, since writes were 4 s apart.

All intervals are fractions of the stability window now (ExchangeTimings), and constant assertions keep each sum of them within it.

--- a/crates/turmericloft/src/core/quarantine/mod.rs
+++ b/crates/turmericloft/src/core/quarantine/mod.rs
@@ -13,6 +13,7 @@
 mod crash;
 mod crash_history;
 mod crash_reports;
+mod exchange_timings;
 mod quarantine_change;
 mod request_quarantine;
 mod stored_crashes;
@@ -22,6 +23,7 @@
     abandoned_attempts::{AbandonedAttempt, AbandonedAttempts, ConcludedCrash, EndpointSign},
     crash::{Crash, CrashId},
     crash_reports::{CrashReport, CrashReports, ReportedCrash},
+    exchange_timings::ExchangeTimings,
     quarantine_change::{QuarantineChange, QuarantineEvent, RequestCondition},
     request_quarantine::{RequestQuarantine, SendDecision},
     stored_crashes::StoredCrashes,
--- a/crates/turmericloft/src/core/quarantine/stored_crashes.rs
+++ b/crates/turmericloft/src/core/quarantine/stored_crashes.rs
@@ -1,11 +1,8 @@
 //! Which crashes have to be written to the store that all availability zones read.
 
-use std::{
-    collections::HashSet,
-    time::{Duration, Instant},
-};
+use std::{collections::HashSet, time::Instant};
 
-use super::{CrashId, CrashReport};
+use super::{CrashId, CrashReport, ExchangeTimings};
 
 /// How soon a gateway has to write what the store lacks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -17,32 +14,15 @@
     Immediate,
 }
 
-impl WriteUrgency {
-    /// Time for which changes are collected before they are written.
-    fn delay(self) -> Duration {
-        match self {
-            Self::Batched => Duration::from_millis(500),
-            Self::Immediate => Duration::from_millis(20),
-        }
-    }
-
-    /// Least time between two writes.
-    fn interval(self) -> Duration {
-        match self {
-            Self::Batched => Duration::from_secs(4),
-            Self::Immediate => Duration::from_secs(1),
-        }
-    }
-}
-
 /// The crashes that the store holds, as far as the gateway that reads them knows.
 ///
 /// Load pattern: an endpoint that crashes, or resets connections when it is full, breaks off many sound
 /// requests at once, on all gateways, and each write to the store is read by all zones. So the first
 /// crash after a quiet time is written soon, and those that follow together with others. None is
 /// written twice.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct StoredCrashes {
+    timings: ExchangeTimings,
     crashes: HashSet<CrashId>,
     cleared: HashSet<CrashId>,
     /// Since when the store lacks something; `None` if it does not.
@@ -51,6 +31,17 @@
 }
 
 impl StoredCrashes {
+    /// The store holds nothing, as far as is known.
+    pub fn new(timings: ExchangeTimings) -> Self {
+        Self {
+            timings,
+            crashes: HashSet::new(),
+            cleared: HashSet::new(),
+            outdated_since: None,
+            written_at: None,
+        }
+    }
+
     /// Records reports that were read from the store or written to it.
     pub fn record<'a>(&mut self, reports: impl IntoIterator<Item = &'a CrashReport>) {
         for report in reports {
@@ -85,9 +76,11 @@
             self.outdated_since = None;
             return None;
         };
+        let is_repeated = urgency == WriteUrgency::Immediate;
         let since = *self.outdated_since.get_or_insert(now);
-        let collected_at = since + urgency.delay();
-        let next_write = self.written_at.map(|at| at + urgency.interval());
+        let collected_at = since + self.timings.collect(is_repeated);
+        let interval = self.timings.write_interval(is_repeated);
+        let next_write = self.written_at.map(|at| at + interval);
         Some(next_write.map_or(collected_at, |at| at.max(collected_at)))
     }
 
--- a/crates/turmericloft/src/core/relay/recovery_timings.rs
+++ b/crates/turmericloft/src/core/relay/recovery_timings.rs
@@ -12,6 +12,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::core::quarantine::ExchangeTimings;
+
 /// Timeout of one read, as a fraction of the stability window.
 const CALL_TIMEOUT_FRACTION: f64 = 0.5;
 /// Timeout of one read with a long stability window: a lost response is noticed after it.
@@ -47,6 +49,11 @@
         Self { stability_window }
     }
 
+    /// Intervals of the exchange of crashes, which has to fit into the stability window too.
+    pub fn crash_exchange(&self) -> ExchangeTimings {
+        ExchangeTimings::new(self.stability_window)
+    }
+
     /// Timeout of a call to the registry, with the time for opening a connection.
     pub fn call_timeout(&self) -> Duration {
         self.part(CALL_TIMEOUT_FRACTION).min(MAX_CALL_TIMEOUT)
