Reads of the endpoints give up a silent connection after a tenth of the stability window

On an open connection, which stays silent, a read took the call's timeout: 1.5 s, with the pause and the retention 3.64 s against 3 s. Now the read is repeated on a new connection after 0.3 s, so it fails after 0.6 s, and the sum is 2.74 s. The patience is part of the constant assertion of the waits of a read.

--- a/crates/turmericloft/src/core/relay/recovery_timings.rs
+++ b/crates/turmericloft/src/core/relay/recovery_timings.rs
@@ -20,6 +20,9 @@
 const MAX_CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Timeout for opening a connection, as a fraction of the stability window. It is part of the call's.
 const CONNECT_TIMEOUT_FRACTION: f64 = 0.1;
+/// Time without a response on a kept connection after which a read of the endpoints is repeated on a new one, as
+/// a fraction of the stability window. A connection that was cut stays silent.
+const PATIENCE_FRACTION: f64 = 0.1;
 /// Time from the end of a failed read to the next one of a gateway that relies on no other, as a fraction of the stability window. Entries that
 /// vanished are retained from the first successful read on, so a late one keeps endpoints that have left.
 const LONE_DELAY_FRACTION: f64 = 0.08;
@@ -33,7 +36,9 @@
 const READS_FRACTION: f64 = 0.11;
 
 const _: () = assert!(FOLLOWER_PERIOD_FRACTION + RELAY_GRACE_FRACTION + READS_FRACTION <= 1.0);
-const _: () = assert!(CALL_TIMEOUT_FRACTION + LONE_DELAY_FRACTION < FOLLOWER_PERIOD_FRACTION);
+const _: () = assert!(
+    PATIENCE_FRACTION + CALL_TIMEOUT_FRACTION + LONE_DELAY_FRACTION < FOLLOWER_PERIOD_FRACTION
+);
 const _: () = assert!(CONNECT_TIMEOUT_FRACTION < CALL_TIMEOUT_FRACTION);
 
 /// Timeouts and delays of reads of the registry, all in proportion to the stability window.
@@ -59,6 +64,11 @@
         self.part(CALL_TIMEOUT_FRACTION).min(MAX_CALL_TIMEOUT)
     }
 
+    /// Time without a response on a kept connection after which a read of the endpoints is repeated on a new one.
+    pub fn patience(&self) -> Duration {
+        self.part(PATIENCE_FRACTION)
+    }
+
     /// Timeout for opening a connection to the registry.
     pub fn connect_timeout(&self) -> Duration {
         self.part(CONNECT_TIMEOUT_FRACTION)
--- a/crates/turmericloft/tests/testsuite/relay/recovery.rs
+++ b/crates/turmericloft/tests/testsuite/relay/recovery.rs
@@ -21,6 +21,8 @@
     Silent,
     /// No connection is opened.
     CutOff,
+    /// The connection is open and silent, and no other one is opened.
+    CutOffWhileOpen,
 }
 
 fn timings() -> RecoveryTimings {
@@ -32,6 +34,7 @@
         match self {
             Self::Silent => timings().call_timeout(),
             Self::CutOff => timings().connect_timeout(),
+            Self::CutOffWhileOpen => timings().patience() + timings().connect_timeout(),
         }
     }
 }
@@ -93,7 +96,7 @@
         let window = Duration::from_millis(window_ms);
         let timings = RecoveryTimings::new(window);
         let lost = Instant::now();
-        let failed = lost + timings.call_timeout();
+        let failed = lost + timings.patience() + timings.call_timeout();
         for relies_on_upstream in [false, true] {
             let read = timings.next_read(failed, lost, relies_on_upstream);
             let total = read - lost + window.mul_f64(READS_FRACTION);
@@ -106,5 +109,7 @@
 /// been back for the stability window, though its entry is retained for a while.
 #[test]
 fn endpoint_that_left_during_a_cut_is_dropped_within_the_stability_window() {
-    assert!(period(FailedRead::CutOff, false) + RETENTION < STABILITY_WINDOW);
+    for failed in [FailedRead::CutOff, FailedRead::CutOffWhileOpen] {
+        assert!(period(failed, false) + RETENTION < STABILITY_WINDOW);
+    }
 }
