Tests of ReadPace, DocumentFreshness and PollOffset

The test of the shared pace compares it with a pace for each topic, which makes too many reads: it fails without the sharing, as none did before. The code is unchanged.

--- a/crates/turmericloft/tests/testsuite/relay/mod.rs
+++ b/crates/turmericloft/tests/testsuite/relay/mod.rs
@@ -2,6 +2,8 @@
 
 mod connections;
 mod crash_reports;
+mod document_freshness;
+mod read_pace;
 mod recovery;
 mod registry;
 mod simulated_gateway;
