Gateways lend each other their shares of limits

When all endpoints of a service have limits and most clients are at a few gateways, these used up their shares, and the shares of the others were left: with all clients at one of six gateways the endpoints got a sixth of what their limits allow. Such a gateway now asks others for one request of their share, over UDP, at most two of them for one request, before it rejects. A loan counts as sent by the lender, so the sum does not change; a request that is not sent within 0.4 s of asking is not sent at all. A lender that does not know the limit learns it.

Without the lower of two limits a pair (slow links, a limit that falls) broke a limit by four requests: a lender went by an older one.

Health checks use the share of six seconds alone, not that of the limit itself, which may be minutes. Requests that wait are not counted on slots of endpoints with limits. balancer.rs is split.

--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -21,18 +21,17 @@
     endpoint_cost::{cost, is_eligible},
     endpoint_notice::EndpointNotices,
     endpoint_view::EndpointView,
-    queue_limit::{SlotShare, queue_limit},
     retry_after::retry_after,
-    service_view::ServiceView,
+    service_view::{ServiceBaseline, ServiceView},
 };
-use crate::core::rate_limit::{EndpointLimits, LimitChange, SharingGateways, StatedLimit};
+use crate::core::rate_limit::EndpointLimits;
 
 /// Age below which a load report is recent enough to place a request without another probe.
 const FRESHNESS_WINDOW: Duration = Duration::from_millis(12);
 /// Endpoints probed in one round before a request is sent.
 const PROBES_PER_ROUND: usize = 3;
 /// Mean time after which a client is told to retry when a service has no endpoint.
-const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(super) const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// One gateway's estimates of all endpoints, and the choice between them.
 #[derive(Debug)]
@@ -42,11 +41,11 @@
     /// Probes per second and endpoint allowed from this gateway; `None` if unlimited.
     probe_rate: Option<f64>,
     /// Gateways that share the endpoints, including this one.
-    gateways: usize,
-    services: HashMap<Arc<str>, ServiceView>,
-    notices: EndpointNotices,
-    limits: EndpointLimits,
-    rng: Pcg64Mcg,
+    pub(super) gateways: usize,
+    pub(super) services: HashMap<Arc<str>, ServiceView>,
+    pub(super) notices: EndpointNotices,
+    pub(super) limits: EndpointLimits,
+    pub(super) rng: Pcg64Mcg,
 }
 
 impl Balancer {
@@ -78,53 +77,6 @@
         services.for_each(|s| s.retry_budget.share_reserve(gateways));
     }
 
-    /// Number of requests of a service that may wait at this gateway for up to `max_wait`.
-    pub fn queue_limit(&self, req: &PlacementRequest<'_>, max_wait: Duration) -> usize {
-        let Some(service) = self.services.get(req.service) else {
-            return 0;
-        };
-        let limits = &self.limits;
-        // What an endpoint with a limit accepts does not depend on its slots.
-        let has_slots =
-            |v: &&EndpointView| v.accepts_requests() && !limits.is_limited(&v.endpoint.id);
-        let views = || service.endpoints.values().filter(has_slots);
-        if views().next().is_none() {
-            return 0;
-        }
-        let share = SlotShare {
-            slots: views().map(|v| v.endpoint.slots).sum(),
-            gateways: self.gateways,
-            own_in_flight: views().map(EndpointView::in_flight).sum(),
-        };
-        let service_time_s = service.baseline(req.target_latency).service_time_s;
-        let service_time = Duration::from_secs_f64(service_time_s);
-        queue_limit(share, max_wait, service_time)
-    }
-
-    /// Whether an idle endpoint of the service is expected to respond within `time_left`. Always true if the
-    /// service is not known.
-    pub fn can_respond_within(&self, req: &PlacementRequest<'_>, time_left: Duration) -> bool {
-        let Some(service) = self.services.get(req.service) else {
-            return true;
-        };
-        service.baseline(req.target_latency).service_time_s < time_left.as_secs_f64()
-    }
-
-    /// When the client of a request that is rejected without a placement should return. A response
-    /// within `time_to_target` would meet the target latency.
-    pub fn retry_after(
-        &mut self,
-        req: &PlacementRequest<'_>,
-        time_to_target: Duration,
-    ) -> Duration {
-        let Some(service) = self.services.get(req.service) else {
-            return NO_ENDPOINT_RETRY_AFTER;
-        };
-        let service_time_s = service.baseline(req.target_latency).service_time_s;
-        let service_time = Duration::from_secs_f64(service_time_s);
-        retry_after(service_time, time_to_target, self.rng.random::<f64>())
-    }
-
     /// Applies the full list of endpoints. Estimates of endpoints that stay are kept.
     pub fn set_endpoints(&mut self, now: Instant, endpoints: &[DiscoveredEndpoint]) {
         self.notices.retain_registered(now, endpoints);
@@ -259,11 +211,19 @@
         if views().next().is_none() {
             let registered = || service.endpoints.values().filter(|v| v.accepts_requests());
             let accepts_at = registered().filter_map(|v| notices.accepts_at(now, &v.endpoint));
-            let excluded = |v: &&EndpointView| notices.excludes(now, &v.endpoint);
-            let limited = registered().filter(|v| !excluded(v));
-            let request_due = limited.filter_map(|v| limits.request_due(now, &v.endpoint.id));
-            let next = accepts_at.chain(request_due).min();
-            let wait = next.map(|at| at.saturating_duration_since(now));
+            let wait = accepts_at.min().map(|at| at.saturating_duration_since(now));
+            let is_limited = |v: &&EndpointView| {
+                !notices.excludes(now, &v.endpoint)
+                    && limits.is_limited(&v.endpoint.id)
+                    && !req.tried.contains(&v.endpoint.id)
+            };
+            let limited: Vec<_> = registered().filter(is_limited).collect();
+            if !limited.is_empty() {
+                let ids = limited.iter().map(|v| &v.endpoint.id);
+                let wait = limits.wait_for_request(now, ids);
+                let retry_after = wait.mul_f64(0.5 + self.rng.random::<f64>());
+                return Err(PlacementError::Limited { retry_after });
+            }
             return Err(PlacementError::NoEndpoint {
                 retry_after: wait.unwrap_or_default() + spread,
             });
@@ -295,24 +255,10 @@
                 retry_after: retry_after(service_time, req.max_latency, random),
             });
         };
-        let latency_s = view.expected_latency_s(now, &baseline);
-        let is_congested = view.is_congested(now, &baseline);
-        let report_age = view.report_age(now);
-        let reported_slowdown = view.recent_slowdown(now, FRESHNESS_WINDOW);
-        let endpoint = Arc::clone(&view.endpoint);
-        if let Some(view) = service.endpoints.get_mut(&endpoint.id) {
-            view.record_attempt_start(now);
-        }
-        self.limits.record_sent(now, &endpoint.id);
-        Ok(Placement {
-            endpoint,
-            expected_latency: Duration::from_secs_f64(latency_s),
-            service_time: Duration::from_secs_f64(baseline.service_time_s),
-            started_at: now,
-            report_age,
-            reported_slowdown,
-            is_congested,
-        })
+        let id = view.endpoint.id.clone();
+        self.limits.record_request(now, &id);
+        let view = service.endpoints.get_mut(&id).ok_or(no_service)?;
+        Ok(start_attempt(now, view, &baseline))
     }
 
     /// Records what an endpoint asked for in a response.
@@ -325,33 +271,6 @@
         self.notices.record(now, endpoint, notice);
     }
 
-    /// Records what a response of `endpoint` to a request sent at `sent_at` says of its limit, and returns
-    /// what has changed.
-    pub fn record_limit(
-        &mut self,
-        now: Instant,
-        sent_at: Instant,
-        endpoint: &DiscoveredEndpoint,
-        stated: StatedLimit,
-    ) -> Option<LimitChange> {
-        self.limits.record_response(now, sent_at, endpoint, stated)
-    }
-
-    /// Sets which gateways share the limits of endpoints.
-    pub fn set_sharing(&mut self, sharing: SharingGateways) {
-        self.limits.set_sharing(sharing);
-    }
-
-    /// Limits of endpoints that this gateway knows.
-    pub fn limits(&self) -> &EndpointLimits {
-        &self.limits
-    }
-
-    /// Limits of endpoints that this gateway knows, to be changed.
-    pub fn limits_mut(&mut self) -> &mut EndpointLimits {
-        &mut self.limits
-    }
-
     /// Records the end of an attempt and the load report in its response.
     pub fn record_attempt_end(
         &mut self,
@@ -418,3 +337,22 @@
         views.any(EndpointView::accepts_requests)
     }
 }
+
+/// Counts a request as in flight at an endpoint from `now` on.
+pub(super) fn start_attempt(
+    now: Instant,
+    view: &mut EndpointView,
+    baseline: &ServiceBaseline,
+) -> Placement {
+    let placement = Placement {
+        endpoint: Arc::clone(&view.endpoint),
+        expected_latency: Duration::from_secs_f64(view.expected_latency_s(now, baseline)),
+        service_time: Duration::from_secs_f64(baseline.service_time_s),
+        started_at: now,
+        report_age: view.report_age(now),
+        reported_slowdown: view.recent_slowdown(now, FRESHNESS_WINDOW),
+        is_congested: view.is_congested(now, baseline),
+    };
+    view.record_attempt_start(now);
+    placement
+}
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -2,6 +2,8 @@
 
 mod attempt_outcome;
 mod balancer;
+mod balancer_limits;
+mod balancer_waits;
 mod discovered_endpoint;
 mod discovery;
 mod discovery_change;
--- a/crates/turmericloft/src/core/rate_limit/endpoint_limits.rs
+++ b/crates/turmericloft/src/core/rate_limit/endpoint_limits.rs
@@ -6,7 +6,8 @@
 };
 
 use super::{
-    LimitChange, LimitEvent, RateLimit, SharingGateways, StatedLimit, known_limit::KnownLimit,
+    Lender, LimitChange, LimitEvent, LoanAnswer, RateLimit, SharingGateways, StatedLimit,
+    known_limit::KnownLimit, lenders::Lenders,
 };
 use crate::core::placement::{DiscoveredEndpoint, InstanceId};
 
@@ -14,12 +15,18 @@
 /// back from an older copy of the registry.
 const UNREGISTERED_RETENTION: Duration = Duration::from_secs(600);
 
+/// Shortest time after which a client is told to return because of limits.
+const MIN_WAIT: Duration = Duration::from_millis(250);
+/// Longest one.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
 /// Limits of endpoints that one gateway knows from their responses. A limit ends with a response without
 /// one, here or at another gateway, and never by silence.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointLimits {
     known: HashMap<InstanceId, KnownLimit>,
     sharing: Option<SharingGateways>,
+    lenders: Lenders,
 }
 
 impl EndpointLimits {
@@ -139,13 +146,79 @@
         is_usable.then(|| known.request_due(now))?
     }
 
-    /// Records that a request or a health check is sent to an endpoint.
-    pub fn record_sent(&mut self, now: Instant, endpoint: &str) {
+    /// Time after which one of these endpoints, which all have limits, is likely to accept a request: when this
+    /// gateway's share allows it, or else when the gateways together have sent the next one.
+    pub fn wait_for_request<'a>(
+        &self,
+        now: Instant,
+        endpoints: impl Iterator<Item = &'a InstanceId> + Clone,
+    ) -> Duration {
+        let due = endpoints.clone().filter_map(|id| self.request_due(now, id));
+        if let Some(due) = due.min() {
+            return due.saturating_duration_since(now).max(MIN_WAIT);
+        }
+        let known = endpoints.filter_map(|id| self.known.get(id));
+        let per_second: f64 = known.map(|known| known.limit.per_second()).sum();
+        let mean = Duration::try_from_secs_f64(1.0 / per_second).unwrap_or(MAX_WAIT);
+        mean.clamp(MIN_WAIT, MAX_WAIT)
+    }
+
+    /// Records that a request is sent to an endpoint.
+    pub fn record_request(&mut self, now: Instant, endpoint: &str) {
         if let Some(known) = self.known.get_mut(endpoint) {
-            known.record_sent(now);
+            known.record_request(now);
         }
     }
 
+    /// Learns from another gateway that an endpoint has stated `limit` to it, and returns what has changed. Of
+    /// two limits the lower one counts, until the endpoint states one to this gateway.
+    pub fn learn(
+        &mut self,
+        now: Instant,
+        endpoint: &DiscoveredEndpoint,
+        limit: RateLimit,
+    ) -> Option<LimitChange> {
+        let known = self.known.get(&endpoint.id).map(|known| known.limit);
+        if known.is_some_and(|known| known <= limit) {
+            return None;
+        }
+        let change = self.record_limit(now, endpoint, limit)?;
+        Some(LimitChange {
+            event: LimitEvent::Learned,
+            ..change
+        })
+    }
+
+    /// Decides whether another gateway may send a request to an endpoint instead of this one, which counts as sent
+    /// then. The other one sends it within [`MAX_SEND_DELAY`](super::MAX_SEND_DELAY) of asking for it.
+    pub fn lend(&mut self, now: Instant, endpoint: &str) -> LoanAnswer {
+        if self.is_limited(endpoint) && self.allows_request(now, endpoint) {
+            self.record_request(now, endpoint);
+            return LoanAnswer::Granted;
+        }
+        let due = self.request_due(now, endpoint);
+        let free_in = due.map(|due| due.saturating_duration_since(now));
+        LoanAnswer::Denied { free_in }
+    }
+
+    /// Chooses a gateway to ask for a request to an endpoint with a limit, by a number from 0 to 1; `None` if there
+    /// is none.
+    pub fn choose_lender(
+        &mut self,
+        now: Instant,
+        endpoint: &InstanceId,
+        random: f64,
+    ) -> Option<Lender> {
+        let limit = self.known.get(endpoint)?.limit;
+        let sharing = self.sharing.as_ref()?;
+        self.lenders.choose(now, endpoint, limit, sharing, random)
+    }
+
+    /// Records that a gateway has not lent a request, and when it may.
+    pub fn record_denial(&mut self, now: Instant, lender: &Lender, free_in: Option<Duration>) {
+        self.lenders.record_denial(now, lender, free_in);
+    }
+
     /// When an endpoint has to be checked next; `None` if this gateway has no share, or no list of gateways that
     /// is recent enough to use it.
     pub fn next_check(&self, now: Instant) -> Option<Instant> {
@@ -162,7 +235,7 @@
         let is_due = |known: &&mut KnownLimit| known.check_due().is_some_and(|at| at <= now);
         let due = self.known.values_mut().filter(is_due);
         due.map(|known| {
-            known.record_sent(now);
+            known.record_check(now);
             known.endpoint.clone()
         })
         .collect()
@@ -177,7 +250,7 @@
         };
         let is_due = is_usable && known.check_due().is_some_and(|at| at <= now);
         if is_due {
-            known.record_sent(now);
+            known.record_check(now);
         }
         is_due
     }
@@ -220,7 +293,7 @@
     }
 
     /// Records a claim to check an endpoint that was read from the log. Returns the endpoint if this gateway
-    /// has to check it.
+    /// has to check it; the check counts as sent.
     pub fn read_claim(
         &mut self,
         now: Instant,
@@ -231,7 +304,10 @@
         let is_own = &**sharing.own() == host;
         let known = self.known.get_mut(endpoint)?;
         let has_turn = known.silence.read_claim(now, is_own);
-        has_turn.then(|| known.endpoint.clone())
+        has_turn.then(|| {
+            known.record_check(now);
+            known.endpoint.clone()
+        })
     }
 
     fn claim_due(&self, known: &KnownLimit) -> Option<Instant> {
--- a/crates/turmericloft/src/core/rate_limit/known_limit.rs
+++ b/crates/turmericloft/src/core/rate_limit/known_limit.rs
@@ -1,13 +1,10 @@
 //! The limit of one endpoint as one gateway knows it, and the gateway's use of its share.
 
-use std::{
-    collections::VecDeque,
-    time::{Duration, Instant},
-};
+use std::time::Instant;
 
 use super::{
     LimitChange, LimitEvent, RateLimit, SharingGateways, fleet_quota::SHARE_INTERVAL,
-    silence::SilenceClaim,
+    sent_times::SentTimes, silence::SilenceClaim,
 };
 use crate::core::placement::DiscoveredEndpoint;
 
@@ -23,8 +20,9 @@
     pub(super) last_registered_at: Instant,
     /// Requests of this gateway in each interval.
     pub(super) share: u32,
-    /// When requests and health checks were sent, the oldest first.
-    sent: VecDeque<Instant>,
+    requests: SentTimes,
+    /// Requests and health checks.
+    contacts: SentTimes,
     pub(super) silence: SilenceClaim,
 }
 
@@ -37,7 +35,8 @@
             last_stated_at: now,
             last_registered_at: now,
             share: 0,
-            sent: VecDeque::new(),
+            requests: SentTimes::default(),
+            contacts: SentTimes::default(),
             silence: SilenceClaim::new(now),
         }
     }
@@ -58,41 +57,34 @@
 
     /// Whether a request may be sent now, by a usable view of the fleet.
     pub(super) fn allows_request(&self, now: Instant) -> bool {
-        let interval = self.limit.request_interval();
-        interval.is_some_and(|interval| self.sent_within(now, interval) < self.share as usize)
+        self.request_due(now).is_some_and(|due| due <= now)
     }
 
     /// When a request may be sent; `None` if never by this limit and share.
     pub(super) fn request_due(&self, now: Instant) -> Option<Instant> {
         let interval = self.limit.request_interval()?;
-        let share = self.share as usize;
-        if share == 0 {
-            return None;
-        }
-        let oldest = self.sent.len().checked_sub(share);
-        let due = oldest.map_or(now, |oldest| self.sent[oldest] + interval);
-        Some(due.max(now))
+        let share = (self.share > 0).then_some(self.share as usize)?;
+        let by_limit = self.requests.nth_last(share).map(|at| at + interval);
+        let by_window = self.contacts.nth_last(share).map(|at| at + SHARE_INTERVAL);
+        by_limit.max(by_window).max(Some(now))
     }
 
     /// When this gateway has to check whether the limit is over, because it sends no requests; `None` without
     /// a share.
     pub(super) fn check_due(&self) -> Option<Instant> {
-        let last_contact = self.sent.back().copied().unwrap_or(self.since);
+        let last_contact = self.contacts.nth_last(1).unwrap_or(self.since);
         (self.share > 0).then(|| last_contact + SHARE_INTERVAL)
     }
 
-    /// Records that a request or a health check is sent.
-    pub(super) fn record_sent(&mut self, now: Instant) {
-        let longest = self.limit.request_interval().unwrap_or(SHARE_INTERVAL);
-        let is_over = |at: &Instant| now.saturating_duration_since(*at) >= longest;
-        while self.sent.front().is_some_and(is_over) {
-            self.sent.pop_front();
-        }
-        self.sent.push_back(now);
+    /// Records that a request is sent.
+    pub(super) fn record_request(&mut self, now: Instant) {
+        let interval = self.limit.request_interval().unwrap_or(SHARE_INTERVAL);
+        self.requests.add(now, interval);
+        self.record_check(now);
     }
 
-    fn sent_within(&self, now: Instant, interval: Duration) -> usize {
-        let is_within = |at: &&Instant| now.saturating_duration_since(**at) < interval;
-        self.sent.iter().rev().take_while(is_within).count()
+    /// Records that a health check is sent.
+    pub(super) fn record_check(&mut self, now: Instant) {
+        self.contacts.add(now, SHARE_INTERVAL);
     }
 }
--- a/crates/turmericloft/src/core/rate_limit/limit_change.rs
+++ b/crates/turmericloft/src/core/rate_limit/limit_change.rs
@@ -14,6 +14,8 @@
     Started,
     /// The endpoint has stated another limit than before.
     Changed,
+    /// Another gateway has asked for a loan, and said the limit.
+    Learned,
     /// A response of the endpoint to this gateway states no limit any more.
     Ended,
     /// Another gateway says that the endpoint states no limit any more.
--- /dev/null
+++ b/crates/turmericloft/src/core/rate_limit/sent_times.rs
@@ -0,0 +1,29 @@
+//! When requests were sent lately.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+/// Times of the last requests, the oldest first.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SentTimes {
+    times: VecDeque<Instant>,
+}
+
+impl SentTimes {
+    /// Adds a request, and forgets those that are at least `interval` old.
+    pub(super) fn add(&mut self, now: Instant, interval: Duration) {
+        let is_over = |at: &Instant| now.saturating_duration_since(*at) >= interval;
+        while self.times.front().is_some_and(is_over) {
+            self.times.pop_front();
+        }
+        self.times.push_back(now);
+    }
+
+    /// When the `n`th last request was sent; `None` if there are fewer.
+    pub(super) fn nth_last(&self, n: usize) -> Option<Instant> {
+        let index = self.times.len().checked_sub(n)?;
+        self.times.get(index).copied()
+    }
+}
--- a/crates/turmericloft/src/core/rate_limit/sharing_gateways.rs
+++ b/crates/turmericloft/src/core/rate_limit/sharing_gateways.rs
@@ -128,14 +128,41 @@
         quota.saturating_sub(rank).div_ceil(self.hosts.len() as u32)
     }
 
-    /// Position of this gateway in an order of all of them that differs between endpoints; `None` if it is
-    /// not listed.
+    /// The hosts that have a share of `quota`, in the order of their rank.
+    pub(super) fn holders(&self, endpoint: &str, quota: u32) -> Vec<Arc<str>> {
+        let order = Order::of(endpoint);
+        let mut hosts = self.hosts.clone();
+        hosts.sort_by_cached_key(|host| order.key(host));
+        hosts.truncate(quota as usize);
+        hosts
+    }
+
+    /// Position of this gateway in the order of all of them; `None` if it is not listed.
     fn rank(&self, endpoint: &str) -> Option<u32> {
-        let seed = xxh3_64_with_seed(endpoint.as_bytes(), RANK_SEED);
-        let key = |host: &str| xxh3_64_with_seed(host.as_bytes(), seed);
-        let own = (key(&self.own), &self.own);
+        let order = Order::of(endpoint);
+        let own = order.key(&self.own);
         let is_listed = self.hosts.contains(&self.own);
-        let ahead = self.hosts.iter().filter(|host| (key(host), *host) < own);
+        let ahead = self.hosts.iter().filter(|host| order.key(host) < own);
         is_listed.then(|| ahead.count() as u32)
     }
 }
+
+/// An order of all gateways, which differs between endpoints.
+struct Order {
+    seed: u64,
+}
+
+impl Order {
+    fn of(endpoint: &str) -> Self {
+        Self {
+            seed: xxh3_64_with_seed(endpoint.as_bytes(), RANK_SEED),
+        }
+    }
+
+    fn key(&self, host: &Arc<str>) -> (u64, Arc<str>) {
+        (
+            xxh3_64_with_seed(host.as_bytes(), self.seed),
+            Arc::clone(host),
+        )
+    }
+}
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -15,7 +15,8 @@
     client_response::{ClientResponse, GatewayResponse},
     crash_watch::{CrashWatch, refusal},
     in_flight_attempt::InFlightAttempt,
-    metrics::count_response,
+    loans::place_on_loan,
+    metrics::{count_held_back, count_response},
     shared::Ingress,
     wait::{place_or_wait, probe_and_place},
 };
@@ -266,7 +267,30 @@
         } = &*self.forwarded;
         let times = PlacementTimes::new(self.arrived, route.target_latency, *deadline);
         let req = self.placement_request(false);
-        place_or_wait(&self.ingress, &self.service, &req, &times).await
+        let placed = place_or_wait(&self.ingress, &self.service, &req, &times).await;
+        let Err(PlacementError::Limited { retry_after }) = placed else {
+            return placed;
+        };
+        if let Some(placement) = place_on_loan(&self.ingress, &req).await {
+            return Ok(placement);
+        }
+        self.log_held_back(retry_after);
+        placed
+    }
+
+    /// Logs and counts a request that no endpoint may get because of limits.
+    fn log_held_back(&self, retry_after: Duration) {
+        count_held_back();
+        self.ingress.log.write_line(
+            self.ingress.now(),
+            "request held back by limits",
+            format_args!(
+                "request={} service={} retry_after_ms={}",
+                String::from_utf8_lossy(&self.forwarded.id),
+                self.service,
+                retry_after.as_millis(),
+            ),
+        );
     }
 
     async fn place_retry(&mut self) -> Result<Placement, PlacementError> {
@@ -326,9 +350,9 @@
 
 fn rejection(unplaced: PlacementError) -> ClientResponse {
     ClientResponse::Gateway(match unplaced {
-        PlacementError::NoEndpoint { retry_after } | PlacementError::NoCapacity { retry_after } => {
-            GatewayResponse::Refused { retry_after }
-        }
+        PlacementError::NoEndpoint { retry_after }
+        | PlacementError::Limited { retry_after }
+        | PlacementError::NoCapacity { retry_after } => GatewayResponse::Refused { retry_after },
         PlacementError::TooLate => GatewayResponse::TooLate,
     })
 }
--- a/crates/turmericloft/src/ops/ingress/limits.rs
+++ b/crates/turmericloft/src/ops/ingress/limits.rs
@@ -10,9 +10,12 @@
     probe::{PROBE_TIMEOUT, health_path, send_probe},
     shared::Ingress,
 };
-use crate::core::{
-    placement::{DiscoveredEndpoint, InstanceId, Placement},
-    rate_limit::{LimitChange, LimitEvent, MAX_SEND_DELAY, SharingGateways, StatedLimit},
+use crate::{
+    core::{
+        placement::{DiscoveredEndpoint, InstanceId, Placement},
+        rate_limit::{LimitChange, LimitEvent, MAX_SEND_DELAY, SharingGateways, StatedLimit},
+    },
+    ops::LoanSocket,
 };
 
 impl Ingress {
@@ -67,7 +70,14 @@
         self.limits_changed.send_replace(());
     }
 
-    fn report_limit_change(&self, endpoint: &str, change: LimitChange) {
+    /// Has this gateway ask others for loans over `loans`. Only the first socket counts.
+    pub fn set_loans(&self, loans: Arc<LoanSocket>) {
+        if self.loans.set(loans).is_err() {
+            log::error!("a second socket for loans is ignored");
+        }
+    }
+
+    pub(super) fn report_limit_change(&self, endpoint: &str, change: LimitChange) {
         let balancer = self.balancer.lock();
         let limits = balancer.limits();
         set_limit_gauges(limits);
@@ -159,11 +169,7 @@
     pub fn read_limit_claim(self: &Arc<Self>, endpoint: &str, host: &str) {
         let now = self.now();
         let mut balancer = self.balancer.lock();
-        let limits = balancer.limits_mut();
-        let turn = limits.read_claim(now, endpoint, host);
-        if turn.is_some() {
-            limits.record_sent(now, endpoint);
-        }
+        let turn = balancer.limits_mut().read_claim(now, endpoint, host);
         drop(balancer);
         if let Some(endpoint) = turn {
             tokio::spawn(check(Arc::clone(self), endpoint));
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -7,11 +7,12 @@
 use crate::{
     core::{
         placement::AttemptOutcome,
-        rate_limit::{EndpointLimits, LimitEvent},
+        rate_limit::{EndpointLimits, LimitEvent, LoanAnswer},
     },
     util::metrics_table::{
         INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS,
-        INGRESS_PROBES, LIMIT_CHANGES, LIMIT_SHARE, LIMITED_ENDPOINTS,
+        INGRESS_PROBES, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE,
+        LIMITED_ENDPOINTS,
     },
 };
 
@@ -52,3 +53,18 @@
     gauge!(LIMITED_ENDPOINTS.name).set(limits.count() as f64);
     gauge!(LIMIT_SHARE.name).set(f64::from(limits.total_share()));
 }
+
+/// Counts a request that was rejected because of limits.
+pub(super) fn count_held_back() {
+    counter!(LIMIT_HELD_BACK.name).increment(1);
+}
+
+/// Counts a loan on the `side` that asked or lent; `None` if there was no response.
+pub(super) fn count_loan(side: &'static str, answer: Option<LoanAnswer>) {
+    let result = match answer {
+        Some(LoanAnswer::Granted) => "granted",
+        Some(LoanAnswer::Denied { .. }) => "denied",
+        None => "lost",
+    };
+    counter!(LIMIT_LOANS.name, "side" => side, "result" => result).increment(1);
+}
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -14,6 +14,7 @@
 mod forward;
 mod in_flight_attempt;
 mod limits;
+mod loans;
 mod metrics;
 mod probe;
 mod protocol;
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -4,7 +4,7 @@
     collections::{HashMap, HashSet},
     fmt,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicUsize, Ordering},
     },
     time::Instant,
@@ -27,7 +27,7 @@
         rate_limit::SharingGateways,
         traffic::{Route, RouteTable, Splitter},
     },
-    ops::SharedQuarantine,
+    ops::{LoanSocket, SharedQuarantine},
     sources::http1::BodyBudget,
     util::{host_clock::HostClock, rate_limited_log::RateLimitedLog},
 };
@@ -75,6 +75,8 @@
     pub(super) closing_idle: CancellationToken,
     /// Notified of each change of what is known of limits.
     pub(super) limits_changed: watch::Sender<()>,
+    /// Asks other gateways for loans; unset if the gateways cannot reach each other.
+    pub(super) loans: OnceLock<Arc<LoanSocket>>,
     /// Endpoints whose limits have ended by responses to this gateway, which others do not know yet.
     pub(super) ended_limits: Mutex<Vec<InstanceId>>,
     splitters: Mutex<HashMap<Arc<str>, Splitter>>,
@@ -123,6 +125,7 @@
             stopping: CancellationToken::new(),
             closing_idle: CancellationToken::new(),
             limits_changed: watch::Sender::new(()),
+            loans: OnceLock::new(),
             ended_limits: Mutex::default(),
             splitters: Mutex::default(),
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed.rotate_left(32))),
--- a/crates/turmericloft/src/ops/mod.rs
+++ b/crates/turmericloft/src/ops/mod.rs
@@ -6,6 +6,7 @@
 pub mod gateway;
 mod gateway_records;
 pub mod ingress;
+mod loan_socket;
 mod promote;
 mod promotion;
 mod read_page;
@@ -18,6 +19,7 @@
 pub use self::{
     audit::{Activation, Audit, AuditRow, read_audit},
     explain::{ExplainError, ExplainedLine, Explanation, explain},
+    loan_socket::LoanSocket,
     promote::{PromoteOptions, promote, read_document, settle, trial},
     promotion::{PromoteError, PromotionOutcome},
     report::{ReportError, ReportOptions, read_history, read_report},
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -236,6 +236,24 @@
     help: "Requests that this gateway may send in six seconds to all endpoints with a limit together",
 };
 
+/// Requests that were rejected because of limits.
+pub const LIMIT_HELD_BACK: Metric = Metric {
+    name: "turmericloft_ingress_limit_held_back_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &[],
+    help: "Requests rejected since all endpoints had limits whose shares were used up",
+};
+
+/// Loans of shares between gateways.
+pub const LIMIT_LOANS: Metric = Metric {
+    name: "turmericloft_ingress_limit_loans_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &["side", "result"],
+    help: "Requests that one gateway asked another one to lend of its share, by side and result",
+};
+
 /// Changes of the limits that endpoints state.
 pub const LIMIT_CHANGES: Metric = Metric {
     name: "turmericloft_ingress_limit_changes_total",
@@ -282,7 +300,7 @@
 };
 
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 28] = [
+pub const ALL: [Metric; 30] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -306,6 +324,8 @@
     QUARANTINE_CHANGES,
     LIMITED_ENDPOINTS,
     LIMIT_SHARE,
+    LIMIT_HELD_BACK,
+    LIMIT_LOANS,
     LIMIT_CHANGES,
     STORE_CALLS,
     RELAY_ANSWERS,
--- a/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
@@ -15,7 +15,7 @@
         PlacementRequest, Probe, ProbeOutcome, RetryBudget,
     },
     rate_limit::{
-        LimitChange, LimitEvent, MAX_SEND_DELAY, MAX_TRANSIT, RateLimit, ShareStart,
+        LimitChange, LimitEvent, LoanAnswer, MAX_SEND_DELAY, MAX_TRANSIT, RateLimit, ShareStart,
         SharingGateways, StatedLimit,
     },
 };
@@ -32,6 +32,8 @@
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 /// Longest pause between two reads of the log.
 const MAX_POLL_PAUSE: Duration = Duration::from_secs(3);
+/// Most gateways that are asked for a loan for one request.
+const MAX_LOAN_REQUESTS: usize = 2;
 const SERVICE: &str = "calendar";
 
 /// An endpoint, and what it gets.
@@ -80,6 +82,7 @@
 /// A gateway of the fleet.
 pub(super) struct SimulatedGateway {
     pub(super) balancer: Balancer,
+    host: Arc<str>,
     pub(super) incarnation: u32,
     /// Share of all clients.
     weight: f64,
@@ -196,6 +199,7 @@
         let balancer = self.new_balancer();
         self.gateways.push(SimulatedGateway {
             balancer,
+            host: host(n),
             incarnation: 0,
             weight: 1.0,
             share_start: ShareStart::new(self.now, is_bootstrap),
@@ -353,7 +357,6 @@
                 LogRecord::Claim { endpoint, host } => {
                     let id = self.endpoints[endpoint].entry.id.clone();
                     if limits.read_claim(now, &id, &host).is_some() {
-                        limits.record_sent(now, &id);
                         self.send(n, endpoint, None);
                     }
                 }
@@ -390,10 +393,44 @@
                 let endpoint = self.index_of(&placement.endpoint.id);
                 self.send(gateway, endpoint, Some(placement));
             }
-            Err(_) => self.rejected += 1,
+            Err(_) => self.send_on_loan(gateway),
         }
     }
 
+    /// Asks other gateways for a request of their shares, and sends it by the first loan.
+    fn send_on_loan(&mut self, gateway: usize) {
+        let req = request();
+        for _ in 0..MAX_LOAN_REQUESTS {
+            let asked_at = self.now;
+            let balancer = &mut self.gateways[gateway].balancer;
+            let Some(lender) = balancer.choose_lender(asked_at, &req) else {
+                break;
+            };
+            let other = self.gateways.iter().position(|g| g.host == lender.host);
+            let other = &mut self.gateways[other.expect("a known host")];
+            let answer = other
+                .balancer
+                .lend(asked_at, &lender.endpoint, lender.limit)
+                .0;
+            let balancer = &mut self.gateways[gateway].balancer;
+            match answer {
+                LoanAnswer::Granted => {
+                    if let Some(placement) = balancer.place_on_loan(asked_at, &req, &lender) {
+                        let endpoint = self.index_of(&lender.endpoint);
+                        self.send(gateway, endpoint, Some(placement));
+                        return;
+                    }
+                }
+                LoanAnswer::Denied { free_in } => {
+                    balancer
+                        .limits_mut()
+                        .record_denial(asked_at, &lender, free_in);
+                }
+            }
+        }
+        self.rejected += 1;
+    }
+
     /// Sends a request, or a check without a placement.
     fn send(&mut self, gateway: usize, endpoint: usize, placement: Option<Placement>) {
         let sender = &self.gateways[gateway];
--- a/crates/turmericloft/tests/testsuite/rate_limit/mod.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/mod.rs
@@ -5,4 +5,5 @@
 mod fault_pairs;
 mod fleet;
 mod incident;
+mod loans;
 mod shares;
