Shares of limits: shorter interval, doubt about limits that have just ended

Shares were used at 0.6 of the limits, as a share may be used once in six seconds. It is five now: a connection to an endpoint with a limit is closed after 0.6 s without an acknowledgement instead of 1.5 s. A list of gateways is valid for 9 s, so a gateway that starts waits for 14 s instead of 18 s, less than the time in which a fleet has to recover.

A response with a limit that arrives just after the news of its end may have been overtaken: its gateway would have waited for the check of a silent limit. Checks of silent limits are claimed after 40 s instead of 20 s: each wakes all gateways that know a limit.

--- a/crates/turmericloft/src/core/rate_limit/endpoint_limits.rs
+++ b/crates/turmericloft/src/core/rate_limit/endpoint_limits.rs
@@ -15,6 +15,8 @@
 /// back from an older copy of the registry.
 const UNREGISTERED_RETENTION: Duration = Duration::from_secs(600);
 
+/// Time after the end of a limit in which a response that states it may have been overtaken by the news.
+const OVERTAKEN_FOR: Duration = Duration::from_secs(5);
 /// Shortest time after which a client is told to return because of limits.
 const MIN_WAIT: Duration = Duration::from_millis(250);
 /// Longest one.
@@ -27,6 +29,8 @@
     known: HashMap<InstanceId, KnownLimit>,
     sharing: Option<SharingGateways>,
     lenders: Lenders,
+    /// When limits have ended lately.
+    ended_at: HashMap<InstanceId, Instant>,
 }
 
 impl EndpointLimits {
@@ -67,8 +71,14 @@
         endpoint: &DiscoveredEndpoint,
         limit: RateLimit,
     ) -> Option<LimitChange> {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < OVERTAKEN_FOR;
+        self.ended_at.retain(|_, at| is_recent(at));
         let Some(known) = self.known.get_mut(&endpoint.id) else {
             let mut known = KnownLimit::new(now, endpoint, limit);
+            if self.ended_at.contains_key(&endpoint.id) {
+                // The response may have been overtaken by the news of the end.
+                known.silence.record_doubt(now);
+            }
             known.update_share(self.sharing.as_ref());
             let change = known.change(now, LimitEvent::Started);
             self.known.insert(endpoint.id.clone(), known);
@@ -90,7 +100,8 @@
     }
 
     fn end(&mut self, now: Instant, endpoint: &str, event: LimitEvent) -> Option<LimitChange> {
-        let known = self.known.remove(endpoint)?;
+        let (id, known) = self.known.remove_entry(endpoint)?;
+        self.ended_at.insert(id, now);
         Some(known.change(now, event))
     }
 
--- a/crates/turmericloft/src/core/rate_limit/fleet_quota.rs
+++ b/crates/turmericloft/src/core/rate_limit/fleet_quota.rs
@@ -26,11 +26,12 @@
 /// Longest time from the decision to send a request until its first byte is sent. One that is later is not
 /// sent.
 pub const MAX_SEND_DELAY: Duration = Duration::from_millis(400);
-/// Longest time for which sent bytes stay unacknowledged before the connection is closed.
-pub const MAX_TRANSIT: Duration = Duration::from_millis(1_500);
+/// Longest time for which bytes sent to an endpoint with a limit stay unacknowledged before the connection is
+/// closed.
+pub const MAX_TRANSIT: Duration = Duration::from_millis(600);
 /// Interval in which each gateway sends its share at most once. Requests that are sent an interval apart
 /// arrive a window apart, however long the first one is delayed.
-pub const SHARE_INTERVAL: Duration = Duration::from_secs(6);
+pub const SHARE_INTERVAL: Duration = Duration::from_secs(5);
 
 const _: () = assert!(
     SHARE_INTERVAL.as_millis()
--- a/crates/turmericloft/src/core/rate_limit/sharing_gateways.rs
+++ b/crates/turmericloft/src/core/rate_limit/sharing_gateways.rs
@@ -19,11 +19,11 @@
 use super::fleet_quota::SHARE_INTERVAL;
 
 /// Age up to which a list of the gateways is used.
-pub const VIEW_VALIDITY: Duration = Duration::from_secs(12);
+pub const VIEW_VALIDITY: Duration = Duration::from_secs(9);
 /// Age at which a gateway with a share reads the list again. It leaves time for reads that fail.
-pub const VIEW_REFRESH: Duration = Duration::from_secs(5);
+pub const VIEW_REFRESH: Duration = Duration::from_secs(4);
 /// Time from the first list that contains a gateway until it uses its shares.
-pub const JOIN_DELAY: Duration = Duration::from_secs(18);
+pub const JOIN_DELAY: Duration = Duration::from_secs(14);
 /// Time after its start within which a gateway that starts with the whole system is listed, or else
 /// counts as one that joins.
 const BOOTSTRAP_LISTING: Duration = Duration::from_secs(3);
--- a/crates/turmericloft/src/core/rate_limit/silence.rs
+++ b/crates/turmericloft/src/core/rate_limit/silence.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time without news of a limit after which gateways begin to claim the check.
-const SILENCE: Duration = Duration::from_secs(20);
+const SILENCE: Duration = Duration::from_secs(40);
 /// Shortest time over which the claims of all gateways spread.
 const MIN_SPREAD: Duration = Duration::from_secs(10);
 /// Part of the spread for each gateway, so that the first claim is read before most others are made.
@@ -32,6 +32,8 @@
 pub(super) struct SilenceClaim {
     /// When there was news of the limit, or a claim, last.
     news_at: Instant,
+    /// Whether that news may be older than the end of the limit.
+    is_in_doubt: bool,
     /// When this gateway began to write its claim.
     claimed_at: Option<Instant>,
     /// When the claim of another gateway was last read.
@@ -42,6 +44,7 @@
     pub(super) fn new(now: Instant) -> Self {
         Self {
             news_at: now,
+            is_in_doubt: false,
             claimed_at: None,
             other_claim_at: None,
         }
@@ -49,30 +52,36 @@
 
     pub(super) fn record_news(&mut self, now: Instant) {
         self.news_at = now;
+        self.is_in_doubt = false;
     }
 
     /// Records that the limit may be over already, so that the check is claimed without waiting for news.
     pub(super) fn record_doubt(&mut self, now: Instant) {
-        self.news_at = now.checked_sub(SILENCE).unwrap_or(self.news_at);
+        self.news_at = now;
+        self.is_in_doubt = true;
     }
 
     /// When the gateway on `host`, one of `gateways`, claims the check of `endpoint`.
     pub(super) fn due(&self, endpoint: &str, host: &str, gateways: usize) -> Instant {
-        let spread = (SPREAD_OF_ONE * gateways as u32).max(MIN_SPREAD);
+        let (silence, spread) = match self.is_in_doubt {
+            // Few gateways are in doubt at once.
+            true => (Duration::ZERO, MIN_SPREAD),
+            false => (SILENCE, (SPREAD_OF_ONE * gateways as u32).max(MIN_SPREAD)),
+        };
         let seed = xxh3_64_with_seed(endpoint.as_bytes(), SPREAD_SEED);
         let hash = xxh3_64_with_seed(host.as_bytes(), seed);
-        self.news_at + SILENCE + spread.mul_f64(hash as f64 / u64::MAX as f64)
+        self.news_at + silence + spread.mul_f64(hash as f64 / u64::MAX as f64)
     }
 
     /// Records that this gateway begins to write its claim.
     pub(super) fn record_claim(&mut self, now: Instant) {
         self.claimed_at = Some(now);
-        self.news_at = now;
+        self.record_news(now);
     }
 
     /// Records a claim that was read from the log, in its order. Returns whether this gateway makes the check.
     pub(super) fn read_claim(&mut self, now: Instant, is_own: bool) -> bool {
-        self.news_at = now;
+        self.record_news(now);
         if !is_own {
             self.other_claim_at = Some(now);
             return false;
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -23,7 +23,6 @@
         guard::Fingerprint,
         placement::{AttemptOutcome, LoadReport},
         quarantine::Crash,
-        rate_limit::MAX_TRANSIT,
         traffic::Route,
     },
     sources::http1::{ClientConnection, ExchangeError, Request, Response, ResponseLimits},
@@ -32,7 +31,7 @@
 /// Timeout for opening a connection to an endpoint: several round trips and one retransmission.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
-const UNACKNOWLEDGED_TIMEOUT: Duration = MAX_TRANSIT;
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Largest response body that is forwarded, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
 /// Time past the deadline that the gateway still waits, so that a response which the endpoint sends
@@ -220,6 +219,9 @@
             instance,
         },
     );
+    if let Err(e) = ingress.bound_transit(instance, connection) {
+        return Some(Err(e));
+    }
     let is_own_response = |response: &Response| {
         let metadata = protocol.read_metadata(response);
         match metadata.request_id {
--- a/crates/turmericloft/src/ops/ingress/limits.rs
+++ b/crates/turmericloft/src/ops/ingress/limits.rs
@@ -13,9 +13,12 @@
 use crate::{
     core::{
         placement::{DiscoveredEndpoint, InstanceId, Placement},
-        rate_limit::{LimitChange, LimitEvent, MAX_SEND_DELAY, SharingGateways, StatedLimit},
+        rate_limit::{
+            LimitChange, LimitEvent, MAX_SEND_DELAY, MAX_TRANSIT, SharingGateways, StatedLimit,
+        },
     },
     ops::LoanSocket,
+    sources::http1::{ClientConnection, ExchangeError},
 };
 
 impl Ingress {
@@ -55,6 +58,18 @@
                 .is_limited(&placement.endpoint.id)
     }
 
+    /// Has the connection of a request to an endpoint with a limit closed if what is sent does not arrive soon.
+    pub(super) fn bound_transit(
+        &self,
+        endpoint: &str,
+        connection: &ClientConnection,
+    ) -> Result<(), ExchangeError> {
+        if self.balancer.lock().limits().is_limited(endpoint) {
+            connection.set_user_timeout(MAX_TRANSIT)?;
+        }
+        Ok(())
+    }
+
     /// Whether a health check may be sent to an endpoint now, which counts as sent then.
     pub(super) fn try_take_check(&self, now: Instant, endpoint: &str) -> bool {
         let mut balancer = self.balancer.lock();
--- a/crates/turmericloft/src/sources/http1/client_connection.rs
+++ b/crates/turmericloft/src/sources/http1/client_connection.rs
@@ -75,6 +75,18 @@
         })
     }
 
+    /// Sets the time for which sent data may stay unacknowledged before the kernel closes the connection
+    /// (`TCP_USER_TIMEOUT`).
+    pub fn set_user_timeout(&self, timeout: Duration) -> Result<(), ExchangeError> {
+        let socket = SockRef::from(&self.stream);
+        let set = socket.set_tcp_user_timeout(Some(timeout));
+        set.map_err(|source| ExchangeError::Io {
+            peer: self.peer,
+            step: ExchangeStep::Unsent,
+            source,
+        })
+    }
+
     /// Frees the read buffer if it is empty; an idle connection does not need it.
     pub fn release_buffer(&mut self) {
         if self.buf.is_empty() {
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -233,7 +233,7 @@
     kind: MetricKind::Gauge,
     unit: "requests",
     labels: &[],
-    help: "Requests that this gateway may send in six seconds to all endpoints with a limit together",
+    help: "Requests that this gateway may send in five seconds to all endpoints with a limit together",
 };
 
 /// Requests that were rejected because of limits.
