Urgent requests keep the last share of a gateway while limits hold

When all endpoints of a service had limits, whoever came first used what they left room for. Services without limits are placed as before.

--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -30,6 +30,8 @@
 const FRESHNESS_WINDOW: Duration = Duration::from_millis(12);
 /// Endpoints probed in one round before a request is sent.
 const PROBES_PER_ROUND: usize = 3;
+/// Endpoints with limits that are left to more urgent requests, while no other endpoint can be used.
+const KEPT_FOR_URGENT: usize = 1;
 /// Mean time after which a client is told to retry when a service has no endpoint.
 pub(super) const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -199,6 +201,7 @@
             retry_after: spread,
         };
         let service = self.services.get_mut(req.service).ok_or(no_service)?;
+        service.urgent.record(now, req.rank);
         let baseline = service.baseline(req.target_latency);
         let (notices, limits) = (&self.notices, &self.limits);
         let is_candidate = |v: &&EndpointView| {
@@ -208,25 +211,11 @@
                 && !req.tried.contains(&v.endpoint.id)
         };
         let views = || service.endpoints.values().filter(is_candidate);
-        if views().next().is_none() {
-            let registered = || service.endpoints.values().filter(|v| v.accepts_requests());
-            let accepts_at = registered().filter_map(|v| notices.accepts_at(now, &v.endpoint));
-            let wait = accepts_at.min().map(|at| at.saturating_duration_since(now));
-            let is_limited = |v: &&EndpointView| {
-                !notices.excludes(now, &v.endpoint)
-                    && limits.is_limited(&v.endpoint.id)
-                    && !req.tried.contains(&v.endpoint.id)
-            };
-            let limited: Vec<_> = registered().filter(is_limited).collect();
-            if !limited.is_empty() {
-                let ids = limited.iter().map(|v| &v.endpoint.id);
-                let wait = limits.wait_for_request(now, ids);
-                let retry_after = wait.mul_f64(0.5 + self.rng.random::<f64>());
-                return Err(PlacementError::Limited { retry_after });
-            }
-            return Err(PlacementError::NoEndpoint {
-                retry_after: wait.unwrap_or_default() + spread,
-            });
+        let is_left_to_urgent = service.urgent.has_more_urgent(now, req.rank)
+            && views().all(|v| limits.is_limited(&v.endpoint.id))
+            && views().count() <= KEPT_FOR_URGENT;
+        if is_left_to_urgent || views().next().is_none() {
+            return Err(self.unplaced(now, req, spread));
         }
         let zone = &self.zone;
         let rng = &mut self.rng;
--- a/crates/turmericloft/src/core/placement/balancer_limits.rs
+++ b/crates/turmericloft/src/core/placement/balancer_limits.rs
@@ -1,15 +1,50 @@
 //! Limits of endpoints at the balancer: what responses say of them, and loans of other gateways' shares.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::{RngExt, seq::SliceRandom};
 
-use super::{Balancer, DiscoveredEndpoint, Placement, PlacementRequest, balancer::start_attempt};
+use super::{
+    Balancer, DiscoveredEndpoint, Placement, PlacementError, PlacementRequest,
+    balancer::start_attempt,
+};
 use crate::core::rate_limit::{
     EndpointLimits, Lender, LimitChange, LoanAnswer, RateLimit, SharingGateways, StatedLimit,
 };
 
 impl Balancer {
+    /// Why a request gets no endpoint although its service is known. `spread` is the time after which its client
+    /// returns if nothing else is known.
+    pub(super) fn unplaced(
+        &mut self,
+        now: Instant,
+        req: &PlacementRequest<'_>,
+        spread: Duration,
+    ) -> PlacementError {
+        let (notices, limits) = (&self.notices, &self.limits);
+        let endpoints = self.services.get(req.service).map(|s| &s.endpoints);
+        let registered = || {
+            let views = endpoints.into_iter().flat_map(|views| views.values());
+            views.filter(|v| v.accepts_requests())
+        };
+        let limited = registered().filter(|v| {
+            !notices.excludes(now, &v.endpoint)
+                && limits.is_limited(&v.endpoint.id)
+                && !req.tried.contains(&v.endpoint.id)
+        });
+        let limited: Vec<_> = limited.map(|v| &v.endpoint.id).collect();
+        if !limited.is_empty() {
+            let wait = limits.wait_for_request(now, limited.into_iter());
+            let retry_after = wait.mul_f64(0.5 + self.rng.random::<f64>());
+            return PlacementError::Limited { retry_after };
+        }
+        let accepts_at = registered().filter_map(|v| notices.accepts_at(now, &v.endpoint));
+        let wait = accepts_at.min().map(|at| at.saturating_duration_since(now));
+        PlacementError::NoEndpoint {
+            retry_after: wait.unwrap_or_default() + spread,
+        }
+    }
+
     /// Records what a response of `endpoint` to a request sent at `sent_at` says of its limit, and returns
     /// what has changed.
     pub fn record_limit(
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -27,6 +27,7 @@
 mod retry_after;
 mod retry_budget;
 mod service_view;
+mod urgent_requests;
 mod wait_queue;
 
 pub use self::{
--- a/crates/turmericloft/src/core/placement/service_view.rs
+++ b/crates/turmericloft/src/core/placement/service_view.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use super::{InstanceId, LoadReport, ProbeBudget, RetryBudget, endpoint_view::EndpointView};
+use super::{
+    InstanceId, LoadReport, ProbeBudget, RetryBudget, endpoint_view::EndpointView,
+    urgent_requests::UrgentRequests,
+};
 use crate::core::decayed_mean::DecayedMean;
 
 /// Half-life of the means of the baseline, in seconds.
@@ -54,6 +57,7 @@
     pub(super) endpoints: BTreeMap<InstanceId, EndpointView>,
     pub(super) retry_budget: RetryBudget,
     pub(super) probe_budget: ProbeBudget,
+    pub(super) urgent: UrgentRequests,
     service_time: DecayedMean,
     slowdown: DecayedMean,
     other_requests: DecayedMean,
@@ -71,6 +75,7 @@
             endpoints: BTreeMap::new(),
             retry_budget,
             probe_budget: ProbeBudget::new(now),
+            urgent: UrgentRequests::default(),
             service_time: DecayedMean::new(BASELINE_HALF_LIFE_S),
             slowdown: DecayedMean::new(BASELINE_HALF_LIFE_S),
             other_requests: DecayedMean::new(BASELINE_HALF_LIFE_S),
--- a/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
@@ -146,7 +146,7 @@
     }
 }
 
-fn request<'a>() -> PlacementRequest<'a> {
+pub(super) fn request<'a>() -> PlacementRequest<'a> {
     PlacementRequest {
         service: SERVICE,
         tried: &[],
--- a/crates/turmericloft/tests/testsuite/rate_limit/mod.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/mod.rs
@@ -7,3 +7,4 @@
 mod incident;
 mod loans;
 mod shares;
+mod urgency;
