--- a/crates/turmericloft/tests/testsuite/rate_limit/endings.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/endings.rs
@@ -9,7 +9,10 @@
     },
 };
 
-use super::fleet::{Fleet, endpoint, host};
+use super::{
+    fleet::{Fleet, host},
+    simulated_endpoint::endpoint,
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 const MS: Duration = Duration::from_millis(1);
--- a/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
@@ -11,73 +11,26 @@
 use rand_pcg::Pcg64Mcg;
 use turmericloft::core::{
     placement::{
-        AttemptOutcome, Balancer, DiscoveredEndpoint, EndpointState, LoadReport, Placement,
-        PlacementRequest, Probe, ProbeOutcome, RetryBudget,
+        AttemptOutcome, Balancer, LoadReport, Placement, PlacementRequest, Probe, ProbeOutcome,
+        RetryBudget,
     },
     rate_limit::{
-        LimitChange, LimitEvent, LoanAnswer, MAX_SEND_DELAY, MAX_TRANSIT, RateLimit, ShareStart,
-        SharingGateways, StatedLimit,
+        LimitChange, LimitEvent, LoanAnswer, MAX_SEND_DELAY, MAX_TRANSIT, ShareStart, StatedLimit,
     },
 };
 
-use super::arrivals::{Arrivals, allowed};
+use super::{
+    exchange::{Event, Exchange, LogRecord},
+    simulated_endpoint::SimulatedEndpoint,
+};
 
 /// Length of a step.
 pub(super) const STEP: Duration = Duration::from_millis(10);
 /// Time that an endpoint takes for a request.
 const SERVICE_TIME: Duration = Duration::from_millis(100);
-/// Time after its first response with a limit from which on requests of a gateway are counted.
-const TOLD_AFTER: Duration = Duration::from_millis(500);
-/// Time after an endpoint first states a limit from which on requests are counted.
-const STABILITY_WINDOW: Duration = Duration::from_secs(3);
-/// Longest pause between two reads of the log.
-const MAX_POLL_PAUSE: Duration = Duration::from_secs(3);
 /// Most gateways that are asked for a loan for one request.
 const MAX_LOAN_REQUESTS: usize = 2;
-const SERVICE: &str = "calendar";
-
-/// An endpoint, and what it gets.
-#[derive(Debug)]
-pub(super) struct SimulatedEndpoint {
-    pub(super) entry: DiscoveredEndpoint,
-    limit: Option<(f64, Instant)>,
-    /// When each gateway got its first response with the limit.
-    told_at: Vec<Option<Instant>>,
-    counted: Arrivals,
-    /// Requests that it got while it had a limit, from whatever gateway.
-    pub(super) served_limited: u64,
-    /// The worst excess over what is allowed in a window, in requests.
-    pub(super) worst_excess: f64,
-}
-
-/// What happens at a time.
-#[derive(Debug)]
-enum Event {
-    /// A request or a check reaches its endpoint.
-    Arrival(Exchange),
-    /// Its response reaches the gateway.
-    Response(Exchange),
-}
-
-/// A request or a check.
-#[derive(Clone, Debug)]
-struct Exchange {
-    gateway: usize,
-    incarnation: u32,
-    endpoint: usize,
-    sent_at: Instant,
-    /// `None` for a check.
-    placement: Option<Placement>,
-    /// Whether the endpoint stated its limit in the response.
-    stated: StatedLimit,
-}
-
-/// A record of the log in which gateways tell each other of limits.
-#[derive(Clone, Debug)]
-enum LogRecord {
-    Ended { endpoint: usize },
-    Claim { endpoint: usize, host: Arc<str> },
-}
+pub(super) const SERVICE: &str = "calendar";
 
 /// A gateway of the fleet.
 pub(super) struct SimulatedGateway {
@@ -86,11 +39,11 @@
     pub(super) incarnation: u32,
     /// Share of all clients.
     weight: f64,
-    share_start: ShareStart,
+    pub(super) share_start: ShareStart,
     /// The list that it read last.
-    known_hosts: Vec<Arc<str>>,
-    next_poll_at: Instant,
-    log_position: usize,
+    pub(super) known_hosts: Vec<Arc<str>>,
+    pub(super) next_poll_at: Instant,
+    pub(super) log_position: usize,
     /// Whether it reaches the store.
     pub(super) reaches_store: bool,
     /// How long what it sends takes to arrive at most.
@@ -113,19 +66,11 @@
     pub(super) registered: Vec<Arc<str>>,
     /// Whether lists replace what is known; otherwise they add to it.
     pub(super) lists_are_complete: bool,
-    log: Vec<LogRecord>,
+    pub(super) log: Vec<LogRecord>,
     /// Requests that no endpoint got.
     pub(super) rejected: u64,
 }
 
-impl SimulatedEndpoint {
-    /// What its responses state now.
-    fn stated(&self) -> StatedLimit {
-        let limit = self.limit.and_then(|(limit, _)| RateLimit::new(limit));
-        limit.map_or(StatedLimit::None, StatedLimit::Limit)
-    }
-}
-
 /// Longest time that a send may take to arrive.
 pub(super) const SLOWEST_TRANSIT: Duration = MAX_SEND_DELAY.saturating_add(MAX_TRANSIT);
 
@@ -133,19 +78,6 @@
     format!("gateway-{gateway}").into()
 }
 
-pub(super) fn endpoint(n: usize) -> DiscoveredEndpoint {
-    DiscoveredEndpoint {
-        id: format!("i-{n}").into(),
-        service: SERVICE.into(),
-        address: ([10, 0, (n / 256) as u8, (n % 256) as u8], 80).into(),
-        zone: "a".into(),
-        slots: 4,
-        state: EndpointState::Ready,
-        warmup_left: Duration::ZERO,
-        started_at_ms: 1,
-    }
-}
-
 pub(super) fn request<'a>() -> PlacementRequest<'a> {
     PlacementRequest {
         service: SERVICE,
@@ -161,14 +93,7 @@
 impl Fleet {
     pub(super) fn new(gateways: usize, endpoints: usize, requests_per_s: f64, seed: u64) -> Self {
         let now = Instant::now();
-        let endpoints = (0..endpoints).map(|n| SimulatedEndpoint {
-            entry: endpoint(n),
-            limit: None,
-            told_at: Vec::new(),
-            counted: Arrivals::default(),
-            served_limited: 0,
-            worst_excess: f64::NEG_INFINITY,
-        });
+        let endpoints = (0..endpoints).map(SimulatedEndpoint::new);
         let mut fleet = Self {
             now,
             gateways: Vec::new(),
@@ -217,30 +142,6 @@
         n
     }
 
-    /// A gateway reads the list of gateways.
-    fn read_list(&mut self, n: usize) {
-        let now = self.now;
-        let gateway = &mut self.gateways[n];
-        if !gateway.reaches_store {
-            return;
-        }
-        let is_seen = |host: &&Arc<str>| !gateway.unseen.contains(host);
-        let mut hosts: Vec<_> = self.registered.iter().filter(is_seen).cloned().collect();
-        if !self.lists_are_complete {
-            let lost = gateway.known_hosts.iter().filter(|h| !hosts.contains(h));
-            let lost: Vec<_> = lost.cloned().collect();
-            hosts.extend(lost);
-        }
-        if hosts.contains(&host(n)) {
-            gateway.share_start.record_listed(now);
-        }
-        gateway.known_hosts = hosts.clone();
-        if let Some(usable_from) = gateway.share_start.usable_from() {
-            let sharing = SharingGateways::new(host(n), hosts, now, usable_from);
-            gateway.balancer.set_sharing(sharing);
-        }
-    }
-
     fn new_balancer(&mut self) -> Balancer {
         let budget = RetryBudget::new(Duration::from_secs(10), 0.2, 1.0);
         let rng = Pcg64Mcg::seed_from_u64(self.rng.random());
@@ -260,9 +161,7 @@
         restarted.log_position = self.log.len();
         self.read_list(gateway);
         for endpoint in &mut self.endpoints {
-            if let Some(told_at) = endpoint.told_at.get_mut(gateway) {
-                *told_at = None;
-            }
+            endpoint.record_restart(gateway);
         }
     }
 
@@ -271,14 +170,9 @@
         self.gateways[gateway].weight = weight;
     }
 
-    /// Sets or ends the limit of an endpoint. No gateway has been told of the new one yet.
+    /// Sets or ends the limit of an endpoint.
     pub(super) fn set_limit(&mut self, endpoint: usize, per_second: Option<f64>) {
-        let now = self.now;
-        let endpoint = &mut self.endpoints[endpoint];
-        let since = endpoint.limit.map_or(now, |(_, since)| since);
-        endpoint.limit = per_second.map(|limit| (limit, since));
-        endpoint.counted.clear();
-        endpoint.told_at.clear();
+        self.endpoints[endpoint].set_limit(self.now, per_second);
     }
 
     /// Runs the fleet for `length`.
@@ -313,61 +207,6 @@
         }
     }
 
-    /// What a gateway does beside requests: it reads the list of gateways and the log, claims checks of silent
-    /// limits, and checks limits of which it has a share.
-    fn run_background(&mut self, n: usize) {
-        let now = self.now;
-        let is_due = |at: Option<Instant>| at.is_some_and(|at| at <= now);
-        let gateway = &mut self.gateways[n];
-        if gateway.balancer.limits().count() == 0 {
-            gateway.log_position = self.log.len();
-            return;
-        }
-        if is_due(gateway.balancer.limits().view_due()) {
-            self.read_list(n);
-        }
-        let gateway = &mut self.gateways[n];
-        for endpoint in gateway.balancer.limits_mut().take_due_checks(now) {
-            let endpoint = self.index_of(&endpoint.id);
-            self.send(n, endpoint, None);
-        }
-        let gateway = &mut self.gateways[n];
-        if gateway.reaches_store && is_due(gateway.balancer.limits().next_claim()) {
-            for id in gateway.balancer.limits_mut().take_due_claims(now) {
-                let endpoint = self.index_of(&id);
-                let host = host(n);
-                self.log.push(LogRecord::Claim { endpoint, host });
-            }
-        }
-        if self.gateways[n].reaches_store && self.gateways[n].next_poll_at <= now {
-            self.read_log(n);
-        }
-    }
-
-    fn read_log(&mut self, n: usize) {
-        let now = self.now;
-        let records = self.log[self.gateways[n].log_position..].to_vec();
-        for record in records {
-            let limits = self.gateways[n].balancer.limits_mut();
-            match record {
-                LogRecord::Ended { endpoint } => {
-                    let id = self.endpoints[endpoint].entry.id.clone();
-                    limits.record_end_elsewhere(now, &id);
-                }
-                LogRecord::Claim { endpoint, host } => {
-                    let id = self.endpoints[endpoint].entry.id.clone();
-                    if limits.read_claim(now, &id, &host).is_some() {
-                        self.send(n, endpoint, None);
-                    }
-                }
-            }
-        }
-        let pause = MAX_POLL_PAUSE.mul_f64(self.rng.random::<f64>());
-        let gateway = &mut self.gateways[n];
-        gateway.log_position = self.log.len();
-        gateway.next_poll_at = now + pause;
-    }
-
     fn pick_gateway(&mut self) -> usize {
         let total: f64 = self.gateways.iter().map(|g| g.weight).sum();
         let mut left = self.rng.random::<f64>() * total;
@@ -432,7 +271,7 @@
     }
 
     /// Sends a request, or a check without a placement.
-    fn send(&mut self, gateway: usize, endpoint: usize, placement: Option<Placement>) {
+    pub(super) fn send(&mut self, gateway: usize, endpoint: usize, placement: Option<Placement>) {
         let sender = &self.gateways[gateway];
         let transit = sender.max_transit.mul_f64(self.rng.random::<f64>());
         let exchange = Exchange {
@@ -472,7 +311,7 @@
     /// A probe before a request, which takes no time. Endpoints with a known limit get none.
     fn probe(&mut self, gateway: usize, probe: &Probe) {
         let endpoint = self.index_of(&probe.endpoint.id);
-        self.count(gateway, endpoint);
+        self.endpoints[endpoint].count(self.now, gateway);
         let stated = self.endpoints[endpoint].stated();
         self.tell(gateway, endpoint, self.now, stated);
         let outcome = ProbeOutcome::Reported(idle_load());
@@ -485,10 +324,7 @@
         let now = self.now;
         let told = &mut self.endpoints[endpoint];
         if stated != StatedLimit::None && stated == told.stated() {
-            if told.told_at.len() <= gateway {
-                told.told_at.resize(gateway + 1, None);
-            }
-            told.told_at[gateway].get_or_insert(now);
+            told.record_told(now, gateway);
         }
         let balancer = &mut self.gateways[gateway].balancer;
         let change = balancer.record_limit(now, sent_at, &told.entry, stated);
@@ -500,30 +336,12 @@
 
     /// A request or a check reaches its endpoint.
     fn arrive(&mut self, mut exchange: Exchange) {
-        self.count(exchange.gateway, exchange.endpoint);
+        self.endpoints[exchange.endpoint].count(self.now, exchange.gateway);
         exchange.stated = self.endpoints[exchange.endpoint].stated();
         self.schedule_at(self.now + SERVICE_TIME, Event::Response(exchange));
     }
 
-    /// Counts an arrival at an endpoint, if the gateway was told of its limit.
-    fn count(&mut self, gateway: usize, endpoint: usize) {
-        let now = self.now;
-        let endpoint = &mut self.endpoints[endpoint];
-        let Some((limit, since)) = endpoint.limit else {
-            return;
-        };
-        endpoint.served_limited += 1;
-        let told_at = endpoint.told_at.get(gateway).copied().flatten();
-        let is_told = told_at.is_some_and(|at| at + TOLD_AFTER <= now);
-        if !is_told || now < since + STABILITY_WINDOW {
-            return;
-        }
-        let count = endpoint.counted.add(now);
-        let excess = count as f64 - allowed(limit);
-        endpoint.worst_excess = endpoint.worst_excess.max(excess);
-    }
-
-    fn index_of(&self, id: &str) -> usize {
+    pub(super) fn index_of(&self, id: &str) -> usize {
         let found = self.endpoints.iter().position(|e| &*e.entry.id == id);
         found.expect("a known endpoint")
     }
--- a/crates/turmericloft/tests/testsuite/rate_limit/urgency.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/urgency.rs
@@ -9,7 +9,10 @@
     rate_limit::{RateLimit, SharingGateways, StatedLimit},
 };
 
-use super::fleet::{endpoint, host, request};
+use super::{
+    fleet::{host, request},
+    simulated_endpoint::endpoint,
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 const URGENT: u32 = 0;
