Shares of limits are used by requests, and at different times

Found by a run by hand: 17 gateways in one process, 16 endpoints that all state 2.4 a second, 130 requests a second. 5 of 2,900 requests were served in 22 s, where the quotas allow 28.8 a second: a gateway checked an endpoint at the very moment at which its share became free, so the checks used nearly all shares.

A check waits for 1.5 s in which requests may use the share, and is not made while it would keep back a request that is due soon.

--- a/crates/turmericloft/src/core/placement/balancer_limits.rs
+++ b/crates/turmericloft/src/core/placement/balancer_limits.rs
@@ -58,8 +58,8 @@
     }
 
     /// Sets which gateways share the limits of endpoints.
-    pub fn set_sharing(&mut self, sharing: SharingGateways) {
-        self.limits.set_sharing(sharing);
+    pub fn set_sharing(&mut self, now: Instant, sharing: SharingGateways) {
+        self.limits.set_sharing(now, sharing);
     }
 
     /// Limits of endpoints that this gateway knows.
--- a/crates/turmericloft/src/core/rate_limit/endpoint_limits.rs
+++ b/crates/turmericloft/src/core/rate_limit/endpoint_limits.rs
@@ -35,10 +35,10 @@
 
 impl EndpointLimits {
     /// Sets who shares the limits.
-    pub fn set_sharing(&mut self, sharing: SharingGateways) {
+    pub fn set_sharing(&mut self, now: Instant, sharing: SharingGateways) {
         self.sharing = Some(sharing);
         for known in self.known.values_mut() {
-            known.update_share(self.sharing.as_ref());
+            known.update_share(now, self.sharing.as_ref());
         }
     }
 
@@ -79,7 +79,7 @@
                 // The response may have been overtaken by the news of the end.
                 known.silence.record_doubt(now);
             }
-            known.update_share(self.sharing.as_ref());
+            known.update_share(now, self.sharing.as_ref());
             let change = known.change(now, LimitEvent::Started);
             self.known.insert(endpoint.id.clone(), known);
             return Some(change);
@@ -90,7 +90,7 @@
             return None;
         }
         known.limit = limit;
-        known.update_share(self.sharing.as_ref());
+        known.update_share(now, self.sharing.as_ref());
         Some(known.change(now, LimitEvent::Changed))
     }
 
--- a/crates/turmericloft/src/core/rate_limit/known_limit.rs
+++ b/crates/turmericloft/src/core/rate_limit/known_limit.rs
@@ -1,6 +1,6 @@
 //! The limit of one endpoint as one gateway knows it, and the gateway's use of its share.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{
     LimitChange, LimitEvent, RateLimit, SharingGateways, fleet_quota::SHARE_INTERVAL,
@@ -8,6 +8,11 @@
 };
 use crate::core::placement::DiscoveredEndpoint;
 
+/// Time in which requests may use a share before a health check does.
+const REQUESTS_FIRST: Duration = Duration::from_millis(1_500);
+/// Time without requests and health checks after which a gateway with a share checks whether the limit is over.
+pub const CHECK_AFTER: Duration = SHARE_INTERVAL.saturating_add(REQUESTS_FIRST);
+
 /// The limit of one endpoint.
 #[derive(Clone, Debug)]
 pub(super) struct KnownLimit {
@@ -50,9 +55,24 @@
         }
     }
 
-    pub(super) fn update_share(&mut self, sharing: Option<&SharingGateways>) {
+    /// Applies the present limit and view of the fleet. The first requests of a new share are spread over an
+    /// interval, as all gateways learn of a limit at about the same time.
+    pub(super) fn update_share(&mut self, now: Instant, sharing: Option<&SharingGateways>) {
         let quota = self.limit.quota();
+        let before = self.share;
         self.share = sharing.map_or(0, |s| s.share(&self.endpoint.id, quota));
+        let Some(sharing) = sharing.filter(|_| before == 0) else {
+            return;
+        };
+        let phase = sharing.phase(&self.endpoint.id);
+        for n in (0..self.share).rev() {
+            let part = (phase + f64::from(n)) / f64::from(self.share);
+            let before_now = SHARE_INTERVAL.mul_f64(part);
+            let Some(at) = now.checked_sub(before_now) else {
+                continue;
+            };
+            self.contacts.add(at, SHARE_INTERVAL);
+        }
     }
 
     /// Whether a request may be sent now, by a usable view of the fleet.
@@ -70,10 +90,13 @@
     }
 
     /// When this gateway has to check whether the limit is over, because it sends no requests; `None` without
-    /// a share.
+    /// a share. A check is not made while it would keep back a request that is due soon.
     pub(super) fn check_due(&self) -> Option<Instant> {
         let last_contact = self.contacts.nth_last(1).unwrap_or(self.since);
-        (self.share > 0).then(|| last_contact + SHARE_INTERVAL)
+        let due = (self.share > 0).then(|| last_contact + CHECK_AFTER)?;
+        let request_due = self.request_due(last_contact);
+        let soon = request_due.filter(|at| *at < due + SHARE_INTERVAL);
+        Some(soon.map_or(due, |at| due.max(at + REQUESTS_FIRST)))
     }
 
     /// Records that a request is sent.
--- a/crates/turmericloft/src/core/rate_limit/mod.rs
+++ b/crates/turmericloft/src/core/rate_limit/mod.rs
@@ -15,6 +15,7 @@
 pub use self::{
     endpoint_limits::EndpointLimits,
     fleet_quota::{MAX_SEND_DELAY, MAX_TRANSIT, SHARE_INTERVAL},
+    known_limit::CHECK_AFTER,
     lenders::Lender,
     limit_change::{LimitChange, LimitEvent},
     loan::{LoanAnswer, LoanRequest, LoanResponse},
--- a/crates/turmericloft/src/core/rate_limit/sharing_gateways.rs
+++ b/crates/turmericloft/src/core/rate_limit/sharing_gateways.rs
@@ -42,6 +42,8 @@
 
 /// Seed of the hash by which gateways are ordered for an endpoint.
 const RANK_SEED: u64 = 3;
+/// Seed of the hash by which the uses of shares are spread in time.
+const PHASE_SEED: u64 = 5;
 
 /// When a gateway may use its shares.
 #[derive(Clone, Copy, Debug)]
@@ -128,6 +130,13 @@
         quota.saturating_sub(rank).div_ceil(self.hosts.len() as u32)
     }
 
+    /// A number from 0 to 1 that differs between gateways and endpoints.
+    pub(super) fn phase(&self, endpoint: &str) -> f64 {
+        let seed = xxh3_64_with_seed(endpoint.as_bytes(), PHASE_SEED);
+        let hash = xxh3_64_with_seed(self.own.as_bytes(), seed);
+        hash as f64 / u64::MAX as f64
+    }
+
     /// The hosts that have a share of `quota`, in the order of their rank.
     pub(super) fn holders(&self, endpoint: &str, quota: u32) -> Vec<Arc<str>> {
         let order = Order::of(endpoint);
--- a/crates/turmericloft/src/ops/ingress/limits.rs
+++ b/crates/turmericloft/src/ops/ingress/limits.rs
@@ -79,7 +79,7 @@
     /// Sets which gateways share the limits of endpoints.
     pub(super) fn set_sharing(&self, sharing: SharingGateways) {
         let mut balancer = self.balancer.lock();
-        balancer.set_sharing(sharing);
+        balancer.set_sharing(self.now(), sharing);
         set_limit_gauges(balancer.limits());
         drop(balancer);
         self.limits_changed.send_replace(());
--- a/crates/turmericloft/tests/testsuite/rate_limit/background.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/background.rs
@@ -38,7 +38,7 @@
         gateway.known_hosts = hosts.clone();
         if let Some(usable_from) = gateway.share_start.usable_from() {
             let sharing = SharingGateways::new(host(n), hosts, now, usable_from);
-            gateway.balancer.set_sharing(sharing);
+            gateway.balancer.set_sharing(now, sharing);
         }
     }
 
--- a/crates/turmericloft/tests/testsuite/rate_limit/endings.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/endings.rs
@@ -5,7 +5,7 @@
 use turmericloft::core::{
     placement::DiscoveredEndpoint,
     rate_limit::{
-        EndpointLimits, LimitEvent, RateLimit, SHARE_INTERVAL, SharingGateways, StatedLimit,
+        CHECK_AFTER, EndpointLimits, LimitEvent, RateLimit, SharingGateways, StatedLimit,
     },
 };
 
@@ -25,7 +25,7 @@
 fn told(now: Instant, own: usize, gateways: usize) -> (EndpointLimits, DiscoveredEndpoint) {
     let mut limits = EndpointLimits::default();
     let hosts = (0..gateways).map(host).collect();
-    limits.set_sharing(SharingGateways::new(host(own), hosts, now, now));
+    limits.set_sharing(now, SharingGateways::new(host(own), hosts, now, now));
     let endpoint = endpoint(0);
     limits.record_response(now, now, &endpoint, limit(1.0));
     (limits, endpoint)
@@ -93,16 +93,13 @@
     let start = Instant::now();
     let (mut limits, endpoint) = told(start, 0, 1);
     limits.record_response(start, start, &endpoint, limit(0.0));
-    assert_eq!(limits.next_check(start), Some(start + SHARE_INTERVAL));
-    assert!(
-        limits
-            .take_due_checks(start + SHARE_INTERVAL - MS)
-            .is_empty()
-    );
-    let at = start + SHARE_INTERVAL;
+    // The first ones of several gateways are spread.
+    let at = limits.next_check(start).expect("a share");
+    assert!(at > start && at <= start + CHECK_AFTER);
+    assert!(limits.take_due_checks(at - MS).is_empty());
     assert_eq!(limits.take_due_checks(at), std::slice::from_ref(&endpoint));
     assert!(!limits.try_take_check(at, &endpoint.id));
-    assert!(limits.take_due_checks(at + SHARE_INTERVAL - MS).is_empty());
+    assert!(limits.take_due_checks(at + CHECK_AFTER - MS).is_empty());
 }
 
 /// Two gateways claim the check of a silent limit at about the same time; both read both claims.
@@ -210,8 +207,8 @@
         fleet.set_limit(0, Some(per_second));
         fleet.run(10 * SECOND);
         fleet.set_limit(0, None);
-        // One share interval until a gateway with a share asks, and the longest pause of those that read the news.
-        fleet.run(SHARE_INTERVAL + 4 * SECOND);
+        // The time until a gateway with a share asks, and the longest pause of those that read the news.
+        fleet.run(CHECK_AFTER + 4 * SECOND);
         let limited = fleet
             .gateways
             .iter()
--- a/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
@@ -311,7 +311,7 @@
     /// A probe before a request, which takes no time. Endpoints with a known limit get none.
     fn probe(&mut self, gateway: usize, probe: &Probe) {
         let endpoint = self.index_of(&probe.endpoint.id);
-        self.endpoints[endpoint].count(self.now, gateway);
+        self.endpoints[endpoint].count(self.now, gateway, false);
         let stated = self.endpoints[endpoint].stated();
         self.tell(gateway, endpoint, self.now, stated);
         let outcome = ProbeOutcome::Reported(idle_load());
@@ -336,7 +336,8 @@
 
     /// A request or a check reaches its endpoint.
     fn arrive(&mut self, mut exchange: Exchange) {
-        self.endpoints[exchange.endpoint].count(self.now, exchange.gateway);
+        let is_request = exchange.placement.is_some();
+        self.endpoints[exchange.endpoint].count(self.now, exchange.gateway, is_request);
         exchange.stated = self.endpoints[exchange.endpoint].stated();
         self.schedule_at(self.now + SERVICE_TIME, Event::Response(exchange));
     }
--- a/crates/turmericloft/tests/testsuite/rate_limit/loans.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/loans.rs
@@ -61,3 +61,31 @@
         assert!(fleet.worst_excess() <= 0.0);
     }
 }
+
+/// Load pattern: all endpoints state limits at the same moment, and requests beyond them wait everywhere. Without a
+/// spread all shares would be used at once, again and again.
+#[test]
+fn shares_are_used_at_different_times() {
+    let mut fleet = Fleet::new(17, 16, 130.0, 7);
+    fleet.run(5 * SECOND);
+    for endpoint in 0..16 {
+        fleet.set_limit(endpoint, Some(2.4));
+    }
+    fleet.run(TELLING);
+    let served = |fleet: &Fleet| {
+        fleet
+            .endpoints
+            .iter()
+            .map(|e| e.served_limited)
+            .sum::<u64>()
+    };
+    let mut by_second = Vec::new();
+    for _ in 0..20 {
+        let before = served(&fleet);
+        fleet.run(SECOND);
+        by_second.push(served(&fleet) - before);
+    }
+    let mean = by_second.iter().sum::<u64>() as f64 / by_second.len() as f64;
+    let most = by_second.into_iter().max().expect("seconds") as f64;
+    assert!(most < 2.0 * mean, "{most} in a second, {mean} on average");
+}
--- a/crates/turmericloft/tests/testsuite/rate_limit/simulated_endpoint.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/simulated_endpoint.rs
@@ -25,7 +25,7 @@
     /// When each gateway got its first response with the limit.
     told_at: Vec<Option<Instant>>,
     counted: Arrivals,
-    /// Requests that it got while it had a limit, from whatever gateway.
+    /// Requests that it got while it had a limit, from whatever gateway, without health checks.
     pub(super) served_limited: u64,
     /// The worst excess over what is allowed in a window, in requests.
     pub(super) worst_excess: f64,
@@ -73,11 +73,11 @@
     }
 
     /// Counts an arrival from a gateway, if it was told of the limit.
-    pub(super) fn count(&mut self, now: Instant, gateway: usize) {
+    pub(super) fn count(&mut self, now: Instant, gateway: usize, is_request: bool) {
         let Some((limit, since)) = self.limit else {
             return;
         };
-        self.served_limited += 1;
+        self.served_limited += u64::from(is_request);
         let told_at = self.told_at.get(gateway).copied().flatten();
         let is_told = told_at.is_some_and(|at| at + TOLD_AFTER <= now);
         if !is_told || now < since + STABILITY_WINDOW {
--- a/crates/turmericloft/tests/testsuite/rate_limit/urgency.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/urgency.rs
@@ -6,7 +6,7 @@
 use rand_pcg::Pcg64Mcg;
 use turmericloft::core::{
     placement::{AttemptOutcome, Balancer, PlacementError, PlacementRequest, RetryBudget},
-    rate_limit::{RateLimit, SharingGateways, StatedLimit},
+    rate_limit::{RateLimit, SHARE_INTERVAL, SharingGateways, StatedLimit},
 };
 
 use super::{
@@ -18,13 +18,20 @@
 const URGENT: u32 = 0;
 const LESS_URGENT: u32 = 2;
 
-/// The only gateway, with two endpoints that accept next to nothing: each has two requests left.
+/// The view of the only gateway.
+fn alone(now: Instant) -> SharingGateways {
+    SharingGateways::new(host(0), vec![host(0)], now, now)
+}
+
+/// The only gateway, with two endpoints that accept next to nothing: each has two requests left. It was told a share
+/// interval ago.
 fn gateway(now: Instant) -> Balancer {
+    let now = now.checked_sub(SHARE_INTERVAL).expect("a time");
     let budget = RetryBudget::new(10 * SECOND, 0.2, 1.0);
     let mut balancer = Balancer::new("a".into(), budget, Pcg64Mcg::seed_from_u64(3));
     let endpoints = [endpoint(0), endpoint(1)];
     balancer.set_endpoints(now, &endpoints);
-    balancer.set_sharing(SharingGateways::new(host(0), vec![host(0)], now, now));
+    balancer.set_sharing(now, alone(now));
     let limit = StatedLimit::Limit(RateLimit::new(0.001).expect("valid"));
     for endpoint in &endpoints {
         balancer.record_limit(now, now, endpoint, limit);
@@ -66,6 +73,7 @@
     let mut balancer = gateway(now);
     assert!(is_placed(&mut balancer, now, URGENT));
     let later = now + 6 * SECOND;
+    balancer.set_sharing(later, alone(later));
     let placed = (0..10).filter(|_| is_placed(&mut balancer, later, LESS_URGENT));
     assert_eq!(placed.count(), 3);
 }
