A new share begins after the last health check of its gateway

Found by reading: a gateway without a share that had just checked a silent limit, and then got a share, could send a request within the interval, as the spread first uses were entered before the check. One request more in 4 s than the quota. Test first; it failed.

--- a/crates/turmericloft/src/core/rate_limit/sent_times.rs
+++ b/crates/turmericloft/src/core/rate_limit/sent_times.rs
@@ -12,8 +12,10 @@
 }
 
 impl SentTimes {
-    /// Adds a request, and forgets those that are at least `interval` old.
+    /// Adds a request, and forgets those that are at least `interval` old. One before the last request counts as
+    /// sent with that one.
     pub(super) fn add(&mut self, now: Instant, interval: Duration) {
+        let now = self.times.back().map_or(now, |last| now.max(*last));
         let is_over = |at: &Instant| now.saturating_duration_since(*at) >= interval;
         while self.times.front().is_some_and(is_over) {
             self.times.pop_front();
--- a/crates/turmericloft/tests/testsuite/rate_limit/endings.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/endings.rs
@@ -126,6 +126,23 @@
     assert_eq!(turns.next(), Some([false, false]));
 }
 
+/// A gateway without a share has just checked a silent limit, when it gets a share.
+#[test]
+fn check_of_a_silent_limit_delays_the_first_request_of_a_new_share() {
+    let start = Instant::now();
+    let (mut limits, endpoint) = told(start, 0, 1);
+    let others = (1..40).map(host).collect();
+    let view = |hosts, as_of| SharingGateways::new(host(0), hosts, as_of, start);
+    limits.set_sharing(start, view(others, start));
+    assert_eq!(limits.total_share(), 0);
+    let at = start + 100 * SECOND;
+    limits.take_due_claims(at);
+    assert!(limits.read_claim(at, &endpoint.id, &host(0)).is_some());
+    limits.set_sharing(at, view(vec![host(0)], at));
+    assert_eq!(limits.total_share(), 5);
+    assert!(!limits.allows_request(at + 4 * SECOND, &endpoint.id));
+}
+
 /// A claim that its gateway reads too late counts for the others alone.
 #[test]
 fn gateway_does_not_follow_a_claim_that_it_wrote_long_ago() {
