--- a/crates/turmericloft/src/core/relay/relay_response.rs
+++ b/crates/turmericloft/src/core/relay/relay_response.rs
@@ -11,7 +11,7 @@
 };
 
 /// Changes since the follower's position, and the time as of which they are complete.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RelayResponse {
     /// Time from the arrival of the poll to the instant as of which the changes reflect the
     /// registry; `None` if the registry has not been read since the poll arrived. It is measured
--- a/crates/turmericloft/src/core/relay/upstream_message.rs
+++ b/crates/turmericloft/src/core/relay/upstream_message.rs
@@ -5,7 +5,7 @@
 use super::{DocumentNotice, RelayResponse};
 
 /// A message of an upstream. Crash reports may be behind either kind.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum UpstreamMessage {
     /// Response to the earliest poll that has none yet.
     Response(Box<RelayResponse>),
--- a/crates/turmericloft/src/core/traffic/route.rs
+++ b/crates/turmericloft/src/core/traffic/route.rs
@@ -35,6 +35,8 @@
     pub rank: u32,
     /// Largest number of endpoints that one request is sent to, including the first.
     pub max_attempts: u32,
+    /// Whether requests need no key of an organisation.
+    pub is_public: bool,
     /// Services among which the requests are split; never empty.
     pub destinations: Vec<Destination>,
 }
--- a/crates/turmericloft/src/core/traffic/traffic_document.rs
+++ b/crates/turmericloft/src/core/traffic/traffic_document.rs
@@ -4,10 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{RequestLimits, Route, ServiceSettings};
+use super::{Organisation, RequestLimits, Route, ServiceSettings};
 
-/// Routes, services and limits that become active together. It is serialised in relay responses.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Routes, services, organisations and limits that become active together. It is serialised in relay responses.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TrafficDocument {
     /// Version, which increases with each change. A gateway never applies a lower one than it has.
     pub version: u64,
@@ -15,6 +15,8 @@
     pub routes: Vec<Route>,
     /// Settings of services, by service name.
     pub services: BTreeMap<Arc<str>, ServiceSettings>,
+    /// Organisations, with unique names and keys. If there are any, requests need a key unless their route is public.
+    pub organisations: Vec<Organisation>,
     /// Limits of client requests and connections.
     pub limits: RequestLimits,
 }
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -88,6 +88,7 @@
     let health = ServiceSettings {
         health_path: "/health".to_owned(),
         max_connections: 100,
+        slow_start: None,
     };
     TrafficDocument {
         version,
@@ -96,6 +97,7 @@
             route("act", "/act/", RouteKind::AtMostOnce),
         ],
         services: BTreeMap::from([("calendar".into(), health)]),
+        organisations: Vec::new(),
         limits: RequestLimits::default(),
     }
 }
@@ -111,6 +113,7 @@
         target_latency: LONG_TIMEOUT,
         rank: 1,
         max_attempts: 3,
+        is_public: false,
         destinations: vec![Destination {
             service: "calendar".into(),
             weight: 1,
--- a/crates/turmericloft/tests/testsuite/relay/connections.rs
+++ b/crates/turmericloft/tests/testsuite/relay/connections.rs
@@ -91,6 +91,7 @@
         version,
         routes: Vec::new(),
         services: Default::default(),
+        organisations: Vec::new(),
         limits: RequestLimits::default(),
     }
 }
@@ -105,6 +106,7 @@
         target_latency: DRAIN_TIME,
         rank: 0,
         max_attempts: 1,
+        is_public: false,
         destinations: Vec::new(),
     };
     TrafficDocument {
--- a/crates/turmericloft/tests/testsuite/traffic.rs
+++ b/crates/turmericloft/tests/testsuite/traffic.rs
@@ -17,6 +17,7 @@
         target_latency: Duration::from_millis(300),
         rank: 0,
         max_attempts: 2,
+        is_public: false,
         destinations: vec![Destination {
             service: "calendar".into(),
             weight: 1,
@@ -29,6 +30,7 @@
         version: 1,
         routes,
         services: BTreeMap::new(),
+        organisations: Vec::new(),
         limits: RequestLimits::default(),
     })
 }
