Evacuated zones: records of the store are relayed and obeyed

The operator evacuates a zone with a record evacuate/ZONE in the topic of the configuration. Until now only the key config was read there.

The records are ordered by their positions in the store. A full list after a gap ends the evacuations that it lacks; in a new era a zone that the copy lacks stays evacuated for 2 s. The relay carries the whole list in responses and in confirmations of the document, so that no gateway counts its document as confirmed without the zone records of the same reads.

The balancer leaves the endpoints of evacuated zones out of placement, probes, queues and loans, and the ingress checks again before each send. Readiness counts them as before.

--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod decayed_mean;
 pub mod document;
 mod environment;
+pub mod evacuation;
 pub mod guard;
 mod host_id;
 pub mod membership;
--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -24,7 +24,7 @@
     retry_after::retry_after,
     service_view::{ServiceBaseline, ServiceView},
 };
-use crate::core::rate_limit::EndpointLimits;
+use crate::core::{evacuation::EvacuatedZones, rate_limit::EndpointLimits};
 
 /// Age below which a load report is recent enough to place a request without another probe.
 const FRESHNESS_WINDOW: Duration = Duration::from_millis(12);
@@ -47,6 +47,7 @@
     pub(super) services: HashMap<Arc<str>, ServiceView>,
     pub(super) notices: EndpointNotices,
     pub(super) limits: EndpointLimits,
+    pub(super) evacuated: EvacuatedZones,
     pub(super) rng: Pcg64Mcg,
 }
 
@@ -62,6 +63,7 @@
             services: HashMap::new(),
             notices: EndpointNotices::default(),
             limits: EndpointLimits::default(),
+            evacuated: EvacuatedZones::default(),
             rng,
         }
     }
@@ -101,6 +103,7 @@
                 }
             }
         }
+        self.mark_evacuated();
     }
 
     /// Records a client's request to a service, which adds to its retry and probe budgets.
@@ -320,10 +323,11 @@
         }
     }
 
-    /// Whether any service has an endpoint that accepts requests, ejected or not.
+    /// Whether any service has an endpoint that accepts requests, ejected or not. An evacuated one counts: the gateway
+    /// keeps getting clients, which it tells to return.
     pub fn has_endpoints(&self) -> bool {
         let mut views = self.services.values().flat_map(|s| s.endpoints.values());
-        views.any(EndpointView::accepts_requests)
+        views.any(EndpointView::is_ready)
     }
 }
 
--- a/crates/turmericloft/src/core/placement/endpoint_view.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_view.rs
@@ -73,6 +73,8 @@
     latency_ratios: DecayedMean,
     /// Whether another endpoint was found at the address.
     is_replaced: bool,
+    /// Whether its zone is evacuated.
+    pub(super) is_evacuated: bool,
 }
 
 impl EndpointView {
@@ -93,6 +95,7 @@
             epoch: now,
             latency_ratios: DecayedMean::new(LATENCY_RATIO_HALF_LIFE_S),
             is_replaced: false,
+            is_evacuated: false,
         }
     }
 
@@ -112,6 +115,11 @@
     }
 
     pub(super) fn accepts_requests(&self) -> bool {
+        self.is_ready() && !self.is_evacuated
+    }
+
+    /// Whether it would accept requests if its zone were not evacuated.
+    pub(super) fn is_ready(&self) -> bool {
         self.endpoint.state == EndpointState::Ready && !self.is_replaced
     }
 
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt_outcome;
 mod balancer;
+mod balancer_evacuation;
 mod balancer_limits;
 mod balancer_waits;
 mod discovered_endpoint;
--- a/crates/turmericloft/src/core/relay/registry_view.rs
+++ b/crates/turmericloft/src/core/relay/registry_view.rs
@@ -3,9 +3,12 @@
 use std::time::Instant;
 
 use super::{EraChange, RelayPoll, RelayResponse, RelayTimings};
-use crate::core::placement::{
-    DiscoveredEndpoint, DiscoveryChange, DiscoveryTable, Observation, RegistryList,
-    RegistryPosition,
+use crate::core::{
+    evacuation::EvacuationList,
+    placement::{
+        DiscoveredEndpoint, DiscoveryChange, DiscoveryTable, Observation, RegistryList,
+        RegistryPosition,
+    },
 };
 
 /// Freshness of the data received from an upstream.
@@ -212,6 +215,7 @@
             changes,
             document_version: 0,
             document_as_of: None,
+            evacuation: EvacuationList::default(),
             document: None,
         }
     }
--- a/crates/turmericloft/src/core/relay/relay_response.rs
+++ b/crates/turmericloft/src/core/relay/relay_response.rs
@@ -6,6 +6,7 @@
 
 use super::DocumentAsOf;
 use crate::core::{
+    evacuation::EvacuationList,
     placement::{Observation, RegistryPosition},
     traffic::TrafficDocument,
 };
@@ -33,6 +34,8 @@
     pub document_version: u64,
     /// As of when that version is the newest one; `None` if the upstream does not know.
     pub document_as_of: Option<DocumentAsOf>,
+    /// All evacuated zones. A confirmation of the document covers them too.
+    pub evacuation: EvacuationList,
     /// The document of the upstream, if it is newer than the follower's and small. Each gateway
     /// reads a large document from the store instead, because relaying it would occupy the links
     /// between the gateways one after the other.
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -172,7 +172,7 @@
     if forwarded.is_past_deadline(now) {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
-    if !ingress.may_still_send(now, in_flight.placement()) {
+    if !ingress.may_still_send(now, in_flight.placement()) || ingress.is_evacuated(endpoint) {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
     let pooled = ingress.pool.take(now, &endpoint.id, forwarded.route.kind);
@@ -193,6 +193,7 @@
     if forwarded.client_disconnected.is_cancelled()
         || forwarded.is_past_deadline(now)
         || !ingress.may_still_send(now, in_flight.placement())
+        || ingress.is_evacuated(endpoint)
     {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
--- a/crates/turmericloft/src/ops/ingress/limits.rs
+++ b/crates/turmericloft/src/ops/ingress/limits.rs
@@ -234,6 +234,9 @@
 }
 
 async fn check(ingress: Arc<Ingress>, endpoint: DiscoveredEndpoint) {
+    if ingress.is_evacuated(&endpoint) {
+        return;
+    }
     let Some(path) = health_path(&ingress, &endpoint.service) else {
         return;
     };
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -10,8 +10,8 @@
         rate_limit::{EndpointLimits, LimitEvent, LoanAnswer},
     },
     util::metrics_table::{
-        INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS,
-        INGRESS_PROBES, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE,
+        EVACUATED_ZONES, INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS,
+        INGRESS_ATTEMPTS, INGRESS_PROBES, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE,
         LIMITED_ENDPOINTS,
     },
 };
@@ -59,6 +59,11 @@
     counter!(LIMIT_HELD_BACK.name).increment(1);
 }
 
+/// Shows the number of evacuated zones.
+pub(super) fn set_evacuated_zones(count: usize) {
+    gauge!(EVACUATED_ZONES.name).set(count as f64);
+}
+
 /// Counts a loan on the `side` that asked or lent; `None` if there was no response.
 pub(super) fn count_loan(side: &'static str, answer: Option<LoanAnswer>) {
     let result = match answer {
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -10,6 +10,7 @@
 mod client_response;
 mod connection_pool;
 mod crash_watch;
+mod evacuation;
 mod followed_attempt;
 mod forward;
 mod in_flight_attempt;
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -17,6 +17,7 @@
 use super::{
     abandoned_checks::{apply_entries, check_abandoned},
     client::serve_client,
+    evacuation::apply_evacuation,
     limits::{apply_sharing, check_limited},
     ready::{serve_metrics, serve_readiness},
     settings::IngressSettings,
@@ -96,6 +97,8 @@
     tokio::spawn(apply_documents(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(apply_gateway_count(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(apply_sharing(Arc::clone(&ingress), feeds.sharing.clone()));
+    let evacuated = feeds.evacuated.clone();
+    tokio::spawn(apply_evacuation(Arc::clone(&ingress), evacuated));
     tokio::spawn(apply_endpoints(Arc::clone(&ingress), feeds));
     tokio::spawn(check_abandoned(Arc::clone(&ingress)));
     tokio::spawn(check_limited(Arc::clone(&ingress)));
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -22,6 +22,7 @@
 };
 use crate::{
     core::{
+        evacuation::EvacuatedZones,
         placement::{Balancer, DiscoveredEndpoint, EndpointNotice, InstanceId, WaitQueue},
         quarantine::AbandonedAttempts,
         rate_limit::SharingGateways,
@@ -46,6 +47,8 @@
     /// Which gateways share the limits of endpoints; `None` until it is known. Without it nothing is sent to an
     /// endpoint that has stated a limit.
     pub sharing: watch::Receiver<Option<SharingGateways>>,
+    /// The zones that the operator has evacuated.
+    pub evacuated: watch::Receiver<EvacuatedZones>,
 }
 
 /// State of an ingress gateway.
--- a/crates/turmericloft/src/ops/relay/active_document.rs
+++ b/crates/turmericloft/src/ops/relay/active_document.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     core::{
-        relay::{DocumentAsOf, DocumentFreshness, DocumentNotice, DocumentTimings},
+        relay::{DocumentAsOf, DocumentFreshness, DocumentTimings},
         traffic::{RouteTable, TrafficDocument},
     },
     util::host_clock::HostClock,
@@ -197,19 +197,4 @@
     pub(super) fn as_of(&self) -> Option<Instant> {
         self.freshness.lock().as_of()
     }
-
-    /// What to tell a follower whose earliest poll without a response arrived at `received`.
-    pub(super) fn notice(&self, received: Instant) -> Option<DocumentNotice> {
-        let as_of = self.relayed_as_of(received)?;
-        Some(DocumentNotice {
-            version: self.newest_version(),
-            as_of,
-        })
-    }
-
-    /// Records what an upstream says between two responses, in the order of its poll at `polled_at`.
-    pub(super) fn apply_notice(&self, polled_at: Instant, notice: DocumentNotice) {
-        self.record_version(notice.version);
-        self.confirm_relayed(polled_at, notice.as_of);
-    }
 }
--- a/crates/turmericloft/src/ops/relay/follower_connection.rs
+++ b/crates/turmericloft/src/ops/relay/follower_connection.rs
@@ -106,7 +106,7 @@
                 }
                 as_of = hub.document().wait_until_confirmed_after(told) => {
                     self.told_document_as_of = Some(as_of);
-                    if let Some(notice) = hub.document().notice(poll.arrived_at) {
+                    if let Some(notice) = hub.notice(poll.arrived_at) {
                         let message = UpstreamMessage::DocumentConfirmed(notice);
                         let reports = self.exchange.next_reports(hub);
                         self.send(message, &reports).await?;
@@ -139,5 +139,6 @@
         let poll = &mut self.poll;
         poll.from = poll.from.max(response.next);
         poll.document_version = poll.document_version.max(response.document_version);
+        poll.evacuation = poll.evacuation.max(response.evacuation.changed_at);
     }
 }
--- a/crates/turmericloft/src/ops/relay/hub.rs
+++ b/crates/turmericloft/src/ops/relay/hub.rs
@@ -11,14 +11,17 @@
 use parking_lot::Mutex;
 use tokio::{sync::watch, time::sleep};
 
-use super::active_document::{ActiveDocument, PublishedDocument};
+use super::{
+    active_document::{ActiveDocument, PublishedDocument},
+    evacuation_state::EvacuationState,
+};
 use crate::{
     core::{
         placement::{
             DiscoveredEndpoint, DiscoveryChange, Observation, RegistryEra, RegistryList,
             RegistryPosition,
         },
-        relay::{ReadPace, RegistryView, RelayPoll, RelayResponse, RelayTimings},
+        relay::{ReadPace, RegistryView, RelayTimings},
         traffic::TrafficDocument,
     },
     ops::SharedQuarantine,
@@ -34,20 +37,21 @@
 /// One gateway's view of the registry, and its active document.
 #[derive(Debug)]
 pub struct RelayHub {
-    timings: RelayTimings,
-    clock: HostClock,
+    pub(super) timings: RelayTimings,
+    pub(super) clock: HostClock,
     quarantine: Arc<SharedQuarantine>,
-    view: Mutex<RegistryView>,
+    pub(super) view: Mutex<RegistryView>,
     endpoints: watch::Sender<PublishedEndpoints>,
-    document: ActiveDocument,
+    pub(super) document: ActiveDocument,
+    pub(super) evacuation: EvacuationState,
     /// Era of the registry's history in the view; `None` before the first data.
     era: watch::Sender<Option<RegistryEra>>,
     /// Notified after every read or response that was applied to the view.
-    view_updated: watch::Sender<()>,
+    pub(super) view_updated: watch::Sender<()>,
     /// Reads that failed lately, of any topic.
     pace: Mutex<ReadPace>,
     /// When another gateway last responded to a poll, whether or not its data was fresh.
-    upstream_heard_at: Mutex<Option<Instant>>,
+    pub(super) upstream_heard_at: Mutex<Option<Instant>>,
     /// Set once there is no gateway to follow, and never reset: only a starting gateway waits for it.
     no_upstream: watch::Sender<bool>,
 }
@@ -67,7 +71,8 @@
             quarantine,
             view: Mutex::new(RegistryView::new(timings)),
             endpoints: watch::Sender::new(None),
-            document: ActiveDocument::new(timings.document(), clock),
+            document: ActiveDocument::new(timings.document(), clock.clone()),
+            evacuation: EvacuationState::new(clock),
             era: watch::Sender::new(None),
             view_updated: watch::Sender::new(()),
             pace: Mutex::new(ReadPace::new(timings.recovery())),
@@ -115,6 +120,11 @@
         &self.document
     }
 
+    /// The zones that the operator has evacuated.
+    pub fn evacuation(&self) -> &EvacuationState {
+        &self.evacuation
+    }
+
     /// Position in the registry at which the next read continues.
     pub fn next_position(&self) -> RegistryPosition {
         self.view.lock().next()
@@ -144,8 +154,13 @@
         self.view_updated.send_replace(());
     }
 
-    /// Drops entries when they expire. Runs until the future is dropped.
+    /// Drops entries when they expire, and ends evacuations whose retention is over. Runs until the future is
+    /// dropped.
     pub async fn run_expiry(&self) {
+        tokio::join!(self.run_entry_expiry(), self.evacuation.run_expiry());
+    }
+
+    async fn run_entry_expiry(&self) {
         let mut view_updated = self.view_updated.subscribe();
         loop {
             self.update_view(|view, now| view.expire(now));
@@ -284,79 +299,11 @@
         self.view.lock().relay_fresh_until(self.now()).is_some()
     }
 
-    /// A poll; `awaits_current` says that the upstream was found stale.
-    pub(super) fn build_poll(&self, host: &Arc<str>, awaits_current: bool) -> RelayPoll {
-        RelayPoll {
-            host: Arc::clone(host),
-            from: self.next_position(),
-            document_version: self.document.newest_version(),
-            awaits_current,
-        }
-    }
-
-    /// Applies the response to the poll that was sent at `polled_at`. Returns false if the upstream
-    /// does not know the present era of the registry.
-    pub(super) fn apply_response(&self, polled_at: Instant, mut response: RelayResponse) -> bool {
-        *self.upstream_heard_at.lock() = Some(self.now());
-        if let Some(document) = response.document.take() {
-            self.publish_document(document);
-        }
-        self.document.record_version(response.document_version);
-        if let Some(as_of) = response.document_as_of {
-            self.document.confirm_relayed(polled_at, as_of);
-        }
-        let mut is_accepted = false;
-        self.update_view(|view, now| {
-            is_accepted = view.accepts(&response);
-            view.apply_response(now, polled_at, &response)
-        });
-        self.view_updated.send_replace(());
-        is_accepted
-    }
-
-    /// Waits until there are changes for the response to a poll that arrived at `received`, or until
-    /// it is due without any as a heartbeat.
-    pub(super) async fn wait_for_response(&self, poll: &RelayPoll, received: Instant) {
-        let idle_at = received + self.timings.idle_response_after();
-        let deadline = if poll.awaits_current {
-            idle_at
-        } else {
-            let refresh_deadline = self.view.lock().refresh_deadline(received);
-            let grace = received + self.timings.read_grace();
-            idle_at.min(refresh_deadline.max(grace))
-        };
-        self.wait_for_update(poll, received, deadline).await;
-    }
-
-    /// The response to a poll that arrived at `received`.
-    pub(super) fn response(&self, poll: &RelayPoll, received: Instant) -> RelayResponse {
-        let mut response = self.view.lock().response(self.now(), received, poll);
-        response.document_version = self.document.newest_version();
-        response.document_as_of = self.document.relayed_as_of(received);
-        response.document = self.document.newer_than(poll.document_version);
-        response
-    }
-
-    async fn wait_for_update(&self, poll: &RelayPoll, received: Instant, deadline: Instant) {
-        let mut view_updated = self.view_updated.subscribe();
-        let mut newest_version = self.document.newest_versions();
-        loop {
-            let is_newer = *newest_version.borrow_and_update() > poll.document_version;
-            // The follower gives up a gateway that responds without being current, unless it awaits that.
-            let may_respond = poll.awaits_current || self.is_current();
-            if is_newer && may_respond || self.view.lock().has_update(received, poll) {
-                return;
-            }
-            tokio::select! {
-                _ = view_updated.changed() => {}
-                _ = newest_version.changed() => {}
-                () = self.clock.sleep_until(deadline) => return,
-            }
-        }
-    }
-
     /// Applies `change` to the view, and publishes the endpoints if one changed.
-    fn update_view(&self, change: impl FnOnce(&mut RegistryView, Instant) -> DiscoveryChange) {
+    pub(super) fn update_view(
+        &self,
+        change: impl FnOnce(&mut RegistryView, Instant) -> DiscoveryChange,
+    ) {
         let mut view = self.view.lock();
         if change(&mut view, self.now()) == DiscoveryChange::Endpoints {
             // Publishing under the lock keeps an older list from replacing a newer one.
--- a/crates/turmericloft/src/ops/relay/mod.rs
+++ b/crates/turmericloft/src/ops/relay/mod.rs
@@ -6,15 +6,17 @@
 
 mod active_document;
 mod crash_exchange;
+mod evacuation_state;
 mod follow;
 mod follower_connection;
 mod hub;
+mod hub_messages;
 mod relay_error;
 mod serve;
 mod upstream_polls;
 mod wire;
 
 pub use self::{
-    active_document::ActiveDocument, follow::follow_upstream, hub::RelayHub,
-    relay_error::RelayError, serve::serve_followers,
+    active_document::ActiveDocument, evacuation_state::EvacuationState, follow::follow_upstream,
+    hub::RelayHub, relay_error::RelayError, serve::serve_followers,
 };
--- a/crates/turmericloft/src/ops/relay/upstream_polls.rs
+++ b/crates/turmericloft/src/ops/relay/upstream_polls.rs
@@ -104,7 +104,7 @@
                 UpstreamMessage::DocumentConfirmed(notice) => {
                     let polled_at = self.outstanding.front();
                     let polled_at = polled_at.ok_or(RelayError::Unasked { peer })?;
-                    self.hub.document().apply_notice(*polled_at, notice);
+                    self.hub.apply_notice(*polled_at, notice);
                 }
             }
         }
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -263,6 +263,15 @@
     help: "Changes of what this gateway knows of the limits of endpoints, by what has changed",
 };
 
+/// Zones that the operator has evacuated.
+pub const EVACUATED_ZONES: Metric = Metric {
+    name: "turmericloft_ingress_evacuated_zones",
+    kind: MetricKind::Gauge,
+    unit: "zones",
+    labels: &[],
+    help: "Zones that the operator has evacuated, to which this gateway sends nothing",
+};
+
 /// Calls to the platform's store.
 pub const STORE_CALLS: Metric = Metric {
     name: "turmericloft_store_calls_total",
@@ -300,7 +309,7 @@
 };
 
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 30] = [
+pub const ALL: [Metric; 31] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -327,6 +336,7 @@
     LIMIT_HELD_BACK,
     LIMIT_LOANS,
     LIMIT_CHANGES,
+    EVACUATED_ZONES,
     STORE_CALLS,
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -6,6 +6,7 @@
 use tokio_util::sync::CancellationToken;
 use turmericloft::{
     core::{
+        evacuation::EvacuatedZones,
         placement::{DiscoveredEndpoint, EndpointState, RetryBudget},
         traffic::{
             Destination, RequestLimits, Route, RouteKind, RouteTable, ServiceSettings,
@@ -30,6 +31,7 @@
     pub stop: CancellationToken,
     pub running: JoinHandle<()>,
     pub quarantine: Arc<SharedQuarantine>,
+    pub evacuated: watch::Sender<EvacuatedZones>,
     _endpoints: watch::Sender<Option<Arc<Vec<DiscoveredEndpoint>>>>,
 }
 
@@ -61,8 +63,10 @@
         let (endpoints_tx, endpoints_rx) = watch::channel(None);
         let (_, gateways) = watch::channel(Some(1));
         let (_, sharing) = watch::channel(None);
+        let (evacuated_tx, evacuated) = watch::channel(EvacuatedZones::default());
         let feeds = IngressFeeds {
             sharing,
+            evacuated,
             documents: documents_rx,
             endpoints: endpoints_rx,
             gateways,
@@ -78,6 +82,7 @@
             stop,
             running,
             quarantine,
+            evacuated: evacuated_tx,
             _endpoints: endpoints_tx,
         }
     }
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -5,6 +5,7 @@
 mod deadlines;
 mod drain;
 mod endpoint;
+mod evacuation;
 mod faults;
 mod gateway;
 mod pipelining;
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod backend_pool;
 mod config;
 mod counting;
+mod evacuation;
 mod guard;
 mod host_clock;
 mod host_list;
--- a/crates/turmericloft/tests/testsuite/placement/balancer.rs
+++ b/crates/turmericloft/tests/testsuite/placement/balancer.rs
@@ -16,7 +16,7 @@
 
 pub(super) const MS: Duration = Duration::from_millis(1);
 
-pub(super) fn balancer(now: Instant, endpoints: &[DiscoveredEndpoint]) -> Balancer {
+pub(crate) fn balancer(now: Instant, endpoints: &[DiscoveredEndpoint]) -> Balancer {
     let budget = RetryBudget::new(Duration::from_secs(10), 0.2, 1.0);
     let mut balancer = Balancer::new("a".into(), budget, Pcg64Mcg::seed_from_u64(7));
     balancer.set_endpoints(now, endpoints);
--- a/crates/turmericloft/tests/testsuite/placement/mod.rs
+++ b/crates/turmericloft/tests/testsuite/placement/mod.rs
@@ -1,6 +1,6 @@
 //! Choice of the endpoint for each request.
 
-mod balancer;
+pub(crate) mod balancer;
 mod discovery;
 mod fleet_size;
 mod grey_failure;
@@ -17,7 +17,7 @@
 };
 
 /// An endpoint of the service `calendar` with four slots.
-fn endpoint(id: &str, zone: &str) -> DiscoveredEndpoint {
+pub(crate) fn endpoint(id: &str, zone: &str) -> DiscoveredEndpoint {
     DiscoveredEndpoint {
         id: id.into(),
         service: "calendar".into(),
@@ -39,7 +39,7 @@
     }
 }
 
-fn request<'a>(tried: &'a [Arc<str>]) -> PlacementRequest<'a> {
+pub(crate) fn request<'a>(tried: &'a [Arc<str>]) -> PlacementRequest<'a> {
     PlacementRequest {
         service: "calendar",
         tried,
--- a/crates/turmericloft/tests/testsuite/relay/connections.rs
+++ b/crates/turmericloft/tests/testsuite/relay/connections.rs
@@ -34,13 +34,13 @@
 /// Longer than a test takes.
 const LONG_GRACE: Duration = Duration::from_secs(3_600);
 
-pub(super) struct Upstream {
-    pub(super) hub: Arc<RelayHub>,
-    pub(super) address: SocketAddr,
+pub(crate) struct Upstream {
+    pub(crate) hub: Arc<RelayHub>,
+    pub(crate) address: SocketAddr,
     stop: CancellationToken,
 }
 
-pub(super) async fn upstream() -> Upstream {
+pub(crate) async fn upstream() -> Upstream {
     upstream_with(DRAIN_TIME).await
 }
 
@@ -68,7 +68,7 @@
     }
 }
 
-pub(super) fn follower(upstream: SocketAddr) -> Arc<RelayHub> {
+pub(crate) fn follower(upstream: SocketAddr) -> Arc<RelayHub> {
     let hub = RelayHub::new(timings_of(DRAIN_TIME));
     let (host, other) = two_hosts();
     let chooser = UpstreamChooser::new(Arc::clone(&host), "a".into());
@@ -115,7 +115,7 @@
     }
 }
 
-pub(super) fn apply_record(hub: &RelayHub, offset: u64, id: &str, state: EndpointState) {
+pub(crate) fn apply_record(hub: &RelayHub, offset: u64, id: &str, state: EndpointState) {
     let now = tokio::time::Instant::now().into_std();
     hub.apply_records(now, at(0, offset + 1), vec![observed(id, offset, state)]);
 }
--- a/crates/turmericloft/tests/testsuite/relay/mod.rs
+++ b/crates/turmericloft/tests/testsuite/relay/mod.rs
@@ -1,6 +1,6 @@
 //! Relaying of registry data between gateways.
 
-mod connections;
+pub(crate) mod connections;
 mod crash_reports;
 mod document_freshness;
 mod read_pace;
@@ -23,7 +23,7 @@
 /// Time within which every gateway has to know that an endpoint is draining.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
-fn timings() -> RelayTimings {
+pub(crate) fn timings() -> RelayTimings {
     timings_of(DRAIN_TIME)
 }
 
--- a/crates/turmericloft/tests/testsuite/relay/simulation.rs
+++ b/crates/turmericloft/tests/testsuite/relay/simulation.rs
@@ -203,6 +203,7 @@
             host: format!("h{i}").into(),
             from: g.view.next(),
             document_version: 0,
+            evacuation: RegistryPosition::default(),
             awaits_current: false,
         };
         let arrives = now + self.delay();
--- a/crates/turmericloft/tests/testsuite/relay/view.rs
+++ b/crates/turmericloft/tests/testsuite/relay/view.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use turmericloft::core::{
+    evacuation::EvacuationList,
     placement::{DiscoveryChange, EndpointState, RegistryPosition},
     relay::{RegistryView, RelayPoll, RelayResponse},
 };
@@ -16,6 +17,7 @@
         host: "follower".into(),
         from,
         document_version: 0,
+        evacuation: RegistryPosition::default(),
         awaits_current: false,
     }
 }
@@ -50,6 +52,7 @@
         changes: Vec::new(),
         document_version: 0,
         document_as_of: None,
+        evacuation: EvacuationList::default(),
         document: None,
     }
 }
