Index organisations by key; field for the organisation of a request

Requests have to be identified by their keys, and quotas count by organisation. RouteTable now has an OrganisationTable that finds an organisation by the digest of a key, and ForwardedRequest holds the organisation of a request.

--- a/crates/turmericloft/src/core/traffic/mod.rs
+++ b/crates/turmericloft/src/core/traffic/mod.rs
@@ -2,6 +2,7 @@
 //! organisations and request limits.
 
 mod organisation;
+mod organisation_table;
 mod request_limits;
 mod request_quota;
 mod route;
@@ -14,6 +15,7 @@
 
 pub use self::{
     organisation::{KeyDigest, Organisation},
+    organisation_table::OrganisationTable,
     request_limits::RequestLimits,
     request_quota::RequestQuota,
     route::{Destination, Route},
--- a/crates/turmericloft/src/core/traffic/route_table.rs
+++ b/crates/turmericloft/src/core/traffic/route_table.rs
@@ -2,13 +2,14 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use super::{Route, TrafficDocument};
+use super::{OrganisationTable, Route, TrafficDocument};
 
 /// Routes of one document, by host and with the longest path prefix first.
 #[derive(Clone, Debug)]
 pub struct RouteTable {
     document: TrafficDocument,
     by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    organisations: Arc<OrganisationTable>,
 }
 
 impl RouteTable {
@@ -22,7 +23,12 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
         }
-        Self { document, by_host }
+        let organisations = Arc::new(OrganisationTable::new(&document));
+        Self {
+            document,
+            by_host,
+            organisations,
+        }
     }
 
     /// The indexed document.
@@ -30,6 +36,11 @@
         &self.document
     }
 
+    /// The organisations, by their keys.
+    pub fn organisations(&self) -> &Arc<OrganisationTable> {
+        &self.organisations
+    }
+
     /// The route of a request: the one of `host` with the longest prefix of `path`. The port and
     /// letter case of `host` and the query and fragment of `path` are ignored. `None` if no route
     /// matches.
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -23,7 +23,7 @@
         guard::Fingerprint,
         placement::{AttemptOutcome, LoadReport},
         quarantine::Crash,
-        traffic::Route,
+        traffic::{Organisation, Route},
     },
     sources::http1::{ClientConnection, ExchangeError, Request, Response, ResponseLimits},
 };
@@ -45,6 +45,8 @@
     /// Id that the client gave the request.
     pub(super) id: Vec<u8>,
     pub(super) route: Arc<Route>,
+    /// Organisation whose key the request has; `None` if it has none or the document has no organisations.
+    pub(super) organisation: Option<Arc<Organisation>>,
     /// End of the client's timeout or the route's timeout, whichever comes first.
     pub(super) deadline: Instant,
     /// Cancelled when the client's connection ends.
@@ -65,6 +67,7 @@
             req,
             id,
             route,
+            organisation: None,
             deadline,
             client_disconnected,
             fingerprint: OnceLock::new(),
