Identify organisations by key, and lease the right to use keys

Where a document has organisations, every request that is not for a public route needs a key. The gateway finds the organisation by the key's digest on arrival and before each send, names it to the endpoint and never passes the credentials on. A missing key, or one that no document contains that may be active anywhere, gets 401; a key that another document may contain gets 503.

A revoked key must not be used at a gateway that learns nothing of the revocation. With failClosed, keys are valid only for revokeS, less a margin, from the instant as of which the active document was the newest one. While a newer version is known but not read, the lease is not extended.

A retry that is not sent after a failed response is now answered with 502: 503 promises that the request has not run.

--- a/crates/turmericloft-bench/src/experiments/fleet/gateway.rs
+++ b/crates/turmericloft-bench/src/experiments/fleet/gateway.rs
@@ -69,6 +69,7 @@
         target_latency: args.target(),
         time_left: args.timeout().saturating_sub(elapsed),
         rank: 1,
+        organisation_rank: 0,
         needs_spare_capacity: false,
         max_latency: args.target().saturating_sub(elapsed),
     }
--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod environment;
 pub mod guard;
 mod host_id;
+pub mod key_lease;
 pub mod membership;
 mod name;
 mod outcome;
--- a/crates/turmericloft/src/core/placement/placement_request.rs
+++ b/crates/turmericloft/src/core/placement/placement_request.rs
@@ -15,8 +15,10 @@
     pub target_latency: Duration,
     /// Time left until the request's deadline.
     pub time_left: Duration,
-    /// Priority rank under load; 0 is the most urgent.
+    /// Priority rank of the route under load; 0 is the most urgent.
     pub rank: u32,
+    /// Priority rank of the organisation, which goes before that of the route in the queue; 0 is the most urgent.
+    pub organisation_rank: u32,
     /// Whether the endpoint must have spare capacity beyond this request.
     pub needs_spare_capacity: bool,
     /// Largest expected latency of the endpoint.
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -12,6 +12,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    access::ArrivedAccess,
+    client_response::GatewayResponse,
     crash_watch::record_attempt,
     followed_attempt::FollowedAttempt,
     in_flight_attempt::InFlightAttempt,
@@ -21,6 +23,7 @@
 use crate::{
     core::{
         guard::Fingerprint,
+        key_lease::Access,
         placement::{AttemptOutcome, LoadReport},
         quarantine::Crash,
         traffic::{Organisation, Route},
@@ -45,6 +48,8 @@
     /// Id that the client gave the request.
     pub(super) id: Vec<u8>,
     pub(super) route: Arc<Route>,
+    /// The key in the request and the rank with which it waits.
+    pub(super) access: ArrivedAccess,
     /// Organisation whose key the request has; `None` if it has none or the document has no organisations.
     pub(super) organisation: Option<Arc<Organisation>>,
     /// End of the client's timeout or the route's timeout, whichever comes first.
@@ -60,6 +65,7 @@
         req: Request,
         id: Vec<u8>,
         route: Arc<Route>,
+        (access, organisation): (ArrivedAccess, Option<Arc<Organisation>>),
         deadline: Instant,
         client_disconnected: CancellationToken,
     ) -> Self {
@@ -67,7 +73,8 @@
             req,
             id,
             route,
-            organisation: None,
+            access,
+            organisation,
             deadline,
             client_disconnected,
             fingerprint: OnceLock::new(),
@@ -110,6 +117,8 @@
     Response(Response),
     /// The endpoint has not run the request and never will.
     NotRun,
+    /// The request was not sent, and may not be sent any more.
+    Denied(GatewayResponse),
     /// The endpoint may have run the request; no complete response arrived.
     Unknown(AttemptOutcome),
     /// Like `Unknown`, with the connection ended by the endpoint, which may have crashed.
@@ -178,10 +187,14 @@
     if !ingress.may_still_send(now, in_flight.placement()) {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
+    let access = match ingress.access_to_send(forwarded) {
+        Ok(access) => access,
+        Err(denied) => return (AttemptEnd::Denied(denied), AttemptOutcome::Abandoned, None),
+    };
     let pooled = ingress.pool.take(now, &endpoint.id, forwarded.route.kind);
     if let Some(mut connection) = pooled {
         followed.record_sending();
-        match exchange(ingress, forwarded, in_flight, &mut connection).await {
+        match exchange(ingress, forwarded, in_flight, &access, &mut connection).await {
             Some(Err(e)) if e.is_unsent() => followed.record_unsent(),
             result => return classify(ingress, in_flight, connection, result),
         }
@@ -199,8 +212,13 @@
     {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
+    // The key may have been revoked while the connection was opened.
+    let access = match ingress.access_to_send(forwarded) {
+        Ok(access) => access,
+        Err(denied) => return (AttemptEnd::Denied(denied), AttemptOutcome::Abandoned, None),
+    };
     followed.record_sending();
-    let result = exchange(ingress, forwarded, in_flight, &mut connection).await;
+    let result = exchange(ingress, forwarded, in_flight, &access, &mut connection).await;
     classify(ingress, in_flight, connection, result)
 }
 
@@ -209,6 +227,7 @@
     ingress: &Ingress,
     forwarded: &ForwardedRequest,
     in_flight: &InFlightAttempt,
+    access: &Access,
     connection: &mut ClientConnection,
 ) -> Option<Result<Response, ExchangeError>> {
     let left = forwarded.deadline.saturating_duration_since(ingress.now());
@@ -220,7 +239,9 @@
         &AttemptHeaders {
             timeout: left,
             instance,
+            organisation: access.organisation.as_ref().map(|o| &*o.name),
         },
+        access.removes_credentials,
     );
     if let Err(e) = ingress.bound_transit(instance, connection) {
         return Some(Err(e));
@@ -327,15 +348,19 @@
     protocol: &dyn EndpointProtocol,
     req: &Request,
     attempt: &AttemptHeaders<'_>,
+    removes_credentials: bool,
 ) -> BytesMut {
     let mut buf = BytesMut::with_capacity(512 + req.body.len());
     buf.put_slice(&req.method);
     buf.put_u8(b' ');
     buf.put_slice(&req.target);
     buf.put_slice(b" HTTP/1.1\r\n");
+    let mut removed = protocol.replaced_headers().to_vec();
+    if removes_credentials {
+        removed.extend(protocol.credential_headers());
+    }
     let kept = protocol.kept_headers();
-    req.headers
-        .write_end_to_end(&mut buf, protocol.replaced_headers(), kept);
+    req.headers.write_end_to_end(&mut buf, &removed, kept);
     protocol.write_attempt_headers(&mut buf, attempt);
     let is_bodiless = matches!(&req.method[..], b"GET" | b"HEAD" | b"DELETE" | b"OPTIONS");
     if !req.body.is_empty() || !is_bodiless {
--- a/crates/turmericloft/src/ops/ingress/client_response.rs
+++ b/crates/turmericloft/src/ops/ingress/client_response.rs
@@ -23,6 +23,16 @@
     TooSlow,
     /// The gateway has no active document yet.
     NotReady,
+    /// The request has not run and never will: it has no key, or one that no configuration contains.
+    Unauthorized {
+        /// What the client is asked for.
+        challenge: &'static str,
+    },
+    /// The request has not run and never will: the gateway does not know whether its key is valid now.
+    KeyUnconfirmed {
+        /// Delay before the client should retry.
+        retry_after: Duration,
+    },
     /// The request has not run and never will; the client may retry it.
     Refused {
         /// Delay before the client should retry.
@@ -48,9 +58,14 @@
         match self {
             Self::Faulty(fault) => fault.status(),
             Self::NoRequestId => 400,
+            Self::Unauthorized { .. } => 401,
             Self::NoRoute => 404,
             Self::TooSlow => 408,
-            Self::NotReady | Self::Refused { .. } | Self::TooLate | Self::Quarantined { .. } => 503,
+            Self::NotReady
+            | Self::KeyUnconfirmed { .. }
+            | Self::Refused { .. }
+            | Self::TooLate
+            | Self::Quarantined { .. } => 503,
             Self::NoAnswer => 502,
             Self::OutOfTime => 504,
         }
@@ -59,6 +74,7 @@
     fn reason(self) -> &'static str {
         match self.status() {
             400 => "Bad Request",
+            401 => "Unauthorized",
             404 => "Not Found",
             408 => "Request Timeout",
             413 => "Content Too Large",
@@ -75,7 +91,9 @@
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Refused { retry_after } | Self::Quarantined { retry_after } => Some(retry_after),
+            Self::KeyUnconfirmed { retry_after }
+            | Self::Refused { retry_after }
+            | Self::Quarantined { retry_after } => Some(retry_after),
             Self::NotReady => Some(Duration::from_millis(500)),
             _ => None,
         }
@@ -137,6 +155,9 @@
     if let Some(after) = response.retry_after() {
         buf.put_slice(format!("Retry-After: {:.3}\r\n", after.as_secs_f64()).as_bytes());
     }
+    if let GatewayResponse::Unauthorized { challenge } = response {
+        buf.put_slice(format!("WWW-Authenticate: {challenge}\r\n").as_bytes());
+    }
     put_content_length(&mut buf, 0);
     put_head_end(&mut buf, close);
     buf.freeze()
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -61,6 +61,14 @@
     else {
         return ClientResponse::Gateway(GatewayResponse::NoRequestId);
     };
+    let (access, organisation) = match ingress.access_on_arrival(&req.headers, &route) {
+        Ok(access) => access,
+        Err(denied) => {
+            let response = ClientResponse::Gateway(denied);
+            count_response(&response, Duration::ZERO);
+            return response;
+        }
+    };
     let client_timeout = ingress.protocol.client_timeout(&req.headers);
     let timeout = client_timeout.unwrap_or(route.timeout).min(route.timeout);
     let Some(service) = ingress.next_service(&route) else {
@@ -73,6 +81,7 @@
         req,
         id,
         route,
+        (access, organisation),
         deadline,
         client_disconnected,
     ));
@@ -183,6 +192,8 @@
         match end {
             AttemptEnd::Response(response) => {
                 let is_failure = response.status >= 500;
+                // A retry that is not sent must not be answered as if the request had not run.
+                self.may_have_run |= is_failure;
                 if is_failure
                     && self.is_idempotent()
                     && (!self.attempts.is_empty() || self.retry().await)
@@ -202,6 +213,15 @@
                     },
                 }))
             }
+            AttemptEnd::Denied(denied) => {
+                if !self.attempts.is_empty() {
+                    return None;
+                }
+                Some(ClientResponse::Gateway(match self.may_have_run {
+                    true => GatewayResponse::NoAnswer,
+                    false => denied,
+                }))
+            }
             AttemptEnd::Disconnected(_) => {
                 self.crash_watch.add();
                 self.handle_unknown(AttemptOutcome::Broken).await
@@ -309,6 +329,7 @@
             time_left,
             max_latency: time_left,
             rank: self.forwarded.route.rank,
+            organisation_rank: self.forwarded.access.rank,
             needs_spare_capacity,
         }
     }
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -6,13 +6,14 @@
 
 use crate::{
     core::{
+        key_lease::AccessRejection,
         placement::AttemptOutcome,
         rate_limit::{EndpointLimits, LimitEvent, LoanAnswer},
     },
     util::metrics_table::{
         INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS,
-        INGRESS_PROBES, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE,
-        LIMITED_ENDPOINTS,
+        INGRESS_PROBES, KEY_LEASE_AGE, KEY_REJECTIONS, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS,
+        LIMIT_SHARE, LIMITED_ENDPOINTS,
     },
 };
 
@@ -42,6 +43,19 @@
     counter!(INGRESS_PROBES.name, "answered" => answered).increment(1);
 }
 
+/// Counts a request that was rejected because of its key.
+pub(super) fn count_key_rejection(reason: AccessRejection) {
+    let reason: &'static str = reason.into();
+    counter!(KEY_REJECTIONS.name, "reason" => reason).increment(1);
+}
+
+/// Shows how long ago the document was known to be the newest one; `None` if it never was.
+pub(super) fn set_key_lease_age(age: Option<Duration>) {
+    if let Some(age) = age {
+        gauge!(KEY_LEASE_AGE.name).set(age.as_secs_f64());
+    }
+}
+
 /// Counts a change of a limit.
 pub(super) fn count_limit_change(event: LimitEvent) {
     let event: &'static str = event.into();
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -1,10 +1,11 @@
 //! A gateway that routes requests by host and path to endpoints known from discovery.
 //!
-//! It does not identify callers. Everything that clients, gateway and endpoints exchange beyond
+//! Where a document has organisations, requests are identified by their keys. Everything that clients, gateway and endpoints exchange beyond
 //! plain HTTP/1.1 is supplied as an [`EndpointProtocol`]. Documents and endpoints arrive over watch
 //! channels ([`IngressFeeds`]), so the program chooses their source.
 
 mod abandoned_checks;
+mod access;
 mod attempt;
 mod client;
 mod client_response;
@@ -26,7 +27,7 @@
 
 pub use self::{
     client_response::{ClientResponse, GatewayResponse},
-    protocol::{AttemptHeaders, EndpointProtocol, ResponseMetadata},
+    protocol::{AttemptHeaders, Credentials, EndpointProtocol, ResponseMetadata},
     run::{IngressError, IngressListeners, run_ingress},
     settings::IngressSettings,
     shared::{Ingress, IngressFeeds},
--- a/crates/turmericloft/src/ops/ingress/protocol.rs
+++ b/crates/turmericloft/src/ops/ingress/protocol.rs
@@ -1,6 +1,6 @@
 //! What clients, gateway and endpoints exchange beyond plain HTTP/1.1.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use bytes::BytesMut;
 
@@ -12,6 +12,28 @@
     sources::http1::{Headers, Response},
 };
 
+/// Credentials in a client's request.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Credentials<'a> {
+    /// There are none.
+    Missing,
+    /// There are several, or what they are is not known.
+    Malformed,
+    /// The key of an organisation, never empty.
+    Key(&'a [u8]),
+}
+
+impl fmt::Debug for Credentials<'_> {
+    /// Shows nothing of a key.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Missing => "Missing",
+            Self::Malformed => "Malformed",
+            Self::Key(_) => "Key(..)",
+        })
+    }
+}
+
 /// Values that the gateway adds to a request for one endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptHeaders<'a> {
@@ -19,6 +41,8 @@
     pub timeout: Duration,
     /// Id of the endpoint that the request is for; any other endpoint rejects it.
     pub instance: &'a str,
+    /// Name of the organisation that the request is for; `None` if it is for none.
+    pub organisation: Option<&'a str>,
 }
 
 /// What an endpoint states in a response beyond plain HTTP.
@@ -51,6 +75,15 @@
     /// Reads the time for which the client waits for a response; `None` if the client states none.
     fn client_timeout(&self, headers: &Headers) -> Option<Duration>;
 
+    /// Reads the credentials in a client's request.
+    fn credentials<'a>(&self, headers: &'a Headers) -> Credentials<'a>;
+
+    /// What clients without valid credentials are asked for: value of `WWW-Authenticate`.
+    fn challenge(&self) -> &'static str;
+
+    /// Names of request headers that are not forwarded where requests need keys.
+    fn credential_headers(&self) -> &'static [&'static str];
+
     /// Names of request headers that are not forwarded, as the gateway writes its own.
     fn replaced_headers(&self) -> &'static [&'static str];
 
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -16,6 +16,7 @@
 
 use super::{
     abandoned_checks::{apply_entries, check_abandoned},
+    access::apply_newest_document,
     client::serve_client,
     limits::{apply_sharing, check_limited},
     ready::{serve_metrics, serve_readiness},
@@ -94,6 +95,10 @@
         settings.ready_listen,
     );
     tokio::spawn(apply_documents(Arc::clone(&ingress), feeds.clone()));
+    tokio::spawn(apply_newest_document(
+        Arc::clone(&ingress),
+        feeds.newest_document.clone(),
+    ));
     tokio::spawn(apply_gateway_count(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(apply_sharing(Arc::clone(&ingress), feeds.sharing.clone()));
     tokio::spawn(apply_endpoints(Arc::clone(&ingress), feeds));
@@ -164,6 +169,7 @@
             if before.is_none_or(|before| before < version) {
                 log::info!("document in force version={version} before={before:?}");
                 ingress.retain_splitters(&table);
+                ingress.activate_keys(&table);
                 ingress.table.store(Some(table));
             }
         }
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -22,6 +22,7 @@
 };
 use crate::{
     core::{
+        key_lease::{KeyAuthority, NewestDocument},
         placement::{Balancer, DiscoveredEndpoint, EndpointNotice, InstanceId, WaitQueue},
         quarantine::AbandonedAttempts,
         rate_limit::SharingGateways,
@@ -39,6 +40,8 @@
     /// The active document; `None` until one is known. The gateway ignores a version that is not
     /// newer than its active one.
     pub documents: watch::Receiver<Option<Arc<RouteTable>>>,
+    /// What is known of the newest document.
+    pub newest_document: watch::Receiver<NewestDocument>,
     /// All endpoints of all services; `None` until they are known.
     pub endpoints: watch::Receiver<Option<Arc<Vec<DiscoveredEndpoint>>>>,
     /// Number of gateways that share the endpoints, including this one; `None` until it is known.
@@ -60,6 +63,8 @@
     /// Notified when an attempt is added to `abandoned`.
     pub(super) attempt_abandoned: Notify,
     pub(super) table: ArcSwapOption<RouteTable>,
+    /// Decides on the keys of requests.
+    pub(super) keys: Mutex<KeyAuthority>,
     pub(super) balancer: Mutex<Balancer>,
     pub(super) queue: Mutex<WaitQueue>,
     /// Notified when an attempt ends or a request leaves the queue, so that queued requests check
@@ -108,6 +113,7 @@
         let budget = settings.retry_budget.clone();
         let zone = Arc::clone(&settings.zone);
         let balancer = Balancer::new(zone, budget, Pcg64Mcg::seed_from_u64(seed));
+        let keys = Mutex::new(KeyAuthority::new(settings.key_rules));
         Arc::new(Self {
             settings,
             clock,
@@ -116,6 +122,7 @@
             abandoned: Mutex::default(),
             attempt_abandoned: Notify::new(),
             table: ArcSwapOption::empty(),
+            keys,
             balancer: Mutex::new(balancer),
             queue: Mutex::new(WaitQueue::new()),
             capacity_freed: Notify::new(),
--- a/crates/turmericloft/src/ops/relay/active_document.rs
+++ b/crates/turmericloft/src/ops/relay/active_document.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     core::{
+        key_lease::NewestDocument,
         relay::{DocumentAsOf, DocumentFreshness, DocumentNotice, DocumentTimings},
         traffic::{RouteTable, TrafficDocument},
     },
@@ -32,6 +33,8 @@
     /// Newest document version known to exist, whether or not that document was received.
     newest_version: watch::Sender<u64>,
     freshness: Mutex<DocumentFreshness>,
+    /// That version, and as of when it is the newest one.
+    newest: watch::Sender<NewestDocument>,
     /// Notified after every confirmation of the newest version.
     confirmed: watch::Sender<()>,
 }
@@ -45,6 +48,7 @@
             published: watch::Sender::new(None),
             newest_version: watch::Sender::new(0),
             freshness: Mutex::new(DocumentFreshness::new(timings)),
+            newest: watch::Sender::new(NewestDocument::default()),
             confirmed: watch::Sender::new(()),
         }
     }
@@ -89,6 +93,25 @@
             *newest = (*newest).max(version);
             is_newer
         });
+        self.publish_newest();
+    }
+
+    /// Receives what is known of the newest document whenever it changes.
+    pub(super) fn newest_documents(&self) -> watch::Receiver<NewestDocument> {
+        self.newest.subscribe()
+    }
+
+    /// Publishes the instant together with a version that was known to exist no earlier than the instant was: a
+    /// version that is recorded in between is newer, for which the instant holds too.
+    fn publish_newest(&self) {
+        self.newest.send_if_modified(|newest| {
+            let as_of = self.freshness.lock().as_of();
+            let known = NewestDocument {
+                version: self.newest_version(),
+                as_of,
+            };
+            std::mem::replace(newest, known) != known
+        });
     }
 
     /// The active document, if it is newer than `version` and small enough to be relayed.
@@ -119,7 +142,9 @@
     /// Records that a read which started at `read_started` found no newer document than the newest known
     /// version, which has to be recorded before.
     pub fn confirm(&self, read_started: Instant) {
-        if self.freshness.lock().record_read(read_started) {
+        let is_later = self.freshness.lock().record_read(read_started);
+        if is_later {
+            self.publish_newest();
             self.confirmed.send_replace(());
         }
     }
@@ -127,7 +152,9 @@
     /// Records what an upstream says in response to the poll that was sent at `polled_at`.
     pub(super) fn confirm_relayed(&self, polled_at: Instant, as_of: DocumentAsOf) {
         let now = self.clock.now();
-        if self.freshness.lock().record_relayed(now, polled_at, as_of) {
+        let is_later = self.freshness.lock().record_relayed(now, polled_at, as_of);
+        if is_later {
+            self.publish_newest();
             self.confirmed.send_replace(());
         }
     }
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -263,6 +263,24 @@
     help: "Changes of what this gateway knows of the limits of endpoints, by what has changed",
 };
 
+/// Requests rejected because of their keys.
+pub const KEY_REJECTIONS: Metric = Metric {
+    name: "turmericloft_ingress_key_rejections_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &["reason"],
+    help: "Requests rejected because of their keys, by reason",
+};
+
+/// Time since the active document was known to be the newest one.
+pub const KEY_LEASE_AGE: Metric = Metric {
+    name: "turmericloft_ingress_key_lease_age_seconds",
+    kind: MetricKind::Gauge,
+    unit: "seconds",
+    labels: &[],
+    help: "Time since the active configuration was known to be the newest one, by which keys may be used",
+};
+
 /// Calls to the platform's store.
 pub const STORE_CALLS: Metric = Metric {
     name: "turmericloft_store_calls_total",
@@ -300,7 +318,7 @@
 };
 
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 30] = [
+pub const ALL: [Metric; 32] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -327,6 +345,8 @@
     LIMIT_HELD_BACK,
     LIMIT_LOANS,
     LIMIT_CHANGES,
+    KEY_REJECTIONS,
+    KEY_LEASE_AGE,
     STORE_CALLS,
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -6,6 +6,7 @@
 use tokio_util::sync::CancellationToken;
 use turmericloft::{
     core::{
+        key_lease::{KeyRules, LeaseTimings, NewestDocument},
         placement::{DiscoveredEndpoint, EndpointState, RetryBudget},
         traffic::{
             Destination, RequestLimits, Route, RouteKind, RouteTable, ServiceSettings,
@@ -22,11 +23,17 @@
 /// Timeout and target latency that no test reaches.
 pub const LONG_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time within which a revocation has to be effective.
+pub const REVOCATION: Duration = Duration::from_secs(5);
+/// Time within which a document has to be active at every gateway.
+pub const CONFIG_DEADLINE: Duration = Duration::from_secs(2);
+
 /// A running gateway.
 pub struct Gateway {
     pub clients: SocketAddr,
     pub ready: SocketAddr,
     pub documents: watch::Sender<Option<Arc<RouteTable>>>,
+    pub newest: watch::Sender<NewestDocument>,
     pub stop: CancellationToken,
     pub running: JoinHandle<()>,
     pub quarantine: Arc<SharedQuarantine>,
@@ -58,12 +65,14 @@
         let known = endpoints.iter().enumerate();
         let known = known.map(|(i, e)| discovered(i, e.address)).collect();
         let (documents, documents_rx) = watch::channel(None);
+        let (newest, newest_document) = watch::channel(NewestDocument::default());
         let (endpoints_tx, endpoints_rx) = watch::channel(None);
         let (_, gateways) = watch::channel(Some(1));
         let (_, sharing) = watch::channel(None);
         let feeds = IngressFeeds {
             sharing,
             documents: documents_rx,
+            newest_document,
             endpoints: endpoints_rx,
             gateways,
         };
@@ -75,6 +84,7 @@
             clients,
             ready,
             documents,
+            newest,
             stop,
             running,
             quarantine,
@@ -102,7 +112,7 @@
     }
 }
 
-fn route(name: &str, prefix: &str, kind: RouteKind) -> Route {
+pub fn route(name: &str, prefix: &str, kind: RouteKind) -> Route {
     Route {
         name: name.into(),
         host: "h".into(),
@@ -147,5 +157,9 @@
         max_endpoint_probe_rate: None,
         body_memory_bytes: 1 << 20,
         retry_budget: RetryBudget::new(Duration::from_secs(10), 1.0, 10.0),
+        key_rules: KeyRules {
+            lease: Some(LeaseTimings::new(REVOCATION)),
+            config_deadline: CONFIG_DEADLINE,
+        },
     }
 }
--- a/crates/turmericloft/tests/testsuite/ingress/protocol.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/protocol.rs
@@ -8,7 +8,7 @@
         placement::{EndpointNotice, LoadReport},
         rate_limit::{RateLimit, StatedLimit},
     },
-    ops::ingress::{AttemptHeaders, EndpointProtocol, ResponseMetadata},
+    ops::ingress::{AttemptHeaders, Credentials, EndpointProtocol, ResponseMetadata},
     sources::http1::{Headers, Response},
 };
 
@@ -28,6 +28,22 @@
             .map(Duration::from_millis)
     }
 
+    fn credentials<'a>(&self, headers: &'a Headers) -> Credentials<'a> {
+        match headers.get_str("Key") {
+            None => Credentials::Missing,
+            Some("") => Credentials::Malformed,
+            Some(key) => Credentials::Key(key.as_bytes()),
+        }
+    }
+
+    fn challenge(&self) -> &'static str {
+        "Test"
+    }
+
+    fn credential_headers(&self) -> &'static [&'static str] {
+        &["Key", "Organisation"]
+    }
+
     fn replaced_headers(&self) -> &'static [&'static str] {
         &["Left-Ms", "Instance"]
     }
@@ -40,6 +56,9 @@
         let left = headers.timeout.as_millis();
         let lines = format!("Left-Ms: {left}\r\nInstance: {}\r\n", headers.instance);
         buf.put_slice(lines.as_bytes());
+        if let Some(name) = headers.organisation {
+            buf.put_slice(format!("Organisation: {name}\r\n").as_bytes());
+        }
     }
 
     fn read_metadata<'a>(&self, response: &'a Response) -> ResponseMetadata<'a> {
--- a/crates/turmericloft/tests/testsuite/placement/balancer.rs
+++ b/crates/turmericloft/tests/testsuite/placement/balancer.rs
@@ -192,6 +192,7 @@
     let start = Instant::now();
     let urgent = PlacementRequest {
         rank: 0,
+        organisation_rank: 0,
         ..request(&[])
     };
     let mut balancer = balancer(start, &endpoints(1));
--- a/crates/turmericloft/tests/testsuite/placement/mod.rs
+++ b/crates/turmericloft/tests/testsuite/placement/mod.rs
@@ -46,6 +46,7 @@
         target_latency: Duration::from_millis(300),
         time_left: Duration::from_millis(1_000),
         rank: 2,
+        organisation_rank: 0,
         needs_spare_capacity: false,
         max_latency: Duration::from_millis(1_000),
     }
--- a/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
@@ -85,6 +85,7 @@
         target_latency: Duration::from_millis(300),
         time_left: Duration::from_secs(1),
         rank: 2,
+        organisation_rank: 0,
         needs_spare_capacity: false,
         max_latency: Duration::from_secs(1),
     }
