--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod evacuation;
 pub mod guard;
 mod host_id;
+pub mod key_lease;
 pub mod membership;
 mod name;
 mod outcome;
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -272,6 +272,24 @@
     help: "Zones that the operator has evacuated, to which this gateway sends nothing",
 };
 
+/// Requests rejected because of their keys.
+pub const KEY_REJECTIONS: Metric = Metric {
+    name: "turmericloft_ingress_key_rejections_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &["reason"],
+    help: "Requests rejected because of their keys, by reason",
+};
+
+/// Time since the active document was known to be the newest one.
+pub const KEY_LEASE_AGE: Metric = Metric {
+    name: "turmericloft_ingress_key_lease_age_seconds",
+    kind: MetricKind::Gauge,
+    unit: "seconds",
+    labels: &[],
+    help: "Time since the active configuration was known to be the newest one, by which keys may be used",
+};
+
 /// Calls to the platform's store.
 pub const STORE_CALLS: Metric = Metric {
     name: "turmericloft_store_calls_total",
@@ -309,7 +327,7 @@
 };
 
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 31] = [
+pub const ALL: [Metric; 33] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -337,6 +355,8 @@
     LIMIT_LOANS,
     LIMIT_CHANGES,
     EVACUATED_ZONES,
+    KEY_REJECTIONS,
+    KEY_LEASE_AGE,
     STORE_CALLS,
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod faults;
 mod gateway;
+mod organisations;
 mod pipelining;
 mod protocol;
 mod routes;
