--- a/crates/turmericloft/src/sources/http1/header.rs
+++ b/crates/turmericloft/src/sources/http1/header.rs
@@ -1,5 +1,7 @@
 //! Header fields as received, sliced from the message head without copying.
 
+use std::fmt;
+
 use bytes::{Bytes, BytesMut};
 
 /// Hop-by-hop headers, which are not forwarded.
@@ -15,8 +17,11 @@
     "upgrade",
 ];
 
+/// Headers whose values are secret.
+const SECRET: [&str; 2] = ["authorization", "proxy-authorization"];
+
 /// A header field.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct Header {
     /// Name, in the sender's letter case.
     pub name: Bytes,
@@ -31,6 +36,18 @@
     }
 }
 
+impl fmt::Debug for Header {
+    /// Shows no secret value, so that it does not get into a log.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut shown = f.debug_struct("Header");
+        shown.field("name", &self.name);
+        if SECRET.iter().any(|name| self.has_name(name)) {
+            return shown.finish_non_exhaustive();
+        }
+        shown.field("value", &self.value).finish()
+    }
+}
+
 /// Header fields of a message, in the order received. Lookups by name ignore ASCII case.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Headers(Vec<Header>);
--- a/crates/turmericloft/tests/testsuite/ingress/organisations.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/organisations.rs
@@ -241,3 +241,35 @@
     });
     assert_eq!(moved.await, (502, 1), "of another organisation");
 }
+
+/// All slots are taken; while a request waits for one, its key is revoked.
+#[tokio::test]
+async fn request_whose_key_is_revoked_while_it_waits_for_capacity_does_not_run() {
+    const SLOTS: usize = 16;
+    let script = super::endpoint::Script::new(&[Behaviour::Respond], Behaviour::Hold);
+    let endpoint = Endpoint::start_with_script(&script).await;
+    let deployment = Deployment::start(std::slice::from_ref(&endpoint)).await;
+    let front = deployment.gateway.clients;
+    let mut clients = Vec::new();
+    for i in 0..SLOTS {
+        let mut client = Client::connect(front).await;
+        let target = format!("/act/{i}");
+        client.send(&with("POST", &target, "Key: k1\r\n")).await;
+        endpoint.arrived.acquire().await.expect("open").forget();
+        clients.push(client);
+    }
+    let mut waiting = Client::connect(front).await;
+    waiting
+        .send(&with("POST", "/act/late", "Key: k1\r\n"))
+        .await;
+    // The response to another client shows that the gateway has read the request before.
+    let mut other = Client::connect(front).await;
+    assert_eq!(other.call("GET", "/none", "r").await.status, 404);
+    deployment.activate(3, &["k2"]);
+    deployment.confirm(3);
+    deployment.call_until("k1", 503).await;
+    endpoint.release.add_permits(SLOTS + 1);
+    let status = waiting.response().await.expect("a response").status;
+    assert!(matches!(status, 401 | 503), "{status}");
+    assert!(endpoint.ran().iter().all(|run| run.target != "/act/late"));
+}
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod host_list;
 mod http1;
 mod ingress;
+mod key_lease;
 mod log_service;
 mod log_writer;
 mod metric_names;
