Entries of gateways give the port for questions about limits

A gateway sent its questions for loans to its own port number at the other host. Gateways whose settings give other internal ports never got them, so they lent nothing.

--- a/crates/turmericloft/src/core/relay/relay_member.rs
+++ b/crates/turmericloft/src/core/relay/relay_member.rs
@@ -13,4 +13,7 @@
     pub zone: Arc<str>,
     /// Address on which the gateway accepts connections of followers.
     pub address: SocketAddr,
+    /// UDP port on which the gateway answers questions about limits and quotas; `None` if its entry does not
+    /// give it.
+    pub datagram_port: Option<u16>,
 }
--- a/crates/turmericloft/src/ops/loan_socket.rs
+++ b/crates/turmericloft/src/ops/loan_socket.rs
@@ -57,7 +57,7 @@
 }
 
 impl LoanSocket {
-    /// Opens the socket on `address`. All gateways use the same port for it.
+    /// Opens the socket on `address`. Other gateways learn its port from the list of gateways.
     pub async fn bind(
         address: SocketAddr,
         members: watch::Receiver<Option<Vec<RelayMember>>>,
@@ -94,9 +94,13 @@
     }
 
     fn address_of(&self, host: &str) -> Option<SocketAddr> {
-        let port = self.socket.local_addr().ok()?.port();
         let members = self.members.borrow();
         let member = members.iter().flatten().find(|m| &*m.host == host)?;
+        // An entry without a port is from a gateway that expects others to use one port for all.
+        let port = match member.datagram_port {
+            Some(port) => port,
+            None => self.socket.local_addr().ok()?.port(),
+        };
         Some(SocketAddr::new(member.address.ip(), port))
     }
 
--- a/crates/turmericloft/tests/testsuite/relay/connections.rs
+++ b/crates/turmericloft/tests/testsuite/relay/connections.rs
@@ -76,6 +76,7 @@
         host: other,
         zone: "a".into(),
         address: upstream,
+        datagram_port: None,
     };
     let (tx, members) = watch::channel(Some(vec![member]));
     let following = follow_upstream(Arc::clone(&hub), host, chooser, members);
--- a/crates/turmericloft/tests/testsuite/relay/mod.rs
+++ b/crates/turmericloft/tests/testsuite/relay/mod.rs
@@ -41,6 +41,7 @@
         host: host.into(),
         zone: zone.into(),
         address: "127.0.0.1:1".parse().expect("an address"),
+        datagram_port: None,
     }
 }
 
