Quotas of organisations: owners, grants, and questions over UDP

Counting at each gateway would multiply the quota of an organisation, and one counter for all would end with its host. The allowance of a window is divided among eight owners, chosen by a hash of organisation and host. Each counts its grants in a sliding window that is longer than the users' by the longest way of a request, so what arrives stays within the allowance. A gateway takes a grant for each attempt after placement, asks up to four owners by what they have left, and gives back what was not run.

Owners hear when requests of large organisations arrived, so that grants count no longer than needed. The list of gateways has a validity of its own for quotas, and is read every 15 s while they are in use. Messages share the socket of loans; their version is now 2.

In a simulation with 17, 99 and 300 gateways, no request of an organisation that sends all its quota allows is rejected.

--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod placement;
 mod problem;
 pub mod quarantine;
+pub mod quota;
 pub mod rate_limit;
 pub mod relay;
 pub mod routing;
--- a/crates/turmericloft/src/core/rate_limit/sharing_gateways.rs
+++ b/crates/turmericloft/src/core/rate_limit/sharing_gateways.rs
@@ -71,11 +71,16 @@
 
     /// As of when a list may be used for shares; `None` before the gateway is listed.
     pub fn usable_from(&self) -> Option<Instant> {
+        self.usable_after(JOIN_DELAY)
+    }
+
+    /// Like [`usable_from`](Self::usable_from) for a right that a gateway which joins uses after `join_delay`.
+    pub fn usable_after(&self, join_delay: Duration) -> Option<Instant> {
         let listed_at = self.listed_at?;
         let is_listed_in_time = listed_at <= self.started_at + BOOTSTRAP_LISTING;
         Some(match self.is_bootstrap && is_listed_in_time {
             true => self.started_at + BOOTSTRAP_COMPLETE,
-            false => listed_at + JOIN_DELAY,
+            false => listed_at + join_delay,
         })
     }
 }
@@ -87,6 +92,7 @@
     hosts: Vec<Arc<str>>,
     as_of: Instant,
     usable_from: Instant,
+    quota_usable_from: Instant,
 }
 
 impl SharingGateways {
@@ -98,9 +104,33 @@
             hosts,
             as_of,
             usable_from,
+            quota_usable_from: usable_from,
+        }
+    }
+
+    /// Sets as of when a list gives the gateway parts of the quotas of organisations, if that differs.
+    pub fn with_quota_start(self, quota_usable_from: Instant) -> Self {
+        Self {
+            quota_usable_from,
+            ..self
         }
     }
 
+    /// Hosts of all gateways.
+    pub fn hosts(&self) -> &[Arc<str>] {
+        &self.hosts
+    }
+
+    /// When the read of the list began.
+    pub fn as_of(&self) -> Instant {
+        self.as_of
+    }
+
+    /// As of when a list gives the gateway parts of the quotas of organisations.
+    pub fn quota_usable_from(&self) -> Instant {
+        self.quota_usable_from
+    }
+
     /// Number of gateways.
     pub fn count(&self) -> usize {
         self.hosts.len()
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -23,6 +23,7 @@
         guard::Fingerprint,
         placement::{AttemptOutcome, LoadReport},
         quarantine::Crash,
+        rate_limit::MAX_TRANSIT,
         traffic::{Organisation, Route},
     },
     sources::http1::{ClientConnection, ExchangeError, Request, Response, ResponseLimits},
@@ -131,6 +132,9 @@
     let sending = send_request(&ingress, &forwarded, &in_flight, &mut followed);
     let (end, outcome, load) = sending.await;
     followed.record_end(&end);
+    if let Some(grant) = in_flight.grant() {
+        grant.settle(&end);
+    }
     if outcome != AttemptOutcome::Answered {
         let endpoint = &in_flight.placement().endpoint;
         let now = ingress.now();
@@ -175,7 +179,7 @@
     if forwarded.is_past_deadline(now) {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
-    if !ingress.may_still_send(now, in_flight.placement()) {
+    if !may_still_send(ingress, now, in_flight) {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
     let pooled = ingress.pool.take(now, &endpoint.id, forwarded.route.kind);
@@ -195,7 +199,7 @@
     let now = ingress.now();
     if forwarded.client_disconnected.is_cancelled()
         || forwarded.is_past_deadline(now)
-        || !ingress.may_still_send(now, in_flight.placement())
+        || !may_still_send(ingress, now, in_flight)
     {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
@@ -204,6 +208,24 @@
     classify(ingress, in_flight, connection, result)
 }
 
+/// Whether the request may still be sent by the limit of its endpoint and the quota of its organisation.
+fn may_still_send(ingress: &Ingress, now: Instant, in_flight: &InFlightAttempt) -> bool {
+    in_flight.grant().is_none_or(|grant| grant.is_valid(now))
+        && ingress.may_still_send(now, in_flight.placement())
+}
+
+/// Has the connection closed if what is sent does not arrive soon, where a limit or a quota counts arrivals.
+fn bound_transit(
+    ingress: &Ingress,
+    in_flight: &InFlightAttempt,
+    connection: &ClientConnection,
+) -> Result<(), ExchangeError> {
+    if in_flight.grant().is_some() {
+        connection.set_user_timeout(MAX_TRANSIT)?;
+    }
+    ingress.bound_transit(&in_flight.placement().endpoint.id, connection)
+}
+
 /// Returns `None` if no response arrived in time.
 async fn exchange(
     ingress: &Ingress,
@@ -222,7 +244,7 @@
             instance,
         },
     );
-    if let Err(e) = ingress.bound_transit(instance, connection) {
+    if let Err(e) = bound_transit(ingress, in_flight, connection) {
         return Some(Err(e));
     }
     let is_own_response = |response: &Response| {
--- a/crates/turmericloft/src/ops/ingress/client_response.rs
+++ b/crates/turmericloft/src/ops/ingress/client_response.rs
@@ -36,6 +36,16 @@
         /// Time until the quarantine ends.
         retry_after: Duration,
     },
+    /// The quota of its organisation is used up. The request has not run and never will.
+    QuotaExhausted {
+        /// Time until credit is due.
+        retry_after: Duration,
+    },
+    /// No owner of a part of the organisation's quota answers. The request has not run and never will.
+    QuotaUnavailable {
+        /// Delay before the client should retry.
+        retry_after: Duration,
+    },
     /// The request may have run; no complete response arrived.
     NoAnswer,
     /// The request may have run; no response arrived before the deadline.
@@ -50,6 +60,8 @@
             Self::NoRequestId => 400,
             Self::NoRoute => 404,
             Self::TooSlow => 408,
+            Self::QuotaExhausted { .. } => 429,
+            Self::QuotaUnavailable { .. } => 503,
             Self::NotReady | Self::Refused { .. } | Self::TooLate | Self::Quarantined { .. } => 503,
             Self::NoAnswer => 502,
             Self::OutOfTime => 504,
@@ -62,6 +74,7 @@
             404 => "Not Found",
             408 => "Request Timeout",
             413 => "Content Too Large",
+            429 => "Too Many Requests",
             431 => "Request Header Fields Too Large",
             502 => "Bad Gateway",
             503 => "Service Unavailable",
@@ -76,6 +89,9 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Refused { retry_after } | Self::Quarantined { retry_after } => Some(retry_after),
+            Self::QuotaExhausted { retry_after } | Self::QuotaUnavailable { retry_after } => {
+                Some(retry_after)
+            }
             Self::NotReady => Some(Duration::from_millis(500)),
             _ => None,
         }
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -17,6 +17,7 @@
     in_flight_attempt::InFlightAttempt,
     loans::place_on_loan,
     metrics::{count_held_back, count_response},
+    quotas::{OpenGrant, quota_rejection, take_grant},
     shared::Ingress,
     wait::{place_or_wait, probe_and_place},
 };
@@ -146,6 +147,9 @@
         if let Some(refusal) = refusal(&self.ingress, &self.forwarded) {
             return ClientResponse::Gateway(refusal);
         }
+        if let Some(rejection) = quota_rejection(&self.ingress, &self.forwarded) {
+            return ClientResponse::Gateway(rejection);
+        }
         let first = match self.place_first().await {
             Ok(placement) => placement,
             Err(unplaced) => return rejection(unplaced),
@@ -155,10 +159,17 @@
             self.release(first);
             return ClientResponse::Gateway(refusal);
         }
+        let grant = match take_grant(&self.ingress, &self.forwarded).await {
+            Ok(grant) => grant,
+            Err(rejection) => {
+                self.release(first);
+                return ClientResponse::Gateway(rejection);
+            }
+        };
         let target = self.forwarded.route.target_latency;
         let hedge_at_first = hedge_at(&first, self.arrived + target);
         let mut hedge_at = Some(hedge_at_first).filter(|_| self.is_idempotent());
-        self.start(first);
+        self.start(first, grant);
         let clock = self.ingress.clock.clone();
         loop {
             let at = hedge_at.unwrap_or(self.forwarded.deadline);
@@ -250,7 +261,11 @@
             self.release(placement);
             return false;
         }
-        self.start(placement);
+        let Ok(grant) = take_grant(&self.ingress, &self.forwarded).await else {
+            self.release(placement);
+            return false;
+        };
+        self.start(placement, grant);
         true
     }
 
@@ -315,9 +330,10 @@
 
     /// Starts an attempt. An at-most-once attempt runs in a task of its own, so that it continues
     /// when its client disconnects.
-    fn start(&mut self, placement: Placement) {
+    fn start(&mut self, placement: Placement, grant: Option<OpenGrant>) {
         self.tried.push(placement.endpoint.id.clone());
         let in_flight = InFlightAttempt::new(Arc::clone(&self.ingress), placement);
+        let in_flight = in_flight.with_grant(grant);
         let ingress = Arc::clone(&self.ingress);
         let attempt = run_attempt(ingress, Arc::clone(&self.forwarded), in_flight);
         if self.is_idempotent() {
--- a/crates/turmericloft/src/ops/ingress/in_flight_attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/in_flight_attempt.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{metrics::count_attempt, shared::Ingress};
+use super::{metrics::count_attempt, quotas::OpenGrant, shared::Ingress};
 use crate::core::placement::{AttemptOutcome, LoadReport, Placement};
 
 /// An attempt in flight. It is recorded as abandoned if it is dropped before [`end`](Self::end).
@@ -10,6 +10,8 @@
 pub(super) struct InFlightAttempt {
     ingress: Arc<Ingress>,
     placement: Placement,
+    /// Grant by the quota of the request's organisation; `None` if that has no quota.
+    grant: Option<OpenGrant>,
     has_ended: bool,
 }
 
@@ -18,10 +20,22 @@
         Self {
             ingress,
             placement,
+            grant: None,
             has_ended: false,
         }
     }
 
+    /// Adds the grant by the quota of the request's organisation.
+    pub(super) fn with_grant(mut self, grant: Option<OpenGrant>) -> Self {
+        self.grant = grant;
+        self
+    }
+
+    /// The grant; `None` if the request's organisation has no quota.
+    pub(super) fn grant(&self) -> Option<&OpenGrant> {
+        self.grant.as_ref()
+    }
+
     pub(super) fn placement(&self) -> &Placement {
         &self.placement
     }
--- a/crates/turmericloft/src/ops/ingress/limits.rs
+++ b/crates/turmericloft/src/ops/ingress/limits.rs
@@ -78,6 +78,7 @@
 
     /// Sets which gateways share the limits of endpoints.
     pub(super) fn set_sharing(&self, sharing: SharingGateways) {
+        self.set_quota_gateways(&sharing);
         let mut balancer = self.balancer.lock();
         balancer.set_sharing(self.now(), sharing);
         set_limit_gauges(balancer.limits());
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -7,12 +7,13 @@
 use crate::{
     core::{
         placement::AttemptOutcome,
+        quota::QuotaAnswer,
         rate_limit::{EndpointLimits, LimitEvent, LoanAnswer},
     },
     util::metrics_table::{
         INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS,
         INGRESS_PROBES, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE,
-        LIMITED_ENDPOINTS,
+        LIMITED_ENDPOINTS, QUOTA_ANSWERS, QUOTA_OWNED_PARTS, QUOTA_REJECTIONS,
     },
 };
 
@@ -68,3 +69,24 @@
     };
     counter!(LIMIT_LOANS.name, "side" => side, "result" => result).increment(1);
 }
+
+/// Counts an answer about a quota on the `side` that asked or owned; `None` if there was no response.
+pub(super) fn count_quota_answer(side: &'static str, answer: Option<QuotaAnswer>) {
+    let result = match answer {
+        Some(QuotaAnswer::Granted { .. }) => "granted",
+        Some(QuotaAnswer::Denied { .. }) => "denied",
+        Some(QuotaAnswer::NoPart) => "no-part",
+        None => "lost",
+    };
+    counter!(QUOTA_ANSWERS.name, "side" => side, "result" => result).increment(1);
+}
+
+/// Counts a request that was rejected by a quota.
+pub(super) fn count_quota_rejection(reason: &'static str) {
+    counter!(QUOTA_REJECTIONS.name, "reason" => reason).increment(1);
+}
+
+/// Shows of how many organisations this gateway owns a part of the quota.
+pub(super) fn set_owned_parts(parts: usize) {
+    gauge!(QUOTA_OWNED_PARTS.name).set(parts as f64);
+}
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod probe;
 mod protocol;
+mod quotas;
 mod ready;
 mod run;
 mod settings;
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -164,6 +164,7 @@
             if before.is_none_or(|before| before < version) {
                 log::info!("document in force version={version} before={before:?}");
                 ingress.retain_splitters(&table);
+                ingress.note_quotas(&table);
                 ingress.table.store(Some(table));
             }
         }
--- a/crates/turmericloft/src/ops/ingress/settings.rs
+++ b/crates/turmericloft/src/ops/ingress/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::core::placement::RetryBudget;
+use crate::core::{placement::RetryBudget, quota::QuotaBounds};
 
 /// Settings of an ingress gateway that depend on the platform it runs on.
 #[derive(Clone, Debug)]
@@ -29,4 +29,6 @@
     pub body_memory_bytes: usize,
     /// Budget for the retries that this gateway sends, applied to each service separately.
     pub retry_budget: RetryBudget,
+    /// What is accepted of an organisation beyond its quota.
+    pub quota_bounds: QuotaBounds,
 }
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -24,6 +24,7 @@
     core::{
         placement::{Balancer, DiscoveredEndpoint, EndpointNotice, InstanceId, WaitQueue},
         quarantine::AbandonedAttempts,
+        quota::Quotas,
         rate_limit::SharingGateways,
         traffic::{Route, RouteTable, Splitter},
     },
@@ -79,6 +80,10 @@
     pub(super) loans: OnceLock<Arc<LoanSocket>>,
     /// Endpoints whose limits have ended by responses to this gateway, which others do not know yet.
     pub(super) ended_limits: Mutex<Vec<InstanceId>>,
+    /// Quotas of organisations: the parts that this gateway owns, and the owners that it asks.
+    pub(super) quotas: Mutex<Quotas>,
+    /// Notified when the time of the next read of the list of gateways may have changed because of quotas.
+    pub(super) quotas_used: Notify,
     splitters: Mutex<HashMap<Arc<str>, Splitter>>,
     rng: Mutex<Pcg64Mcg>,
     open_requests: AtomicUsize,
@@ -107,6 +112,12 @@
         let body_budget = BodyBudget::new(settings.body_memory_bytes);
         let budget = settings.retry_budget.clone();
         let zone = Arc::clone(&settings.zone);
+        let first_grant = Pcg64Mcg::seed_from_u64(seed.rotate_left(16)).random();
+        let quotas = Quotas::new(
+            settings.quota_bounds,
+            Arc::clone(&settings.host),
+            first_grant,
+        );
         let balancer = Balancer::new(zone, budget, Pcg64Mcg::seed_from_u64(seed));
         Arc::new(Self {
             settings,
@@ -127,6 +138,8 @@
             limits_changed: watch::Sender::new(()),
             loans: OnceLock::new(),
             ended_limits: Mutex::default(),
+            quotas: Mutex::new(quotas),
+            quotas_used: Notify::new(),
             splitters: Mutex::default(),
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed.rotate_left(32))),
             open_requests: AtomicUsize::new(0),
--- a/crates/turmericloft/src/ops/loan_socket.rs
+++ b/crates/turmericloft/src/ops/loan_socket.rs
@@ -1,6 +1,8 @@
-//! Asks other gateways for loans of their shares of a limit, and responds to them, over UDP.
+//! Asks other gateways for loans of their shares of a limit and for grants of quotas, and responds to them, over
+//! UDP.
 //!
-//! A lost datagram costs a request that is rejected, and a share that is not used once.
+//! A lost datagram costs a request that is rejected, and a share that is not used once; a question about a quota
+//! goes to another owner.
 
 use std::{
     collections::HashMap,
@@ -24,35 +26,43 @@
 
 use super::ingress::Ingress;
 use crate::core::{
+    quota::{QuotaAnswer, QuotaRequest, QuotaResponse, QuotaSettlement},
     rate_limit::{Lender, LoanAnswer, LoanRequest, LoanResponse, RateLimit},
     relay::RelayMember,
 };
 
 /// Version of the message format. It has to change with every change of the format.
-const MESSAGE_VERSION: u16 = 1;
+const MESSAGE_VERSION: u16 = 2;
 /// Maximum length of a message: an id of an endpoint and a few numbers.
 const MAX_MESSAGE_BYTES: usize = 1_024;
 /// Delay after a failed receive, so that the loop does not spin.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 #[derive(Serialize, Deserialize)]
-enum LoanMessage {
+pub(super) enum LoanMessage {
     Request(LoanRequest),
     Response(LoanResponse),
+    QuotaRequest(QuotaRequest),
+    QuotaResponse(QuotaResponse),
+    QuotaSettlement(QuotaSettlement),
 }
 
-/// A request for a loan without a response.
-struct PendingLoan {
+/// A question without a response.
+pub(super) struct Pending<A> {
     peer: SocketAddr,
-    answer: oneshot::Sender<LoanAnswer>,
+    answer: oneshot::Sender<A>,
 }
 
+/// Questions without a response, by their numbers.
+pub(super) type PendingQuestions<A> = Mutex<HashMap<u64, Pending<A>>>;
+
 /// The socket of one gateway.
 pub struct LoanSocket {
     socket: UdpSocket,
     /// All gateways, by whose addresses others are asked; `None` until they are known.
     members: watch::Receiver<Option<Vec<RelayMember>>>,
-    pending: Mutex<HashMap<u64, PendingLoan>>,
+    pending: PendingQuestions<LoanAnswer>,
+    pub(super) pending_quotas: PendingQuestions<QuotaAnswer>,
     next_number: AtomicU64,
 }
 
@@ -66,6 +76,7 @@
             socket: UdpSocket::bind(address).await?,
             members,
             pending: Mutex::default(),
+            pending_quotas: Mutex::default(),
             // A response to a request of an earlier process is not taken for one to this one.
             next_number: AtomicU64::new(rand::rng().random()),
         }))
@@ -74,26 +85,34 @@
     /// Asks a gateway for a loan; `None` if it is not known or does not respond. The request is forgotten when
     /// the future is dropped.
     pub(super) async fn ask(&self, lender: &Lender) -> Option<LoanAnswer> {
-        let peer = self.address_of(&lender.host)?;
-        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
-        let (tx, rx) = oneshot::channel();
-        let _forgotten = Forget {
-            pending: &self.pending,
-            number,
-        };
-        self.pending
-            .lock()
-            .insert(number, PendingLoan { peer, answer: tx });
-        let request = LoanRequest {
-            number,
-            endpoint: lender.endpoint.clone(),
-            per_second: lender.limit.per_second(),
+        let message = |number| {
+            LoanMessage::Request(LoanRequest {
+                number,
+                endpoint: lender.endpoint.clone(),
+                per_second: lender.limit.per_second(),
+            })
         };
-        self.send(peer, &LoanMessage::Request(request)).await;
+        self.ask_host(&lender.host, &self.pending, message).await
+    }
+
+    /// Asks the gateway on `host`; `None` if it is not known or does not respond. The question is forgotten when
+    /// the future is dropped.
+    pub(super) async fn ask_host<A>(
+        &self,
+        host: &str,
+        pending: &PendingQuestions<A>,
+        message: impl FnOnce(u64) -> LoanMessage,
+    ) -> Option<A> {
+        let peer = self.address_of(host)?;
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let (answer, rx) = oneshot::channel();
+        let _forgotten = Forget { pending, number };
+        pending.lock().insert(number, Pending { peer, answer });
+        self.send(peer, &message(number)).await;
         rx.await.ok()
     }
 
-    fn address_of(&self, host: &str) -> Option<SocketAddr> {
+    pub(super) fn address_of(&self, host: &str) -> Option<SocketAddr> {
         let members = self.members.borrow();
         let member = members.iter().flatten().find(|m| &*m.host == host)?;
         // An entry without a port is from a gateway that expects others to use one port for all.
@@ -132,25 +151,23 @@
                 };
                 self.send(peer, &LoanMessage::Response(response)).await;
             }
-            Some(LoanMessage::Response(response)) => self.complete(peer, response),
+            Some(LoanMessage::Response(response)) => {
+                complete(&self.pending, peer, response.number, response.answer);
+            }
+            Some(LoanMessage::QuotaRequest(request)) => {
+                self.respond_quota(ingress, peer, request).await;
+            }
+            Some(LoanMessage::QuotaResponse(response)) => {
+                self.complete_quota(peer, response).await;
+            }
+            Some(LoanMessage::QuotaSettlement(settlement)) => ingress.settle_quota(&settlement),
             None => log::debug!(
                 "message about a loan ignored: invalid or of another version peer={peer}"
             ),
         }
     }
 
-    fn complete(&self, peer: SocketAddr, response: LoanResponse) {
-        let mut pending = self.pending.lock();
-        let is_asked = |loan: &PendingLoan| loan.peer == peer;
-        if pending.get(&response.number).is_some_and(is_asked)
-            && let Some(loan) = pending.remove(&response.number)
-        {
-            // The request may have stopped waiting.
-            let _ = loan.answer.send(response.answer);
-        }
-    }
-
-    async fn send(&self, peer: SocketAddr, message: &LoanMessage) {
+    pub(super) async fn send(&self, peer: SocketAddr, message: &LoanMessage) {
         let bytes = match postcard::to_stdvec(&(MESSAGE_VERSION, message)) {
             Ok(bytes) => bytes,
             Err(e) => {
@@ -164,6 +181,22 @@
     }
 }
 
+/// Hands an answer to whoever has asked `peer` for it. Returns whether someone still waits for it.
+pub(super) fn complete<A>(
+    pending: &PendingQuestions<A>,
+    peer: SocketAddr,
+    number: u64,
+    answer: A,
+) -> bool {
+    let mut pending = pending.lock();
+    let is_asked = |question: &Pending<A>| question.peer == peer;
+    if !pending.get(&number).is_some_and(is_asked) {
+        return false;
+    }
+    let question = pending.remove(&number);
+    question.is_some_and(|question| question.answer.send(answer).is_ok())
+}
+
 /// `None` if the message is invalid, or of another version.
 fn decode(bytes: &[u8]) -> Option<LoanMessage> {
     let (version, message) = postcard::take_from_bytes::<u16>(bytes).ok()?;
@@ -173,13 +206,13 @@
     postcard::from_bytes(message).ok()
 }
 
-/// Forgets a request for a loan when dropped.
-struct Forget<'a> {
-    pending: &'a Mutex<HashMap<u64, PendingLoan>>,
+/// Forgets a question when dropped.
+struct Forget<'a, A> {
+    pending: &'a PendingQuestions<A>,
     number: u64,
 }
 
-impl Drop for Forget<'_> {
+impl<A> Drop for Forget<'_, A> {
     fn drop(&mut self) {
         self.pending.lock().remove(&self.number);
     }
--- a/crates/turmericloft/src/ops/mod.rs
+++ b/crates/turmericloft/src/ops/mod.rs
@@ -9,6 +9,7 @@
 mod loan_socket;
 mod promote;
 mod promotion;
+mod quota_messages;
 mod read_page;
 pub mod relay;
 pub mod report;
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -263,6 +263,33 @@
     help: "Changes of what this gateway knows of the limits of endpoints, by what has changed",
 };
 
+/// Questions about quotas of organisations.
+pub const QUOTA_ANSWERS: Metric = Metric {
+    name: "turmericloft_ingress_quota_answers_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &["side", "result"],
+    help: "Requests that one gateway asked another one to grant by a quota, by side and result",
+};
+
+/// Requests that were rejected by quotas.
+pub const QUOTA_REJECTIONS: Metric = Metric {
+    name: "turmericloft_ingress_quota_rejections_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &["reason"],
+    help: "Requests rejected by the quota of their organisation, by reason",
+};
+
+/// Parts of quotas that this gateway owns.
+pub const QUOTA_OWNED_PARTS: Metric = Metric {
+    name: "turmericloft_ingress_quota_owned_parts",
+    kind: MetricKind::Gauge,
+    unit: "organisations",
+    labels: &[],
+    help: "Organisations of whose quota this gateway owns a part",
+};
+
 /// Calls to the platform's store.
 pub const STORE_CALLS: Metric = Metric {
     name: "turmericloft_store_calls_total",
@@ -300,7 +327,7 @@
 };
 
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 30] = [
+pub const ALL: [Metric; 33] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -327,6 +354,9 @@
     LIMIT_HELD_BACK,
     LIMIT_LOANS,
     LIMIT_CHANGES,
+    QUOTA_ANSWERS,
+    QUOTA_REJECTIONS,
+    QUOTA_OWNED_PARTS,
     STORE_CALLS,
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -146,6 +146,7 @@
         grace_period: Duration::from_secs(30),
         max_endpoint_probe_rate: None,
         body_memory_bytes: 1 << 20,
+        quota_bounds: Default::default(),
         retry_budget: RetryBudget::new(Duration::from_secs(10), 1.0, 10.0),
     }
 }
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod peer;
 mod placement;
 mod quarantine;
+mod quota;
 mod rate_limit;
 mod relay;
 mod routing;
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/quota/mod.rs
@@ -0,0 +1,7 @@
+//! Quotas of organisations over all gateways.
+
+mod conforming;
+mod fault_pairs;
+mod fleet;
+mod parts;
+mod traffic;
