--- a/crates/turmericloft/src/ops/ingress/client_response.rs
+++ b/crates/turmericloft/src/ops/ingress/client_response.rs
@@ -23,6 +23,16 @@
     TooSlow,
     /// The gateway has no active document yet.
     NotReady,
+    /// The request has not run and never will: it has no key, or one that no configuration contains.
+    Unauthorized {
+        /// What the client is asked for.
+        challenge: &'static str,
+    },
+    /// The request has not run and never will: the gateway does not know whether its key is valid now.
+    KeyUnconfirmed {
+        /// Delay before the client should retry.
+        retry_after: Duration,
+    },
     /// The request has not run and never will; the client may retry it.
     Refused {
         /// Delay before the client should retry.
@@ -58,11 +68,16 @@
         match self {
             Self::Faulty(fault) => fault.status(),
             Self::NoRequestId => 400,
+            Self::Unauthorized { .. } => 401,
             Self::NoRoute => 404,
             Self::TooSlow => 408,
             Self::QuotaExhausted { .. } => 429,
-            Self::QuotaUnavailable { .. } => 503,
-            Self::NotReady | Self::Refused { .. } | Self::TooLate | Self::Quarantined { .. } => 503,
+            Self::NotReady
+            | Self::KeyUnconfirmed { .. }
+            | Self::QuotaUnavailable { .. }
+            | Self::Refused { .. }
+            | Self::TooLate
+            | Self::Quarantined { .. } => 503,
             Self::NoAnswer => 502,
             Self::OutOfTime => 504,
         }
@@ -71,6 +86,7 @@
     fn reason(self) -> &'static str {
         match self.status() {
             400 => "Bad Request",
+            401 => "Unauthorized",
             404 => "Not Found",
             408 => "Request Timeout",
             413 => "Content Too Large",
@@ -88,10 +104,11 @@
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Refused { retry_after } | Self::Quarantined { retry_after } => Some(retry_after),
-            Self::QuotaExhausted { retry_after } | Self::QuotaUnavailable { retry_after } => {
-                Some(retry_after)
-            }
+            Self::KeyUnconfirmed { retry_after }
+            | Self::QuotaExhausted { retry_after }
+            | Self::QuotaUnavailable { retry_after }
+            | Self::Refused { retry_after }
+            | Self::Quarantined { retry_after } => Some(retry_after),
             Self::NotReady => Some(Duration::from_millis(500)),
             _ => None,
         }
@@ -153,6 +170,9 @@
     if let Some(after) = response.retry_after() {
         buf.put_slice(format!("Retry-After: {:.3}\r\n", after.as_secs_f64()).as_bytes());
     }
+    if let GatewayResponse::Unauthorized { challenge } = response {
+        buf.put_slice(format!("WWW-Authenticate: {challenge}\r\n").as_bytes());
+    }
     put_content_length(&mut buf, 0);
     put_head_end(&mut buf, close);
     buf.freeze()
--- a/crates/turmericloft/src/ops/ingress/quotas.rs
+++ b/crates/turmericloft/src/ops/ingress/quotas.rs
@@ -52,7 +52,7 @@
     /// Records how the attempt ended.
     pub(super) fn settle(&self, end: &AttemptEnd) {
         let outcome = match end {
-            AttemptEnd::NotRun => QuotaOutcome::NotRun,
+            AttemptEnd::NotRun | AttemptEnd::Denied(_) => QuotaOutcome::NotRun,
             AttemptEnd::Response(_) => QuotaOutcome::Arrived(self.grant.age(self.ingress.now())),
             AttemptEnd::Unknown(_) | AttemptEnd::Disconnected(_) => QuotaOutcome::Unknown,
         };
