--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -26,6 +26,7 @@
         key_lease::Access,
         placement::{AttemptOutcome, LoadReport},
         quarantine::Crash,
+        rate_limit::MAX_TRANSIT,
         traffic::{Organisation, Route},
     },
     sources::http1::{ClientConnection, ExchangeError, Request, Response, ResponseLimits},
@@ -140,6 +141,9 @@
     let sending = send_request(&ingress, &forwarded, &in_flight, &mut followed);
     let (end, outcome, load) = sending.await;
     followed.record_end(&end);
+    if let Some(grant) = in_flight.grant() {
+        grant.settle(&end);
+    }
     if outcome != AttemptOutcome::Answered {
         let endpoint = &in_flight.placement().endpoint;
         let now = ingress.now();
@@ -184,7 +188,7 @@
     if forwarded.is_past_deadline(now) {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
-    if !ingress.may_still_send(now, in_flight.placement()) || ingress.is_evacuated(endpoint) {
+    if !may_still_send(ingress, now, in_flight) {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
     let access = match ingress.access_to_send(forwarded) {
@@ -208,8 +212,7 @@
     let now = ingress.now();
     if forwarded.client_disconnected.is_cancelled()
         || forwarded.is_past_deadline(now)
-        || !ingress.may_still_send(now, in_flight.placement())
-        || ingress.is_evacuated(endpoint)
+        || !may_still_send(ingress, now, in_flight)
     {
         return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
     }
@@ -223,6 +226,26 @@
     classify(ingress, in_flight, connection, result)
 }
 
+/// Whether the request may still be sent by the limit of its endpoint and the quota of its organisation.
+fn may_still_send(ingress: &Ingress, now: Instant, in_flight: &InFlightAttempt) -> bool {
+    let placement = in_flight.placement();
+    in_flight.grant().is_none_or(|grant| grant.is_valid(now))
+        && ingress.may_still_send(now, placement)
+        && !ingress.is_evacuated(&placement.endpoint)
+}
+
+/// Has the connection closed if what is sent does not arrive soon, where a limit or a quota counts arrivals.
+fn bound_transit(
+    ingress: &Ingress,
+    in_flight: &InFlightAttempt,
+    connection: &ClientConnection,
+) -> Result<(), ExchangeError> {
+    if in_flight.grant().is_some() {
+        connection.set_user_timeout(MAX_TRANSIT)?;
+    }
+    ingress.bound_transit(&in_flight.placement().endpoint.id, connection)
+}
+
 /// Returns `None` if no response arrived in time.
 async fn exchange(
     ingress: &Ingress,
@@ -244,7 +267,7 @@
         },
         access.removes_credentials,
     );
-    if let Err(e) = ingress.bound_transit(instance, connection) {
+    if let Err(e) = bound_transit(ingress, in_flight, connection) {
         return Some(Err(e));
     }
     let is_own_response = |response: &Response| {
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -272,6 +272,33 @@
     help: "Zones that the operator has evacuated, to which this gateway sends nothing",
 };
 
+/// Questions about quotas of organisations.
+pub const QUOTA_ANSWERS: Metric = Metric {
+    name: "turmericloft_ingress_quota_answers_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &["side", "result"],
+    help: "Requests that one gateway asked another one to grant by a quota, by side and result",
+};
+
+/// Requests that were rejected by quotas.
+pub const QUOTA_REJECTIONS: Metric = Metric {
+    name: "turmericloft_ingress_quota_rejections_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &["reason"],
+    help: "Requests rejected by the quota of their organisation, by reason",
+};
+
+/// Parts of quotas that this gateway owns.
+pub const QUOTA_OWNED_PARTS: Metric = Metric {
+    name: "turmericloft_ingress_quota_owned_parts",
+    kind: MetricKind::Gauge,
+    unit: "organisations",
+    labels: &[],
+    help: "Organisations of whose quota this gateway owns a part",
+};
+
 /// Requests rejected because of their keys.
 pub const KEY_REJECTIONS: Metric = Metric {
     name: "turmericloft_ingress_key_rejections_total",
@@ -327,7 +354,7 @@
 };
 
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 33] = [
+pub const ALL: &[Metric] = &[
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -355,6 +382,9 @@
     LIMIT_LOANS,
     LIMIT_CHANGES,
     EVACUATED_ZONES,
+    QUOTA_ANSWERS,
+    QUOTA_REJECTIONS,
+    QUOTA_OWNED_PARTS,
     KEY_REJECTIONS,
     KEY_LEASE_AGE,
     STORE_CALLS,
