--- a/crates/turmericloft/tests/testsuite/quota/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/quota/fleet.rs
@@ -11,8 +11,8 @@
 use rand_pcg::Pcg64Mcg;
 use turmericloft::core::{
     quota::{
-        ASK_TIMEOUT, LIST_REFRESH, QuotaAnswer, QuotaBounds, QuotaCall, QuotaGrant, QuotaOutcome,
-        QuotaRejection, QuotaSettlement, QuotaStep, Quotas, SettledGrant,
+        ASK_TIMEOUT, DEFAULT_QUOTA_WINDOW, LIST_REFRESH, QuotaAnswer, QuotaBounds, QuotaCall,
+        QuotaGrant, QuotaOutcome, QuotaRejection, QuotaSettlement, QuotaStep, Quotas, SettledGrant,
     },
     rate_limit::{ShareStart, SharingGateways},
     traffic::{Organisation, RequestQuota},
@@ -32,6 +32,9 @@
     pub(super) transit_ms: u64,
     /// Part of the datagrams that are lost.
     pub(super) loss: f64,
+    /// Whether requests are sent and arrive as late as possible for some seconds and at once for some, so that those
+    /// of more than a window arrive in one.
+    pub(super) is_bunched: bool,
 }
 
 impl Delays {
@@ -41,6 +44,15 @@
         send_ms: 3,
         transit_ms: 3,
         loss: 0.0,
+        is_bunched: false,
+    };
+    /// The longest ones while requests are late, in turn with short ones.
+    pub(super) const BUNCHED: Self = Self {
+        datagram_ms: 10,
+        send_ms: 375,
+        transit_ms: 599,
+        loss: 0.0,
+        is_bunched: true,
     };
     /// The longest ones, with one datagram in ten lost and some answers later than they are awaited.
     pub(super) const WORST: Self = Self {
@@ -48,6 +60,7 @@
         send_ms: 450,
         transit_ms: 599,
         loss: 0.1,
+        is_bunched: false,
     };
 }
 
@@ -124,7 +137,8 @@
     pub(super) counts: Counts,
     /// Times at which requests arrived at endpoints.
     pub(super) arrivals: Vec<Instant>,
-    bounds: QuotaBounds,
+    pub(super) bounds: QuotaBounds,
+    started_at: Instant,
     schedule: BTreeMap<(Instant, u64), Event>,
     next_number: u64,
 }
@@ -145,15 +159,28 @@
 impl Fleet {
     /// Starts all gateways together and for the first time, and runs them for [`WARM_UP`].
     pub(super) fn start(gateways: usize, quota: RequestQuota, delays: Delays, seed: u64) -> Self {
+        Self::start_with(QuotaBounds::default(), gateways, quota, delays, seed)
+    }
+
+    /// Like [`start`](Self::start), with gateways that have these bounds.
+    pub(super) fn start_with(
+        bounds: QuotaBounds,
+        gateways: usize,
+        quota: RequestQuota,
+        delays: Delays,
+        seed: u64,
+    ) -> Self {
+        let now = Instant::now();
         let mut fleet = Self {
-            now: Instant::now(),
+            now,
+            started_at: now,
             gateways: Vec::new(),
             registered: (0..gateways).map(host).collect(),
             delays,
             rng: Pcg64Mcg::seed_from_u64(seed),
             counts: Counts::default(),
             arrivals: Vec::new(),
-            bounds: QuotaBounds::default(),
+            bounds,
             schedule: BTreeMap::new(),
             next_number: 0,
         };
@@ -235,6 +262,18 @@
         Duration::from_micros(self.rng.random_range(0..=max * 1_000))
     }
 
+    /// Delay of a request, up to `max` milliseconds.
+    fn request_delay(&mut self, max: u64) -> Duration {
+        const LATE: std::ops::Range<u64> = 3..7;
+        const PERIOD_S: u64 = 12;
+        let second = (self.now - self.started_at).as_secs() % PERIOD_S;
+        match (self.delays.is_bunched, LATE.contains(&second)) {
+            (false, _) => self.random_ms(max),
+            (true, true) => Duration::from_millis(max),
+            (true, false) => self.random_ms(3),
+        }
+    }
+
     fn send_datagram(&mut self, from: usize, to: usize, event: Event) {
         self.counts.datagrams += 1;
         let is_cut = |g: &SimulatedGateway| g.cut_off_until > self.now;
@@ -366,7 +405,7 @@
 
     fn use_grant(&mut self, gateway: usize, grant: QuotaGrant) {
         let incarnation = self.gateways[gateway].incarnation;
-        let delay = self.random_ms(self.delays.send_ms);
+        let delay = self.request_delay(self.delays.send_ms);
         let send = Event::Send {
             gateway,
             incarnation,
@@ -383,7 +422,7 @@
         if !grant.is_valid(self.now) {
             return self.finish(gateway, incarnation, &grant, QuotaOutcome::NotRun);
         }
-        let transit = self.random_ms(self.delays.transit_ms);
+        let transit = self.request_delay(self.delays.transit_ms);
         self.arrivals.push(self.now + transit);
         let finish = Event::Finish {
             gateway,
@@ -445,7 +484,7 @@
         let mut first = 0;
         let mut most = 0;
         for (last, at) in arrivals.iter().enumerate() {
-            while arrivals[first] + self.bounds.window < *at {
+            while arrivals[first] + DEFAULT_QUOTA_WINDOW < *at {
                 first += 1;
             }
             most = most.max(last + 1 - first);
