--- a/crates/turmericloft/src/core/quota/asker.rs
+++ b/crates/turmericloft/src/core/quota/asker.rs
@@ -23,8 +23,9 @@
 /// Shortest time for which an owner that has denied is not asked again, so that gateways do not all ask for each
 /// request that becomes free.
 const MIN_DENIAL_PAUSE: Duration = Duration::from_millis(30);
-/// Age up to which it counts how much an owner had left.
-const MAX_LEFT_AGE: Duration = Duration::from_millis(1_000);
+/// Age up to which it counts how much an owner had left, less and less: about the time for which its grants count. With
+/// 1 s, gateways with few requests used up the small part of their usual owner.
+const MAX_LEFT_AGE: Duration = Duration::from_secs(6);
 /// Part that an owner is assumed to have left if it has not said so lately.
 const ASSUMED_LEFT: f64 = 0.5;
 /// How much more the others have to have left to be asked before the usual owner.
@@ -187,8 +188,11 @@
 
     fn left(&self, now: Instant, call: &QuotaCall, host: &Arc<str>) -> f64 {
         let known = self.known_owner(call, host).and_then(|k| k.left);
-        let recent = known.filter(|(_, at)| now < *at + MAX_LEFT_AGE);
-        recent.map_or(ASSUMED_LEFT, |(left, _)| left)
+        known.map_or(ASSUMED_LEFT, |(left, at)| {
+            let age = now.saturating_duration_since(at);
+            let aged = age.div_duration_f64(MAX_LEFT_AGE).min(1.0);
+            left + (ASSUMED_LEFT - left) * aged
+        })
     }
 
     fn known_owner(&self, call: &QuotaCall, host: &Arc<str>) -> Option<&KnownOwner> {
