--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -18,6 +18,7 @@
     followed_attempt::FollowedAttempt,
     in_flight_attempt::InFlightAttempt,
     protocol::{AttemptHeaders, EndpointProtocol},
+    quotas::{bound_transit, may_still_send},
     shared::Ingress,
 };
 use crate::{
@@ -26,7 +27,6 @@
         key_lease::Access,
         placement::{AttemptOutcome, LoadReport},
         quarantine::Crash,
-        rate_limit::MAX_TRANSIT,
         traffic::{Organisation, Route},
     },
     sources::http1::{ClientConnection, ExchangeError, Request, Response, ResponseLimits},
@@ -226,24 +226,6 @@
     classify(ingress, in_flight, connection, result)
 }
 
-/// Whether the request may still be sent by the limit of its endpoint and the quota of its organisation.
-fn may_still_send(ingress: &Ingress, now: Instant, in_flight: &InFlightAttempt) -> bool {
-    in_flight.grant().is_none_or(|grant| grant.is_valid(now))
-        && ingress.may_still_send(now, in_flight.placement())
-}
-
-/// Has the connection closed if what is sent does not arrive soon, where a limit or a quota counts arrivals.
-fn bound_transit(
-    ingress: &Ingress,
-    in_flight: &InFlightAttempt,
-    connection: &ClientConnection,
-) -> Result<(), ExchangeError> {
-    if in_flight.grant().is_some() {
-        connection.set_user_timeout(MAX_TRANSIT)?;
-    }
-    ingress.bound_transit(&in_flight.placement().endpoint.id, connection)
-}
-
 /// Returns `None` if no response arrived in time.
 async fn exchange(
     ingress: &Ingress,
--- a/crates/turmericloft/src/ops/ingress/quotas.rs
+++ b/crates/turmericloft/src/ops/ingress/quotas.rs
@@ -17,16 +17,20 @@
 use super::{
     attempt::{AttemptEnd, ForwardedRequest},
     client_response::GatewayResponse,
+    in_flight_attempt::InFlightAttempt,
     metrics::{count_quota_answer, count_quota_rejection, set_owned_parts},
     shared::Ingress,
 };
-use crate::core::{
-    quota::{
-        ASK_TIMEOUT, QuotaAnswer, QuotaGrant, QuotaOutcome, QuotaRejection, QuotaSettlement,
-        QuotaStep,
+use crate::{
+    core::{
+        quota::{
+            ASK_TIMEOUT, QuotaAnswer, QuotaGrant, QuotaOutcome, QuotaRejection, QuotaSettlement,
+            QuotaStep,
+        },
+        rate_limit::{MAX_TRANSIT, SharingGateways},
+        traffic::RouteTable,
     },
-    rate_limit::SharingGateways,
-    traffic::RouteTable,
+    sources::http1::{ClientConnection, ExchangeError},
 };
 
 /// `Retry-After` where no owner answers: about the time for which silent owners are left out.
@@ -153,6 +157,24 @@
     response
 }
 
+/// Whether the request may still be sent by the limit of its endpoint and the quota of its organisation.
+pub(super) fn may_still_send(ingress: &Ingress, now: Instant, in_flight: &InFlightAttempt) -> bool {
+    in_flight.grant().is_none_or(|grant| grant.is_valid(now))
+        && ingress.may_still_send(now, in_flight.placement())
+}
+
+/// Has the connection closed if what is sent does not arrive soon, where a limit or a quota counts arrivals.
+pub(super) fn bound_transit(
+    ingress: &Ingress,
+    in_flight: &InFlightAttempt,
+    connection: &ClientConnection,
+) -> Result<(), ExchangeError> {
+    if in_flight.grant().is_some() {
+        connection.set_user_timeout(MAX_TRANSIT)?;
+    }
+    ingress.bound_transit(&in_flight.placement().endpoint.id, connection)
+}
+
 impl OpenGrant {
     fn new(ingress: &Arc<Ingress>, grant: QuotaGrant) -> Self {
         Self {
--- a/crates/turmericloft/tests/testsuite/quota/mod.rs
+++ b/crates/turmericloft/tests/testsuite/quota/mod.rs
@@ -1,6 +1,7 @@
 //! Quotas of organisations over all gateways.
 
 mod conforming;
+mod events;
 mod fault_pairs;
 mod fleet;
 mod parts;
