--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/quota/restarts.rs
@@ -0,0 +1,98 @@
+//! Owners whose processes end and start again.
+
+use std::{sync::Arc, time::Instant};
+
+use turmericloft::core::{
+    quota::{QuotaAnswer, QuotaBounds, Quotas, RestartRecord},
+    rate_limit::SharingGateways,
+    traffic::RequestQuota,
+};
+
+const QUOTA: RequestQuota = RequestQuota {
+    per_second: 20.0,
+    burst: 20.0,
+};
+
+/// The only gateway, which owns the whole allowance.
+fn owner(now: Instant) -> Quotas {
+    let own: Arc<str> = "own".into();
+    let mut quotas = Quotas::new(QuotaBounds::default(), Arc::clone(&own), 1);
+    let list = SharingGateways::new(Arc::clone(&own), vec![own], now, now);
+    quotas.record_list(now, &list);
+    quotas
+}
+
+fn restarted(now: Instant, before: RestartRecord) -> Quotas {
+    let mut quotas = owner(now);
+    quotas.record_restart(now);
+    quotas.record_before_restart(before);
+    quotas
+}
+
+/// Grants until the first denial. Records are written if `has_store`.
+fn grants(quotas: &mut Quotas, now: Instant, has_store: bool) -> u32 {
+    let mut count = 0;
+    while let QuotaAnswer::Granted { .. } = quotas.answer(now, "north", &QUOTA) {
+        count += 1;
+        if has_store {
+            write(quotas, now);
+        }
+    }
+    count
+}
+
+fn write(quotas: &mut Quotas, now: Instant) -> RestartRecord {
+    let record = quotas.unwritten_restart_record(now).unwrap_or_default();
+    quotas.record_restart_record_written(record.clone());
+    record
+}
+
+/// Guards against an organisation that gets the allowance twice because its owner has restarted, and against one that
+/// gets nothing for a whole window after all owners have.
+#[test]
+fn earlier_and_present_process_grant_no_more_than_the_allowance() {
+    let now = Instant::now();
+    let allowance = QuotaBounds::default().allowance(&QUOTA);
+    let before = grants(&mut owner(now), now, false);
+    let mut restarted = restarted(now, RestartRecord::default());
+    assert_eq!(grants(&mut restarted, now, false), 0);
+    write(&mut restarted, now);
+    let after = grants(&mut restarted, now, true);
+    assert!(after >= allowance / 3, "{after} of {allowance}");
+    assert_eq!(before + after, allowance);
+}
+
+/// Guards against a second restart within the window of the first one.
+#[test]
+fn nothing_is_granted_after_a_second_restart_in_one_window() {
+    let now = Instant::now();
+    let mut first = restarted(now, RestartRecord::default());
+    let record = write(&mut first, now);
+    let mut second = restarted(now, record);
+    write(&mut second, now);
+    assert_eq!(grants(&mut second, now, true), 0);
+}
+
+/// Guards against the last third of a part that is granted twice: once to a busy organisation, and once after a
+/// restart.
+#[test]
+fn busy_organisation_gets_nothing_in_the_window_after_a_restart() {
+    let now = Instant::now();
+    let bounds = QuotaBounds::default();
+    let mut busy = owner(now);
+    let mut record = RestartRecord::default();
+    let mut granted = 0;
+    while let QuotaAnswer::Granted { .. } = busy.answer(now, "north", &QUOTA) {
+        granted += 1;
+        if let Some(unwritten) = busy.unwritten_restart_record(now) {
+            busy.record_restart_record_written(unwritten.clone());
+            record = unwritten;
+        }
+    }
+    assert_eq!(granted, bounds.allowance(&QUOTA));
+    let mut restarted = restarted(now, record);
+    write(&mut restarted, now);
+    assert_eq!(grants(&mut restarted, now, true), 0);
+    let later = now + bounds.grant_interval();
+    assert_eq!(grants(&mut restarted, later, true), granted);
+}
