--- a/crates/turmericloft/src/core/key_lease/mod.rs
+++ b/crates/turmericloft/src/core/key_lease/mod.rs
@@ -6,16 +6,16 @@
 
 mod access;
 mod key_authority;
-mod key_lease;
 mod key_rules;
+mod lease;
 mod lease_timings;
 mod newest_document;
 
 pub use self::{
     access::{Access, AccessRejection, PresentedKey},
     key_authority::KeyAuthority,
-    key_lease::KeyLease,
     key_rules::KeyRules,
+    lease::KeyLease,
     lease_timings::LeaseTimings,
     newest_document::NewestDocument,
 };
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -29,6 +29,7 @@
 mod service_view;
 mod urgent_requests;
 mod wait_queue;
+mod wait_rank;
 
 pub use self::{
     attempt_outcome::AttemptOutcome,
@@ -53,4 +54,5 @@
     retry_after::retry_after,
     retry_budget::RetryBudget,
     wait_queue::{WaitQueue, WaitTicket},
+    wait_rank::WaitRank,
 };
--- a/crates/turmericloft/src/core/placement/placement_request.rs
+++ b/crates/turmericloft/src/core/placement/placement_request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::InstanceId;
+use super::{InstanceId, WaitRank};
 
 /// A request for which an endpoint is to be chosen.
 #[derive(Clone, Copy, Debug)]
@@ -24,3 +24,13 @@
     /// Largest expected latency of the endpoint.
     pub max_latency: Duration,
 }
+
+impl PlacementRequest<'_> {
+    /// Rank with which the request waits.
+    pub fn wait_rank(&self) -> WaitRank {
+        WaitRank {
+            organisation: self.organisation_rank,
+            route: self.rank,
+        }
+    }
+}
--- a/crates/turmericloft/src/core/placement/wait_queue.rs
+++ b/crates/turmericloft/src/core/placement/wait_queue.rs
@@ -9,18 +9,20 @@
     sync::Arc,
 };
 
+use super::WaitRank;
+
 /// Position in the queue of a service, needed to leave it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WaitTicket {
     service: Arc<str>,
-    rank: u32,
+    rank: WaitRank,
     number: u64,
 }
 
-/// Waiting requests of all services, ordered by rank and arrival.
+/// Waiting requests of all services, ordered by the rank of the organisation, that of the route, and arrival.
 #[derive(Clone, Debug, Default)]
 pub struct WaitQueue {
-    waiting: BTreeMap<Arc<str>, BTreeSet<(u32, u64)>>,
+    waiting: BTreeMap<Arc<str>, BTreeSet<(WaitRank, u64)>>,
     next_number: u64,
 }
 
@@ -32,7 +34,12 @@
 
     /// Adds a request to the queue of a service. Returns `None` if `limit` requests of this rank or
     /// a more urgent one wait already.
-    pub fn enqueue(&mut self, service: &Arc<str>, rank: u32, limit: usize) -> Option<WaitTicket> {
+    pub fn enqueue(
+        &mut self,
+        service: &Arc<str>,
+        rank: WaitRank,
+        limit: usize,
+    ) -> Option<WaitTicket> {
         let waiting = self.waiting.entry(Arc::clone(service)).or_default();
         let ahead = waiting.range(..=(rank, u64::MAX)).count();
         if ahead >= limit {
@@ -63,7 +70,7 @@
     }
 
     /// Whether a new request of this rank would have to wait behind others.
-    pub fn has_requests_ahead(&self, service: &str, rank: u32) -> bool {
+    pub fn has_requests_ahead(&self, service: &str, rank: WaitRank) -> bool {
         let waiting = self.waiting.get(service);
         let first = waiting.and_then(BTreeSet::first);
         first.is_some_and(|(r, _)| *r <= rank)
--- a/crates/turmericloft/src/ops/ingress/access.rs
+++ b/crates/turmericloft/src/ops/ingress/access.rs
@@ -9,8 +9,8 @@
 
 use super::{
     attempt::ForwardedRequest,
-    client_response::GatewayResponse,
-    metrics::{count_key_rejection, set_key_lease_age},
+    client_response::{ClientResponse, GatewayResponse},
+    metrics::{count_key_rejection, count_response, set_key_lease_age},
     protocol::Credentials,
     shared::Ingress,
 };
@@ -110,6 +110,13 @@
     }
 }
 
+/// The response to a request that is rejected on arrival, which is counted.
+pub(super) fn denied_response(denied: GatewayResponse) -> ClientResponse {
+    let response = ClientResponse::Gateway(denied);
+    count_response(&response, Duration::ZERO);
+    response
+}
+
 /// Applies what becomes known of the newest document, and logs when the right to use keys lapses and returns.
 pub(super) async fn apply_newest_document(
     ingress: Arc<Ingress>,
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    access::denied_response,
     attempt::{AttemptEnd, ForwardedRequest, run_attempt},
     client_response::{ClientResponse, GatewayResponse},
     crash_watch::{CrashWatch, refusal},
@@ -63,11 +64,7 @@
     };
     let (access, organisation) = match ingress.access_on_arrival(&req.headers, &route) {
         Ok(access) => access,
-        Err(denied) => {
-            let response = ClientResponse::Gateway(denied);
-            count_response(&response, Duration::ZERO);
-            return response;
-        }
+        Err(denied) => return denied_response(denied),
     };
     let client_timeout = ingress.protocol.client_timeout(&req.headers);
     let timeout = client_timeout.unwrap_or(route.timeout).min(route.timeout);
--- a/crates/turmericloft/src/ops/ingress/wait.rs
+++ b/crates/turmericloft/src/ops/ingress/wait.rs
@@ -41,7 +41,10 @@
     req: &PlacementRequest<'_>,
     times: &PlacementTimes,
 ) -> Result<Placement, PlacementError> {
-    let has_requests_ahead = ingress.queue.lock().has_requests_ahead(service, req.rank);
+    let has_requests_ahead = ingress
+        .queue
+        .lock()
+        .has_requests_ahead(service, req.wait_rank());
     let mut unplaced = match has_requests_ahead {
         false => match probe_and_place(ingress, &by_target(ingress, req, times)).await {
             Err(full @ PlacementError::NoCapacity { .. }) => full,
@@ -53,7 +56,10 @@
     };
     let max_wait = times.wait_until.saturating_duration_since(ingress.now());
     let limit = ingress.balancer.lock().queue_limit(req, max_wait);
-    let joined = ingress.queue.lock().enqueue(service, req.rank, limit);
+    let joined = ingress
+        .queue
+        .lock()
+        .enqueue(service, req.wait_rank(), limit);
     let Some(ticket) = joined else {
         return place_late(ingress, req, times, unplaced);
     };
--- a/crates/turmericloft/src/ops/relay/active_document.rs
+++ b/crates/turmericloft/src/ops/relay/active_document.rs
@@ -97,7 +97,7 @@
     }
 
     /// Receives what is known of the newest document whenever it changes.
-    pub(super) fn newest_documents(&self) -> watch::Receiver<NewestDocument> {
+    pub fn newest_documents(&self) -> watch::Receiver<NewestDocument> {
         self.newest.subscribe()
     }
 
--- a/crates/turmericloft/src/ops/relay/hub.rs
+++ b/crates/turmericloft/src/ops/relay/hub.rs
@@ -14,7 +14,6 @@
 use super::active_document::{ActiveDocument, PublishedDocument};
 use crate::{
     core::{
-        key_lease::NewestDocument,
         placement::{
             DiscoveredEndpoint, DiscoveryChange, Observation, RegistryEra, RegistryList,
             RegistryPosition,
@@ -106,11 +105,6 @@
         self.document.subscribe()
     }
 
-    /// Receives what is known of the newest document whenever it changes.
-    pub fn newest_documents(&self) -> watch::Receiver<NewestDocument> {
-        self.document.newest_documents()
-    }
-
     /// Publishes a document if it is newer than the active one.
     pub fn publish_document(&self, document: TrafficDocument) {
         self.document.publish(document);
