--- a/crates/turmericloft/tests/testsuite/ingress/organisations.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/organisations.rs
@@ -273,3 +273,58 @@
     assert!(matches!(status, 401 | 503), "{status}");
     assert!(endpoint.ran().iter().all(|run| run.target != "/act/late"));
 }
+
+/// Guards against the rank of a route, or arrival, that goes before the rank of the organisation.
+#[tokio::test]
+async fn waiting_requests_are_sent_by_the_rank_of_their_organisations() {
+    const SLOTS: usize = 16;
+    let script = super::endpoint::Script::new(&[Behaviour::Respond], Behaviour::Hold);
+    let endpoint = Endpoint::start_with_script(&script).await;
+    let deployment = Deployment::start(std::slice::from_ref(&endpoint)).await;
+    let mut document = with_keys(3, &["k1"]);
+    document.organisations.push(Organisation {
+        name: "brewers".into(),
+        keys: vec![KeyDigest::of(b"k3")],
+        rank: 4,
+        quota: None,
+    });
+    let table = RouteTable::new(document);
+    deployment
+        .gateway
+        .documents
+        .send_replace(Some(Arc::new(table)));
+    deployment.confirm(3);
+    let front = deployment.gateway.clients;
+    let mut clients = Vec::new();
+    for i in 0..SLOTS {
+        let mut client = Client::connect(front).await;
+        let target = format!("/act/{i}");
+        client.send(&with("POST", &target, "Key: k1\r\n")).await;
+        endpoint.arrived.acquire().await.expect("open").forget();
+        clients.push(client);
+    }
+    for (target, headers) in [
+        ("/act/last", "Key: k3\r\n"),
+        ("/act/first", "Key: k1\r\n"),
+        ("/open/second", ""),
+    ] {
+        let mut client = Client::connect(front).await;
+        let method = if headers.is_empty() { "GET" } else { "POST" };
+        client.send(&with(method, target, headers)).await;
+        // The response to another client shows that the gateway has read the request before.
+        let mut other = Client::connect(front).await;
+        assert_eq!(other.call("GET", "/none", "r").await.status, 404);
+        clients.push(client);
+    }
+    for _ in 0..3 {
+        endpoint.release.add_permits(1);
+        endpoint.arrived.acquire().await.expect("open").forget();
+    }
+    endpoint.release.add_permits(SLOTS);
+    for client in &mut clients {
+        assert_eq!(client.response().await.expect("a response").status, 200);
+    }
+    let waited = endpoint.ran().into_iter().skip(SLOTS + 1);
+    let waited: Vec<_> = waited.map(|run| run.target).collect();
+    assert_eq!(waited, ["/act/first", "/open/second", "/act/last"]);
+}
