Cold endpoints: all gateways together keep the rate of a slow start

An endpoint that has just started crashes well above a few requests a second, and hundreds of gateways that each send it one are too many.

Where the settings and the document have a slow start, the rate is divided among the gateways in whole requests for each interval of 2 s: the window of a second and the longest way of a request. A gateway without a share chooses other endpoints. Lists of gateways are used for 50 s, and a gateway that joins waits for 54 s, so that the list is read at most once more in 20 s, and only while a cold endpoint is known.

The table of endpoints tells followers when a warm-up begins, begins again or ends. Until now only the first entry of an endpoint was relayed, so followers would have taken it for cold for ever.

--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -18,6 +18,7 @@
 pub mod rate_limit;
 pub mod relay;
 pub mod routing;
+pub mod slow_start;
 mod step;
 pub mod traffic;
 
--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -24,7 +24,9 @@
     retry_after::retry_after,
     service_view::{ServiceBaseline, ServiceView},
 };
-use crate::core::{evacuation::EvacuatedZones, rate_limit::EndpointLimits};
+use crate::core::{
+    evacuation::EvacuatedZones, rate_limit::EndpointLimits, slow_start::ColdEndpoints,
+};
 
 /// Age below which a load report is recent enough to place a request without another probe.
 const FRESHNESS_WINDOW: Duration = Duration::from_millis(12);
@@ -48,6 +50,7 @@
     pub(super) notices: EndpointNotices,
     pub(super) limits: EndpointLimits,
     pub(super) evacuated: EvacuatedZones,
+    pub(super) cold: ColdEndpoints,
     pub(super) rng: Pcg64Mcg,
 }
 
@@ -64,6 +67,7 @@
             notices: EndpointNotices::default(),
             limits: EndpointLimits::default(),
             evacuated: EvacuatedZones::default(),
+            cold: ColdEndpoints::default(),
             rng,
         }
     }
@@ -85,6 +89,7 @@
     pub fn set_endpoints(&mut self, now: Instant, endpoints: &[DiscoveredEndpoint]) {
         self.notices.retain_registered(now, endpoints);
         self.limits.retain_registered(now, endpoints);
+        self.cold.set_endpoints(now, endpoints);
         let listed: HashSet<_> = endpoints.iter().map(|e| &e.id).collect();
         for service in self.services.values_mut() {
             service.endpoints.retain(|id, _| listed.contains(id));
@@ -133,10 +138,11 @@
             return Vec::new();
         }
         let baseline = service.baseline(req.target_latency);
-        let (notices, limits) = (&self.notices, &self.limits);
+        let (notices, limits, cold) = (&self.notices, &self.limits, &self.cold);
         let can_probe = |v: &&mut EndpointView| {
             v.accepts_requests()
                 && !limits.is_limited(&v.endpoint.id)
+                && cold.allows_probe(now, &v.endpoint.id)
                 && !notices.excludes(now, &v.endpoint)
                 && !v.is_ejected(now)
                 && !req.tried.contains(&v.endpoint.id)
@@ -159,6 +165,7 @@
             .filter(|v| !v.has_recent_report(now, FRESHNESS_WINDOW) && !v.has_pending_probe());
         let probed = candidates.take(max_probes).map(|v| {
             v.record_probe_start(now);
+            self.cold.record_contact(now, &v.endpoint.id);
             Probe {
                 endpoint: Arc::clone(&v.endpoint),
             }
@@ -206,11 +213,12 @@
         let service = self.services.get_mut(req.service).ok_or(no_service)?;
         service.urgent.record(now, req.rank);
         let baseline = service.baseline(req.target_latency);
-        let (notices, limits) = (&self.notices, &self.limits);
+        let (notices, limits, cold) = (&self.notices, &self.limits, &self.cold);
         let is_candidate = |v: &&EndpointView| {
             v.accepts_requests()
                 && !notices.excludes(now, &v.endpoint)
                 && limits.allows_request(now, &v.endpoint.id)
+                && cold.allows_request(now, &v.endpoint.id)
                 && !req.tried.contains(&v.endpoint.id)
         };
         let views = || service.endpoints.values().filter(is_candidate);
@@ -218,7 +226,8 @@
             && views().all(|v| limits.is_limited(&v.endpoint.id))
             && views().count() <= KEPT_FOR_URGENT;
         if is_left_to_urgent || views().next().is_none() {
-            return Err(self.unplaced(now, req, spread));
+            let held_back = self.held_back_by_slow_start(now, req);
+            return Err(held_back.unwrap_or_else(|| self.unplaced(now, req, spread)));
         }
         let zone = &self.zone;
         let rng = &mut self.rng;
@@ -249,6 +258,8 @@
         };
         let id = view.endpoint.id.clone();
         self.limits.record_request(now, &id);
+        self.record_cold_request(now, req, &id);
+        let service = self.services.get_mut(req.service).ok_or(no_service)?;
         let view = service.endpoints.get_mut(&id).ok_or(no_service)?;
         Ok(start_attempt(now, view, &baseline))
     }
@@ -272,6 +283,7 @@
         load: Option<LoadReport>,
     ) {
         let endpoint = &placement.endpoint;
+        self.cold.record_attempt_end(now, &endpoint.id, outcome);
         let Some(service) = self.services.get_mut(&endpoint.service) else {
             return;
         };
--- a/crates/turmericloft/src/core/placement/balancer_evacuation.rs
+++ b/crates/turmericloft/src/core/placement/balancer_evacuation.rs
@@ -1,12 +1,17 @@
 //! Evacuated zones at the balancer: their endpoints get neither requests nor probes.
 
+use std::time::Instant;
+
 use super::{Balancer, DiscoveredEndpoint};
 use crate::core::evacuation::EvacuatedZones;
 
 impl Balancer {
-    /// Sets the zones that get no requests.
-    pub fn set_evacuated_zones(&mut self, zones: EvacuatedZones) {
-        self.evacuated = zones;
+    /// Sets the zones that get no requests. The endpoints of those that get requests again may be cold.
+    pub fn set_evacuated_zones(&mut self, now: Instant, zones: EvacuatedZones) {
+        let before = std::mem::replace(&mut self.evacuated, zones);
+        for zone in before.names().filter(|zone| !self.evacuated.contains(zone)) {
+            self.cold.record_zone_return(now, zone);
+        }
         self.mark_evacuated();
     }
 
--- a/crates/turmericloft/src/core/placement/balancer_limits.rs
+++ b/crates/turmericloft/src/core/placement/balancer_limits.rs
@@ -59,6 +59,7 @@
 
     /// Sets which gateways share the limits of endpoints.
     pub fn set_sharing(&mut self, now: Instant, sharing: SharingGateways) {
+        self.cold.set_sharing(sharing.clone());
         self.limits.set_sharing(now, sharing);
     }
 
@@ -116,7 +117,9 @@
         let service = self.services.get_mut(req.service)?;
         let baseline = service.baseline(req.target_latency);
         let view = service.endpoints.get_mut(&lender.endpoint)?;
-        let is_usable = view.accepts_requests() && !self.notices.excludes(asked_at, &view.endpoint);
+        let is_usable = view.accepts_requests()
+            && !self.notices.excludes(asked_at, &view.endpoint)
+            && self.cold.try_take_check(asked_at, &lender.endpoint);
         is_usable.then(|| start_attempt(asked_at, view, &baseline))
     }
 }
--- a/crates/turmericloft/src/core/placement/discovery.rs
+++ b/crates/turmericloft/src/core/placement/discovery.rs
@@ -93,7 +93,7 @@
         };
         let changed = match (&before, &endpoint) {
             (None, None) => false,
-            (Some(a), Some(b)) => !is_equal_except_warmup(a, b),
+            (Some(a), Some(b)) => !is_equal_except_progress(a, b),
             _ => true,
         };
         let was_expiring = known.is_some_and(|e| e.expires_at.is_some());
@@ -276,10 +276,14 @@
     known.position > record.position
 }
 
-fn is_equal_except_warmup(a: &DiscoveredEndpoint, b: &DiscoveredEndpoint) -> bool {
+/// Whether `b` differs from `a` by no more than the progress of its warm-up. A warm-up that begins, begins again or
+/// ends is a change: an endpoint may become cold without a restart.
+fn is_equal_except_progress(a: &DiscoveredEndpoint, b: &DiscoveredEndpoint) -> bool {
+    let is_progress =
+        b.warmup_left <= a.warmup_left && a.warmup_left.is_zero() == b.warmup_left.is_zero();
     let a = DiscoveredEndpoint {
         warmup_left: b.warmup_left,
         ..a.clone()
     };
-    a == *b
+    is_progress && a == *b
 }
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -4,6 +4,7 @@
 mod balancer;
 mod balancer_evacuation;
 mod balancer_limits;
+mod balancer_slow_start;
 mod balancer_waits;
 mod discovered_endpoint;
 mod discovery;
--- a/crates/turmericloft/src/core/rate_limit/mod.rs
+++ b/crates/turmericloft/src/core/rate_limit/mod.rs
@@ -7,7 +7,7 @@
 mod limit_change;
 mod loan;
 mod rate_limit_value;
-mod sent_times;
+pub(in crate::core) mod sent_times;
 mod sharing_gateways;
 mod silence;
 mod stated_limit;
--- a/crates/turmericloft/src/core/rate_limit/sharing_gateways.rs
+++ b/crates/turmericloft/src/core/rate_limit/sharing_gateways.rs
@@ -71,11 +71,17 @@
 
     /// As of when a list may be used for shares; `None` before the gateway is listed.
     pub fn usable_from(&self) -> Option<Instant> {
+        self.usable_from_after(JOIN_DELAY)
+    }
+
+    /// Like [`usable_from`](Self::usable_from), for lists that are used for longer, so that a gateway which joins has to
+    /// wait for `join_delay`.
+    pub fn usable_from_after(&self, join_delay: Duration) -> Option<Instant> {
         let listed_at = self.listed_at?;
         let is_listed_in_time = listed_at <= self.started_at + BOOTSTRAP_LISTING;
         Some(match self.is_bootstrap && is_listed_in_time {
             true => self.started_at + BOOTSTRAP_COMPLETE,
-            false => listed_at + JOIN_DELAY,
+            false => listed_at + join_delay,
         })
     }
 }
@@ -87,6 +93,7 @@
     hosts: Vec<Arc<str>>,
     as_of: Instant,
     usable_from: Instant,
+    long_usable_from: Instant,
 }
 
 impl SharingGateways {
@@ -98,9 +105,28 @@
             hosts,
             as_of,
             usable_from,
+            long_usable_from: usable_from,
+        }
+    }
+
+    /// Sets as of when a list may be used for shares of which old lists are used for longer.
+    pub fn with_long_usable_from(self, long_usable_from: Instant) -> Self {
+        Self {
+            long_usable_from,
+            ..self
         }
     }
 
+    /// When the list began to be read.
+    pub fn as_of(&self) -> Instant {
+        self.as_of
+    }
+
+    /// As of when a list may be used for shares of which old lists are used for longer.
+    pub fn long_usable_from(&self) -> Instant {
+        self.long_usable_from
+    }
+
     /// Number of gateways.
     pub fn count(&self) -> usize {
         self.hosts.len()
--- a/crates/turmericloft/src/ops/ingress/abandoned_checks.rs
+++ b/crates/turmericloft/src/ops/ingress/abandoned_checks.rs
@@ -44,7 +44,7 @@
         return;
     };
     let asked_at = ingress.now();
-    if ingress.is_evacuated(&endpoint) || !ingress.try_take_check(asked_at, &endpoint.id) {
+    if !ingress.may_check(&endpoint) || !ingress.try_take_check(asked_at, &endpoint.id) {
         // The endpoint accepts no further check; its registry entry still tells whether it lives.
         return;
     }
--- a/crates/turmericloft/src/ops/ingress/evacuation.rs
+++ b/crates/turmericloft/src/ops/ingress/evacuation.rs
@@ -23,7 +23,10 @@
     loop {
         let zones = evacuated.borrow_and_update().clone();
         set_evacuated_zones(zones.count());
-        ingress.balancer.lock().set_evacuated_zones(zones);
+        ingress
+            .balancer
+            .lock()
+            .set_evacuated_zones(ingress.now(), zones);
         ingress.capacity_freed.notify_waiters();
         if evacuated.changed().await.is_err() {
             return;
--- a/crates/turmericloft/src/ops/ingress/limits.rs
+++ b/crates/turmericloft/src/ops/ingress/limits.rs
@@ -46,25 +46,20 @@
         }
     }
 
-    /// Whether a request may still be sent that was placed earlier. One to an endpoint with a limit is not sent
+    /// Whether a request may still be sent that was placed earlier. One to an endpoint with a limit, or to a cold one, is not sent
     /// late, for example after the host was suspended: others may have the share by then.
     pub(super) fn may_still_send(&self, now: Instant, placement: &Placement) -> bool {
         let waited = now.saturating_duration_since(placement.started_at);
-        waited <= MAX_SEND_DELAY
-            || !self
-                .balancer
-                .lock()
-                .limits()
-                .is_limited(&placement.endpoint.id)
+        waited <= MAX_SEND_DELAY || !self.balancer.lock().has_shares(now, &placement.endpoint.id)
     }
 
-    /// Has the connection of a request to an endpoint with a limit closed if what is sent does not arrive soon.
+    /// Has the connection of a request to an endpoint with a limit, or to a cold one, closed if what is sent does not arrive soon.
     pub(super) fn bound_transit(
         &self,
         endpoint: &str,
         connection: &ClientConnection,
     ) -> Result<(), ExchangeError> {
-        if self.balancer.lock().limits().is_limited(endpoint) {
+        if self.balancer.lock().has_shares(self.now(), endpoint) {
             connection.set_user_timeout(MAX_TRANSIT)?;
         }
         Ok(())
@@ -234,7 +229,7 @@
 }
 
 async fn check(ingress: Arc<Ingress>, endpoint: DiscoveredEndpoint) {
-    if ingress.is_evacuated(&endpoint) {
+    if !ingress.may_check(&endpoint) {
         return;
     }
     let Some(path) = health_path(&ingress, &endpoint.service) else {
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -10,9 +10,9 @@
         rate_limit::{EndpointLimits, LimitEvent, LoanAnswer},
     },
     util::metrics_table::{
-        EVACUATED_ZONES, INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS,
-        INGRESS_ATTEMPTS, INGRESS_PROBES, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE,
-        LIMITED_ENDPOINTS,
+        COLD_ENDPOINTS, COLD_KEPT_AWAY, EVACUATED_ZONES, INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS,
+        INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS, INGRESS_PROBES, LIMIT_CHANGES, LIMIT_HELD_BACK,
+        LIMIT_LOANS, LIMIT_SHARE, LIMITED_ENDPOINTS,
     },
 };
 
@@ -59,6 +59,16 @@
     counter!(LIMIT_HELD_BACK.name).increment(1);
 }
 
+/// Shows the number of cold endpoints.
+pub(super) fn set_cold_endpoints(count: usize) {
+    gauge!(COLD_ENDPOINTS.name).set(count as f64);
+}
+
+/// Counts requests for which a cold endpoint was left out.
+pub(super) fn count_kept_from_cold(count: u64) {
+    counter!(COLD_KEPT_AWAY.name).increment(count);
+}
+
 /// Shows the number of evacuated zones.
 pub(super) fn set_evacuated_zones(count: usize) {
     gauge!(EVACUATED_ZONES.name).set(count as f64);
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -23,6 +23,7 @@
 mod run;
 mod settings;
 mod shared;
+mod slow_start;
 mod wait;
 
 pub use self::{
--- a/crates/turmericloft/src/ops/ingress/probe.rs
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -139,6 +139,7 @@
     let is_own = instance.as_ref().is_none_or(|id| *id == endpoint.id);
     if is_own {
         ingress.record_limit(sent_at, endpoint, metadata.limit);
+        ingress.record_slow_start(sent_at, endpoint, metadata.slow_start_left);
     }
     if response.can_reuse_connection {
         ingress.pool.put(ingress.now(), &endpoint.id, connection);
--- a/crates/turmericloft/src/ops/ingress/protocol.rs
+++ b/crates/turmericloft/src/ops/ingress/protocol.rs
@@ -40,6 +40,8 @@
     pub notice: EndpointNotice,
     /// Limit of requests that the endpoint states.
     pub limit: StatedLimit,
+    /// Remaining slow start that the endpoint states in a response to a health check; `None` if it states none.
+    pub slow_start_left: Option<Duration>,
 }
 
 /// Names and formats of the headers beyond plain HTTP. An implementation only reads and writes
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -167,6 +167,8 @@
             if before.is_none_or(|before| before < version) {
                 log::info!("document in force version={version} before={before:?}");
                 ingress.retain_splitters(&table);
+                let services = &table.document().services;
+                ingress.balancer.lock().set_slow_starts(services);
                 ingress.table.store(Some(table));
             }
         }
@@ -207,6 +209,7 @@
             continue;
         };
         metrics_recorder::install().run_upkeep();
+        ingress.report_cold();
         let now = ingress.now();
         // `borrow_and_update` at a sweep may have consumed a change notification, so the lists are
         // compared.
--- a/crates/turmericloft/src/ops/ingress/settings.rs
+++ b/crates/turmericloft/src/ops/ingress/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::core::placement::RetryBudget;
+use crate::core::{placement::RetryBudget, slow_start::SlowStartBounds};
 
 /// Settings of an ingress gateway that depend on the platform it runs on.
 #[derive(Clone, Debug)]
@@ -24,6 +24,8 @@
     /// Largest number of probes per second that an endpoint may get from all gateways together;
     /// `None` sets no limit.
     pub max_endpoint_probe_rate: Option<f64>,
+    /// What is accepted at cold endpoints; `None` treats them like others.
+    pub slow_start: Option<SlowStartBounds>,
     /// Memory for the large bodies of endpoints' responses together, in bytes. A response that finds none
     /// left counts as incomplete.
     pub body_memory_bytes: usize,
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -110,7 +110,8 @@
         let body_budget = BodyBudget::new(settings.body_memory_bytes);
         let budget = settings.retry_budget.clone();
         let zone = Arc::clone(&settings.zone);
-        let balancer = Balancer::new(zone, budget, Pcg64Mcg::seed_from_u64(seed));
+        let mut balancer = Balancer::new(zone, budget, Pcg64Mcg::seed_from_u64(seed));
+        balancer.set_slow_start_bounds(settings.slow_start);
         Arc::new(Self {
             settings,
             clock,
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -263,6 +263,24 @@
     help: "Changes of what this gateway knows of the limits of endpoints, by what has changed",
 };
 
+/// Endpoints that are cold.
+pub const COLD_ENDPOINTS: Metric = Metric {
+    name: "turmericloft_ingress_cold_endpoints",
+    kind: MetricKind::Gauge,
+    unit: "endpoints",
+    labels: &[],
+    help: "Endpoints that this gateway takes for cold",
+};
+
+/// Requests for which a cold endpoint was left out.
+pub const COLD_KEPT_AWAY: Metric = Metric {
+    name: "turmericloft_ingress_kept_from_cold_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &[],
+    help: "Requests sent elsewhere because this gateway had no share of a cold endpoint",
+};
+
 /// Zones that the operator has evacuated.
 pub const EVACUATED_ZONES: Metric = Metric {
     name: "turmericloft_ingress_evacuated_zones",
@@ -309,7 +327,7 @@
 };
 
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 31] = [
+pub const ALL: [Metric; 33] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -337,6 +355,8 @@
     LIMIT_LOANS,
     LIMIT_CHANGES,
     EVACUATED_ZONES,
+    COLD_ENDPOINTS,
+    COLD_KEPT_AWAY,
     STORE_CALLS,
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
--- a/crates/turmericloft/tests/testsuite/evacuation/placement.rs
+++ b/crates/turmericloft/tests/testsuite/evacuation/placement.rs
@@ -34,13 +34,13 @@
     let now = Instant::now();
     let mut endpoints = vec![endpoint("e1", "a"), endpoint("e2", "b")];
     let mut balancer = balancer(now, &endpoints);
-    balancer.set_evacuated_zones(evacuated(&["a"]));
+    balancer.set_evacuated_zones(now, evacuated(&["a"]));
     assert_eq!(used_zones(&mut balancer, now), ["b"]);
     endpoints[0].started_at_ms += 1;
     endpoints.push(endpoint("e3", "a"));
     balancer.set_endpoints(now, &endpoints);
     assert_eq!(used_zones(&mut balancer, now), ["b"]);
-    balancer.set_evacuated_zones(evacuated(&[]));
+    balancer.set_evacuated_zones(now, evacuated(&[]));
     // The balancer prefers its own zone.
     assert_eq!(
         used_zones(&mut balancer, now + Duration::from_secs(1)),
@@ -53,7 +53,7 @@
 fn service_whose_endpoints_are_all_evacuated_rejects_and_the_gateway_stays_ready() {
     let now = Instant::now();
     let mut balancer = balancer(now, &[endpoint("e1", "a"), endpoint("e2", "b")]);
-    balancer.set_evacuated_zones(evacuated(&["a", "b"]));
+    balancer.set_evacuated_zones(now, evacuated(&["a", "b"]));
     let placed = balancer.place(now, &request(&[]));
     assert!(
         matches!(placed, Err(PlacementError::NoEndpoint { .. })),
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -150,6 +150,7 @@
         ready_path: "/ready",
         grace_period: Duration::from_secs(30),
         max_endpoint_probe_rate: None,
+        slow_start: None,
         body_memory_bytes: 1 << 20,
         retry_budget: RetryBudget::new(Duration::from_secs(10), 1.0, 10.0),
     }
--- a/crates/turmericloft/tests/testsuite/ingress/protocol.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/protocol.rs
@@ -70,6 +70,10 @@
                     .and_then(RateLimit::new)
                     .map_or(StatedLimit::Invalid, StatedLimit::Limit),
             },
+            slow_start_left: headers
+                .get_str("Cold-Ms")
+                .and_then(|text| text.parse().ok())
+                .map(Duration::from_millis),
         }
     }
 }
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -20,4 +20,5 @@
 mod rate_limit;
 mod relay;
 mod routing;
+mod slow_start;
 mod traffic;
