--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -226,8 +226,8 @@
             && views().all(|v| limits.is_limited(&v.endpoint.id))
             && views().count() <= KEPT_FOR_URGENT;
         if is_left_to_urgent || views().next().is_none() {
-            let held_back = self.held_back_by_slow_start(now, req);
-            return Err(held_back.unwrap_or_else(|| self.unplaced(now, req, spread)));
+            let unplaced = self.unplaced(now, req, spread);
+            return Err(self.or_wait_for_share(now, req, unplaced));
         }
         let zone = &self.zone;
         let rng = &mut self.rng;
--- a/crates/turmericloft/src/core/placement/balancer_slow_start.rs
+++ b/crates/turmericloft/src/core/placement/balancer_slow_start.rs
@@ -55,17 +55,24 @@
         self.limits.is_limited(endpoint) || self.cold.is_cold(now, endpoint)
     }
 
-    /// Why a request gets no endpoint if that is because cold endpoints accept none of this gateway now. It waits as
-    /// for capacity: a share is due soon, or the slow start ends.
-    pub(super) fn held_back_by_slow_start(
+    /// Why a request gets no endpoint, if cold endpoints that accept none of this gateway now are all that there is. It
+    /// waits as for capacity: a share is due soon, or the slow start ends. Limits come first, as other gateways may lend
+    /// their shares of them.
+    pub(super) fn or_wait_for_share(
         &mut self,
         now: Instant,
         req: &PlacementRequest<'_>,
-    ) -> Option<PlacementError> {
+        unplaced: PlacementError,
+    ) -> PlacementError {
+        if !matches!(unplaced, PlacementError::NoEndpoint { .. }) {
+            return unplaced;
+        }
         let left_out = self.left_out(now, req);
-        let wait = self.cold.wait_for_request(now, left_out.iter())?;
+        let Some(wait) = self.cold.wait_for_request(now, left_out.iter()) else {
+            return unplaced;
+        };
         let retry_after = wait.mul_f64(1.0 + self.rng.random::<f64>() / 2.0);
-        Some(PlacementError::NoCapacity { retry_after })
+        PlacementError::NoCapacity { retry_after }
     }
 
     /// Records a request to an endpoint, and whether a cold one was left out.
--- a/crates/turmericloft/src/core/slow_start/cold_endpoints.rs
+++ b/crates/turmericloft/src/core/slow_start/cold_endpoints.rs
@@ -196,7 +196,13 @@
             .known
             .iter()
             .any(|(id, k)| k.share > 0 && self.is_cold(now, id));
-        has_share.then(|| (sharing.as_of() + VIEW_REFRESH).max(sharing.long_usable_from()))
+        // A list from before this gateway may use its shares gives it none, however young it is.
+        let is_early = sharing.as_of() < sharing.long_usable_from();
+        let due = match is_early {
+            true => sharing.long_usable_from(),
+            false => sharing.as_of() + VIEW_REFRESH,
+        };
+        has_share.then_some(due)
     }
 
     fn has_usable_view(&self, now: Instant) -> bool {
--- a/crates/turmericloft/src/core/slow_start/known_endpoint.rs
+++ b/crates/turmericloft/src/core/slow_start/known_endpoint.rs
@@ -107,7 +107,8 @@
                 self.suspect(now);
             }
             AttemptOutcome::Answered | AttemptOutcome::Failed | AttemptOutcome::Shed => {
-                if std::mem::take(&mut self.is_unreachable) {
+                let was_unreachable = std::mem::take(&mut self.is_unreachable);
+                if was_unreachable {
                     self.suspect(now);
                 }
             }
--- a/crates/turmericloft/tests/testsuite/placement/discovery.rs
+++ b/crates/turmericloft/tests/testsuite/placement/discovery.rs
@@ -137,3 +137,30 @@
     table.observe(now, registration("e3", 13));
     assert_eq!(ids(&table), ["e1", "e2", "e3"]);
 }
+
+/// Guards against followers that never learn that an endpoint is warm, or that it has become cold without a restart: they
+/// get changes only.
+#[test]
+fn warm_up_that_begins_or_ends_is_a_change_and_its_progress_is_none() {
+    let now = Instant::now();
+    let mut table = table(now);
+    let mut observe = |offset, left_s| {
+        let mut record = registration("e1", offset);
+        let entry = record.endpoint.as_mut().expect("present");
+        entry.warmup_left = Duration::from_secs(left_s);
+        table.observe(now, record)
+    };
+    let (change, none) = (DiscoveryChange::Endpoints, DiscoveryChange::None);
+    let steps = [
+        (0, none),
+        (4, change),
+        (3, none),
+        (4, change),
+        (1, none),
+        (0, change),
+        (0, none),
+    ];
+    for (offset, (left_s, expected)) in (10..).zip(steps) {
+        assert_eq!(observe(offset, left_s), expected, "{offset} {left_s}");
+    }
+}
--- a/crates/turmericloft/tests/testsuite/slow_start/states.rs
+++ b/crates/turmericloft/tests/testsuite/slow_start/states.rs
@@ -4,7 +4,7 @@
 
 use turmericloft::core::{
     placement::{AttemptOutcome, DiscoveredEndpoint, EndpointState},
-    slow_start::{ColdEndpoints, INTERVAL, SlowStartBounds, VIEW_VALIDITY},
+    slow_start::{ColdEndpoints, INTERVAL, SlowStartBounds, VIEW_REFRESH, VIEW_VALIDITY},
 };
 
 use super::{MS, RATE, SLOW_START, alone, bounds, services, view, warming};
@@ -124,3 +124,21 @@
     assert!(cold.allows_request(now + VIEW_VALIDITY - MS, "e1"));
     assert!(!cold.allows_request(now + VIEW_VALIDITY, "e1"));
 }
+
+/// Guards against calls to the store that nobody needs, and against a gateway that starts with the whole system and uses
+/// its first usable list only after the refresh.
+#[test]
+fn list_is_read_again_only_for_a_share_of_a_cold_endpoint() {
+    let now = Instant::now();
+    let mut cold = alone(now, &[endpoint("e1", "a")]);
+    assert_eq!(cold.view_due(now), None);
+    cold.record_stated(now, now, "e1", VIEW_VALIDITY * 2);
+    assert_eq!(cold.view_due(now), Some(now + VIEW_REFRESH));
+    let usable_from = now + SLOW_START;
+    cold.set_sharing(view(0, &[0], now).with_long_usable_from(usable_from));
+    assert_eq!(cold.view_due(now), Some(usable_from));
+    assert!(!cold.allows_request(usable_from, "e1"));
+    // A gateway that others precede for this endpoint has no share.
+    cold.set_sharing(view(0, &(0..2_000).collect::<Vec<_>>(), now));
+    assert_eq!(cold.view_due(now), None);
+}
