--- a/crates/turmericloft/tests/testsuite/slow_start/states.rs
+++ b/crates/turmericloft/tests/testsuite/slow_start/states.rs
@@ -1,6 +1,6 @@
 //! When an endpoint counts as cold.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use turmericloft::core::{
     placement::{AttemptOutcome, DiscoveredEndpoint, EndpointState},
@@ -77,9 +77,9 @@
         assert!(cold.is_cold(now + SLOW_START - MS, id), "{i}");
         assert!(!cold.is_cold(now + SLOW_START, id), "{i}");
         // A response to an earlier check says nothing of it.
-        cold.record_stated(now + MS, now - MS, id, SLOW_START * 0);
+        cold.record_stated(now + MS, now - MS, id, Duration::ZERO);
         assert!(cold.is_cold(now + MS, id), "{i}");
-        cold.record_stated(now + MS, now, id, SLOW_START * 0);
+        cold.record_stated(now + MS, now, id, Duration::ZERO);
         assert!(!cold.is_cold(now + MS, id), "{i}");
         cold.record_stated(now + MS, now, id, SLOW_START);
         assert!(cold.is_cold(now + SLOW_START, id), "{i}");
