--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -20,6 +20,7 @@
 pub mod rate_limit;
 pub mod relay;
 pub mod routing;
+pub mod slow_start;
 mod step;
 pub mod traffic;
 
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -174,6 +174,8 @@
                 ingress.retain_splitters(&table);
                 ingress.note_quotas(&table);
                 ingress.activate_keys(&table);
+                let services = &table.document().services;
+                ingress.balancer.lock().set_slow_starts(services);
                 ingress.table.store(Some(table));
             }
         }
@@ -214,6 +216,7 @@
             continue;
         };
         metrics_recorder::install().run_upkeep();
+        ingress.report_cold();
         let now = ingress.now();
         // `borrow_and_update` at a sweep may have consumed a change notification, so the lists are
         // compared.
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -128,8 +128,9 @@
             Arc::clone(&settings.host),
             first_grant,
         );
-        let balancer = Balancer::new(zone, budget, Pcg64Mcg::seed_from_u64(seed));
         let keys = Mutex::new(KeyAuthority::new(settings.key_rules));
+        let mut balancer = Balancer::new(zone, budget, Pcg64Mcg::seed_from_u64(seed));
+        balancer.set_slow_start_bounds(settings.slow_start);
         Arc::new(Self {
             settings,
             clock,
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -22,4 +22,5 @@
 mod rate_limit;
 mod relay;
 mod routing;
+mod slow_start;
 mod traffic;
