--- /dev/null
+++ b/crates/turmericloft/src/core/handover/progress.rs
@@ -0,0 +1,107 @@
+//! Progress of handing over one request.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use strum::{Display, IntoStaticStr};
+
+use super::HelperRefusal;
+
+/// Helpers that one request is sent to at most. With a third of all gateways cut off, six in a row are so for
+/// one request in 700.
+pub const MAX_HELPERS: usize = 6;
+/// Time to the deadline below which a request is not handed over to another helper.
+const MIN_TIME: Duration = Duration::from_millis(10);
+
+/// How handing over a request to one helper has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum HandoverTry {
+    /// The helper does not take the request.
+    Refused(HelperRefusal),
+    /// No byte of the request was sent.
+    Unsent,
+    /// The connection ended without a complete response, so the request may have run.
+    Broken,
+    /// No response came in time, so the request may have run.
+    TimedOut,
+}
+
+/// What to do after the last try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HandoverEnd {
+    /// No helper has the request, and none said that it reaches endpoints: all endpoints may be down, so the
+    /// gateway serves the request itself as far as it can.
+    ServeHere,
+    /// No helper has the request, and some were busy.
+    Busy,
+    /// The request may have run; the last helper that had it ended the connection.
+    Broken,
+    /// The request may have run; no helper responded in time.
+    TimedOut,
+}
+
+/// The tries so far of one request.
+#[derive(Clone, Debug)]
+pub struct HandoverProgress {
+    is_idempotent: bool,
+    deadline: Instant,
+    tried: Vec<Arc<str>>,
+    was_busy: bool,
+    /// How the last try ended after which the request may have run; `None` if it has not.
+    may_have_run: Option<HandoverEnd>,
+}
+
+impl HandoverProgress {
+    /// Begins with no try of a request with this deadline.
+    pub fn new(is_idempotent: bool, deadline: Instant) -> Self {
+        Self {
+            is_idempotent,
+            deadline,
+            tried: Vec::new(),
+            was_busy: false,
+            may_have_run: None,
+        }
+    }
+
+    /// Hosts of the helpers that were tried.
+    pub fn tried(&self) -> &[Arc<str>] {
+        &self.tried
+    }
+
+    /// When the next helper has to have responded; `None` if the request may not go to another one. An
+    /// idempotent request leaves half of its time for another helper, as the host of a helper may freeze.
+    pub fn next_try(&self, now: Instant) -> Option<Instant> {
+        let left = self.deadline.saturating_duration_since(now);
+        let is_at_risk = self.may_have_run.is_some() && !self.is_idempotent;
+        if is_at_risk || self.tried.len() >= MAX_HELPERS || left < MIN_TIME {
+            return None;
+        }
+        Some(match self.is_idempotent && self.may_have_run.is_none() {
+            true => now + left / 2,
+            false => self.deadline,
+        })
+    }
+
+    /// Records how the try at `host` ended.
+    pub fn record(&mut self, host: Arc<str>, end: HandoverTry) {
+        self.tried.push(host);
+        match end {
+            HandoverTry::Refused(HelperRefusal::Busy) => self.was_busy = true,
+            HandoverTry::Refused(HelperRefusal::CutOff) | HandoverTry::Unsent => {}
+            HandoverTry::Broken => self.may_have_run = Some(HandoverEnd::Broken),
+            HandoverTry::TimedOut => self.may_have_run = Some(HandoverEnd::TimedOut),
+        }
+    }
+
+    /// What to do as no further helper can be tried.
+    pub fn end(&self) -> HandoverEnd {
+        let untouched = match self.was_busy {
+            true => HandoverEnd::Busy,
+            false => HandoverEnd::ServeHere,
+        };
+        self.may_have_run.unwrap_or(untouched)
+    }
+}
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -33,10 +33,10 @@
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Largest response body that is forwarded, in bytes.
-const MAX_BODY_BYTES: usize = 16 << 20;
+pub(super) const MAX_BODY_BYTES: usize = 16 << 20;
 /// Time past the deadline that the gateway still waits, so that a response which the endpoint sends
 /// at the deadline arrives.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(40);
+pub(super) const RESPONSE_MARGIN: Duration = Duration::from_millis(40);
 
 /// A request that is forwarded, shared by all its attempts.
 #[derive(Debug)]
@@ -180,14 +180,20 @@
         followed.record_sending();
         match exchange(ingress, forwarded, in_flight, &mut connection).await {
             Some(Err(e)) if e.is_unsent() => followed.record_unsent(),
-            result => return classify(ingress, in_flight, connection, result),
+            result => {
+                ingress.record_exchange(&endpoint.id, now, false, result.as_ref());
+                return classify(ingress, in_flight, connection, result);
+            }
         }
     }
     let limit = CONNECT_TIMEOUT.min(forwarded.deadline.saturating_duration_since(ingress.now()));
     let opened = ClientConnection::open(endpoint.address, limit, UNACKNOWLEDGED_TIMEOUT).await;
     let mut connection = match opened {
         Ok(connection) => connection,
-        Err(_) => return (AttemptEnd::NotRun, AttemptOutcome::Unreachable, None),
+        Err(_) => {
+            ingress.record_contact(&endpoint.id, now, true, false);
+            return (AttemptEnd::NotRun, AttemptOutcome::Unreachable, None);
+        }
     };
     let now = ingress.now();
     if forwarded.client_disconnected.is_cancelled()
@@ -198,6 +204,7 @@
     }
     followed.record_sending();
     let result = exchange(ingress, forwarded, in_flight, &mut connection).await;
+    ingress.record_exchange(&endpoint.id, now, true, result.as_ref());
     classify(ingress, in_flight, connection, result)
 }
 
--- a/crates/turmericloft/src/ops/ingress/client.rs
+++ b/crates/turmericloft/src/ops/ingress/client.rs
@@ -18,6 +18,7 @@
 use super::{
     client_response::{ClientResponse, GatewayResponse},
     forward::forward,
+    origin::RequestOrigin,
     shared::Ingress,
 };
 use crate::{
@@ -48,8 +49,17 @@
 
 type PendingResponse = Pin<Box<dyn Future<Output = ReadyResponse> + Send>>;
 
-/// Serves one connection until either side closes it.
+/// Serves the connection of a client until either side closes it.
 pub(super) async fn serve_client(ingress: Arc<Ingress>, stream: TcpStream) {
+    serve_connection(ingress, stream, RequestOrigin::Client).await;
+}
+
+/// Serves one connection until either side closes it.
+pub(super) async fn serve_connection(
+    ingress: Arc<Ingress>,
+    stream: TcpStream,
+    origin: RequestOrigin,
+) {
     if let Err(e) = stream.set_nodelay(true) {
         log::warn!("cannot set TCP_NODELAY on a client connection; closing it: {e}");
         return;
@@ -58,6 +68,7 @@
     let now = ingress.now();
     let connection = ClientStream {
         ingress,
+        origin,
         stream,
         reader: RequestReader::new(),
         pending: FuturesOrdered::new(),
@@ -74,6 +85,7 @@
 
 struct ClientStream {
     ingress: Arc<Ingress>,
+    origin: RequestOrigin,
     stream: TcpStream,
     reader: RequestReader,
     pending: FuturesOrdered<PendingResponse>,
@@ -210,11 +222,20 @@
             }
             self.is_exclusive = true;
         }
+        let helped = match self.origin.admit(&self.ingress) {
+            Ok(helped) => helped,
+            Err(refusal) => {
+                self.push_gateway_response(refusal, close);
+                return true;
+            }
+        };
         let is_head = &req.method[..] == b"HEAD";
         let ingress = Arc::clone(&self.ingress);
         let now = ingress.now();
-        let response = forward(ingress, req, route, now, self.disconnected.clone());
+        let disconnected = self.disconnected.clone();
+        let response = forward(ingress, req, route, now, disconnected, self.origin);
         self.push(async move {
+            let _helped = helped;
             ReadyResponse {
                 response: response.await,
                 is_head,
@@ -249,7 +270,8 @@
         // one.
         let is_stopping = is_last && self.ingress.stopping.is_cancelled();
         let close = ready.close || ready.response.must_close() || is_stopping;
-        let message = ready.response.message(ready.is_head, close);
+        let marker = self.origin.marker(&ready.response);
+        let message = ready.response.marked_message(ready.is_head, close, marker);
         let written = timeout(WRITE_TIMEOUT, self.stream.write_all(&message)).await;
         if !matches!(written, Ok(Ok(()))) {
             return false;
--- a/crates/turmericloft/src/ops/ingress/client_response.rs
+++ b/crates/turmericloft/src/ops/ingress/client_response.rs
@@ -5,7 +5,11 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use strum::Display;
 
-use crate::sources::http1::{RequestError, Response};
+use super::handover::HANDOVER_HEADER;
+use crate::{
+    core::handover::HelperRefusal,
+    sources::http1::{RequestError, Response},
+};
 
 /// A response that the gateway generates. It has no body.
 ///
@@ -36,6 +40,8 @@
         /// Time until the quarantine ends.
         retry_after: Duration,
     },
+    /// The request of another gateway is not taken. It has not run here and never will.
+    NotHelping(HelperRefusal),
     /// The request may have run; no complete response arrived.
     NoAnswer,
     /// The request may have run; no response arrived before the deadline.
@@ -50,7 +56,11 @@
             Self::NoRequestId => 400,
             Self::NoRoute => 404,
             Self::TooSlow => 408,
-            Self::NotReady | Self::Refused { .. } | Self::TooLate | Self::Quarantined { .. } => 503,
+            Self::NotReady
+            | Self::Refused { .. }
+            | Self::TooLate
+            | Self::Quarantined { .. }
+            | Self::NotHelping(_) => 503,
             Self::NoAnswer => 502,
             Self::OutOfTime => 504,
         }
@@ -109,9 +119,19 @@
     /// Encodes the response as an HTTP/1.1 message. `is_head` is set for a response to a `HEAD`
     /// request; `close` adds `Connection: close`.
     pub fn message(&self, is_head: bool, close: bool) -> Bytes {
+        self.marked_message(is_head, close, None)
+    }
+
+    /// Like [`message`](Self::message), with a marker for another gateway.
+    pub(super) fn marked_message(
+        &self,
+        is_head: bool,
+        close: bool,
+        marker: Option<&'static str>,
+    ) -> Bytes {
         match self {
             Self::Endpoint(response) => endpoint_message(response, is_head, close),
-            Self::Gateway(response) => gateway_message(*response, close),
+            Self::Gateway(response) => gateway_message(*response, close, marker),
         }
     }
 }
@@ -121,7 +141,9 @@
     buf.put_slice(format!("HTTP/1.1 {} ", response.status).as_bytes());
     buf.put_slice(&response.reason);
     buf.put_slice(b"\r\n");
-    response.headers.write_end_to_end(&mut buf, &[], &[]);
+    response
+        .headers
+        .write_end_to_end(&mut buf, &[HANDOVER_HEADER], &[]);
     let is_bodiless = matches!(response.status, 204 | 304);
     if !is_head && !is_bodiless {
         put_content_length(&mut buf, response.body.len());
@@ -131,12 +153,15 @@
     buf.freeze()
 }
 
-fn gateway_message(response: GatewayResponse, close: bool) -> Bytes {
+fn gateway_message(response: GatewayResponse, close: bool, marker: Option<&'static str>) -> Bytes {
     let mut buf = BytesMut::with_capacity(256);
     buf.put_slice(format!("HTTP/1.1 {} {}\r\n", response.status(), response.reason()).as_bytes());
     if let Some(after) = response.retry_after() {
         buf.put_slice(format!("Retry-After: {:.3}\r\n", after.as_secs_f64()).as_bytes());
     }
+    if let Some(marker) = marker {
+        buf.put_slice(format!("{HANDOVER_HEADER}: {marker}\r\n").as_bytes());
+    }
     put_content_length(&mut buf, 0);
     put_head_end(&mut buf, close);
     buf.freeze()
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{
     future::Future,
-    pin::Pin,
+    pin::{Pin, pin},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -14,9 +14,12 @@
     attempt::{AttemptEnd, ForwardedRequest, run_attempt},
     client_response::{ClientResponse, GatewayResponse},
     crash_watch::{CrashWatch, refusal},
+    handover::hand_over,
     in_flight_attempt::InFlightAttempt,
     loans::place_on_loan,
     metrics::{count_held_back, count_response},
+    origin::RequestOrigin,
+    request_log::log_request,
     shared::Ingress,
     wait::{place_or_wait, probe_and_place},
 };
@@ -45,13 +48,15 @@
 
 /// Forwards a request that arrived at `arrived` and returns the response for its client.
 ///
-/// `client_disconnected` is cancelled when the client's connection ends.
+/// `client_disconnected` is cancelled when the client's connection ends. A request of another gateway is not
+/// handed over.
 pub(super) async fn forward(
     ingress: Arc<Ingress>,
     req: Request,
     route: Arc<Route>,
     arrived: Instant,
     client_disconnected: CancellationToken,
+    origin: RequestOrigin,
 ) -> ClientResponse {
     let _open_request = ingress.open_request();
     let Some(id) = ingress
@@ -66,8 +71,6 @@
     let Some(service) = ingress.next_service(&route) else {
         return ClientResponse::Gateway(GatewayResponse::NoRoute);
     };
-    let now = ingress.now();
-    ingress.balancer.lock().record_request(now, &service);
     let deadline = arrived + timeout;
     let forwarded = Arc::new(ForwardedRequest::new(
         req,
@@ -76,63 +79,49 @@
         deadline,
         client_disconnected,
     ));
-    let forwarder = Forwarder {
-        ingress: Arc::clone(&ingress),
-        forwarded: Arc::clone(&forwarded),
-        service,
-        tried: Vec::new(),
-        attempts: FuturesUnordered::new(),
-        may_have_run: false,
-        crash_watch: CrashWatch::default(),
-        arrived,
+    let may_hand_over = origin == RequestOrigin::Client;
+    let handed_over = match may_hand_over {
+        true => hand_over(&ingress, &forwarded).await,
+        false => None,
+    };
+    let (response, attempts) = match handed_over {
+        Some(response) => (response, 0),
+        None => {
+            let now = ingress.now();
+            // A helper counts the requests that it gets for its own retry budget.
+            ingress.balancer.lock().record_request(now, &service);
+            let forwarder = Forwarder {
+                ingress: Arc::clone(&ingress),
+                forwarded: Arc::clone(&forwarded),
+                service,
+                tried: Vec::new(),
+                attempts: FuturesUnordered::new(),
+                may_have_run: false,
+                crash_watch: CrashWatch::default(),
+                arrived,
+                may_hand_over,
+            };
+            forwarder.run().await
+        }
     };
-    let (response, attempts) = forwarder.run().await;
     let took = ingress.now().saturating_duration_since(arrived);
     count_response(&response, took);
     log_request(&ingress, &forwarded, &response, attempts, (took, timeout));
     response
 }
 
-/// Logs the result of a request, with the time it took and its timeout.
-fn log_request(
-    ingress: &Ingress,
-    forwarded: &ForwardedRequest,
-    response: &ClientResponse,
-    attempts: usize,
-    (took, timeout): (Duration, Duration),
-) {
-    let (kind, by) = match response {
-        ClientResponse::Endpoint(r) if r.status < 500 => ("request served", "endpoint".to_owned()),
-        ClientResponse::Endpoint(_) => ("request failed", "endpoint".to_owned()),
-        ClientResponse::Gateway(r) => ("request not served", r.to_string()),
-    };
-    let version = ingress.table.load().as_ref().map(|t| t.document().version);
-    ingress.log.write_line(
-        ingress.now(),
-        kind,
-        format_args!(
-            "request={} route={} version={} answer={by} status={} attempts={attempts} took_ms={} \
-             of_ms={}",
-            String::from_utf8_lossy(&forwarded.id),
-            forwarded.route.name,
-            version.unwrap_or_default(),
-            response.status(),
-            took.as_millis(),
-            timeout.as_millis(),
-        ),
-    );
-}
-
 /// State of forwarding one request, with all its attempts.
-struct Forwarder {
-    ingress: Arc<Ingress>,
-    forwarded: Arc<ForwardedRequest>,
-    service: Arc<str>,
+pub(super) struct Forwarder {
+    pub(super) ingress: Arc<Ingress>,
+    pub(super) forwarded: Arc<ForwardedRequest>,
+    pub(super) service: Arc<str>,
     tried: Vec<InstanceId>,
     attempts: FuturesUnordered<Attempt>,
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     crash_watch: CrashWatch,
     arrived: Instant,
+    /// Whether another gateway may serve the request while this one is cut off.
+    pub(super) may_hand_over: bool,
 }
 
 impl Forwarder {
@@ -146,9 +135,9 @@
         if let Some(refusal) = refusal(&self.ingress, &self.forwarded) {
             return ClientResponse::Gateway(refusal);
         }
-        let first = match self.place_first().await {
+        let first = match self.place_first_or_hand_over().await {
             Ok(placement) => placement,
-            Err(unplaced) => return rejection(unplaced),
+            Err(response) => return response,
         };
         // Another gateway may have reported crashes while the request waited.
         if let Some(refusal) = refusal(&self.ingress, &self.forwarded) {
@@ -160,6 +149,9 @@
         let mut hedge_at = Some(hedge_at_first).filter(|_| self.is_idempotent());
         self.start(first);
         let clock = self.ingress.clock.clone();
+        let ingress = Arc::clone(&self.ingress);
+        let mut cut_off = pin!(ingress.wait_until_cut_off());
+        let mut watches_contact = self.may_hand_over && self.is_idempotent();
         loop {
             let at = hedge_at.unwrap_or(self.forwarded.deadline);
             tokio::select! {
@@ -173,6 +165,13 @@
                     hedge_at = None;
                     self.retry().await;
                 }
+                () = &mut cut_off, if watches_contact => {
+                    watches_contact = false;
+                    // The attempts in flight stay, in case that no other gateway takes the request.
+                    if let Some(response) = self.hand_over_retry().await {
+                        return response;
+                    }
+                }
             }
         }
     }
@@ -192,6 +191,11 @@
                 Some(ClientResponse::Endpoint(response))
             }
             AttemptEnd::NotRun => {
+                if self.attempts.is_empty()
+                    && let Some(response) = self.hand_over_unsent().await
+                {
+                    return Some(response);
+                }
                 if !self.attempts.is_empty() || self.retry().await {
                     return None;
                 }
@@ -213,6 +217,11 @@
     /// Handles an attempt that may have run and gave no response.
     async fn handle_unknown(&mut self, outcome: AttemptOutcome) -> Option<ClientResponse> {
         self.may_have_run = true;
+        if self.attempts.is_empty()
+            && let Some(response) = self.hand_over_retry().await
+        {
+            return Some(response);
+        }
         let is_retried = self.is_idempotent() && (!self.attempts.is_empty() || self.retry().await);
         if is_retried {
             return None;
@@ -261,7 +270,7 @@
 
     /// Chooses the endpoint of the first attempt. Waits for capacity only while a response can
     /// still meet the target latency and the deadline.
-    async fn place_first(&mut self) -> Result<Placement, PlacementError> {
+    pub(super) async fn place_first(&mut self) -> Result<Placement, PlacementError> {
         let ForwardedRequest {
             route, deadline, ..
         } = &*self.forwarded;
@@ -331,7 +340,7 @@
         }));
     }
 
-    fn is_idempotent(&self) -> bool {
+    pub(super) fn is_idempotent(&self) -> bool {
         self.forwarded.route.kind == RouteKind::Idempotent
     }
 }
@@ -348,7 +357,7 @@
         .max(first.started_at + first.service_time.mul_f64(HEDGE_SERVICE_TIMES))
 }
 
-fn rejection(unplaced: PlacementError) -> ClientResponse {
+pub(super) fn rejection(unplaced: PlacementError) -> ClientResponse {
     ClientResponse::Gateway(match unplaced {
         PlacementError::NoEndpoint { retry_after }
         | PlacementError::Limited { retry_after }
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -6,13 +6,14 @@
 
 use crate::{
     core::{
+        handover::HelperRefusal,
         placement::AttemptOutcome,
         rate_limit::{EndpointLimits, LimitEvent, LoanAnswer},
     },
     util::metrics_table::{
-        INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS,
-        INGRESS_PROBES, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE,
-        LIMITED_ENDPOINTS,
+        CUT_OFF, HANDED_OVER, HELPED, INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS,
+        INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS, INGRESS_PROBES, LIMIT_CHANGES, LIMIT_HELD_BACK,
+        LIMIT_LOANS, LIMIT_SHARE, LIMITED_ENDPOINTS,
     },
 };
 
@@ -68,3 +69,22 @@
     };
     counter!(LIMIT_LOANS.name, "side" => side, "result" => result).increment(1);
 }
+
+/// Shows whether the gateway is cut off from all endpoints.
+pub(super) fn set_cut_off_gauge(is_cut_off: bool) {
+    gauge!(CUT_OFF.name).set(f64::from(u8::from(is_cut_off)));
+}
+
+/// Counts the end of handing a request over to one other gateway.
+pub(super) fn count_handover(result: &'static str) {
+    counter!(HANDED_OVER.name, "result" => result).increment(1);
+}
+
+/// Counts a request that another gateway wants to hand over, by whether it is taken.
+pub(super) fn count_helped(checked: Result<(), HelperRefusal>) {
+    let result = match checked {
+        Ok(()) => "taken",
+        Err(refusal) => refusal.into(),
+    };
+    counter!(HELPED.name, "result" => result).increment(1);
+}
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -9,16 +9,23 @@
 mod client;
 mod client_response;
 mod connection_pool;
+mod contact;
 mod crash_watch;
 mod followed_attempt;
 mod forward;
+mod forward_handover;
+mod handover;
+mod helper_address;
+mod helping;
 mod in_flight_attempt;
 mod limits;
 mod loans;
 mod metrics;
+mod origin;
 mod probe;
 mod protocol;
 mod ready;
+mod request_log;
 mod run;
 mod settings;
 mod shared;
@@ -26,6 +33,7 @@
 
 pub use self::{
     client_response::{ClientResponse, GatewayResponse},
+    helping::serve_handed_over,
     protocol::{AttemptHeaders, EndpointProtocol, ResponseMetadata},
     run::{IngressError, IngressListeners, run_ingress},
     settings::IngressSettings,
--- /dev/null
+++ b/crates/turmericloft/src/ops/ingress/origin.rs
@@ -0,0 +1,50 @@
+//! Who sends the requests of a connection.
+
+use std::sync::Arc;
+
+use super::{
+    client_response::{ClientResponse, GatewayResponse},
+    handover::HANDOVER_OWN,
+    helping::HelpedRequest,
+    shared::Ingress,
+};
+use crate::core::handover::HelperRefusal;
+
+/// Who sends the requests of a connection, by the listener on which it came in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestOrigin {
+    /// A client.
+    Client,
+    /// Another gateway, which is cut off from all endpoints. Its requests are not handed over again.
+    Gateway,
+}
+
+impl RequestOrigin {
+    /// Admits a request. The guard of a request of another gateway is held until the response is complete.
+    pub(super) fn admit(
+        self,
+        ingress: &Arc<Ingress>,
+    ) -> Result<Option<HelpedRequest>, GatewayResponse> {
+        match self {
+            Self::Client => Ok(None),
+            Self::Gateway => HelpedRequest::admit(ingress)
+                .map(Some)
+                .map_err(GatewayResponse::NotHelping),
+        }
+    }
+
+    /// Value of the header by which another gateway tells this gateway's own responses from those of endpoints;
+    /// `None` for a response that has none.
+    pub(super) fn marker(self, response: &ClientResponse) -> Option<&'static str> {
+        if self == Self::Client {
+            return None;
+        }
+        match response {
+            ClientResponse::Endpoint(_) => None,
+            ClientResponse::Gateway(GatewayResponse::NotHelping(refusal)) => Some(refusal.into()),
+            // A gateway without a document cannot serve what another one can.
+            ClientResponse::Gateway(GatewayResponse::NotReady) => Some(HelperRefusal::Busy.into()),
+            ClientResponse::Gateway(_) => Some(HANDOVER_OWN),
+        }
+    }
+}
--- a/crates/turmericloft/src/ops/ingress/probe.rs
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -4,7 +4,10 @@
 //! requests less often than that. Load reports on responses are therefore mostly outdated; a probe
 //! costs an endpoint little and reports its speed at the time of the decision.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
@@ -118,10 +121,27 @@
     let pooled = ingress
         .pool
         .take(sent_at, &endpoint.id, RouteKind::Idempotent);
-    let mut connection = match pooled {
-        Some(connection) => connection,
-        None => ClientConnection::open(endpoint.address, PROBE_TIMEOUT, PROBE_TIMEOUT).await?,
+    let is_new = pooled.is_none();
+    let exchange = async {
+        let connection = match pooled {
+            Some(connection) => connection,
+            None => ClientConnection::open(endpoint.address, PROBE_TIMEOUT, PROBE_TIMEOUT).await?,
+        };
+        probe_over(ingress, endpoint, path, connection, sent_at).await
     };
+    let result = exchange.await;
+    ingress.record_contact(&endpoint.id, sent_at, is_new, result.is_ok());
+    result
+}
+
+/// Sends a health check on this connection, which is kept for further requests.
+pub(super) async fn probe_over(
+    ingress: &Ingress,
+    endpoint: &DiscoveredEndpoint,
+    path: &str,
+    mut connection: ClientConnection,
+    sent_at: Instant,
+) -> Result<ProbeResponse, ExchangeError> {
     let peer = endpoint.address;
     let message = Bytes::from(format!("GET {path} HTTP/1.1\r\nHost: {peer}\r\n\r\n"));
     let is_own_response = |r: &_| ingress.protocol.read_metadata(r).request_id.is_none();
--- a/crates/turmericloft/src/ops/ingress/protocol.rs
+++ b/crates/turmericloft/src/ops/ingress/protocol.rs
@@ -51,6 +51,10 @@
     /// Reads the time for which the client waits for a response; `None` if the client states none.
     fn client_timeout(&self, headers: &Headers) -> Option<Duration>;
 
+    /// Writes the header line of the time for which a client waits, ended by CRLF, for another gateway that serves
+    /// the request instead of this one.
+    fn write_client_timeout(&self, buf: &mut BytesMut, timeout: Duration);
+
     /// Names of request headers that are not forwarded, as the gateway writes its own.
     fn replaced_headers(&self) -> &'static [&'static str];
 
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -17,6 +17,7 @@
 use super::{
     abandoned_checks::{apply_entries, check_abandoned},
     client::serve_client,
+    contact::follow_contact,
     limits::{apply_sharing, check_limited},
     ready::{serve_metrics, serve_readiness},
     settings::IngressSettings,
@@ -25,7 +26,7 @@
 
 /// Time after the stop signal at which idle client connections are closed. The load balancer in
 /// front checks readiness every second and sends no more clients after two failures.
-const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2_800);
+pub(super) const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2_800);
 /// Part of the grace period reserved for the process to exit.
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 /// Interval at which a stopping gateway checks for open requests.
@@ -33,7 +34,7 @@
 /// Interval at which expired idle connections to endpoints are closed.
 const POOL_SWEEP_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(super) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Error that prevents an ingress gateway from starting.
 #[derive(Debug, Error)]
@@ -96,6 +97,7 @@
     tokio::spawn(apply_documents(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(apply_gateway_count(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(apply_sharing(Arc::clone(&ingress), feeds.sharing.clone()));
+    tokio::spawn(follow_contact(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(apply_endpoints(Arc::clone(&ingress), feeds));
     tokio::spawn(check_abandoned(Arc::clone(&ingress)));
     tokio::spawn(check_limited(Arc::clone(&ingress)));
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -18,7 +18,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    connection_pool::ConnectionPool, protocol::EndpointProtocol, settings::IngressSettings,
+    connection_pool::ConnectionPool, handover::Handover, protocol::EndpointProtocol,
+    settings::IngressSettings,
 };
 use crate::{
     core::{
@@ -79,6 +80,12 @@
     pub(super) loans: OnceLock<Arc<LoanSocket>>,
     /// Endpoints whose limits have ended by responses to this gateway, which others do not know yet.
     pub(super) ended_limits: Mutex<Vec<InstanceId>>,
+    /// Hands over requests while the gateway is cut off from all endpoints; unset if the gateways cannot reach
+    /// each other.
+    pub(super) handover: OnceLock<Handover>,
+    /// Requests of other gateways in flight.
+    pub(super) helped_requests: Mutex<usize>,
+    pub(super) seed: u64,
     splitters: Mutex<HashMap<Arc<str>, Splitter>>,
     rng: Mutex<Pcg64Mcg>,
     open_requests: AtomicUsize,
@@ -127,6 +134,9 @@
             limits_changed: watch::Sender::new(()),
             loans: OnceLock::new(),
             ended_limits: Mutex::default(),
+            handover: OnceLock::new(),
+            helped_requests: Mutex::default(),
+            seed,
             splitters: Mutex::default(),
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed.rotate_left(32))),
             open_requests: AtomicUsize::new(0),
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -299,8 +299,35 @@
     help: "Log lines dropped because standard output was not read fast enough",
 };
 
+/// Whether the gateway is cut off from all endpoints.
+pub const CUT_OFF: Metric = Metric {
+    name: "turmericloft_ingress_cut_off",
+    kind: MetricKind::Gauge,
+    unit: "boolean",
+    labels: &[],
+    help: "1 while this gateway reaches no endpoint and hands requests over to others, else 0",
+};
+
+/// Requests handed over to other gateways, one for each gateway tried.
+pub const HANDED_OVER: Metric = Metric {
+    name: "turmericloft_ingress_handed_over_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &["result"],
+    help: "Requests handed over to another gateway while this one reached no endpoint, by result",
+};
+
+/// Requests that other gateways wanted to hand over.
+pub const HELPED: Metric = Metric {
+    name: "turmericloft_ingress_helped_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &["result"],
+    help: "Requests that another gateway wanted to hand over to this one, by whether it took them",
+};
+
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 30] = [
+pub const ALL: [Metric; 33] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -327,6 +354,9 @@
     LIMIT_HELD_BACK,
     LIMIT_LOANS,
     LIMIT_CHANGES,
+    CUT_OFF,
+    HANDED_OVER,
+    HELPED,
     STORE_CALLS,
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/handover.rs
@@ -0,0 +1,190 @@
+//! Choice of the gateways to which requests are handed over, and what may be sent again.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use turmericloft::core::{
+    handover::{
+        HandoverEnd, HandoverProgress, HandoverTry, HelperChoice, HelperRefusal, MAX_HELPED,
+        MAX_HELPERS, check_help,
+    },
+    relay::RelayMember,
+};
+
+/// Gateways in three zones.
+fn members(count: usize) -> Vec<RelayMember> {
+    let member = |i: usize| RelayMember {
+        host: format!("g{i}").into(),
+        zone: ["a", "b", "c"][i % 3].into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+    };
+    (0..count).map(member).collect()
+}
+
+fn choice(own: &RelayMember, seed: u64) -> HelperChoice {
+    let (host, zone) = (Arc::clone(&own.host), Arc::clone(&own.zone));
+    HelperChoice::new(host, zone, Pcg64Mcg::seed_from_u64(seed))
+}
+
+/// Plays requests of cut off gateways at 9 a second each for ten seconds. Returns the part that found no helper
+/// and the most requests that one helper got, compared with the mean.
+fn play(count: usize, seed: u64, is_cut_off: impl Fn(usize) -> bool) -> (f64, f64) {
+    let members = members(count);
+    let start = Instant::now();
+    let mut got: HashMap<Arc<str>, usize> = HashMap::new();
+    let (mut unserved, mut all) = (0, 0);
+    for (i, own) in members.iter().enumerate().filter(|(i, _)| is_cut_off(*i)) {
+        let mut choice = choice(own, seed * 1_000 + i as u64);
+        for n in 0..90 {
+            let now = start + Duration::from_millis(110) * n;
+            let mut progress = HandoverProgress::new(false, now + Duration::from_secs(2));
+            let mut is_served = false;
+            while !is_served && progress.next_try(now).is_some() {
+                let Some(helper) = choice.choose(now, &members, progress.tried()) else {
+                    break;
+                };
+                let i: usize = helper.host[1..].parse().expect("a number");
+                if is_cut_off(i) {
+                    choice.record_refusal(now, &helper, HelperRefusal::CutOff);
+                    progress.record(helper.host, HandoverTry::Refused(HelperRefusal::CutOff));
+                } else {
+                    choice.record_served(&helper);
+                    *got.entry(helper.host).or_default() += 1;
+                    is_served = true;
+                }
+            }
+            all += 1;
+            unserved += usize::from(!is_served);
+        }
+    }
+    let helpers = (0..count).filter(|i| !is_cut_off(*i)).count();
+    let mean = (all - unserved) as f64 / helpers as f64;
+    let most = got.values().copied().max().unwrap_or(0) as f64;
+    (unserved as f64 / all as f64, most / mean)
+}
+
+/// Requests of a third of the gateways, or of a whole zone, reach helpers, and no helper gets far more than the
+/// others.
+#[test]
+fn requests_of_cut_off_gateways_spread_over_the_others() {
+    for count in [17, 99, 230, 300] {
+        for seed in 0..2 {
+            let (unserved, most) = play(count, seed, |i| i % 3 == 0);
+            assert!(unserved <= 0.02, "zone, {count}, seed {seed}: {unserved}");
+            assert!(most <= 2.0, "zone, {count}, seed {seed}: {most}");
+            let (unserved, most) = play(count, seed, |i| i / 3 % 3 == 0);
+            assert!(unserved <= 0.02, "third, {count}, seed {seed}: {unserved}");
+            assert!(most <= 3.0, "third, {count}, seed {seed}: {most}");
+        }
+    }
+}
+
+/// Bytes between zones are priced, so a neighbour that reaches endpoints is used first.
+#[test]
+fn helper_of_the_own_zone_comes_first() {
+    let members = members(30);
+    let mut choice = choice(&members[0], 1);
+    for _ in 0..100 {
+        let helper = choice
+            .choose(Instant::now(), &members, &[])
+            .expect("a helper");
+        assert_eq!(&*helper.zone, "a");
+        assert_ne!(helper.host, members[0].host);
+        choice.record_served(&helper);
+    }
+}
+
+/// A helper that rejects a request would reject the next one too.
+#[test]
+fn helper_that_rejects_or_fails_is_left_out_for_a_second() {
+    let members: Vec<_> = members(6).into_iter().filter(|m| &*m.zone == "a").collect();
+    let now = Instant::now();
+    let mut choice = choice(&members[0], 1);
+    let helper = choice.choose(now, &members, &[]).expect("a helper");
+    choice.record_refusal(now, &helper, HelperRefusal::Busy);
+    let soon = now + Duration::from_millis(999);
+    assert_eq!(choice.choose(soon, &members, &[]), None);
+    let later = now + Duration::from_secs(1);
+    assert_eq!(choice.choose(later, &members, &[]), Some(helper.clone()));
+    choice.record_failure(later, &helper);
+    assert_eq!(choice.choose(later, &members, &[]), None);
+}
+
+/// A request that may have run at a helper runs twice if it is sent again.
+#[test]
+fn request_that_may_have_run_is_sent_again_only_if_it_is_idempotent() {
+    let now = Instant::now();
+    for is_idempotent in [false, true] {
+        for end in [HandoverTry::Broken, HandoverTry::TimedOut] {
+            let mut progress = HandoverProgress::new(is_idempotent, now + Duration::from_secs(1));
+            progress.record("g1".into(), end);
+            assert_eq!(progress.next_try(now).is_some(), is_idempotent, "{end:?}");
+            let expected = match end {
+                HandoverTry::TimedOut => HandoverEnd::TimedOut,
+                _ => HandoverEnd::Broken,
+            };
+            assert_eq!(progress.end(), expected);
+            // A later refusal does not undo that.
+            progress.record("g2".into(), HandoverTry::Refused(HelperRefusal::Busy));
+            assert_eq!(progress.end(), expected);
+        }
+    }
+}
+
+/// Refusals and requests of which no byte was sent promise that the request has not run.
+#[test]
+fn request_that_has_not_run_goes_to_other_helpers_up_to_a_limit() {
+    let now = Instant::now();
+    let ends = [
+        HandoverTry::Refused(HelperRefusal::CutOff),
+        HandoverTry::Refused(HelperRefusal::Busy),
+        HandoverTry::Unsent,
+    ];
+    for end in ends {
+        let mut progress = HandoverProgress::new(false, now + Duration::from_secs(1));
+        for n in 0..MAX_HELPERS {
+            assert!(progress.next_try(now).is_some(), "{end:?} {n}");
+            progress.record(format!("g{n}").into(), end);
+        }
+        assert_eq!(progress.next_try(now), None, "{end:?}");
+        let expected = match end {
+            HandoverTry::Refused(HelperRefusal::Busy) => HandoverEnd::Busy,
+            _ => HandoverEnd::ServeHere,
+        };
+        assert_eq!(progress.end(), expected, "{end:?}");
+    }
+}
+
+/// A host that freezes with an idempotent request leaves time for another helper; one that runs at most once
+/// gets all the time there is.
+#[test]
+fn first_try_of_an_idempotent_request_leaves_time_for_a_second() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(1);
+    let first = HandoverProgress::new(true, deadline).next_try(now);
+    assert_eq!(first, Some(now + Duration::from_millis(500)));
+    assert_eq!(
+        HandoverProgress::new(false, deadline).next_try(now),
+        Some(deadline)
+    );
+    let late = deadline - Duration::from_millis(1);
+    assert_eq!(HandoverProgress::new(true, deadline).next_try(late), None);
+}
+
+#[test]
+fn help_is_limited_by_own_requests_and_memory() {
+    assert_eq!(check_help(true, 0, 100), Err(HelperRefusal::CutOff));
+    assert_eq!(check_help(false, 7, 0), Ok(()));
+    assert_eq!(check_help(false, 8, 0), Err(HelperRefusal::Busy));
+    assert_eq!(check_help(false, 19, 40), Ok(()));
+    assert_eq!(check_help(false, 20, 40), Err(HelperRefusal::Busy));
+    assert_eq!(
+        check_help(false, MAX_HELPED, 1_000),
+        Err(HelperRefusal::Busy)
+    );
+}
--- a/crates/turmericloft/tests/testsuite/ingress/protocol.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/protocol.rs
@@ -28,6 +28,10 @@
             .map(Duration::from_millis)
     }
 
+    fn write_client_timeout(&self, buf: &mut BytesMut, timeout: Duration) {
+        buf.put_slice(format!("Left-Ms: {}\r\n", timeout.as_millis()).as_bytes());
+    }
+
     fn replaced_headers(&self) -> &'static [&'static str] {
         &["Left-Ms", "Instance"]
     }
