--- a/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
@@ -137,6 +137,10 @@
 
     pub async fn start_with_script(script: &Script) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Self::start_on(listener, script)
+    }
+
+    pub fn start_on(listener: TcpListener, script: &Script) -> Self {
         let address = listener.local_addr().expect("an address");
         let endpoint = Self {
             address,
--- /dev/null
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/fleet.rs
@@ -0,0 +1,208 @@
+//! Gateways of three zones, with links of their own to shared endpoints.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::{net::TcpListener, sync::watch};
+use tokio_util::sync::{CancellationToken, DropGuard};
+use turmericloft::{
+    core::{
+        placement::{DiscoveredEndpoint, EndpointState, RetryBudget},
+        relay::RelayMember,
+        traffic::RouteTable,
+    },
+    ops::{
+        SharedQuarantine,
+        ingress::{
+            Ingress, IngressFeeds, IngressListeners, IngressSettings, run_ingress,
+            serve_handed_over,
+        },
+    },
+    util::host_clock::HostClock,
+};
+
+use super::{
+    super::{
+        endpoint::{Behaviour, Endpoint},
+        gateway::document,
+        protocol::TestProtocol,
+    },
+    link::{Cut, Link},
+};
+
+/// Target latency of requests. Without reports, endpoints are expected to respond in a part of it.
+const TARGET_LATENCY: Duration = Duration::from_millis(800);
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// A running gateway. Its tasks end with the runtime of the test.
+pub struct FleetGateway {
+    pub clients: SocketAddr,
+    pub zone: &'static str,
+    pub stop: CancellationToken,
+    links: Vec<Link>,
+    _stop: DropGuard,
+    _feeds: FeedSenders,
+}
+
+type FeedSenders = (
+    watch::Sender<Option<Arc<RouteTable>>>,
+    watch::Sender<Option<Arc<Vec<DiscoveredEndpoint>>>>,
+);
+
+impl FleetGateway {
+    /// Starts a gateway that sends to `endpoints` over `links`, if there are any, and hands requests over to
+    /// `members`, of which it is the one with this number.
+    pub async fn start(
+        number: usize,
+        endpoints: Vec<DiscoveredEndpoint>,
+        links: Vec<Link>,
+        members: &watch::Sender<Option<Vec<RelayMember>>>,
+        handover: Handed,
+    ) -> Self {
+        let zone = ZONES[number % ZONES.len()];
+        let settings = settings(number, zone);
+        let listeners = IngressListeners::bind(&settings).await.expect("free ports");
+        let clients = listeners.clients.local_addr().expect("an address");
+        let quarantine = Arc::new(SharedQuarantine::new(&settings.host));
+        let protocol = Arc::new(TestProtocol);
+        let clock = HostClock::simulated();
+        let seed = number as u64;
+        let ingress = Ingress::with_clock(settings, protocol, quarantine, seed, clock);
+        ingress.set_handover(members.subscribe(), handover.port);
+        if let Some(listener) = handover.listener {
+            tokio::spawn(serve_handed_over(Arc::clone(&ingress), listener));
+        }
+        let (documents_tx, documents) = watch::channel(None);
+        let (endpoints_tx, endpoints_rx) = watch::channel(None);
+        let (_, gateways) = watch::channel(Some(1));
+        let (_, sharing) = watch::channel(None);
+        let feeds = IngressFeeds {
+            documents,
+            endpoints: endpoints_rx,
+            gateways,
+            sharing,
+        };
+        let mut document = document(1);
+        for route in &mut document.routes {
+            route.target_latency = TARGET_LATENCY;
+        }
+        documents_tx.send_replace(Some(Arc::new(RouteTable::new(document))));
+        endpoints_tx.send_replace(Some(Arc::new(endpoints)));
+        let stop = CancellationToken::new();
+        tokio::spawn(run_ingress(ingress, listeners, feeds, stop.clone()));
+        Self {
+            clients,
+            zone,
+            stop: stop.clone(),
+            links,
+            _stop: stop.drop_guard(),
+            _feeds: (documents_tx, endpoints_tx),
+        }
+    }
+
+    /// Cuts it off from all endpoints in this way, or ends that.
+    pub fn cut(&self, cut: Cut) {
+        self.links.iter().for_each(|link| link.set(cut));
+    }
+}
+
+/// Where a gateway takes requests of others.
+pub struct Handed {
+    pub listener: Option<TcpListener>,
+    pub port: u16,
+}
+
+/// Gateways that know each other.
+pub struct Fleet {
+    pub gateways: Vec<FleetGateway>,
+    pub endpoints: Vec<Endpoint>,
+    pub members: watch::Sender<Option<Vec<RelayMember>>>,
+}
+
+impl Fleet {
+    /// Starts gateways, each on an address of its own in the network 127.1.`net`.0, which no other test uses, and
+    /// endpoints.
+    pub async fn start(net: u8, gateways: usize, endpoints: usize) -> Self {
+        let mut endpoint_list = Vec::new();
+        for _ in 0..endpoints {
+            endpoint_list.push(Endpoint::start(Behaviour::Respond).await);
+        }
+        let members = watch::Sender::new(None);
+        let (mut started, mut known) = (Vec::new(), Vec::new());
+        let mut port = 0;
+        for number in 0..gateways {
+            let ip = IpAddr::from([127, 1, net, number as u8 + 1]);
+            let listener = TcpListener::bind((ip, port)).await;
+            let listener = listener.expect("a free port");
+            let address = listener.local_addr().expect("an address");
+            port = address.port();
+            known.push(member(number, address));
+            let mut links = Vec::new();
+            for endpoint in &endpoint_list {
+                links.push(Link::open(endpoint.address).await);
+            }
+            let reached = links.iter().enumerate();
+            let reached = reached.map(|(i, link)| discovered(i, link.address));
+            let handover = Handed {
+                listener: Some(listener),
+                port,
+            };
+            let reached = reached.collect();
+            started.push(FleetGateway::start(number, reached, links, &members, handover).await);
+        }
+        members.send_replace(Some(known));
+        Self {
+            gateways: started,
+            endpoints: endpoint_list,
+            members,
+        }
+    }
+
+    /// How often a request has run.
+    pub fn runs(&self, id: &str) -> usize {
+        let runs = self.endpoints.iter().flat_map(Endpoint::ran);
+        runs.filter(|run| run.id == id).count()
+    }
+}
+
+/// The entry of the gateway with this number.
+pub fn member(number: usize, address: SocketAddr) -> RelayMember {
+    RelayMember {
+        host: format!("g{number}").into(),
+        zone: ZONES[number % ZONES.len()].into(),
+        address,
+    }
+}
+
+/// The entry of the endpoint with this number.
+pub fn discovered(number: usize, address: SocketAddr) -> DiscoveredEndpoint {
+    DiscoveredEndpoint {
+        id: format!("e{number}").into(),
+        service: "calendar".into(),
+        address,
+        zone: ZONES[number % ZONES.len()].into(),
+        slots: 16,
+        state: EndpointState::Ready,
+        warmup_left: Duration::ZERO,
+        started_at_ms: 1,
+    }
+}
+
+fn settings(number: usize, zone: &str) -> IngressSettings {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    IngressSettings {
+        host: format!("g{number}").into(),
+        zone: zone.into(),
+        listen: any,
+        ready_listen: any,
+        metrics_listen: None,
+        ready_path: "/ready",
+        grace_period: Duration::from_secs(30),
+        max_endpoint_probe_rate: None,
+        body_memory_bytes: 1 << 20,
+        retry_budget: RetryBudget::new(Duration::from_secs(10), 0.1, 1.5),
+    }
+}
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod faults;
 mod gateway;
+mod handover;
 mod pipelining;
 mod protocol;
 mod routes;
