Drop crashes that a gateway saw while it was cut off; listener test

A gateway that loses all endpoints sees every connection end, which counted as crashes: the third copy of a sound request was put in quarantine at all gateways. What was seen since the last response is dropped once the gateway is known to be cut off, and other gateways are told.

--- a/crates/turmericloft/src/core/quarantine/crash_history.rs
+++ b/crates/turmericloft/src/core/quarantine/crash_history.rs
@@ -88,6 +88,16 @@
         is_first || !cleared.is_empty()
     }
 
+    /// Drops the crashes from `since` on, of which the network was the cause. Returns whether there were any.
+    pub(super) fn clear_since(&mut self, since: Instant) -> bool {
+        let crashes = self.crashes.iter().filter(|c| c.crash.at >= since);
+        let ids: Vec<_> = crashes.map(|c| c.id).collect();
+        for id in &ids {
+            self.clear_crash(*id);
+        }
+        !ids.is_empty()
+    }
+
     /// Drops one crash for good. Returns false if that is already done.
     fn clear_crash(&mut self, id: CrashId) -> bool {
         if self.cleared.contains(&id) {
--- a/crates/turmericloft/src/core/quarantine/request_quarantine.rs
+++ b/crates/turmericloft/src/core/quarantine/request_quarantine.rs
@@ -117,6 +117,17 @@
         self.change(now, *request, event, |history| history.clear(now))
     }
 
+    /// Drops the crashes since `since`, as no endpoint could be reached from then on: connections ended because of
+    /// the network. Returns what changed, which other gateways have to know.
+    pub fn clear_since(&mut self, now: Instant, since: Instant) -> Vec<QuarantineChange> {
+        let requests: Vec<_> = self.requests.keys().copied().collect();
+        let event = QuarantineEvent::CutOff;
+        let changes = requests.into_iter().filter_map(|request| {
+            self.change(now, request, event, |history| history.clear_since(since))
+        });
+        changes.collect()
+    }
+
     /// Decides whether a request may be sent.
     pub fn decide(&self, now: Instant, request: &Fingerprint) -> SendDecision {
         let Some(history) = self.requests.get(request).map(|r| &r.history) else {
--- a/crates/turmericloft/src/ops/ingress/abandoned_checks.rs
+++ b/crates/turmericloft/src/ops/ingress/abandoned_checks.rs
@@ -95,6 +95,9 @@
 }
 
 fn record_crashes(ingress: &Ingress, now: Instant, crashes: Vec<ConcludedCrash>) {
+    if ingress.is_cut_off() {
+        return;
+    }
     for (request, crash) in crashes {
         let endpoint = crash.endpoint.clone();
         let ran_for = crash.at.saturating_duration_since(crash.sent_at);
--- a/crates/turmericloft/src/ops/ingress/contact.rs
+++ b/crates/turmericloft/src/ops/ingress/contact.rs
@@ -129,12 +129,17 @@
             failed,
             known,
             silent_for,
-        }) => log::warn!(
-            "cut off from all endpoints; requests are handed over failed={failed} known={known} \
+        }) => {
+            let now = ingress.now();
+            let heard_at = now.checked_sub(silent_for).unwrap_or(now);
+            ingress.quarantine.clear_since(now, heard_at);
+            log::warn!(
+                "cut off from all endpoints; requests are handed over failed={failed} known={known} \
              silent_ms={} open_requests={}",
-            silent_for.as_millis(),
-            ingress.open_requests(),
-        ),
+                silent_for.as_millis(),
+                ingress.open_requests(),
+            );
+        }
         Some(ContactChange::Restored {
             lasted,
             failed_checks,
--- a/crates/turmericloft/src/ops/shared_quarantine.rs
+++ b/crates/turmericloft/src/ops/shared_quarantine.rs
@@ -76,6 +76,14 @@
         }
     }
 
+    /// Drops the crashes since `since`, from when on no endpoint could be reached.
+    pub fn clear_since(&self, now: Instant, since: Instant) {
+        let changes = self.table.lock().clear_since(now, since);
+        for change in changes {
+            self.publish(now, &change);
+        }
+    }
+
     /// Adds what another gateway reports.
     pub fn merge(&self, now: Instant, reports: Vec<CrashReport>) {
         let changes = self.table.lock().merge(now, reports);
--- a/crates/turmericloft/tests/testsuite/ingress/handover/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/fleet.rs
@@ -40,7 +40,6 @@
 /// A running gateway. Its tasks end with the runtime of the test.
 pub struct FleetGateway {
     pub clients: SocketAddr,
-    pub zone: &'static str,
     pub stop: CancellationToken,
     links: Vec<Link>,
     _stop: DropGuard,
@@ -95,7 +94,6 @@
         tokio::spawn(run_ingress(ingress, listeners, feeds, stop.clone()));
         Self {
             clients,
-            zone,
             stop: stop.clone(),
             links,
             _stop: stop.drop_guard(),
@@ -119,7 +117,7 @@
 pub struct Fleet {
     pub gateways: Vec<FleetGateway>,
     pub endpoints: Vec<Endpoint>,
-    pub members: watch::Sender<Option<Vec<RelayMember>>>,
+    _members: watch::Sender<Option<Vec<RelayMember>>>,
 }
 
 impl Fleet {
@@ -132,6 +130,7 @@
         }
         let members = watch::Sender::new(None);
         let (mut started, mut known) = (Vec::new(), Vec::new());
+        let links_on = IpAddr::from([127, 1, net, 250]);
         let mut port = 0;
         for number in 0..gateways {
             let ip = IpAddr::from([127, 1, net, number as u8 + 1]);
@@ -142,7 +141,7 @@
             known.push(member(number, address));
             let mut links = Vec::new();
             for endpoint in &endpoint_list {
-                links.push(Link::open(endpoint.address).await);
+                links.push(Link::open(links_on, endpoint.address).await);
             }
             let reached = links.iter().enumerate();
             let reached = reached.map(|(i, link)| discovered(i, link.address));
@@ -157,7 +156,7 @@
         Self {
             gateways: started,
             endpoints: endpoint_list,
-            members,
+            _members: members,
         }
     }
 
--- a/crates/turmericloft/tests/testsuite/ingress/handover/link.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/link.rs
@@ -1,14 +1,20 @@
 //! A link from one gateway to one endpoint that can be cut.
 
-use std::net::SocketAddr;
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use strum::EnumIter;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::watch,
+    time::timeout,
 };
 
+/// Time that a response takes, so that requests are in flight when a link is cut.
+const RESPONSE_TIME: Duration = Duration::from_millis(120);
 const BUFFER_BYTES: usize = 64 << 10;
 
 /// What happens to connections over a link.
@@ -20,6 +26,8 @@
     Hang,
     /// Open ones are reset, new ones refused.
     Reset,
+    /// All are reset when a request comes, new ones too.
+    ResetAtRequest,
     /// Open ones work, new ones are refused.
     RefuseNew,
 }
@@ -31,9 +39,10 @@
 }
 
 impl Link {
-    /// Opens a link to `target`.
-    pub async fn open(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    /// Opens a link to `target` on an address that no other test uses, so that nobody takes its port while the
+    /// link refuses connections.
+    pub async fn open(ip: IpAddr, target: SocketAddr) -> Self {
+        let listener = TcpListener::bind((ip, 0)).await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let cut = watch::Sender::new(Cut::None);
         tokio::spawn(accept(listener, target, cut.subscribe()));
@@ -97,10 +106,24 @@
             changed = cuts.changed() => changed.ok()?,
             n = client.read(&mut sent), if is_open => {
                 let n = n.ok().filter(|n| *n > 0)?;
+                if cut == Cut::ResetAtRequest {
+                    client.set_zero_linger().ok()?;
+                    return None;
+                }
                 server.write_all(&sent[..n]).await.ok()?;
             }
             n = server.read(&mut received), if is_open => {
                 let n = n.ok().filter(|n| *n > 0)?;
+                // A cut during this time meets the response on its way.
+                let is_cut = timeout(RESPONSE_TIME, cuts.changed()).await.is_ok();
+                let cut = *cuts.borrow_and_update();
+                if is_cut && matches!(cut, Cut::Reset | Cut::ResetAtRequest) {
+                    client.set_zero_linger().ok()?;
+                    return None;
+                }
+                if is_cut && cut == Cut::Hang {
+                    cuts.wait_for(|cut| *cut != Cut::Hang).await.ok()?;
+                }
                 client.write_all(&received[..n]).await.ok()?;
             }
         }
