--- a/crates/turmericloft/tests/testsuite/endpoint_contact.rs
+++ b/crates/turmericloft/tests/testsuite/endpoint_contact.rs
@@ -236,7 +236,13 @@
             for is_zone in [false, true] {
                 let mut run = Simulation::new(seed, 60, 3);
                 // A third of the endpoints, to which alone requests go.
-                let is_down = |i: usize| if is_zone { i / 3 % 3 == 0 } else { i % 3 == 0 };
+                let is_down = |i: usize| {
+                    if is_zone {
+                        (i / 3).is_multiple_of(3)
+                    } else {
+                        i.is_multiple_of(3)
+                    }
+                };
                 let down: Vec<_> = (0..60).filter(|i| is_down(*i)).collect();
                 let pick = |n: usize| down[n % down.len()];
                 let state = |i| if is_down(i) { reach } else { Reach::Responds };
--- a/crates/turmericloft/tests/testsuite/handover.rs
+++ b/crates/turmericloft/tests/testsuite/handover.rs
@@ -74,10 +74,10 @@
 fn requests_of_cut_off_gateways_spread_over_the_others() {
     for count in [17, 99, 230, 300] {
         for seed in 0..2 {
-            let (unserved, most) = play(count, seed, |i| i % 3 == 0);
+            let (unserved, most) = play(count, seed, |i| i.is_multiple_of(3));
             assert!(unserved <= 0.02, "zone, {count}, seed {seed}: {unserved}");
             assert!(most <= 2.0, "zone, {count}, seed {seed}: {most}");
-            let (unserved, most) = play(count, seed, |i| i / 3 % 3 == 0);
+            let (unserved, most) = play(count, seed, |i| (i / 3).is_multiple_of(3));
             assert!(unserved <= 0.02, "third, {count}, seed {seed}: {unserved}");
             assert!(most <= 3.0, "third, {count}, seed {seed}: {most}");
         }
--- a/crates/turmericloft/tests/testsuite/ingress/handover/partition.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/partition.rs
@@ -66,7 +66,7 @@
     while Instant::now() < end {
         for (gateway, front) in fleet.gateways.iter().enumerate() {
             let front = front.clients;
-            let is_idempotent = (n + gateway) % 2 == 0;
+            let is_idempotent = (n + gateway).is_multiple_of(2);
             let id = format!("{name}-{gateway}-{n}");
             running.spawn(async move {
                 let sent_at = Instant::now();
@@ -170,7 +170,9 @@
 #[test]
 fn requests_in_a_zone_are_served_while_all_its_gateways_are_cut_off() {
     for (net, cut) in Cut::iter().filter(|cut| *cut != Cut::None).enumerate() {
-        block_on(check_partition(10 + net as u8, cut, |i| i % 3 == 0));
+        block_on(check_partition(10 + net as u8, cut, |i| {
+            i.is_multiple_of(3)
+        }));
     }
 }
 
