--- a/crates/turmericloft/tests/testsuite/ingress/handover/partition.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/partition.rs
@@ -201,3 +201,21 @@
         assert_eq!(unserved(&after), []);
     });
 }
+
+/// Requests in flight when the connections begin to hang would all end only at their deadlines. One that runs at
+/// most once must not be sent again.
+#[test]
+fn idempotent_request_in_flight_is_handed_over_when_the_cut_is_noticed() {
+    block_on(async {
+        let fleet = Fleet::start(23, 3, ENDPOINTS).await;
+        send_requests(&fleet, "before", Duration::from_secs(2)).await;
+        let front = fleet.gateways[0].clients;
+        let read = tokio::spawn(call(front, "PUT", "/read/1", "read"));
+        let act = tokio::spawn(call(front, "POST", "/act/1", "act"));
+        sleep(Duration::from_millis(60)).await;
+        fleet.gateways[0].cut(Cut::Hang);
+        assert_eq!(read.await.expect("no panic"), Some(200));
+        assert_eq!(act.await.expect("no panic"), Some(504));
+        assert_eq!(fleet.runs("act"), 1);
+    });
+}
