--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -6,16 +6,17 @@
 
 use crate::{
     core::{
+        handover::HelperRefusal,
         key_lease::AccessRejection,
         placement::AttemptOutcome,
         quota::QuotaAnswer,
         rate_limit::{EndpointLimits, LimitEvent, LoanAnswer},
     },
     util::metrics_table::{
-        COLD_ENDPOINTS, COLD_KEPT_AWAY, EVACUATED_ZONES, INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS,
-        INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS, INGRESS_PROBES, KEY_LEASE_AGE, KEY_REJECTIONS,
-        LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE, LIMITED_ENDPOINTS, QUOTA_ANSWERS,
-        QUOTA_OWNED_PARTS, QUOTA_REJECTIONS,
+        COLD_ENDPOINTS, COLD_KEPT_AWAY, CUT_OFF, EVACUATED_ZONES, HANDED_OVER, HELPED,
+        INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS,
+        INGRESS_PROBES, KEY_LEASE_AGE, KEY_REJECTIONS, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS,
+        LIMIT_SHARE, LIMITED_ENDPOINTS, QUOTA_ANSWERS, QUOTA_OWNED_PARTS, QUOTA_REJECTIONS,
     },
 };
 
@@ -120,3 +121,22 @@
 pub(super) fn set_owned_parts(parts: usize) {
     gauge!(QUOTA_OWNED_PARTS.name).set(parts as f64);
 }
+
+/// Shows whether the gateway is cut off from all endpoints.
+pub(super) fn set_cut_off_gauge(is_cut_off: bool) {
+    gauge!(CUT_OFF.name).set(f64::from(u8::from(is_cut_off)));
+}
+
+/// Counts the end of handing a request over to one other gateway.
+pub(super) fn count_handover(result: &'static str) {
+    counter!(HANDED_OVER.name, "result" => result).increment(1);
+}
+
+/// Counts a request that another gateway wants to hand over, by whether it is taken.
+pub(super) fn count_helped(checked: Result<(), HelperRefusal>) {
+    let result = match checked {
+        Ok(()) => "taken",
+        Err(refusal) => refusal.into(),
+    };
+    counter!(HELPED.name, "result" => result).increment(1);
+}
--- a/crates/turmericloft/src/ops/ingress/protocol.rs
+++ b/crates/turmericloft/src/ops/ingress/protocol.rs
@@ -86,6 +86,10 @@
     /// Names of request headers that are not forwarded where requests need keys.
     fn credential_headers(&self) -> &'static [&'static str];
 
+    /// Writes the header line of the time for which a client waits, ended by CRLF, for another gateway that serves
+    /// the request instead of this one.
+    fn write_client_timeout(&self, buf: &mut BytesMut, timeout: Duration);
+
     /// Names of request headers that are not forwarded, as the gateway writes its own.
     fn replaced_headers(&self) -> &'static [&'static str];
 
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -18,7 +18,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    connection_pool::ConnectionPool, protocol::EndpointProtocol, settings::IngressSettings,
+    connection_pool::ConnectionPool, handover::Handover, protocol::EndpointProtocol,
+    settings::IngressSettings,
 };
 use crate::{
     core::{
@@ -94,6 +95,12 @@
     pub(super) quotas_used: Notify,
     /// Notified when the record for the next process on this host may have to be read or written.
     pub(super) restart_record_changed: Notify,
+    /// Hands over requests while the gateway is cut off from all endpoints; unset if the gateways cannot reach
+    /// each other.
+    pub(super) handover: OnceLock<Handover>,
+    /// Requests of other gateways in flight.
+    pub(super) helped_requests: Mutex<usize>,
+    pub(super) seed: u64,
     splitters: Mutex<HashMap<Arc<str>, Splitter>>,
     rng: Mutex<Pcg64Mcg>,
     open_requests: AtomicUsize,
@@ -154,6 +161,9 @@
             quotas: Mutex::new(quotas),
             quotas_used: Notify::new(),
             restart_record_changed: Notify::new(),
+            handover: OnceLock::new(),
+            helped_requests: Mutex::default(),
+            seed,
             splitters: Mutex::default(),
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed.rotate_left(32))),
             open_requests: AtomicUsize::new(0),
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod faults;
 mod gateway;
+mod handover;
 mod organisations;
 mod pipelining;
 mod protocol;
