Keep large transfers in their zone while it has room

Traffic between zones is charged by the byte, but the penalty for an endpoint in another zone was the same for a request of 1 kB and a download of 90 kB. A recent report from another zone even outranked every endpoint of the own one.

The penalty now grows with the bytes that a request is expected to move: its body, and the mean response size of its route. Up to 10 kB it is the same as before. While the zone is short of room, its slots get a price, so that small requests leave first. A recent report of an endpoint in another zone is no longer preferred to cost for large requests.

--- a/crates/turmericloft-bench/src/experiments/fleet/gateway.rs
+++ b/crates/turmericloft-bench/src/experiments/fleet/gateway.rs
@@ -70,6 +70,7 @@
         time_left: args.timeout().saturating_sub(elapsed),
         rank: 1,
         needs_spare_capacity: false,
+        transfer_bytes: 0,
         max_latency: args.target().saturating_sub(elapsed),
     }
 }
--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -18,7 +18,7 @@
 use super::{
     AttemptOutcome, DiscoveredEndpoint, EndpointNotice, LoadReport, Placement, PlacementError,
     PlacementRequest, Probe, ProbeOutcome, RetryBudget,
-    endpoint_cost::{cost, is_eligible},
+    endpoint_cost::{ZoneCosts, cost, is_eligible},
     endpoint_notice::EndpointNotices,
     endpoint_view::EndpointView,
     retry_after::retry_after,
@@ -138,11 +138,11 @@
                 && !v.is_ejected(now)
                 && !req.tried.contains(&v.endpoint.id)
         };
-        let zone = &self.zone;
+        let zones = ZoneCosts::new(&self.zone, service, req);
         let rng = &mut self.rng;
         let views = service.endpoints.values_mut().filter(can_probe);
         let mut views: Vec<_> = views
-            .map(|v| (cost(v, now, &baseline, zone, rng.random::<f64>()), v))
+            .map(|v| (cost(v, now, &baseline, &zones, rng.random::<f64>()), v))
             .collect();
         views.sort_by(|(a, _), (b, _)| a.total_cmp(b));
         if views
@@ -184,6 +184,9 @@
         };
         view.record_probe_end(now, outcome != ProbeOutcome::NoResponse);
         if let ProbeOutcome::Reported(load) = outcome {
+            if endpoint.zone == self.zone {
+                service.zone_room.record_report(now, &load);
+            }
             view.record_report(now, load);
         }
         view.is_known_available(now, FRESHNESS_WINDOW)
@@ -202,6 +205,7 @@
         };
         let service = self.services.get_mut(req.service).ok_or(no_service)?;
         service.urgent.record(now, req.rank);
+        service.zone_room.record_request(now, req.transfer_bytes);
         let baseline = service.baseline(req.target_latency);
         let (notices, limits) = (&self.notices, &self.limits);
         let is_candidate = |v: &&EndpointView| {
@@ -217,7 +221,7 @@
         if is_left_to_urgent || views().next().is_none() {
             return Err(self.unplaced(now, req, spread));
         }
-        let zone = &self.zone;
+        let zones = ZoneCosts::new(&self.zone, service, req);
         let rng = &mut self.rng;
         let mut best: Option<(&EndpointView, f64)> = None;
         // Ejected endpoints are used only if there is no other.
@@ -226,8 +230,9 @@
         // capacity is preferred to those with a lower expected cost.
         let mut is_best_available = false;
         for view in views().filter(|v| !has_healthy || !v.is_ejected(now)) {
-            let cost = cost(view, now, &baseline, zone, rng.random::<f64>());
-            let is_available = view.is_known_available(now, FRESHNESS_WINDOW);
+            let cost = cost(view, now, &baseline, &zones, rng.random::<f64>());
+            let is_available =
+                zones.prefers_available(view) && view.is_known_available(now, FRESHNESS_WINDOW);
             if !is_eligible(view, now, &baseline, req) || is_best_available && !is_available {
                 continue;
             }
@@ -302,6 +307,9 @@
             .map_or(0, EndpointView::in_flight);
         if let Some(load) = &load {
             service.record_report(now, own_in_flight, load);
+            if endpoint.zone == self.zone {
+                service.zone_room.record_report(now, load);
+            }
         }
         let Some(view) = service.endpoints.get_mut(&endpoint.id) else {
             return;
--- a/crates/turmericloft/src/core/placement/endpoint_cost.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_cost.rs
@@ -1,16 +1,14 @@
 //! Cost of an endpoint for a request, and whether it may get the request at all.
 
-use std::{sync::Arc, time::Instant};
+use std::time::Instant;
 
 use super::{
     PlacementRequest,
     endpoint_view::EndpointView,
-    service_view::{CONGESTED_SHARE, ServiceBaseline},
+    service_view::{CONGESTED_SHARE, ServiceBaseline, ServiceView},
+    transfer_size::{is_large, zone_penalty},
 };
 
-/// Penalty for an endpoint in another availability zone, in multiples of the mean service time:
-/// traffic between zones is expensive.
-const CROSS_ZONE_PENALTY: f64 = 0.3;
 /// Penalty for an endpoint with all slots in use, in multiples of the mean service time. Of
 /// otherwise equal endpoints, the one with more free slots can absorb more unreported requests.
 const FILL_PENALTY: f64 = 0.2;
@@ -28,19 +26,58 @@
 /// retries while the first attempt is pending.
 const SPARE_CAPACITY_SHARE: f64 = 0.75;
 
+/// What it costs one request to stay in the zone of its gateway or to leave it. Traffic between zones is expensive.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ZoneCosts<'a> {
+    own_zone: &'a str,
+    /// Whether the request moves so many bytes that its zone matters more than a recent report.
+    is_large: bool,
+    /// Penalties in multiples of the mean service time.
+    leave: f64,
+    stay: f64,
+}
+
+impl<'a> ZoneCosts<'a> {
+    pub(super) fn new(
+        own_zone: &'a str,
+        service: &ServiceView,
+        req: &PlacementRequest<'_>,
+    ) -> Self {
+        Self {
+            own_zone,
+            is_large: is_large(req.transfer_bytes),
+            leave: zone_penalty(req.transfer_bytes),
+            stay: service.zone_room.slot_price(),
+        }
+    }
+
+    /// Whether an endpoint that is known to have capacity is preferred to others whatever it costs.
+    pub(super) fn prefers_available(&self, view: &EndpointView) -> bool {
+        !self.is_large || self.is_own(view)
+    }
+
+    fn penalty(&self, view: &EndpointView) -> f64 {
+        if self.is_own(view) {
+            self.stay
+        } else {
+            self.leave
+        }
+    }
+
+    fn is_own(&self, view: &EndpointView) -> bool {
+        *view.endpoint.zone == *self.own_zone
+    }
+}
+
 /// Cost of an endpoint in seconds: expected latency and penalties. The lowest is chosen.
 pub(super) fn cost(
     view: &EndpointView,
     now: Instant,
     baseline: &ServiceBaseline,
-    zone: &Arc<str>,
+    zones: &ZoneCosts<'_>,
     random: f64,
 ) -> f64 {
-    let zone_penalty = if view.endpoint.zone == *zone {
-        0.0
-    } else {
-        CROSS_ZONE_PENALTY
-    };
+    let zone_penalty = zones.penalty(view);
     let slots = f64::from(view.endpoint.slots.max(1));
     let fill_penalty = (view.expected_requests(now, baseline) / slots).min(1.0) * FILL_PENALTY;
     let other_penalties = (zone_penalty + fill_penalty + random * JITTER) * baseline.service_time_s;
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -27,8 +27,10 @@
 mod retry_after;
 mod retry_budget;
 mod service_view;
+mod transfer_size;
 mod urgent_requests;
 mod wait_queue;
+mod zone_room;
 
 pub use self::{
     attempt_outcome::AttemptOutcome,
@@ -52,5 +54,6 @@
     registry_position::RegistryPosition,
     retry_after::retry_after,
     retry_budget::RetryBudget,
+    transfer_size::ResponseSizes,
     wait_queue::{WaitQueue, WaitTicket},
 };
--- a/crates/turmericloft/src/core/placement/placement_request.rs
+++ b/crates/turmericloft/src/core/placement/placement_request.rs
@@ -19,6 +19,8 @@
     pub rank: u32,
     /// Whether the endpoint must have spare capacity beyond this request.
     pub needs_spare_capacity: bool,
+    /// Bytes that the request and its response are expected to move.
+    pub transfer_bytes: u64,
     /// Largest expected latency of the endpoint.
     pub max_latency: Duration,
 }
--- a/crates/turmericloft/src/core/placement/service_view.rs
+++ b/crates/turmericloft/src/core/placement/service_view.rs
@@ -8,7 +8,7 @@
 
 use super::{
     InstanceId, LoadReport, ProbeBudget, RetryBudget, endpoint_view::EndpointView,
-    urgent_requests::UrgentRequests,
+    urgent_requests::UrgentRequests, zone_room::ZoneRoom,
 };
 use crate::core::decayed_mean::DecayedMean;
 
@@ -58,6 +58,8 @@
     pub(super) retry_budget: RetryBudget,
     pub(super) probe_budget: ProbeBudget,
     pub(super) urgent: UrgentRequests,
+    /// Use of the slots of the own zone.
+    pub(super) zone_room: ZoneRoom,
     service_time: DecayedMean,
     slowdown: DecayedMean,
     other_requests: DecayedMean,
@@ -76,6 +78,7 @@
             retry_budget,
             probe_budget: ProbeBudget::new(now),
             urgent: UrgentRequests::default(),
+            zone_room: ZoneRoom::new(now),
             service_time: DecayedMean::new(BASELINE_HALF_LIFE_S),
             slowdown: DecayedMean::new(BASELINE_HALF_LIFE_S),
             other_requests: DecayedMean::new(BASELINE_HALF_LIFE_S),
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -183,6 +183,11 @@
         match end {
             AttemptEnd::Response(response) => {
                 let is_failure = response.status >= 500;
+                if !is_failure {
+                    let mut sizes = self.ingress.response_sizes.lock();
+                    let route = &self.forwarded.route.name;
+                    sizes.record(self.ingress.now(), route, response.body.len());
+                }
                 if is_failure
                     && self.is_idempotent()
                     && (!self.attempts.is_empty() || self.retry().await)
@@ -310,9 +315,17 @@
             max_latency: time_left,
             rank: self.forwarded.route.rank,
             needs_spare_capacity,
+            transfer_bytes: self.transfer_bytes(),
         }
     }
 
+    /// Bytes that the request and its response are expected to move.
+    fn transfer_bytes(&self) -> u64 {
+        let ForwardedRequest { req, route, .. } = &*self.forwarded;
+        let sizes = self.ingress.response_sizes.lock();
+        sizes.expected_transfer(&route.name, req.body.len())
+    }
+
     /// Starts an attempt. An at-most-once attempt runs in a task of its own, so that it continues
     /// when its client disconnects.
     fn start(&mut self, placement: Placement) {
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -22,7 +22,9 @@
 };
 use crate::{
     core::{
-        placement::{Balancer, DiscoveredEndpoint, EndpointNotice, InstanceId, WaitQueue},
+        placement::{
+            Balancer, DiscoveredEndpoint, EndpointNotice, InstanceId, ResponseSizes, WaitQueue,
+        },
         quarantine::AbandonedAttempts,
         rate_limit::SharingGateways,
         traffic::{Route, RouteTable, Splitter},
@@ -62,6 +64,8 @@
     pub(super) table: ArcSwapOption<RouteTable>,
     pub(super) balancer: Mutex<Balancer>,
     pub(super) queue: Mutex<WaitQueue>,
+    /// Sizes of the responses of each route.
+    pub(super) response_sizes: Mutex<ResponseSizes>,
     /// Notified when an attempt ends or a request leaves the queue, so that queued requests check
     /// for capacity.
     pub(super) capacity_freed: Notify,
@@ -108,9 +112,11 @@
         let budget = settings.retry_budget.clone();
         let zone = Arc::clone(&settings.zone);
         let balancer = Balancer::new(zone, budget, Pcg64Mcg::seed_from_u64(seed));
+        let response_sizes = Mutex::new(ResponseSizes::new(clock.now()));
         Arc::new(Self {
             settings,
             clock,
+            response_sizes,
             protocol,
             quarantine,
             abandoned: Mutex::default(),
@@ -155,11 +161,14 @@
         Some(Arc::clone(&destination.service))
     }
 
-    /// Removes the splitters of routes that `table` does not contain.
+    /// Removes the splitters and response sizes of routes that `table` does not contain.
     pub(super) fn retain_splitters(&self, table: &RouteTable) {
         let routes = &table.document().routes;
         let names: HashSet<_> = routes.iter().map(|r| &r.name).collect();
         self.splitters.lock().retain(|name, _| names.contains(name));
+        self.response_sizes
+            .lock()
+            .retain(|name| names.contains(name));
     }
 
     /// Records what an endpoint asked for in a response, and logs it.
--- a/crates/turmericloft/tests/testsuite/placement/mod.rs
+++ b/crates/turmericloft/tests/testsuite/placement/mod.rs
@@ -9,6 +9,8 @@
 mod rejection;
 mod retry_budget;
 mod wait_queue;
+mod zone_world;
+mod zones;
 
 use std::{sync::Arc, time::Duration};
 
@@ -47,6 +49,7 @@
         time_left: Duration::from_millis(1_000),
         rank: 2,
         needs_spare_capacity: false,
+        transfer_bytes: 0,
         max_latency: Duration::from_millis(1_000),
     }
 }
--- a/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
@@ -86,6 +86,7 @@
         time_left: Duration::from_secs(1),
         rank: 2,
         needs_spare_capacity: false,
+        transfer_bytes: 0,
         max_latency: Duration::from_secs(1),
     }
 }
