Count an endpoint that leaves one request without a response as full

A full endpoint never responds to a request that it cannot queue, nor to later ones on that connection. It was ejected like a crashed one, and an ejected endpoint is still used when there is no other, which costs a connection each time. Requests of rank 0 could also exceed the slots by a fifth, several requests with 16 slots.

An endpoint where a request timed out although others were served meanwhile now counts as full for a second or until it reports a free slot. By what is known from reports and the own requests in flight, an endpoint gets at most one request beyond its slots.

--- a/crates/turmericloft/src/core/placement/balancer_limits.rs
+++ b/crates/turmericloft/src/core/placement/balancer_limits.rs
@@ -105,7 +105,7 @@
         (self.limits.lend(now, endpoint), change)
     }
 
-    /// Places a request by a loan that was asked for at `asked_at`. Returns `None` if the endpoint accepts no
+    /// Places a request by a loan that was asked for at `asked_at`. Returns `None` if the endpoint may be full or accepts no
     /// requests any more.
     pub fn place_on_loan(
         &mut self,
@@ -116,7 +116,9 @@
         let service = self.services.get_mut(req.service)?;
         let baseline = service.baseline(req.target_latency);
         let view = service.endpoints.get_mut(&lender.endpoint)?;
-        let is_usable = view.accepts_requests() && !self.notices.excludes(asked_at, &view.endpoint);
+        let is_usable = view.accepts_requests()
+            && !view.may_be_full(asked_at)
+            && !self.notices.excludes(asked_at, &view.endpoint);
         is_usable.then(|| start_attempt(asked_at, view, &baseline))
     }
 }
--- a/crates/turmericloft/src/core/placement/endpoint_cost.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_cost.rs
@@ -103,6 +103,9 @@
     baseline: &ServiceBaseline,
     req: &PlacementRequest<'_>,
 ) -> bool {
+    if view.may_be_full(now) {
+        return false;
+    }
     let slots = f64::from(view.endpoint.slots.max(1));
     let base_share = if baseline.congestion_slowdown > MAX_CONGESTION_SLOWDOWN {
         CONGESTED_SHARE
--- a/crates/turmericloft/src/core/placement/endpoint_view.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_view.rs
@@ -7,12 +7,12 @@
 
 use super::{
     AttemptOutcome, DiscoveredEndpoint, EndpointState, LoadReport,
+    endpoint_fullness::{EndpointFullness, may_overflow},
+    received_report::{ReceivedReport, report_weight},
     service_view::{CONGESTED_SHARE, ServiceBaseline},
 };
 use crate::core::decayed_mean::DecayedMean;
 
-/// Time constant by which a load report loses weight: speed and queues change within this time.
-const REPORT_TIME_CONSTANT: Duration = Duration::from_millis(400);
 /// Factor on the service time of an endpoint that has just started.
 const WARMUP_SLOWDOWN: f64 = 2.0;
 /// Half-life of failures and successes, in seconds.
@@ -45,14 +45,6 @@
 /// Range to which each latency ratio is clamped.
 const LATENCY_RATIO_RANGE: (f64, f64) = (0.5, 8.0);
 
-#[derive(Clone, Copy, Debug)]
-struct ReceivedReport {
-    received_at: Instant,
-    load: LoadReport,
-    /// Requests of this gateway in flight when the report was received.
-    own_in_flight: u32,
-}
-
 #[derive(Clone, Debug)]
 pub(super) struct EndpointView {
     pub(super) endpoint: Arc<DiscoveredEndpoint>,
@@ -71,6 +63,7 @@
     epoch: Instant,
     /// Measured latency over the latency expected from load reports.
     latency_ratios: DecayedMean,
+    fullness: EndpointFullness,
     /// Whether another endpoint was found at the address.
     is_replaced: bool,
 }
@@ -92,6 +85,7 @@
             probe_started_at: None,
             epoch: now,
             latency_ratios: DecayedMean::new(LATENCY_RATIO_HALF_LIFE_S),
+            fullness: EndpointFullness::default(),
             is_replaced: false,
         }
     }
@@ -138,7 +132,13 @@
             self.attempt_starts.swap_remove(i);
         }
         self.decay_outcomes(now);
+        if matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Failed) {
+            self.fullness.record_served(now);
+        }
         match outcome {
+            AttemptOutcome::TimedOut if self.fullness.record_silence(now, started) => {
+                self.failures += 1.0;
+            }
             AttemptOutcome::Answered => {
                 self.successes += 1.0;
                 self.consecutive_failures = 0;
@@ -166,6 +166,7 @@
 
     /// Records a load report, unless a newer one is known.
     pub(super) fn record_report(&mut self, at: Instant, load: LoadReport) {
+        self.fullness.record_report(&load);
         let is_newer = self.last_report.is_none_or(|r| r.received_at <= at);
         if is_newer {
             self.last_report = Some(ReceivedReport {
@@ -193,16 +194,22 @@
     pub(super) fn expected_requests(&self, now: Instant, baseline: &ServiceBaseline) -> f64 {
         let other_requests = match &self.last_report {
             Some(r) => {
-                let other_requests =
-                    f64::from(r.load.running + r.load.waiting) - f64::from(r.own_in_flight);
+                let other_requests = f64::from(r.other_requests());
                 let weight = report_weight(now, r.received_at);
-                weight * other_requests.max(0.0) + (1.0 - weight) * baseline.other_requests
+                weight * other_requests + (1.0 - weight) * baseline.other_requests
             }
             None => baseline.other_requests,
         };
         other_requests + f64::from(self.in_flight())
     }
 
+    /// Whether the endpoint may be unable to queue one more request, by what is known of it.
+    pub(super) fn may_be_full(&self, now: Instant) -> bool {
+        let recent = self.last_report.filter(|r| r.is_recent(now));
+        let others = recent.map_or(0, |r| r.other_requests());
+        self.fullness.is_full(now) || may_overflow(self.endpoint.slots, self.in_flight(), others)
+    }
+
     /// Expected latency of a request sent now, in seconds.
     pub(super) fn expected_latency_s(&self, now: Instant, baseline: &ServiceBaseline) -> f64 {
         let service_time = self.service_time_s(now, baseline);
@@ -357,11 +364,6 @@
     }
 }
 
-fn report_weight(now: Instant, at: Instant) -> f64 {
-    let age = now.saturating_duration_since(at);
-    (-age.as_secs_f64() / REPORT_TIME_CONSTANT.as_secs_f64()).exp()
-}
-
 fn outcome_decay(now: Instant, at: Instant) -> f64 {
     let age = now.saturating_duration_since(at);
     (-age.as_secs_f64() / FAILURE_HALF_LIFE_S).exp2()
--- a/crates/turmericloft/tests/testsuite/placement/mod.rs
+++ b/crates/turmericloft/tests/testsuite/placement/mod.rs
@@ -3,6 +3,7 @@
 mod balancer;
 mod discovery;
 mod fleet_size;
+mod full_endpoints;
 mod grey_failure;
 mod notices;
 mod probes;
--- a/crates/turmericloft/tests/testsuite/placement/zone_world.rs
+++ b/crates/turmericloft/tests/testsuite/placement/zone_world.rs
@@ -55,6 +55,8 @@
     /// Small and large requests that left their zone.
     pub(super) small_left: u32,
     pub(super) large_left: u32,
+    /// Attempts at endpoints that could not queue them.
+    pub(super) found_full: u32,
 }
 
 impl Measured {
@@ -272,6 +274,7 @@
         } else if server.waiting.len() < ENDPOINT_QUEUE {
             server.waiting.push_back(sent);
         } else {
+            self.measured.found_full += 1;
             let load = server.load(self.now);
             let shed = AttemptOutcome::Shed;
             let gateway = &mut self.gateways[job.gateway];
