--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -57,5 +57,5 @@
     retry_after::retry_after,
     retry_budget::RetryBudget,
     transfer_size::ResponseSizes,
-    wait_queue::{WaitQueue, WaitTicket},
+    wait_queue::{WaitKey, WaitQueue, WaitRank, WaitTicket},
 };
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -17,6 +17,7 @@
     in_flight_attempt::InFlightAttempt,
     loans::place_on_loan,
     metrics::{count_held_back, count_response},
+    organisation_request::OrganisationRequest,
     shared::Ingress,
     wait::{place_or_wait, probe_and_place},
 };
@@ -61,6 +62,16 @@
     else {
         return ClientResponse::Gateway(GatewayResponse::NoRequestId);
     };
+    let (access, organisation) = match ingress.access_on_arrival(&req.headers, &route) {
+        Ok(access) => access,
+        Err(denied) => {
+            let response = ClientResponse::Gateway(denied);
+            count_response(&response, Duration::ZERO);
+            return response;
+        }
+    };
+    let name = organisation.as_ref().map(|o| Arc::clone(&o.name));
+    let _organisation_request = OrganisationRequest::open(&ingress, name);
     let client_timeout = ingress.protocol.client_timeout(&req.headers);
     let timeout = client_timeout.unwrap_or(route.timeout).min(route.timeout);
     let Some(service) = ingress.next_service(&route) else {
@@ -73,6 +84,7 @@
         req,
         id,
         route,
+        (access, organisation),
         deadline,
         client_disconnected,
     ));
@@ -188,6 +200,8 @@
                     let route = &self.forwarded.route.name;
                     sizes.record(self.ingress.now(), route, response.body.len());
                 }
+                // A retry that is not sent must not be answered as if the request had not run.
+                self.may_have_run |= is_failure;
                 if is_failure
                     && self.is_idempotent()
                     && (!self.attempts.is_empty() || self.retry().await)
@@ -207,6 +221,15 @@
                     },
                 }))
             }
+            AttemptEnd::Denied(denied) => {
+                if !self.attempts.is_empty() {
+                    return None;
+                }
+                Some(ClientResponse::Gateway(match self.may_have_run {
+                    true => GatewayResponse::NoAnswer,
+                    false => denied,
+                }))
+            }
             AttemptEnd::Disconnected(_) => {
                 self.crash_watch.add();
                 self.handle_unknown(AttemptOutcome::Broken).await
@@ -272,7 +295,8 @@
         } = &*self.forwarded;
         let times = PlacementTimes::new(self.arrived, route.target_latency, *deadline);
         let req = self.placement_request(false);
-        let placed = place_or_wait(&self.ingress, &self.service, &req, &times).await;
+        let organisation = self.forwarded.organisation.as_ref().map(|o| &o.name);
+        let placed = place_or_wait(&self.ingress, &self.service, &req, organisation, &times).await;
         let Err(PlacementError::Limited { retry_after }) = placed else {
             return placed;
         };
@@ -314,6 +338,7 @@
             time_left,
             max_latency: time_left,
             rank: self.forwarded.route.rank,
+            organisation_rank: self.forwarded.access.rank,
             needs_spare_capacity,
             transfer_bytes: self.transfer_bytes(),
         }
--- a/crates/turmericloft/tests/testsuite/placement/mod.rs
+++ b/crates/turmericloft/tests/testsuite/placement/mod.rs
@@ -49,6 +49,7 @@
         target_latency: Duration::from_millis(300),
         time_left: Duration::from_millis(1_000),
         rank: 2,
+        organisation_rank: 0,
         needs_spare_capacity: false,
         transfer_bytes: 0,
         max_latency: Duration::from_millis(1_000),
