Hedge slow requests within a limit of the operators

Hedges were sent after a fixed multiple of the expected time and limited only by the retry budget, so operators could not say how much extra work they accept for a shorter tail of the latency.

With IngressSettings::hedge_limit, a request is hedged once it is slower than nearly all others of its route, only to an endpoint that has just reported a free slot at normal speed, and neither while room is short nor while most endpoints are slow. Each gateway hedges a share of its own requests. Without the limit nothing changes.

--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod document;
 mod environment;
 pub mod guard;
+pub mod hedging;
 mod host_id;
 pub mod key_lease;
 pub mod membership;
--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -27,7 +27,7 @@
 use crate::core::rate_limit::EndpointLimits;
 
 /// Age below which a load report is recent enough to place a request without another probe.
-const FRESHNESS_WINDOW: Duration = Duration::from_millis(12);
+pub(super) const FRESHNESS_WINDOW: Duration = Duration::from_millis(12);
 /// Endpoints probed in one round before a request is sent.
 const PROBES_PER_ROUND: usize = 3;
 /// Endpoints with limits that are left to more urgent requests, while no other endpoint can be used.
@@ -38,7 +38,7 @@
 /// One gateway's estimates of all endpoints, and the choice between them.
 #[derive(Debug)]
 pub struct Balancer {
-    zone: Arc<str>,
+    pub(super) zone: Arc<str>,
     retry_budget: RetryBudget,
     /// Probes per second and endpoint allowed from this gateway; `None` if unlimited.
     probe_rate: Option<f64>,
--- a/crates/turmericloft/src/core/placement/endpoint_view.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_view.rs
@@ -25,7 +25,7 @@
 /// prefer it to others.
 const BROKEN_OFF_FOR: Duration = Duration::from_secs(2);
 /// Slowdown below which an endpoint counts as running at its normal speed.
-const MAX_NORMAL_SLOWDOWN: f64 = 1.5;
+pub(super) const MAX_NORMAL_SLOWDOWN: f64 = 1.5;
 /// Length of the first ejection after an endpoint was unreachable or did not respond.
 const INITIAL_EJECTION: Duration = Duration::from_millis(700);
 /// Longest ejection.
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt_outcome;
 mod balancer;
+mod balancer_hedges;
 mod balancer_limits;
 mod balancer_waits;
 mod discovered_endpoint;
@@ -28,6 +29,7 @@
 mod registry_position;
 mod retry_after;
 mod retry_budget;
+mod service_room;
 mod service_view;
 mod transfer_size;
 mod urgent_requests;
@@ -56,6 +58,7 @@
     registry_position::RegistryPosition,
     retry_after::retry_after,
     retry_budget::RetryBudget,
+    service_room::ServiceRoom,
     transfer_size::ResponseSizes,
     wait_queue::{WaitKey, WaitQueue, WaitRank, WaitTicket},
 };
--- a/crates/turmericloft/src/core/placement/wait_queue.rs
+++ b/crates/turmericloft/src/core/placement/wait_queue.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Whether any request waits for capacity of a service.
+    pub fn has_waiting(&self, service: &str) -> bool {
+        self.waiting.get(service).is_some_and(|w| !w.is_empty())
+    }
+
     /// Whether a request is still in the queue. One of an organisation that held too much of it is not.
     pub fn contains(&self, ticket: &WaitTicket) -> bool {
         let waiting = self.waiting.get(&ticket.service);
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -14,15 +14,18 @@
     attempt::{AttemptEnd, ForwardedRequest, run_attempt},
     client_response::{ClientResponse, GatewayResponse},
     crash_watch::{CrashWatch, refusal},
+    hedge::first_hedge_at,
     in_flight_attempt::InFlightAttempt,
     loans::place_on_loan,
     metrics::{count_held_back, count_response},
     organisation_request::OrganisationRequest,
+    request_log::log_request,
     shared::Ingress,
     wait::{place_or_wait, probe_and_place},
 };
 use crate::{
     core::{
+        hedging::HedgeRun,
         placement::{
             AttemptOutcome, InstanceId, Placement, PlacementError, PlacementRequest, PlacementTimes,
         },
@@ -31,18 +34,12 @@
     sources::http1::Request,
 };
 
-/// Delay after which an idempotent request is hedged, in multiples of the first attempt's expected
-/// response time.
-const HEDGE_DELAY_FACTOR: f64 = 1.4;
-/// Time reserved for the second endpoint, and least time given to the first one, in multiples of
-/// the service time.
-const HEDGE_SERVICE_TIMES: f64 = 1.2;
 /// `Retry-After` of a rejection that no estimate is available for.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Time to the deadline below which a request is not retried.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(10);
 
-type Attempt = Pin<Box<dyn Future<Output = AttemptEnd> + Send>>;
+pub(super) type Attempt = Pin<Box<dyn Future<Output = (usize, AttemptEnd)> + Send>>;
 
 /// Forwards a request that arrived at `arrived` and returns the response for its client.
 ///
@@ -79,6 +76,7 @@
     };
     let now = ingress.now();
     ingress.balancer.lock().record_request(now, &service);
+    ingress.hedging.lock().record_request();
     let deadline = arrived + timeout;
     let forwarded = Arc::new(ForwardedRequest::new(
         req,
@@ -97,6 +95,8 @@
         may_have_run: false,
         crash_watch: CrashWatch::default(),
         arrived,
+        last_sent_at: arrived,
+        hedge_run: None,
     };
     let (response, attempts) = forwarder.run().await;
     let took = ingress.now().saturating_duration_since(arrived);
@@ -105,46 +105,19 @@
     response
 }
 
-/// Logs the result of a request, with the time it took and its timeout.
-fn log_request(
-    ingress: &Ingress,
-    forwarded: &ForwardedRequest,
-    response: &ClientResponse,
-    attempts: usize,
-    (took, timeout): (Duration, Duration),
-) {
-    let (kind, by) = match response {
-        ClientResponse::Endpoint(r) if r.status < 500 => ("request served", "endpoint".to_owned()),
-        ClientResponse::Endpoint(_) => ("request failed", "endpoint".to_owned()),
-        ClientResponse::Gateway(r) => ("request not served", r.to_string()),
-    };
-    let version = ingress.table.load().as_ref().map(|t| t.document().version);
-    ingress.log.write_line(
-        ingress.now(),
-        kind,
-        format_args!(
-            "request={} route={} version={} answer={by} status={} attempts={attempts} took_ms={} \
-             of_ms={}",
-            String::from_utf8_lossy(&forwarded.id),
-            forwarded.route.name,
-            version.unwrap_or_default(),
-            response.status(),
-            took.as_millis(),
-            timeout.as_millis(),
-        ),
-    );
-}
-
 /// State of forwarding one request, with all its attempts.
-struct Forwarder {
-    ingress: Arc<Ingress>,
-    forwarded: Arc<ForwardedRequest>,
+pub(super) struct Forwarder {
+    pub(super) ingress: Arc<Ingress>,
+    pub(super) forwarded: Arc<ForwardedRequest>,
     service: Arc<str>,
-    tried: Vec<InstanceId>,
-    attempts: FuturesUnordered<Attempt>,
+    pub(super) tried: Vec<InstanceId>,
+    pub(super) attempts: FuturesUnordered<Attempt>,
     may_have_run: bool,
     crash_watch: CrashWatch,
     arrived: Instant,
+    /// When the last attempt was sent; the arrival before the first one.
+    pub(super) last_sent_at: Instant,
+    pub(super) hedge_run: Option<HedgeRun>,
 }
 
 impl Forwarder {
@@ -167,23 +140,28 @@
             self.release(first);
             return ClientResponse::Gateway(refusal);
         }
-        let target = self.forwarded.route.target_latency;
-        let hedge_at_first = hedge_at(&first, self.arrived + target);
-        let mut hedge_at = Some(hedge_at_first).filter(|_| self.is_idempotent());
+        let hedge_at_first = first_hedge_at(&self.ingress, &self.forwarded, &first, self.arrived);
+        let mut hedge_at = hedge_at_first.filter(|_| self.is_idempotent());
+        let first_sent_at = first.started_at;
         self.start(first);
         let clock = self.ingress.clock.clone();
         loop {
             let at = hedge_at.unwrap_or(self.forwarded.deadline);
             tokio::select! {
                 biased;
-                Some(end) = self.attempts.next() => {
+                Some((attempt, end)) = self.attempts.next() => {
                     if let Some(response) = self.handle_end(end).await {
+                        self.record_latency(first_sent_at, attempt, &response);
                         return response;
                     }
                 }
                 () = clock.sleep_until(at), if hedge_at.is_some() => {
                     hedge_at = None;
-                    self.retry().await;
+                    if self.ingress.limits_hedges() {
+                        self.hedge().await;
+                    } else {
+                        self.retry().await;
+                    }
                 }
             }
         }
@@ -255,15 +233,7 @@
     /// limit of attempts and the retry budget allow it. Returns whether it was sent.
     async fn retry(&mut self) -> bool {
         let now = self.ingress.now();
-        let left = self.forwarded.deadline.saturating_duration_since(now);
-        let attempts = self.tried.len() as u32;
-        if left < MIN_RETRY_TIME || attempts >= self.forwarded.route.max_attempts {
-            return false;
-        }
-        if !self
-            .crash_watch
-            .allows_retry(&self.ingress, &self.forwarded)
-        {
+        if !self.may_send_again(now) {
             return false;
         }
         let Ok(placement) = self.place_retry().await else {
@@ -282,6 +252,17 @@
         true
     }
 
+    /// Whether deadline, attempts and crashes allow another attempt.
+    pub(super) fn may_send_again(&self, now: Instant) -> bool {
+        let left = self.forwarded.deadline.saturating_duration_since(now);
+        let attempts = self.tried.len() as u32;
+        left >= MIN_RETRY_TIME
+            && attempts < self.forwarded.route.max_attempts
+            && self
+                .crash_watch
+                .allows_retry(&self.ingress, &self.forwarded)
+    }
+
     /// Gives up a placement without sending the request.
     fn release(&self, placement: Placement) {
         drop(InFlightAttempt::new(Arc::clone(&self.ingress), placement));
@@ -328,7 +309,7 @@
         probe_and_place(&self.ingress, &req).await
     }
 
-    fn placement_request(&self, needs_spare_capacity: bool) -> PlacementRequest<'_> {
+    pub(super) fn placement_request(&self, needs_spare_capacity: bool) -> PlacementRequest<'_> {
         let now = self.ingress.now();
         let time_left = self.forwarded.deadline.saturating_duration_since(now);
         PlacementRequest {
@@ -353,39 +334,30 @@
 
     /// Starts an attempt. An at-most-once attempt runs in a task of its own, so that it continues
     /// when its client disconnects.
-    fn start(&mut self, placement: Placement) {
+    pub(super) fn start(&mut self, placement: Placement) {
+        let number = self.tried.len();
         self.tried.push(placement.endpoint.id.clone());
+        self.last_sent_at = placement.started_at;
         let in_flight = InFlightAttempt::new(Arc::clone(&self.ingress), placement);
         let ingress = Arc::clone(&self.ingress);
         let attempt = run_attempt(ingress, Arc::clone(&self.forwarded), in_flight);
         if self.is_idempotent() {
-            self.attempts.push(Box::pin(attempt));
+            self.attempts
+                .push(Box::pin(async move { (number, attempt.await) }));
             return;
         }
         let task = tokio::spawn(attempt);
         self.attempts.push(Box::pin(async move {
             let outcome = AttemptOutcome::Broken;
-            task.await.unwrap_or(AttemptEnd::Unknown(outcome))
+            (number, task.await.unwrap_or(AttemptEnd::Unknown(outcome)))
         }));
     }
 
-    fn is_idempotent(&self) -> bool {
+    pub(super) fn is_idempotent(&self) -> bool {
         self.forwarded.route.kind == RouteKind::Idempotent
     }
 }
 
-/// Time at which a hedge is sent: when the first attempt is late, or earlier if a second endpoint
-/// could not meet the target otherwise.
-fn hedge_at(first: &Placement, target: Instant) -> Instant {
-    let late_at = first.started_at + first.expected_latency.mul_f64(HEDGE_DELAY_FACTOR);
-    let latest = target
-        .checked_sub(first.service_time.mul_f64(HEDGE_SERVICE_TIMES))
-        .unwrap_or(target);
-    late_at
-        .min(latest)
-        .max(first.started_at + first.service_time.mul_f64(HEDGE_SERVICE_TIMES))
-}
-
 fn rejection(unplaced: PlacementError) -> ClientResponse {
     ClientResponse::Gateway(match unplaced {
         PlacementError::NoEndpoint { retry_after }
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -6,14 +6,15 @@
 
 use crate::{
     core::{
+        hedging::{HedgeRefusal, HedgeWinner},
         key_lease::AccessRejection,
         placement::AttemptOutcome,
         rate_limit::{EndpointLimits, LimitEvent, LoanAnswer},
     },
     util::metrics_table::{
-        INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS,
-        INGRESS_PROBES, KEY_LEASE_AGE, KEY_REJECTIONS, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS,
-        LIMIT_SHARE, LIMITED_ENDPOINTS,
+        HEDGE_REFUSALS, HEDGE_WASTED_SECONDS, HEDGES, INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS,
+        INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS, INGRESS_PROBES, KEY_LEASE_AGE, KEY_REJECTIONS,
+        LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE, LIMITED_ENDPOINTS,
     },
 };
 
@@ -82,3 +83,24 @@
     };
     counter!(LIMIT_LOANS.name, "side" => side, "result" => result).increment(1);
 }
+
+/// Counts a hedge that was sent within the limit of the operators.
+pub(super) fn count_hedge_sent() {
+    counter!(HEDGES.name, "event" => "sent").increment(1);
+}
+
+/// Counts a request that was slow and not hedged.
+pub(super) fn count_hedge_refusal(refusal: HedgeRefusal) {
+    let reason: &'static str = refusal.into();
+    counter!(HEDGE_REFUSALS.name, "reason" => reason).increment(1);
+}
+
+/// Counts the end of a hedged request and the work that was wasted at endpoints.
+pub(super) fn count_hedge_end(winner: HedgeWinner, wasted: Duration) {
+    let event = match winner {
+        HedgeWinner::Hedge => "won",
+        HedgeWinner::Other => "lost",
+    };
+    counter!(HEDGES.name, "event" => event).increment(1);
+    histogram!(HEDGE_WASTED_SECONDS.name).record(wasted.as_secs_f64());
+}
--- a/crates/turmericloft/src/ops/ingress/settings.rs
+++ b/crates/turmericloft/src/ops/ingress/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::core::{key_lease::KeyRules, placement::RetryBudget};
+use crate::core::{hedging::HedgeLimit, key_lease::KeyRules, placement::RetryBudget};
 
 /// Settings of an ingress gateway that depend on the platform it runs on.
 #[derive(Clone, Debug)]
@@ -29,6 +29,8 @@
     pub body_memory_bytes: usize,
     /// Budget for the retries that this gateway sends, applied to each service separately.
     pub retry_budget: RetryBudget,
+    /// Share of the requests that may be hedged; `None` leaves hedges to the retry budget alone.
+    pub hedge_limit: Option<HedgeLimit>,
     /// Rules for the keys of organisations.
     pub key_rules: KeyRules,
 }
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -22,6 +22,7 @@
 };
 use crate::{
     core::{
+        hedging::Hedging,
         key_lease::{KeyAuthority, NewestDocument},
         placement::{
             Balancer, DiscoveredEndpoint, EndpointNotice, InstanceId, ResponseSizes, WaitQueue,
@@ -69,6 +70,8 @@
     pub(super) keys: Mutex<KeyAuthority>,
     pub(super) balancer: Mutex<Balancer>,
     pub(super) queue: Mutex<WaitQueue>,
+    /// Decides on hedges within the limit of the operators.
+    pub(super) hedging: Mutex<Hedging>,
     /// Sizes of the responses of each route.
     pub(super) response_sizes: Mutex<ResponseSizes>,
     /// Notified when an attempt ends or a request leaves the queue, so that queued requests check
@@ -117,12 +120,14 @@
         let budget = settings.retry_budget.clone();
         let zone = Arc::clone(&settings.zone);
         let balancer = Balancer::new(zone, budget, Pcg64Mcg::seed_from_u64(seed));
+        let hedging = Mutex::new(Hedging::new(settings.hedge_limit));
         let response_sizes = Mutex::new(ResponseSizes::new(clock.now()));
         let keys = Mutex::new(KeyAuthority::new(settings.key_rules));
         Arc::new(Self {
             settings,
             clock,
             response_sizes,
+            hedging,
             protocol,
             quarantine,
             abandoned: Mutex::default(),
@@ -168,11 +173,14 @@
         Some(Arc::clone(&destination.service))
     }
 
-    /// Removes the splitters and response sizes of routes that `table` does not contain.
+    /// Removes the splitters, response sizes and hedging delays of routes that `table` does not contain.
     pub(super) fn retain_splitters(&self, table: &RouteTable) {
         let routes = &table.document().routes;
         let names: HashSet<_> = routes.iter().map(|r| &r.name).collect();
         self.splitters.lock().retain(|name, _| names.contains(name));
+        self.hedging
+            .lock()
+            .retain_routes(|name| names.contains(name));
         self.response_sizes
             .lock()
             .retain(|name| names.contains(name));
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -2,6 +2,8 @@
 
 use strum::Display;
 
+pub use super::hedge_metrics::{HEDGE_REFUSALS, HEDGE_WASTED_SECONDS, HEDGES};
+
 /// Metric type in the Prometheus exposition.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -318,7 +320,7 @@
 };
 
 /// All metrics, in the order in which the documentation lists them.
-pub const ALL: [Metric; 32] = [
+pub const ALL: [Metric; 35] = [
     ADMITTED,
     ENDED,
     UNADMITTED,
@@ -347,6 +349,9 @@
     LIMIT_CHANGES,
     KEY_REJECTIONS,
     KEY_LEASE_AGE,
+    HEDGES,
+    HEDGE_REFUSALS,
+    HEDGE_WASTED_SECONDS,
     STORE_CALLS,
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
--- a/crates/turmericloft/src/util/mod.rs
+++ b/crates/turmericloft/src/util/mod.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod error_chain;
 pub mod fault_point;
+mod hedge_metrics;
 pub mod host_clock;
 pub mod log_writer;
 pub mod logging;
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -156,6 +156,7 @@
         grace_period: Duration::from_secs(30),
         max_endpoint_probe_rate: None,
         body_memory_bytes: 1 << 20,
+        hedge_limit: None,
         retry_budget: RetryBudget::new(Duration::from_secs(10), 1.0, 10.0),
         key_rules: KeyRules {
             lease: Some(LeaseTimings::new(REVOCATION)),
