--- a/crates/turmericloft/src/core/hedging/hedge_decisions.rs
+++ b/crates/turmericloft/src/core/hedging/hedge_decisions.rs
@@ -8,6 +8,11 @@
 use super::{HedgeBudget, HedgeLimit, HedgeRefusal, RouteDelays};
 use crate::core::placement::ServiceRoom;
 
+/// Time between two decisions on a slow request, as a share of the delay of its route.
+const RECHECK_SHARE: f64 = 0.25;
+/// Shortest time between two decisions: a round of probes takes some milliseconds.
+const MIN_RECHECK: Duration = Duration::from_millis(10);
+
 /// One gateway's decisions on hedges within the limit of the operators.
 #[derive(Clone, Debug, Default)]
 pub struct Hedging {
@@ -56,6 +61,13 @@
         self.delays.get(route)
     }
 
+    /// Time after which a slow request that was not hedged is considered again: a request at an endpoint that has
+    /// stopped responding needs a hedge more than one that is only a little late.
+    pub fn recheck_after(&self, route: &str) -> Option<Duration> {
+        let delay = self.delay(route)?;
+        Some(delay.mul_f64(RECHECK_SHARE).max(MIN_RECHECK))
+    }
+
     /// Decides whether a request that is slow may be hedged, before an endpoint is looked for.
     pub fn check(&self, room: ServiceRoom) -> Result<(), HedgeRefusal> {
         if room.is_short {
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -156,10 +156,10 @@
                     }
                 }
                 () = clock.sleep_until(at), if hedge_at.is_some() => {
-                    hedge_at = None;
                     if self.ingress.limits_hedges() {
-                        self.hedge().await;
+                        hedge_at = self.hedge().await;
                     } else {
+                        hedge_at = None;
                         self.retry().await;
                     }
                 }
--- a/crates/turmericloft/src/ops/ingress/hedge.rs
+++ b/crates/turmericloft/src/ops/ingress/hedge.rs
@@ -99,20 +99,27 @@
 }
 
 impl Forwarder {
-    /// Sends the request to a second endpoint, if the limit of hedges and the retry budget allow it.
-    pub(super) async fn hedge(&mut self) {
-        let placed = match self.may_send_again(self.ingress.now()) {
-            true => place_hedge(&self.ingress, &self.placement_request(true)).await,
-            false => Err(HedgeRefusal::NoRetry),
-        };
-        match placed {
+    /// Sends the request to a second endpoint, if the limit of hedges and the retry budget allow it. Returns when to
+    /// try again; `None` if it was sent or may not be sent again.
+    pub(super) async fn hedge(&mut self) -> Option<Instant> {
+        if !self.may_send_again(self.ingress.now()) {
+            count_hedge_refusal(HedgeRefusal::NoRetry);
+            return None;
+        }
+        match place_hedge(&self.ingress, &self.placement_request(true)).await {
             Ok(placement) => {
                 let (hedge, sent_at) = (self.tried.len(), placement.started_at);
                 self.hedge_run = Some(HedgeRun::new(hedge, self.last_sent_at, sent_at));
                 count_hedge_sent();
                 self.start(placement);
+                None
+            }
+            Err(refusal) => {
+                count_hedge_refusal(refusal);
+                let hedging = self.ingress.hedging.lock();
+                let after = hedging.recheck_after(&self.forwarded.route.name)?;
+                Some(self.ingress.now() + after)
             }
-            Err(refusal) => count_hedge_refusal(refusal),
         }
     }
 
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod counting;
 mod guard;
+mod hedging;
 mod host_clock;
 mod host_list;
 mod http1;
