--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -34,6 +34,7 @@
 mod transfer_size;
 mod urgent_requests;
 mod wait_queue;
+mod wait_rank;
 mod zone_room;
 
 pub use self::{
@@ -60,5 +61,6 @@
     retry_budget::RetryBudget,
     service_room::ServiceRoom,
     transfer_size::ResponseSizes,
-    wait_queue::{WaitKey, WaitQueue, WaitRank, WaitTicket},
+    wait_queue::{WaitKey, WaitQueue, WaitTicket},
+    wait_rank::WaitRank,
 };
--- a/crates/turmericloft/src/core/placement/wait_queue.rs
+++ b/crates/turmericloft/src/core/placement/wait_queue.rs
@@ -13,14 +13,7 @@
     sync::Arc,
 };
 
-/// Urgency of a waiting request: the rank of its organisation goes before that of its route. Lower is more urgent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct WaitRank {
-    /// Rank of the organisation.
-    pub organisation: u32,
-    /// Rank of the route.
-    pub route: u32,
-}
+use super::WaitRank;
 
 /// What the place of a request in the queue depends on.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +24,16 @@
     pub organisation: Option<&'a Arc<str>>,
 }
 
+impl From<WaitRank> for WaitKey<'_> {
+    /// A request without an organisation.
+    fn from(rank: WaitRank) -> Self {
+        Self {
+            rank,
+            organisation: None,
+        }
+    }
+}
+
 /// Position in the queue of a service, needed to leave it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WaitTicket {
@@ -75,12 +78,13 @@
     /// Adds a request to the queue of a service. If `limit` requests of its urgency or a higher one wait already,
     /// the last request of the organisation that has most of them leaves the queue in its place, provided that the
     /// request's own organisation still has fewer than it. Otherwise returns `None`.
-    pub fn enqueue(
+    pub fn enqueue<'a>(
         &mut self,
         service: &Arc<str>,
-        key: WaitKey<'_>,
+        key: impl Into<WaitKey<'a>>,
         limit: usize,
     ) -> Option<WaitTicket> {
+        let key = key.into();
         let waiting = self.waiting.entry(Arc::clone(service)).or_default();
         let ahead = waiting.range(..=(key.rank, u64::MAX)).count();
         if ahead >= limit {
@@ -123,7 +127,8 @@
     }
 
     /// Whether a new request, which is counted as open, would have to wait behind others.
-    pub fn has_requests_ahead(&self, service: &str, key: WaitKey<'_>) -> bool {
+    pub fn has_requests_ahead<'a>(&self, service: &str, key: impl Into<WaitKey<'a>>) -> bool {
+        let key = key.into();
         let waiting = self.waiting.get(service);
         let first = waiting.and_then(|waiting| self.first(waiting));
         let own_load = self.open_requests(key.organisation).saturating_sub(1);
--- a/crates/turmericloft/src/ops/ingress/wait.rs
+++ b/crates/turmericloft/src/ops/ingress/wait.rs
@@ -9,7 +9,7 @@
 
 use super::{probe::probe_endpoints, shared::Ingress};
 use crate::core::placement::{
-    Placement, PlacementError, PlacementRequest, PlacementTimes, WaitKey, WaitRank, WaitTicket,
+    Placement, PlacementError, PlacementRequest, PlacementTimes, WaitKey, WaitTicket,
 };
 
 /// Interval at which a queued request checks for capacity without a notification.
@@ -43,10 +43,7 @@
     times: &PlacementTimes,
 ) -> Result<Placement, PlacementError> {
     let key = WaitKey {
-        rank: WaitRank {
-            organisation: req.organisation_rank,
-            route: req.rank,
-        },
+        rank: req.wait_rank(),
         organisation,
     };
     let has_requests_ahead = ingress.queue.lock().has_requests_ahead(service, key);
--- a/crates/turmericloft/tests/testsuite/hedging/replays.rs
+++ b/crates/turmericloft/tests/testsuite/hedging/replays.rs
@@ -44,7 +44,6 @@
 #[test]
 fn nothing_is_hedged_in_a_burst() {
     for seed in SEEDS {
-        let before = replay(Fault::Burst, None, seed);
         let after = replay(Fault::Burst, Some(LIMIT), seed);
         let hedged = after.hedges_in_fault;
         assert_eq!(hedged, 0, "seed {seed}");
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -37,6 +37,7 @@
     pub stop: CancellationToken,
     pub running: JoinHandle<()>,
     pub quarantine: Arc<SharedQuarantine>,
+    pub ingress: Arc<Ingress>,
     _endpoints: watch::Sender<Option<Arc<Vec<DiscoveredEndpoint>>>>,
 }
 
@@ -79,7 +80,12 @@
         let stop = CancellationToken::new();
         endpoints_tx.send_replace(Some(Arc::new(known)));
         documents.send_replace(Some(table));
-        let running = tokio::spawn(run_ingress(ingress, listeners, feeds, stop.clone()));
+        let running = tokio::spawn(run_ingress(
+            Arc::clone(&ingress),
+            listeners,
+            feeds,
+            stop.clone(),
+        ));
         Self {
             clients,
             ready,
@@ -88,6 +94,7 @@
             stop,
             running,
             quarantine,
+            ingress,
             _endpoints: endpoints_tx,
         }
     }
--- a/crates/turmericloft/tests/testsuite/placement/mod.rs
+++ b/crates/turmericloft/tests/testsuite/placement/mod.rs
@@ -9,6 +9,7 @@
 mod probes;
 mod rejection;
 mod retry_budget;
+mod wait_fairness;
 mod wait_queue;
 mod zone_world;
 mod zones;
