--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -10,6 +10,7 @@
 pub mod evacuation;
 pub mod guard;
 pub mod handover;
+pub mod hedging;
 mod host_id;
 pub mod key_lease;
 pub mod membership;
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -16,9 +16,11 @@
     client_response::{ClientResponse, GatewayResponse},
     crash_watch::{CrashWatch, refusal},
     handover::hand_over,
+    hedge::first_hedge_at,
     in_flight_attempt::InFlightAttempt,
     loans::place_on_loan,
     metrics::{count_held_back, count_response},
+    organisation_request::OrganisationRequest,
     origin::RequestOrigin,
     quotas::{OpenGrant, quota_rejection, take_grant},
     request_log::log_request,
@@ -27,6 +29,7 @@
 };
 use crate::{
     core::{
+        hedging::HedgeRun,
         placement::{
             AttemptOutcome, InstanceId, Placement, PlacementError, PlacementRequest, PlacementTimes,
         },
@@ -35,18 +38,12 @@
     sources::http1::Request,
 };
 
-/// Delay after which an idempotent request is hedged, in multiples of the first attempt's expected
-/// response time.
-const HEDGE_DELAY_FACTOR: f64 = 1.4;
-/// Time reserved for the second endpoint, and least time given to the first one, in multiples of
-/// the service time.
-const HEDGE_SERVICE_TIMES: f64 = 1.2;
 /// `Retry-After` of a rejection that no estimate is available for.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Time to the deadline below which a request is not retried.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(10);
 
-type Attempt = Pin<Box<dyn Future<Output = AttemptEnd> + Send>>;
+pub(super) type Attempt = Pin<Box<dyn Future<Output = (usize, AttemptEnd)> + Send>>;
 
 /// Forwards a request that arrived at `arrived` and returns the response for its client.
 ///
@@ -72,6 +69,8 @@
         Ok(access) => access,
         Err(denied) => return denied_response(denied),
     };
+    let name = organisation.as_ref().map(|o| Arc::clone(&o.name));
+    let _organisation_request = OrganisationRequest::open(&ingress, name);
     let client_timeout = ingress.protocol.client_timeout(&req.headers);
     let timeout = client_timeout.unwrap_or(route.timeout).min(route.timeout);
     let Some(service) = ingress.next_service(&route) else {
@@ -97,6 +96,7 @@
             let now = ingress.now();
             // A helper counts the requests that it gets for its own retry budget.
             ingress.balancer.lock().record_request(now, &service);
+            ingress.hedging.lock().record_request();
             let forwarder = Forwarder {
                 ingress: Arc::clone(&ingress),
                 forwarded: Arc::clone(&forwarded),
@@ -107,6 +107,8 @@
                 crash_watch: CrashWatch::default(),
                 arrived,
                 may_hand_over,
+                last_sent_at: arrived,
+                hedge_run: None,
             };
             forwarder.run().await
         }
@@ -122,13 +124,16 @@
     pub(super) ingress: Arc<Ingress>,
     pub(super) forwarded: Arc<ForwardedRequest>,
     pub(super) service: Arc<str>,
-    tried: Vec<InstanceId>,
-    attempts: FuturesUnordered<Attempt>,
+    pub(super) tried: Vec<InstanceId>,
+    pub(super) attempts: FuturesUnordered<Attempt>,
     pub(super) may_have_run: bool,
     crash_watch: CrashWatch,
     arrived: Instant,
     /// Whether another gateway may serve the request while this one is cut off.
     pub(super) may_hand_over: bool,
+    /// When the last attempt was sent; the arrival before the first one.
+    pub(super) last_sent_at: Instant,
+    pub(super) hedge_run: Option<HedgeRun>,
 }
 
 impl Forwarder {
@@ -161,9 +166,9 @@
                 return ClientResponse::Gateway(rejection);
             }
         };
-        let target = self.forwarded.route.target_latency;
-        let hedge_at_first = hedge_at(&first, self.arrived + target);
-        let mut hedge_at = Some(hedge_at_first).filter(|_| self.is_idempotent());
+        let hedge_at_first = first_hedge_at(&self.ingress, &self.forwarded, &first, self.arrived);
+        let mut hedge_at = hedge_at_first.filter(|_| self.is_idempotent());
+        let first_sent_at = first.started_at;
         self.start(first, grant);
         let clock = self.ingress.clock.clone();
         let ingress = Arc::clone(&self.ingress);
@@ -173,14 +178,19 @@
             let at = hedge_at.unwrap_or(self.forwarded.deadline);
             tokio::select! {
                 biased;
-                Some(end) = self.attempts.next() => {
+                Some((attempt, end)) = self.attempts.next() => {
                     if let Some(response) = self.handle_end(end).await {
+                        self.record_latency(first_sent_at, attempt, &response);
                         return response;
                     }
                 }
                 () = clock.sleep_until(at), if hedge_at.is_some() => {
-                    hedge_at = None;
-                    self.retry().await;
+                    if self.ingress.limits_hedges() {
+                        hedge_at = self.hedge().await;
+                    } else {
+                        hedge_at = None;
+                        self.retry().await;
+                    }
                 }
                 () = &mut cut_off, if watches_contact => {
                     watches_contact = false;
@@ -199,6 +209,11 @@
         match end {
             AttemptEnd::Response(response) => {
                 let is_failure = response.status >= 500;
+                if !is_failure {
+                    let mut sizes = self.ingress.response_sizes.lock();
+                    let route = &self.forwarded.route.name;
+                    sizes.record(self.ingress.now(), route, response.body.len());
+                }
                 // A retry that is not sent must not be answered as if the request had not run.
                 self.may_have_run |= is_failure;
                 if is_failure
@@ -264,15 +279,7 @@
     /// limit of attempts and the retry budget allow it. Returns whether it was sent.
     async fn retry(&mut self) -> bool {
         let now = self.ingress.now();
-        let left = self.forwarded.deadline.saturating_duration_since(now);
-        let attempts = self.tried.len() as u32;
-        if left < MIN_RETRY_TIME || attempts >= self.forwarded.route.max_attempts {
-            return false;
-        }
-        if !self
-            .crash_watch
-            .allows_retry(&self.ingress, &self.forwarded)
-        {
+        if !self.may_send_again(now) {
             return false;
         }
         let Ok(placement) = self.place_retry().await else {
@@ -295,8 +302,19 @@
         true
     }
 
+    /// Whether deadline, attempts and crashes allow another attempt.
+    pub(super) fn may_send_again(&self, now: Instant) -> bool {
+        let left = self.forwarded.deadline.saturating_duration_since(now);
+        let attempts = self.tried.len() as u32;
+        left >= MIN_RETRY_TIME
+            && attempts < self.forwarded.route.max_attempts
+            && self
+                .crash_watch
+                .allows_retry(&self.ingress, &self.forwarded)
+    }
+
     /// Gives up a placement without sending the request.
-    fn release(&self, placement: Placement) {
+    pub(super) fn release(&self, placement: Placement) {
         drop(InFlightAttempt::new(Arc::clone(&self.ingress), placement));
     }
 
@@ -308,7 +326,8 @@
         } = &*self.forwarded;
         let times = PlacementTimes::new(self.arrived, route.target_latency, *deadline);
         let req = self.placement_request(false);
-        let placed = place_or_wait(&self.ingress, &self.service, &req, &times).await;
+        let organisation = self.forwarded.organisation.as_ref().map(|o| &o.name);
+        let placed = place_or_wait(&self.ingress, &self.service, &req, organisation, &times).await;
         let Err(PlacementError::Limited { retry_after }) = placed else {
             return placed;
         };
@@ -340,7 +359,7 @@
         probe_and_place(&self.ingress, &req).await
     }
 
-    fn placement_request(&self, needs_spare_capacity: bool) -> PlacementRequest<'_> {
+    pub(super) fn placement_request(&self, needs_spare_capacity: bool) -> PlacementRequest<'_> {
         let now = self.ingress.now();
         let time_left = self.forwarded.deadline.saturating_duration_since(now);
         PlacementRequest {
@@ -352,25 +371,36 @@
             rank: self.forwarded.route.rank,
             organisation_rank: self.forwarded.access.rank,
             needs_spare_capacity,
+            transfer_bytes: self.transfer_bytes(),
         }
     }
 
+    /// Bytes that the request and its response are expected to move.
+    fn transfer_bytes(&self) -> u64 {
+        let ForwardedRequest { req, route, .. } = &*self.forwarded;
+        let sizes = self.ingress.response_sizes.lock();
+        sizes.expected_transfer(&route.name, req.body.len())
+    }
+
     /// Starts an attempt. An at-most-once attempt runs in a task of its own, so that it continues
     /// when its client disconnects.
-    fn start(&mut self, placement: Placement, grant: Option<OpenGrant>) {
+    pub(super) fn start(&mut self, placement: Placement, grant: Option<OpenGrant>) {
+        let number = self.tried.len();
         self.tried.push(placement.endpoint.id.clone());
+        self.last_sent_at = placement.started_at;
         let in_flight = InFlightAttempt::new(Arc::clone(&self.ingress), placement);
         let in_flight = in_flight.with_grant(grant);
         let ingress = Arc::clone(&self.ingress);
         let attempt = run_attempt(ingress, Arc::clone(&self.forwarded), in_flight);
         if self.is_idempotent() {
-            self.attempts.push(Box::pin(attempt));
+            self.attempts
+                .push(Box::pin(async move { (number, attempt.await) }));
             return;
         }
         let task = tokio::spawn(attempt);
         self.attempts.push(Box::pin(async move {
             let outcome = AttemptOutcome::Broken;
-            task.await.unwrap_or(AttemptEnd::Unknown(outcome))
+            (number, task.await.unwrap_or(AttemptEnd::Unknown(outcome)))
         }));
     }
 
@@ -379,18 +409,6 @@
     }
 }
 
-/// Time at which a hedge is sent: when the first attempt is late, or earlier if a second endpoint
-/// could not meet the target otherwise.
-fn hedge_at(first: &Placement, target: Instant) -> Instant {
-    let late_at = first.started_at + first.expected_latency.mul_f64(HEDGE_DELAY_FACTOR);
-    let latest = target
-        .checked_sub(first.service_time.mul_f64(HEDGE_SERVICE_TIMES))
-        .unwrap_or(target);
-    late_at
-        .min(latest)
-        .max(first.started_at + first.service_time.mul_f64(HEDGE_SERVICE_TIMES))
-}
-
 pub(super) fn rejection(unplaced: PlacementError) -> ClientResponse {
     ClientResponse::Gateway(match unplaced {
         PlacementError::NoEndpoint { retry_after }
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -7,16 +7,18 @@
 use crate::{
     core::{
         handover::HelperRefusal,
+        hedging::{HedgeRefusal, HedgeWinner},
         key_lease::AccessRejection,
         placement::AttemptOutcome,
         quota::QuotaAnswer,
         rate_limit::{EndpointLimits, LimitEvent, LoanAnswer},
     },
     util::metrics_table::{
-        COLD_ENDPOINTS, COLD_KEPT_AWAY, CUT_OFF, EVACUATED_ZONES, HANDED_OVER, HELPED,
-        INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS,
-        INGRESS_PROBES, KEY_LEASE_AGE, KEY_REJECTIONS, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS,
-        LIMIT_SHARE, LIMITED_ENDPOINTS, QUOTA_ANSWERS, QUOTA_OWNED_PARTS, QUOTA_REJECTIONS,
+        COLD_ENDPOINTS, COLD_KEPT_AWAY, CUT_OFF, EVACUATED_ZONES, HANDED_OVER, HEDGE_REFUSALS,
+        HEDGE_WASTED_SECONDS, HEDGES, HELPED, INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS,
+        INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS, INGRESS_PROBES, KEY_LEASE_AGE, KEY_REJECTIONS,
+        LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE, LIMITED_ENDPOINTS, QUOTA_ANSWERS,
+        QUOTA_OWNED_PARTS, QUOTA_REJECTIONS,
     },
 };
 
@@ -140,3 +142,24 @@
     };
     counter!(HELPED.name, "result" => result).increment(1);
 }
+
+/// Counts a hedge that was sent within the limit of the operators.
+pub(super) fn count_hedge_sent() {
+    counter!(HEDGES.name, "event" => "sent").increment(1);
+}
+
+/// Counts a request that was slow and not hedged.
+pub(super) fn count_hedge_refusal(refusal: HedgeRefusal) {
+    let reason: &'static str = refusal.into();
+    counter!(HEDGE_REFUSALS.name, "reason" => reason).increment(1);
+}
+
+/// Counts the end of a hedged request and the work that was wasted at endpoints.
+pub(super) fn count_hedge_end(winner: HedgeWinner, wasted: Duration) {
+    let event = match winner {
+        HedgeWinner::Hedge => "won",
+        HedgeWinner::Other => "lost",
+    };
+    counter!(HEDGES.name, "event" => event).increment(1);
+    histogram!(HEDGE_WASTED_SECONDS.name).record(wasted.as_secs_f64());
+}
--- a/crates/turmericloft/src/ops/ingress/settings.rs
+++ b/crates/turmericloft/src/ops/ingress/settings.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::core::{
-    key_lease::KeyRules, placement::RetryBudget, quota::QuotaBounds, slow_start::SlowStartBounds,
+    hedging::HedgeLimit, key_lease::KeyRules, placement::RetryBudget, quota::QuotaBounds,
+    slow_start::SlowStartBounds,
 };
 
 /// Settings of an ingress gateway that depend on the platform it runs on.
@@ -33,6 +34,8 @@
     pub body_memory_bytes: usize,
     /// Budget for the retries that this gateway sends, applied to each service separately.
     pub retry_budget: RetryBudget,
+    /// Share of the requests that may be hedged; `None` leaves hedges to the retry budget alone.
+    pub hedge_limit: Option<HedgeLimit>,
     /// Rules for the keys of organisations.
     pub key_rules: KeyRules,
     /// What is accepted of an organisation beyond its quota.
--- a/crates/turmericloft/src/ops/ingress/wait.rs
+++ b/crates/turmericloft/src/ops/ingress/wait.rs
@@ -9,7 +9,7 @@
 
 use super::{probe::probe_endpoints, shared::Ingress};
 use crate::core::placement::{
-    Placement, PlacementError, PlacementRequest, PlacementTimes, WaitTicket,
+    Placement, PlacementError, PlacementRequest, PlacementTimes, WaitKey, WaitTicket,
 };
 
 /// Interval at which a queued request checks for capacity without a notification.
@@ -39,12 +39,14 @@
     ingress: &Arc<Ingress>,
     service: &Arc<str>,
     req: &PlacementRequest<'_>,
+    organisation: Option<&Arc<str>>,
     times: &PlacementTimes,
 ) -> Result<Placement, PlacementError> {
-    let has_requests_ahead = ingress
-        .queue
-        .lock()
-        .has_requests_ahead(service, req.wait_rank());
+    let key = WaitKey {
+        rank: req.wait_rank(),
+        organisation,
+    };
+    let has_requests_ahead = ingress.queue.lock().has_requests_ahead(service, key);
     let mut unplaced = match has_requests_ahead {
         false => match probe_and_place(ingress, &by_target(ingress, req, times)).await {
             Err(full @ PlacementError::NoCapacity { .. }) => full,
@@ -56,10 +58,7 @@
     };
     let max_wait = times.wait_until.saturating_duration_since(ingress.now());
     let limit = ingress.balancer.lock().queue_limit(req, max_wait);
-    let joined = ingress
-        .queue
-        .lock()
-        .enqueue(service, req.wait_rank(), limit);
+    let joined = ingress.queue.lock().enqueue(service, key, limit);
     let Some(ticket) = joined else {
         return place_late(ingress, req, times, unplaced);
     };
@@ -81,7 +80,12 @@
             ingress.capacity_freed.notified(),
         )
         .await;
-        if !ingress.queue.lock().is_first(&queued.ticket) {
+        // A request of an organisation with fewer waiting ones has taken the position.
+        if !ingress.queue.lock().contains(&queued.ticket) {
+            return place_late(ingress, req, times, unplaced);
+        }
+        let is_first = ingress.queue.lock().is_first(&queued.ticket);
+        if !is_first {
             continue;
         }
         // An attempt that has just ended also reported its endpoint's load, so only a timeout calls
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -2,6 +2,8 @@
 
 use strum::Display;
 
+pub use super::hedge_metrics::{HEDGE_REFUSALS, HEDGE_WASTED_SECONDS, HEDGES};
+
 /// Metric type in the Prometheus exposition.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -437,6 +439,9 @@
     CUT_OFF,
     HANDED_OVER,
     HELPED,
+    HEDGES,
+    HEDGE_REFUSALS,
+    HEDGE_WASTED_SECONDS,
     STORE_CALLS,
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
--- a/crates/turmericloft/tests/testsuite/ingress/handover/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/fleet.rs
@@ -211,6 +211,7 @@
         body_memory_bytes: 1 << 20,
         retry_budget: RetryBudget::new(Duration::from_secs(10), 0.1, 1.5),
         slow_start: None,
+        hedge_limit: None,
         quota_bounds: Default::default(),
         key_rules: KeyRules {
             lease: None,
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod gateway;
 mod handover;
+mod hedges;
 mod organisations;
 mod pipelining;
 mod protocol;
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod guard;
 mod handover;
+mod hedging;
 mod host_clock;
 mod host_list;
 mod http1;
--- a/crates/turmericloft/tests/testsuite/placement/mod.rs
+++ b/crates/turmericloft/tests/testsuite/placement/mod.rs
@@ -3,12 +3,16 @@
 pub(crate) mod balancer;
 mod discovery;
 mod fleet_size;
+mod full_endpoints;
 mod grey_failure;
 mod notices;
 mod probes;
 mod rejection;
 mod retry_budget;
+mod wait_fairness;
 mod wait_queue;
+mod zone_world;
+mod zones;
 
 use std::{sync::Arc, time::Duration};
 
@@ -48,6 +52,7 @@
         rank: 2,
         organisation_rank: 0,
         needs_spare_capacity: false,
+        transfer_bytes: 0,
         max_latency: Duration::from_millis(1_000),
     }
 }
