--- a/crates/turmericloft-bench/src/experiments/fleet/gateway.rs
+++ b/crates/turmericloft-bench/src/experiments/fleet/gateway.rs
@@ -71,6 +71,7 @@
         rank: 1,
         organisation_rank: 0,
         needs_spare_capacity: false,
+        transfer_bytes: 0,
         max_latency: args.target().saturating_sub(elapsed),
     }
 }
--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -18,16 +18,18 @@
 use super::{
     AttemptOutcome, DiscoveredEndpoint, EndpointNotice, LoadReport, Placement, PlacementError,
     PlacementRequest, Probe, ProbeOutcome, RetryBudget,
-    endpoint_cost::{cost, is_eligible},
+    endpoint_cost::{ZoneCosts, cost, is_eligible},
     endpoint_notice::EndpointNotices,
     endpoint_view::EndpointView,
     retry_after::retry_after,
     service_view::{ServiceBaseline, ServiceView},
 };
-use crate::core::{evacuation::EvacuatedZones, rate_limit::EndpointLimits};
+use crate::core::{
+    evacuation::EvacuatedZones, rate_limit::EndpointLimits, slow_start::ColdEndpoints,
+};
 
 /// Age below which a load report is recent enough to place a request without another probe.
-const FRESHNESS_WINDOW: Duration = Duration::from_millis(12);
+pub(super) const FRESHNESS_WINDOW: Duration = Duration::from_millis(12);
 /// Endpoints probed in one round before a request is sent.
 const PROBES_PER_ROUND: usize = 3;
 /// Endpoints with limits that are left to more urgent requests, while no other endpoint can be used.
@@ -38,7 +40,7 @@
 /// One gateway's estimates of all endpoints, and the choice between them.
 #[derive(Debug)]
 pub struct Balancer {
-    zone: Arc<str>,
+    pub(super) zone: Arc<str>,
     retry_budget: RetryBudget,
     /// Probes per second and endpoint allowed from this gateway; `None` if unlimited.
     probe_rate: Option<f64>,
@@ -48,6 +50,7 @@
     pub(super) notices: EndpointNotices,
     pub(super) limits: EndpointLimits,
     pub(super) evacuated: EvacuatedZones,
+    pub(super) cold: ColdEndpoints,
     pub(super) rng: Pcg64Mcg,
 }
 
@@ -64,6 +67,7 @@
             notices: EndpointNotices::default(),
             limits: EndpointLimits::default(),
             evacuated: EvacuatedZones::default(),
+            cold: ColdEndpoints::default(),
             rng,
         }
     }
@@ -85,6 +89,7 @@
     pub fn set_endpoints(&mut self, now: Instant, endpoints: &[DiscoveredEndpoint]) {
         self.notices.retain_registered(now, endpoints);
         self.limits.retain_registered(now, endpoints);
+        self.cold.set_endpoints(now, endpoints);
         let listed: HashSet<_> = endpoints.iter().map(|e| &e.id).collect();
         for service in self.services.values_mut() {
             service.endpoints.retain(|id, _| listed.contains(id));
@@ -133,19 +138,20 @@
             return Vec::new();
         }
         let baseline = service.baseline(req.target_latency);
-        let (notices, limits) = (&self.notices, &self.limits);
+        let (notices, limits, cold) = (&self.notices, &self.limits, &self.cold);
         let can_probe = |v: &&mut EndpointView| {
             v.accepts_requests()
                 && !limits.is_limited(&v.endpoint.id)
+                && cold.allows_probe(now, &v.endpoint.id)
                 && !notices.excludes(now, &v.endpoint)
                 && !v.is_ejected(now)
                 && !req.tried.contains(&v.endpoint.id)
         };
-        let zone = &self.zone;
+        let zones = ZoneCosts::new(&self.zone, service, req);
         let rng = &mut self.rng;
         let views = service.endpoints.values_mut().filter(can_probe);
         let mut views: Vec<_> = views
-            .map(|v| (cost(v, now, &baseline, zone, rng.random::<f64>()), v))
+            .map(|v| (cost(v, now, &baseline, &zones, rng.random::<f64>()), v))
             .collect();
         views.sort_by(|(a, _), (b, _)| a.total_cmp(b));
         if views
@@ -159,6 +165,7 @@
             .filter(|v| !v.has_recent_report(now, FRESHNESS_WINDOW) && !v.has_pending_probe());
         let probed = candidates.take(max_probes).map(|v| {
             v.record_probe_start(now);
+            self.cold.record_contact(now, &v.endpoint.id);
             Probe {
                 endpoint: Arc::clone(&v.endpoint),
             }
@@ -187,6 +194,9 @@
         };
         view.record_probe_end(now, outcome != ProbeOutcome::NoResponse);
         if let ProbeOutcome::Reported(load) = outcome {
+            if endpoint.zone == self.zone {
+                service.zone_room.record_report(now, &load);
+            }
             view.record_report(now, load);
         }
         view.is_known_available(now, FRESHNESS_WINDOW)
@@ -205,12 +215,14 @@
         };
         let service = self.services.get_mut(req.service).ok_or(no_service)?;
         service.urgent.record(now, req.rank);
+        service.zone_room.record_request(now, req.transfer_bytes);
         let baseline = service.baseline(req.target_latency);
-        let (notices, limits) = (&self.notices, &self.limits);
+        let (notices, limits, cold) = (&self.notices, &self.limits, &self.cold);
         let is_candidate = |v: &&EndpointView| {
             v.accepts_requests()
                 && !notices.excludes(now, &v.endpoint)
                 && limits.allows_request(now, &v.endpoint.id)
+                && cold.allows_request(now, &v.endpoint.id)
                 && !req.tried.contains(&v.endpoint.id)
         };
         let views = || service.endpoints.values().filter(is_candidate);
@@ -218,9 +230,10 @@
             && views().all(|v| limits.is_limited(&v.endpoint.id))
             && views().count() <= KEPT_FOR_URGENT;
         if is_left_to_urgent || views().next().is_none() {
-            return Err(self.unplaced(now, req, spread));
+            let unplaced = self.unplaced(now, req, spread);
+            return Err(self.or_wait_for_share(now, req, unplaced));
         }
-        let zone = &self.zone;
+        let zones = ZoneCosts::new(&self.zone, service, req);
         let rng = &mut self.rng;
         let mut best: Option<(&EndpointView, f64)> = None;
         // Ejected endpoints are used only if there is no other.
@@ -229,8 +242,9 @@
         // capacity is preferred to those with a lower expected cost.
         let mut is_best_available = false;
         for view in views().filter(|v| !has_healthy || !v.is_ejected(now)) {
-            let cost = cost(view, now, &baseline, zone, rng.random::<f64>());
-            let is_available = view.is_known_available(now, FRESHNESS_WINDOW);
+            let cost = cost(view, now, &baseline, &zones, rng.random::<f64>());
+            let is_available =
+                zones.prefers_available(view) && view.is_known_available(now, FRESHNESS_WINDOW);
             if !is_eligible(view, now, &baseline, req) || is_best_available && !is_available {
                 continue;
             }
@@ -249,6 +263,8 @@
         };
         let id = view.endpoint.id.clone();
         self.limits.record_request(now, &id);
+        self.record_cold_request(now, req, &id);
+        let service = self.services.get_mut(req.service).ok_or(no_service)?;
         let view = service.endpoints.get_mut(&id).ok_or(no_service)?;
         Ok(start_attempt(now, view, &baseline))
     }
@@ -272,6 +288,7 @@
         load: Option<LoadReport>,
     ) {
         let endpoint = &placement.endpoint;
+        self.cold.record_attempt_end(now, &endpoint.id, outcome);
         let Some(service) = self.services.get_mut(&endpoint.service) else {
             return;
         };
@@ -305,6 +322,9 @@
             .map_or(0, EndpointView::in_flight);
         if let Some(load) = &load {
             service.record_report(now, own_in_flight, load);
+            if endpoint.zone == self.zone {
+                service.zone_room.record_report(now, load);
+            }
         }
         let Some(view) = service.endpoints.get_mut(&endpoint.id) else {
             return;
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -3,12 +3,15 @@
 mod attempt_outcome;
 mod balancer;
 mod balancer_evacuation;
+mod balancer_hedges;
 mod balancer_limits;
+mod balancer_slow_start;
 mod balancer_waits;
 mod discovered_endpoint;
 mod discovery;
 mod discovery_change;
 mod endpoint_cost;
+mod endpoint_fullness;
 mod endpoint_notice;
 mod endpoint_view;
 mod fleet_size;
@@ -21,15 +24,20 @@
 mod probe;
 mod probe_budget;
 mod queue_limit;
+mod received_report;
 mod registry_entry;
 mod registry_era;
 mod registry_list;
 mod registry_position;
 mod retry_after;
 mod retry_budget;
+mod service_room;
 mod service_view;
+mod transfer_size;
 mod urgent_requests;
 mod wait_queue;
+mod wait_rank;
+mod zone_room;
 
 pub use self::{
     attempt_outcome::AttemptOutcome,
@@ -53,5 +61,8 @@
     registry_position::RegistryPosition,
     retry_after::retry_after,
     retry_budget::RetryBudget,
-    wait_queue::{WaitQueue, WaitTicket},
+    service_room::ServiceRoom,
+    transfer_size::ResponseSizes,
+    wait_queue::{WaitKey, WaitQueue, WaitTicket},
+    wait_rank::WaitRank,
 };
--- a/crates/turmericloft/src/core/placement/placement_request.rs
+++ b/crates/turmericloft/src/core/placement/placement_request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::InstanceId;
+use super::{InstanceId, WaitRank};
 
 /// A request for which an endpoint is to be chosen.
 #[derive(Clone, Copy, Debug)]
@@ -21,6 +21,18 @@
     pub organisation_rank: u32,
     /// Whether the endpoint must have spare capacity beyond this request.
     pub needs_spare_capacity: bool,
+    /// Bytes that the request and its response are expected to move.
+    pub transfer_bytes: u64,
     /// Largest expected latency of the endpoint.
     pub max_latency: Duration,
 }
+
+impl PlacementRequest<'_> {
+    /// Rank with which the request waits.
+    pub fn wait_rank(&self) -> WaitRank {
+        WaitRank {
+            organisation: self.organisation_rank,
+            route: self.rank,
+        }
+    }
+}
--- a/crates/turmericloft/src/core/rate_limit/sharing_gateways.rs
+++ b/crates/turmericloft/src/core/rate_limit/sharing_gateways.rs
@@ -103,6 +103,7 @@
     as_of: Instant,
     usable_from: Instant,
     quota_usable_from: Instant,
+    long_usable_from: Instant,
 }
 
 impl SharingGateways {
@@ -115,6 +116,7 @@
             as_of,
             usable_from,
             quota_usable_from: usable_from,
+            long_usable_from: usable_from,
         }
     }
 
@@ -126,6 +128,14 @@
         }
     }
 
+    /// Sets as of when a list may be used for shares of which old lists are used for longer.
+    pub fn with_long_usable_from(self, long_usable_from: Instant) -> Self {
+        Self {
+            long_usable_from,
+            ..self
+        }
+    }
+
     /// Hosts of all gateways.
     pub fn hosts(&self) -> &[Arc<str>] {
         &self.hosts
@@ -141,6 +151,11 @@
         self.quota_usable_from
     }
 
+    /// As of when a list may be used for shares of which old lists are used for longer.
+    pub fn long_usable_from(&self) -> Instant {
+        self.long_usable_from
+    }
+
     /// Number of gateways.
     pub fn count(&self) -> usize {
         self.hosts.len()
--- a/crates/turmericloft/src/ops/ingress/abandoned_checks.rs
+++ b/crates/turmericloft/src/ops/ingress/abandoned_checks.rs
@@ -44,7 +44,7 @@
         return;
     };
     let asked_at = ingress.now();
-    if ingress.is_evacuated(&endpoint) || !ingress.try_take_check(asked_at, &endpoint.id) {
+    if !ingress.may_check(&endpoint) || !ingress.try_take_check(asked_at, &endpoint.id) {
         // The endpoint accepts no further check; its registry entry still tells whether it lives.
         return;
     }
@@ -95,6 +95,9 @@
 }
 
 fn record_crashes(ingress: &Ingress, now: Instant, crashes: Vec<ConcludedCrash>) {
+    if ingress.is_cut_off() {
+        return;
+    }
     for (request, crash) in crashes {
         let endpoint = crash.endpoint.clone();
         let ran_for = crash.at.saturating_duration_since(crash.sent_at);
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{
     future::Future,
-    pin::Pin,
+    pin::{Pin, pin},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -11,18 +11,25 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    access::denied_response,
     attempt::{AttemptEnd, ForwardedRequest, run_attempt},
     client_response::{ClientResponse, GatewayResponse},
     crash_watch::{CrashWatch, refusal},
+    handover::hand_over,
+    hedge::first_hedge_at,
     in_flight_attempt::InFlightAttempt,
     loans::place_on_loan,
     metrics::{count_held_back, count_response},
+    organisation_request::OrganisationRequest,
+    origin::RequestOrigin,
     quotas::{OpenGrant, quota_rejection, take_grant},
+    request_log::log_request,
     shared::Ingress,
     wait::{place_or_wait, probe_and_place},
 };
 use crate::{
     core::{
+        hedging::HedgeRun,
         placement::{
             AttemptOutcome, InstanceId, Placement, PlacementError, PlacementRequest, PlacementTimes,
         },
@@ -31,28 +38,24 @@
     sources::http1::Request,
 };
 
-/// Delay after which an idempotent request is hedged, in multiples of the first attempt's expected
-/// response time.
-const HEDGE_DELAY_FACTOR: f64 = 1.4;
-/// Time reserved for the second endpoint, and least time given to the first one, in multiples of
-/// the service time.
-const HEDGE_SERVICE_TIMES: f64 = 1.2;
 /// `Retry-After` of a rejection that no estimate is available for.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Time to the deadline below which a request is not retried.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(10);
 
-type Attempt = Pin<Box<dyn Future<Output = AttemptEnd> + Send>>;
+pub(super) type Attempt = Pin<Box<dyn Future<Output = (usize, AttemptEnd)> + Send>>;
 
 /// Forwards a request that arrived at `arrived` and returns the response for its client.
 ///
-/// `client_disconnected` is cancelled when the client's connection ends.
+/// `client_disconnected` is cancelled when the client's connection ends. A request of another gateway is not
+/// handed over.
 pub(super) async fn forward(
     ingress: Arc<Ingress>,
     req: Request,
     route: Arc<Route>,
     arrived: Instant,
     client_disconnected: CancellationToken,
+    origin: RequestOrigin,
 ) -> ClientResponse {
     let _open_request = ingress.open_request();
     let Some(id) = ingress
@@ -64,19 +67,15 @@
     };
     let (access, organisation) = match ingress.access_on_arrival(&req.headers, &route) {
         Ok(access) => access,
-        Err(denied) => {
-            let response = ClientResponse::Gateway(denied);
-            count_response(&response, Duration::ZERO);
-            return response;
-        }
+        Err(denied) => return denied_response(denied),
     };
+    let name = organisation.as_ref().map(|o| Arc::clone(&o.name));
+    let _organisation_request = OrganisationRequest::open(&ingress, name);
     let client_timeout = ingress.protocol.client_timeout(&req.headers);
     let timeout = client_timeout.unwrap_or(route.timeout).min(route.timeout);
     let Some(service) = ingress.next_service(&route) else {
         return ClientResponse::Gateway(GatewayResponse::NoRoute);
     };
-    let now = ingress.now();
-    ingress.balancer.lock().record_request(now, &service);
     let deadline = arrived + timeout;
     let forwarded = Arc::new(ForwardedRequest::new(
         req,
@@ -86,63 +85,55 @@
         deadline,
         client_disconnected,
     ));
-    let forwarder = Forwarder {
-        ingress: Arc::clone(&ingress),
-        forwarded: Arc::clone(&forwarded),
-        service,
-        tried: Vec::new(),
-        attempts: FuturesUnordered::new(),
-        may_have_run: false,
-        crash_watch: CrashWatch::default(),
-        arrived,
+    let may_hand_over = origin == RequestOrigin::Client;
+    let handed_over = match may_hand_over {
+        true => hand_over(&ingress, &forwarded).await,
+        false => None,
+    };
+    let (response, attempts) = match handed_over {
+        Some(response) => (response, 0),
+        None => {
+            let now = ingress.now();
+            // A helper counts the requests that it gets for its own retry budget.
+            ingress.balancer.lock().record_request(now, &service);
+            ingress.hedging.lock().record_request();
+            let forwarder = Forwarder {
+                ingress: Arc::clone(&ingress),
+                forwarded: Arc::clone(&forwarded),
+                service,
+                tried: Vec::new(),
+                attempts: FuturesUnordered::new(),
+                may_have_run: false,
+                crash_watch: CrashWatch::default(),
+                arrived,
+                may_hand_over,
+                last_sent_at: arrived,
+                hedge_run: None,
+            };
+            forwarder.run().await
+        }
     };
-    let (response, attempts) = forwarder.run().await;
     let took = ingress.now().saturating_duration_since(arrived);
     count_response(&response, took);
     log_request(&ingress, &forwarded, &response, attempts, (took, timeout));
     response
 }
 
-/// Logs the result of a request, with the time it took and its timeout.
-fn log_request(
-    ingress: &Ingress,
-    forwarded: &ForwardedRequest,
-    response: &ClientResponse,
-    attempts: usize,
-    (took, timeout): (Duration, Duration),
-) {
-    let (kind, by) = match response {
-        ClientResponse::Endpoint(r) if r.status < 500 => ("request served", "endpoint".to_owned()),
-        ClientResponse::Endpoint(_) => ("request failed", "endpoint".to_owned()),
-        ClientResponse::Gateway(r) => ("request not served", r.to_string()),
-    };
-    let version = ingress.table.load().as_ref().map(|t| t.document().version);
-    ingress.log.write_line(
-        ingress.now(),
-        kind,
-        format_args!(
-            "request={} route={} version={} answer={by} status={} attempts={attempts} took_ms={} \
-             of_ms={}",
-            String::from_utf8_lossy(&forwarded.id),
-            forwarded.route.name,
-            version.unwrap_or_default(),
-            response.status(),
-            took.as_millis(),
-            timeout.as_millis(),
-        ),
-    );
-}
-
 /// State of forwarding one request, with all its attempts.
-struct Forwarder {
-    ingress: Arc<Ingress>,
-    forwarded: Arc<ForwardedRequest>,
-    service: Arc<str>,
-    tried: Vec<InstanceId>,
-    attempts: FuturesUnordered<Attempt>,
-    may_have_run: bool,
+pub(super) struct Forwarder {
+    pub(super) ingress: Arc<Ingress>,
+    pub(super) forwarded: Arc<ForwardedRequest>,
+    pub(super) service: Arc<str>,
+    pub(super) tried: Vec<InstanceId>,
+    pub(super) attempts: FuturesUnordered<Attempt>,
+    pub(super) may_have_run: bool,
     crash_watch: CrashWatch,
     arrived: Instant,
+    /// Whether another gateway may serve the request while this one is cut off.
+    pub(super) may_hand_over: bool,
+    /// When the last attempt was sent; the arrival before the first one.
+    pub(super) last_sent_at: Instant,
+    pub(super) hedge_run: Option<HedgeRun>,
 }
 
 impl Forwarder {
@@ -159,9 +150,9 @@
         if let Some(rejection) = quota_rejection(&self.ingress, &self.forwarded) {
             return ClientResponse::Gateway(rejection);
         }
-        let first = match self.place_first().await {
+        let first = match self.place_first_or_hand_over().await {
             Ok(placement) => placement,
-            Err(unplaced) => return rejection(unplaced),
+            Err(response) => return response,
         };
         // Another gateway may have reported crashes while the request waited.
         if let Some(refusal) = refusal(&self.ingress, &self.forwarded) {
@@ -175,23 +166,38 @@
                 return ClientResponse::Gateway(rejection);
             }
         };
-        let target = self.forwarded.route.target_latency;
-        let hedge_at_first = hedge_at(&first, self.arrived + target);
-        let mut hedge_at = Some(hedge_at_first).filter(|_| self.is_idempotent());
+        let hedge_at_first = first_hedge_at(&self.ingress, &self.forwarded, &first, self.arrived);
+        let mut hedge_at = hedge_at_first.filter(|_| self.is_idempotent());
+        let first_sent_at = first.started_at;
         self.start(first, grant);
         let clock = self.ingress.clock.clone();
+        let ingress = Arc::clone(&self.ingress);
+        let mut cut_off = pin!(ingress.wait_until_cut_off());
+        let mut watches_contact = self.may_hand_over && self.is_idempotent();
         loop {
             let at = hedge_at.unwrap_or(self.forwarded.deadline);
             tokio::select! {
                 biased;
-                Some(end) = self.attempts.next() => {
+                Some((attempt, end)) = self.attempts.next() => {
                     if let Some(response) = self.handle_end(end).await {
+                        self.record_latency(first_sent_at, attempt, &response);
                         return response;
                     }
                 }
                 () = clock.sleep_until(at), if hedge_at.is_some() => {
-                    hedge_at = None;
-                    self.retry().await;
+                    if self.ingress.limits_hedges() {
+                        hedge_at = self.hedge().await;
+                    } else {
+                        hedge_at = None;
+                        self.retry().await;
+                    }
+                }
+                () = &mut cut_off, if watches_contact => {
+                    watches_contact = false;
+                    // The attempts in flight stay, in case that no other gateway takes the request.
+                    if let Some(response) = self.hand_over_retry().await {
+                        return response;
+                    }
                 }
             }
         }
@@ -203,6 +209,11 @@
         match end {
             AttemptEnd::Response(response) => {
                 let is_failure = response.status >= 500;
+                if !is_failure {
+                    let mut sizes = self.ingress.response_sizes.lock();
+                    let route = &self.forwarded.route.name;
+                    sizes.record(self.ingress.now(), route, response.body.len());
+                }
                 // A retry that is not sent must not be answered as if the request had not run.
                 self.may_have_run |= is_failure;
                 if is_failure
@@ -214,6 +225,11 @@
                 Some(ClientResponse::Endpoint(response))
             }
             AttemptEnd::NotRun => {
+                if self.attempts.is_empty()
+                    && let Some(response) = self.hand_over_unsent().await
+                {
+                    return Some(response);
+                }
                 if !self.attempts.is_empty() || self.retry().await {
                     return None;
                 }
@@ -244,6 +260,11 @@
     /// Handles an attempt that may have run and gave no response.
     async fn handle_unknown(&mut self, outcome: AttemptOutcome) -> Option<ClientResponse> {
         self.may_have_run = true;
+        if self.attempts.is_empty()
+            && let Some(response) = self.hand_over_retry().await
+        {
+            return Some(response);
+        }
         let is_retried = self.is_idempotent() && (!self.attempts.is_empty() || self.retry().await);
         if is_retried {
             return None;
@@ -258,15 +279,7 @@
     /// limit of attempts and the retry budget allow it. Returns whether it was sent.
     async fn retry(&mut self) -> bool {
         let now = self.ingress.now();
-        let left = self.forwarded.deadline.saturating_duration_since(now);
-        let attempts = self.tried.len() as u32;
-        if left < MIN_RETRY_TIME || attempts >= self.forwarded.route.max_attempts {
-            return false;
-        }
-        if !self
-            .crash_watch
-            .allows_retry(&self.ingress, &self.forwarded)
-        {
+        if !self.may_send_again(now) {
             return false;
         }
         let Ok(placement) = self.place_retry().await else {
@@ -289,20 +302,32 @@
         true
     }
 
+    /// Whether deadline, attempts and crashes allow another attempt.
+    pub(super) fn may_send_again(&self, now: Instant) -> bool {
+        let left = self.forwarded.deadline.saturating_duration_since(now);
+        let attempts = self.tried.len() as u32;
+        left >= MIN_RETRY_TIME
+            && attempts < self.forwarded.route.max_attempts
+            && self
+                .crash_watch
+                .allows_retry(&self.ingress, &self.forwarded)
+    }
+
     /// Gives up a placement without sending the request.
-    fn release(&self, placement: Placement) {
+    pub(super) fn release(&self, placement: Placement) {
         drop(InFlightAttempt::new(Arc::clone(&self.ingress), placement));
     }
 
     /// Chooses the endpoint of the first attempt. Waits for capacity only while a response can
     /// still meet the target latency and the deadline.
-    async fn place_first(&mut self) -> Result<Placement, PlacementError> {
+    pub(super) async fn place_first(&mut self) -> Result<Placement, PlacementError> {
         let ForwardedRequest {
             route, deadline, ..
         } = &*self.forwarded;
         let times = PlacementTimes::new(self.arrived, route.target_latency, *deadline);
         let req = self.placement_request(false);
-        let placed = place_or_wait(&self.ingress, &self.service, &req, &times).await;
+        let organisation = self.forwarded.organisation.as_ref().map(|o| &o.name);
+        let placed = place_or_wait(&self.ingress, &self.service, &req, organisation, &times).await;
         let Err(PlacementError::Limited { retry_after }) = placed else {
             return placed;
         };
@@ -334,7 +359,7 @@
         probe_and_place(&self.ingress, &req).await
     }
 
-    fn placement_request(&self, needs_spare_capacity: bool) -> PlacementRequest<'_> {
+    pub(super) fn placement_request(&self, needs_spare_capacity: bool) -> PlacementRequest<'_> {
         let now = self.ingress.now();
         let time_left = self.forwarded.deadline.saturating_duration_since(now);
         PlacementRequest {
@@ -346,46 +371,45 @@
             rank: self.forwarded.route.rank,
             organisation_rank: self.forwarded.access.rank,
             needs_spare_capacity,
+            transfer_bytes: self.transfer_bytes(),
         }
     }
 
+    /// Bytes that the request and its response are expected to move.
+    fn transfer_bytes(&self) -> u64 {
+        let ForwardedRequest { req, route, .. } = &*self.forwarded;
+        let sizes = self.ingress.response_sizes.lock();
+        sizes.expected_transfer(&route.name, req.body.len())
+    }
+
     /// Starts an attempt. An at-most-once attempt runs in a task of its own, so that it continues
     /// when its client disconnects.
-    fn start(&mut self, placement: Placement, grant: Option<OpenGrant>) {
+    pub(super) fn start(&mut self, placement: Placement, grant: Option<OpenGrant>) {
+        let number = self.tried.len();
         self.tried.push(placement.endpoint.id.clone());
+        self.last_sent_at = placement.started_at;
         let in_flight = InFlightAttempt::new(Arc::clone(&self.ingress), placement);
         let in_flight = in_flight.with_grant(grant);
         let ingress = Arc::clone(&self.ingress);
         let attempt = run_attempt(ingress, Arc::clone(&self.forwarded), in_flight);
         if self.is_idempotent() {
-            self.attempts.push(Box::pin(attempt));
+            self.attempts
+                .push(Box::pin(async move { (number, attempt.await) }));
             return;
         }
         let task = tokio::spawn(attempt);
         self.attempts.push(Box::pin(async move {
             let outcome = AttemptOutcome::Broken;
-            task.await.unwrap_or(AttemptEnd::Unknown(outcome))
+            (number, task.await.unwrap_or(AttemptEnd::Unknown(outcome)))
         }));
     }
 
-    fn is_idempotent(&self) -> bool {
+    pub(super) fn is_idempotent(&self) -> bool {
         self.forwarded.route.kind == RouteKind::Idempotent
     }
 }
 
-/// Time at which a hedge is sent: when the first attempt is late, or earlier if a second endpoint
-/// could not meet the target otherwise.
-fn hedge_at(first: &Placement, target: Instant) -> Instant {
-    let late_at = first.started_at + first.expected_latency.mul_f64(HEDGE_DELAY_FACTOR);
-    let latest = target
-        .checked_sub(first.service_time.mul_f64(HEDGE_SERVICE_TIMES))
-        .unwrap_or(target);
-    late_at
-        .min(latest)
-        .max(first.started_at + first.service_time.mul_f64(HEDGE_SERVICE_TIMES))
-}
-
-fn rejection(unplaced: PlacementError) -> ClientResponse {
+pub(super) fn rejection(unplaced: PlacementError) -> ClientResponse {
     ClientResponse::Gateway(match unplaced {
         PlacementError::NoEndpoint { retry_after }
         | PlacementError::Limited { retry_after }
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -6,15 +6,18 @@
 
 use crate::{
     core::{
+        handover::HelperRefusal,
+        hedging::{HedgeRefusal, HedgeWinner},
         key_lease::AccessRejection,
         placement::AttemptOutcome,
         quota::QuotaAnswer,
         rate_limit::{EndpointLimits, LimitEvent, LoanAnswer},
     },
     util::metrics_table::{
-        EVACUATED_ZONES, INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS,
-        INGRESS_ATTEMPTS, INGRESS_PROBES, KEY_LEASE_AGE, KEY_REJECTIONS, LIMIT_CHANGES,
-        LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE, LIMITED_ENDPOINTS, QUOTA_ANSWERS,
+        COLD_ENDPOINTS, COLD_KEPT_AWAY, CUT_OFF, EVACUATED_ZONES, HANDED_OVER, HEDGE_REFUSALS,
+        HEDGE_WASTED_SECONDS, HEDGES, HELPED, INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS,
+        INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS, INGRESS_PROBES, KEY_LEASE_AGE, KEY_REJECTIONS,
+        LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE, LIMITED_ENDPOINTS, QUOTA_ANSWERS,
         QUOTA_OWNED_PARTS, QUOTA_REJECTIONS,
     },
 };
@@ -75,6 +78,16 @@
     counter!(LIMIT_HELD_BACK.name).increment(1);
 }
 
+/// Shows the number of cold endpoints.
+pub(super) fn set_cold_endpoints(count: usize) {
+    gauge!(COLD_ENDPOINTS.name).set(count as f64);
+}
+
+/// Counts requests for which a cold endpoint was left out.
+pub(super) fn count_kept_from_cold(count: u64) {
+    counter!(COLD_KEPT_AWAY.name).increment(count);
+}
+
 /// Shows the number of evacuated zones.
 pub(super) fn set_evacuated_zones(count: usize) {
     gauge!(EVACUATED_ZONES.name).set(count as f64);
@@ -110,3 +123,43 @@
 pub(super) fn set_owned_parts(parts: usize) {
     gauge!(QUOTA_OWNED_PARTS.name).set(parts as f64);
 }
+
+/// Shows whether the gateway is cut off from all endpoints.
+pub(super) fn set_cut_off_gauge(is_cut_off: bool) {
+    gauge!(CUT_OFF.name).set(f64::from(u8::from(is_cut_off)));
+}
+
+/// Counts the end of handing a request over to one other gateway.
+pub(super) fn count_handover(result: &'static str) {
+    counter!(HANDED_OVER.name, "result" => result).increment(1);
+}
+
+/// Counts a request that another gateway wants to hand over, by whether it is taken.
+pub(super) fn count_helped(checked: Result<(), HelperRefusal>) {
+    let result = match checked {
+        Ok(()) => "taken",
+        Err(refusal) => refusal.into(),
+    };
+    counter!(HELPED.name, "result" => result).increment(1);
+}
+
+/// Counts a hedge that was sent within the limit of the operators.
+pub(super) fn count_hedge_sent() {
+    counter!(HEDGES.name, "event" => "sent").increment(1);
+}
+
+/// Counts a request that was slow and not hedged.
+pub(super) fn count_hedge_refusal(refusal: HedgeRefusal) {
+    let reason: &'static str = refusal.into();
+    counter!(HEDGE_REFUSALS.name, "reason" => reason).increment(1);
+}
+
+/// Counts the end of a hedged request and the work that was wasted at endpoints.
+pub(super) fn count_hedge_end(winner: HedgeWinner, wasted: Duration) {
+    let event = match winner {
+        HedgeWinner::Hedge => "won",
+        HedgeWinner::Other => "lost",
+    };
+    counter!(HEDGES.name, "event" => event).increment(1);
+    histogram!(HEDGE_WASTED_SECONDS.name).record(wasted.as_secs_f64());
+}
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -10,25 +10,36 @@
 mod client;
 mod client_response;
 mod connection_pool;
+mod contact;
 mod crash_watch;
 mod evacuation;
 mod followed_attempt;
 mod forward;
+mod forward_handover;
+mod handover;
+mod hedge;
+mod helper_address;
+mod helping;
 mod in_flight_attempt;
 mod limits;
 mod loans;
 mod metrics;
+mod organisation_request;
+mod origin;
 mod probe;
 mod protocol;
 mod quotas;
 mod ready;
+mod request_log;
 mod run;
 mod settings;
 mod shared;
+mod slow_start;
 mod wait;
 
 pub use self::{
     client_response::{ClientResponse, GatewayResponse},
+    helping::serve_handed_over,
     protocol::{AttemptHeaders, Credentials, EndpointProtocol, ResponseMetadata},
     run::{IngressError, IngressListeners, run_ingress},
     settings::IngressSettings,
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -18,6 +18,7 @@
     abandoned_checks::{apply_entries, check_abandoned},
     access::apply_newest_document,
     client::serve_client,
+    contact::follow_contact,
     evacuation::apply_evacuation,
     limits::{apply_sharing, check_limited},
     ready::{serve_metrics, serve_readiness},
@@ -27,7 +28,7 @@
 
 /// Time after the stop signal at which idle client connections are closed. The load balancer in
 /// front checks readiness every second and sends no more clients after two failures.
-const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2_800);
+pub(super) const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2_800);
 /// Part of the grace period reserved for the process to exit.
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 /// Interval at which a stopping gateway checks for open requests.
@@ -35,7 +36,7 @@
 /// Interval at which expired idle connections to endpoints are closed.
 const POOL_SWEEP_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(super) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Error that prevents an ingress gateway from starting.
 #[derive(Debug, Error)]
@@ -104,6 +105,7 @@
     tokio::spawn(apply_sharing(Arc::clone(&ingress), feeds.sharing.clone()));
     let evacuated = feeds.evacuated.clone();
     tokio::spawn(apply_evacuation(Arc::clone(&ingress), evacuated));
+    tokio::spawn(follow_contact(Arc::clone(&ingress), feeds.clone()));
     tokio::spawn(apply_endpoints(Arc::clone(&ingress), feeds));
     tokio::spawn(check_abandoned(Arc::clone(&ingress)));
     tokio::spawn(check_limited(Arc::clone(&ingress)));
@@ -174,6 +176,8 @@
                 ingress.retain_splitters(&table);
                 ingress.note_quotas(&table);
                 ingress.activate_keys(&table);
+                let services = &table.document().services;
+                ingress.balancer.lock().set_slow_starts(services);
                 ingress.table.store(Some(table));
             }
         }
@@ -214,6 +218,7 @@
             continue;
         };
         metrics_recorder::install().run_upkeep();
+        ingress.report_cold();
         let now = ingress.now();
         // `borrow_and_update` at a sweep may have consumed a change notification, so the lists are
         // compared.
--- a/crates/turmericloft/src/ops/ingress/settings.rs
+++ b/crates/turmericloft/src/ops/ingress/settings.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::core::{key_lease::KeyRules, placement::RetryBudget, quota::QuotaBounds};
+use crate::core::{
+    hedging::HedgeLimit, key_lease::KeyRules, placement::RetryBudget, quota::QuotaBounds,
+    slow_start::SlowStartBounds,
+};
 
 /// Settings of an ingress gateway that depend on the platform it runs on.
 #[derive(Clone, Debug)]
@@ -24,11 +27,15 @@
     /// Largest number of probes per second that an endpoint may get from all gateways together;
     /// `None` sets no limit.
     pub max_endpoint_probe_rate: Option<f64>,
+    /// What is accepted at cold endpoints; `None` treats them like others.
+    pub slow_start: Option<SlowStartBounds>,
     /// Memory for the large bodies of endpoints' responses together, in bytes. A response that finds none
     /// left counts as incomplete.
     pub body_memory_bytes: usize,
     /// Budget for the retries that this gateway sends, applied to each service separately.
     pub retry_budget: RetryBudget,
+    /// Share of the requests that may be hedged; `None` leaves hedges to the retry budget alone.
+    pub hedge_limit: Option<HedgeLimit>,
     /// Rules for the keys of organisations.
     pub key_rules: KeyRules,
     /// What is accepted of an organisation beyond its quota.
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -18,13 +18,17 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    connection_pool::ConnectionPool, protocol::EndpointProtocol, settings::IngressSettings,
+    connection_pool::ConnectionPool, handover::Handover, protocol::EndpointProtocol,
+    settings::IngressSettings,
 };
 use crate::{
     core::{
         evacuation::EvacuatedZones,
+        hedging::Hedging,
         key_lease::{KeyAuthority, NewestDocument},
-        placement::{Balancer, DiscoveredEndpoint, EndpointNotice, InstanceId, WaitQueue},
+        placement::{
+            Balancer, DiscoveredEndpoint, EndpointNotice, InstanceId, ResponseSizes, WaitQueue,
+        },
         quarantine::AbandonedAttempts,
         quota::Quotas,
         rate_limit::SharingGateways,
@@ -71,6 +75,10 @@
     pub(super) keys: Mutex<KeyAuthority>,
     pub(super) balancer: Mutex<Balancer>,
     pub(super) queue: Mutex<WaitQueue>,
+    /// Decides on hedges within the limit of the operators.
+    pub(super) hedging: Mutex<Hedging>,
+    /// Sizes of the responses of each route.
+    pub(super) response_sizes: Mutex<ResponseSizes>,
     /// Notified when an attempt ends or a request leaves the queue, so that queued requests check
     /// for capacity.
     pub(super) capacity_freed: Notify,
@@ -94,6 +102,12 @@
     pub(super) quotas_used: Notify,
     /// Notified when the record for the next process on this host may have to be read or written.
     pub(super) restart_record_changed: Notify,
+    /// Hands over requests while the gateway is cut off from all endpoints; unset if the gateways cannot reach
+    /// each other.
+    pub(super) handover: OnceLock<Handover>,
+    /// Requests of other gateways in flight.
+    pub(super) helped_requests: Mutex<usize>,
+    pub(super) seed: u64,
     splitters: Mutex<HashMap<Arc<str>, Splitter>>,
     rng: Mutex<Pcg64Mcg>,
     open_requests: AtomicUsize,
@@ -128,11 +142,16 @@
             Arc::clone(&settings.host),
             first_grant,
         );
-        let balancer = Balancer::new(zone, budget, Pcg64Mcg::seed_from_u64(seed));
+        let hedging = Mutex::new(Hedging::new(settings.hedge_limit));
+        let response_sizes = Mutex::new(ResponseSizes::new(clock.now()));
         let keys = Mutex::new(KeyAuthority::new(settings.key_rules));
+        let mut balancer = Balancer::new(zone, budget, Pcg64Mcg::seed_from_u64(seed));
+        balancer.set_slow_start_bounds(settings.slow_start);
         Arc::new(Self {
             settings,
             clock,
+            response_sizes,
+            hedging,
             protocol,
             quarantine,
             abandoned: Mutex::default(),
@@ -153,6 +172,9 @@
             quotas: Mutex::new(quotas),
             quotas_used: Notify::new(),
             restart_record_changed: Notify::new(),
+            handover: OnceLock::new(),
+            helped_requests: Mutex::default(),
+            seed,
             splitters: Mutex::default(),
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed.rotate_left(32))),
             open_requests: AtomicUsize::new(0),
@@ -181,11 +203,17 @@
         Some(Arc::clone(&destination.service))
     }
 
-    /// Removes the splitters of routes that `table` does not contain.
+    /// Removes the splitters, response sizes and hedging delays of routes that `table` does not contain.
     pub(super) fn retain_splitters(&self, table: &RouteTable) {
         let routes = &table.document().routes;
         let names: HashSet<_> = routes.iter().map(|r| &r.name).collect();
         self.splitters.lock().retain(|name, _| names.contains(name));
+        self.hedging
+            .lock()
+            .retain_routes(|name| names.contains(name));
+        self.response_sizes
+            .lock()
+            .retain(|name| names.contains(name));
     }
 
     /// Records what an endpoint asked for in a response, and logs it.
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -2,6 +2,8 @@
 
 use strum::Display;
 
+pub use super::hedge_metrics::{HEDGE_REFUSALS, HEDGE_WASTED_SECONDS, HEDGES};
+
 /// Metric type in the Prometheus exposition.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -263,6 +265,24 @@
     help: "Changes of what this gateway knows of the limits of endpoints, by what has changed",
 };
 
+/// Endpoints that are cold.
+pub const COLD_ENDPOINTS: Metric = Metric {
+    name: "turmericloft_ingress_cold_endpoints",
+    kind: MetricKind::Gauge,
+    unit: "endpoints",
+    labels: &[],
+    help: "Endpoints that this gateway takes for cold",
+};
+
+/// Requests for which a cold endpoint was left out.
+pub const COLD_KEPT_AWAY: Metric = Metric {
+    name: "turmericloft_ingress_kept_from_cold_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &[],
+    help: "Requests sent elsewhere because this gateway had no share of a cold endpoint",
+};
+
 /// Zones that the operator has evacuated.
 pub const EVACUATED_ZONES: Metric = Metric {
     name: "turmericloft_ingress_evacuated_zones",
@@ -353,6 +373,33 @@
     help: "Log lines dropped because standard output was not read fast enough",
 };
 
+/// Whether the gateway is cut off from all endpoints.
+pub const CUT_OFF: Metric = Metric {
+    name: "turmericloft_ingress_cut_off",
+    kind: MetricKind::Gauge,
+    unit: "boolean",
+    labels: &[],
+    help: "1 while this gateway reaches no endpoint and hands requests over to others, else 0",
+};
+
+/// Requests handed over to other gateways, one for each gateway tried.
+pub const HANDED_OVER: Metric = Metric {
+    name: "turmericloft_ingress_handed_over_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &["result"],
+    help: "Requests handed over to another gateway while this one reached no endpoint, by result",
+};
+
+/// Requests that other gateways wanted to hand over.
+pub const HELPED: Metric = Metric {
+    name: "turmericloft_ingress_helped_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &["result"],
+    help: "Requests that another gateway wanted to hand over to this one, by whether it took them",
+};
+
 /// All metrics, in the order in which the documentation lists them.
 pub const ALL: &[Metric] = &[
     ADMITTED,
@@ -387,6 +434,14 @@
     QUOTA_OWNED_PARTS,
     KEY_REJECTIONS,
     KEY_LEASE_AGE,
+    COLD_ENDPOINTS,
+    COLD_KEPT_AWAY,
+    CUT_OFF,
+    HANDED_OVER,
+    HELPED,
+    HEDGES,
+    HEDGE_REFUSALS,
+    HEDGE_WASTED_SECONDS,
     STORE_CALLS,
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -39,6 +39,7 @@
     pub running: JoinHandle<()>,
     pub quarantine: Arc<SharedQuarantine>,
     pub evacuated: watch::Sender<EvacuatedZones>,
+    pub ingress: Arc<Ingress>,
     _endpoints: watch::Sender<Option<Arc<Vec<DiscoveredEndpoint>>>>,
 }
 
@@ -83,7 +84,12 @@
         let stop = CancellationToken::new();
         endpoints_tx.send_replace(Some(Arc::new(known)));
         documents.send_replace(Some(table));
-        let running = tokio::spawn(run_ingress(ingress, listeners, feeds, stop.clone()));
+        let running = tokio::spawn(run_ingress(
+            Arc::clone(&ingress),
+            listeners,
+            feeds,
+            stop.clone(),
+        ));
         Self {
             clients,
             ready,
@@ -93,6 +99,7 @@
             running,
             quarantine,
             evacuated: evacuated_tx,
+            ingress,
             _endpoints: endpoints_tx,
         }
     }
@@ -160,8 +167,10 @@
         ready_path: "/ready",
         grace_period: Duration::from_secs(30),
         max_endpoint_probe_rate: None,
+        slow_start: None,
         body_memory_bytes: 1 << 20,
         quota_bounds: Default::default(),
+        hedge_limit: None,
         retry_budget: RetryBudget::new(Duration::from_secs(10), 1.0, 10.0),
         key_rules: KeyRules {
             lease: Some(LeaseTimings::new(REVOCATION)),
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -8,6 +8,8 @@
 mod evacuation;
 mod faults;
 mod gateway;
+mod handover;
+mod hedges;
 mod organisations;
 mod pipelining;
 mod protocol;
--- a/crates/turmericloft/tests/testsuite/ingress/protocol.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/protocol.rs
@@ -44,6 +44,10 @@
         &["Key", "Organisation"]
     }
 
+    fn write_client_timeout(&self, buf: &mut BytesMut, timeout: Duration) {
+        buf.put_slice(format!("Left-Ms: {}\r\n", timeout.as_millis()).as_bytes());
+    }
+
     fn replaced_headers(&self) -> &'static [&'static str] {
         &["Left-Ms", "Instance"]
     }
@@ -89,6 +93,10 @@
                     .and_then(RateLimit::new)
                     .map_or(StatedLimit::Invalid, StatedLimit::Limit),
             },
+            slow_start_left: headers
+                .get_str("Cold-Ms")
+                .and_then(|text| text.parse().ok())
+                .map(Duration::from_millis),
         }
     }
 }
--- a/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/rate_limit/fleet.rs
@@ -87,6 +87,7 @@
         rank: 2,
         organisation_rank: 0,
         needs_spare_capacity: false,
+        transfer_bytes: 0,
         max_latency: Duration::from_secs(1),
     }
 }
