Quotas: a token bucket spreads the grants of each owner

Change: each owner has a token bucket beside its window, with 1.5 times its share of the rate and 2 times that of the burst. The window bounds arrivals as before.

--- a/crates/turmericloft/src/core/quota/bounds.rs
+++ b/crates/turmericloft/src/core/quota/bounds.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::grant_window::GrantLimits;
 use crate::core::{
     rate_limit::{MAX_SEND_DELAY, MAX_TRANSIT},
     traffic::RequestQuota,
@@ -20,6 +21,11 @@
 pub const LIST_VALIDITY: Duration = Duration::from_secs(40);
 /// Age at which an owner reads the list again. It leaves time for reads that fail.
 pub const LIST_REFRESH: Duration = Duration::from_secs(15);
+/// Rate at which an owner grants, in multiples of its share of the quota's rate. Requests are not spread evenly over the
+/// owners.
+const RATE_FACTOR: f64 = 1.5;
+/// What an owner grants at once, in multiples of its share of the quota's burst, for the same reason.
+const BURST_FACTOR: f64 = 2.0;
 /// Window of a quota where the settings give none.
 pub const DEFAULT_QUOTA_WINDOW: Duration = Duration::from_secs(5);
 /// Part of a quota that is accepted beyond it where the settings give none.
@@ -70,6 +76,18 @@
         (within * (1.0 + self.overage) + self.slack).max(0.0) as u32
     }
 
+    /// Limits of an owner that may grant `part` of the allowance in a window.
+    pub(super) fn grant_limits(&self, quota: &RequestQuota, part: u32) -> GrantLimits {
+        let share = f64::from(part) / f64::from(self.allowance(quota).max(1));
+        let burst = quota.burst * (1.0 + self.overage) + self.slack;
+        GrantLimits {
+            part,
+            per_second: quota.per_second * RATE_FACTOR * share,
+            burst: burst * BURST_FACTOR * share,
+            window: self.window,
+        }
+    }
+
     /// Time for which a grant counts while it is not known when its request arrived: the window and the longest
     /// way of the request.
     pub fn grant_interval(&self) -> Duration {
--- a/crates/turmericloft/src/core/quota/grant_window.rs
+++ b/crates/turmericloft/src/core/quota/grant_window.rs
@@ -3,6 +3,10 @@
 //! A grant counts until its request, whenever it arrived, has left the window in which arrivals are counted: from a
 //! grant on for the longest way of a request and the window, or less once it is known when the request arrived. So
 //! what arrives in any window was granted while the other arrivals of it still counted.
+//!
+//! Load pattern: an organisation sends several times its quota for seconds. By the window alone it would use up all of
+//! it within the first second and get nothing until these grants have left the window. So a token bucket, which is
+//! larger and faster than the quota, spreads the grants; the window bounds them.
 
 use std::time::{Duration, Instant};
 
@@ -15,36 +19,72 @@
     counts_until: Instant,
 }
 
+/// What one owner may grant to one organisation.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct GrantLimits {
+    /// Grants that may count at the same time.
+    pub(super) part: u32,
+    /// Grants a second in the long run.
+    pub(super) per_second: f64,
+    /// Grants beyond that in a short time.
+    pub(super) burst: f64,
+    /// Window in which arrivals are counted.
+    pub(super) window: Duration,
+}
+
 /// The grants that count.
 #[derive(Clone, Debug, Default)]
 pub(super) struct GrantWindow {
     grants: Vec<CountedGrant>,
+    /// Used part of the burst, and when it was computed; `None` before the first grant.
+    used_burst: Option<(f64, Instant)>,
 }
 
 impl GrantWindow {
-    /// Grants a request unless `part` are granted already. Returns how many are left, or the time until one is.
+    /// Grants a request if the limits allow it. Returns how many more may be granted at once, or the time until one
+    /// may be.
     pub(super) fn try_grant(
         &mut self,
         now: Instant,
         id: u32,
-        part: u32,
-        window: Duration,
+        limits: &GrantLimits,
     ) -> Result<u32, Duration> {
         self.forget_old(now);
         let used = self.grants.len();
-        if used < part as usize {
-            self.grants.push(CountedGrant {
-                id,
-                granted_at: now,
-                counts_until: now + window + MAX_ARRIVAL_DELAY,
-            });
-            return Ok(part - used as u32 - 1);
+        let part = limits.part as usize;
+        if used >= part {
+            return Err(self.time_until_free(now, limits));
+        }
+        let used_burst = self.used_burst(now, limits.per_second);
+        let excess = used_burst + 1.0 - limits.burst.max(1.0);
+        if excess > 0.0 {
+            let wait = Duration::try_from_secs_f64(excess / limits.per_second);
+            return Err(wait.unwrap_or(limits.window).min(limits.window));
         }
+        self.used_burst = Some((used_burst + 1.0, now));
+        self.grants.push(CountedGrant {
+            id,
+            granted_at: now,
+            counts_until: now + limits.window + MAX_ARRIVAL_DELAY,
+        });
+        let left = (part - used - 1) as f64;
+        Ok(left.min(-excess) as u32)
+    }
+
+    fn time_until_free(&self, now: Instant, limits: &GrantLimits) -> Duration {
         let mut ends: Vec<_> = self.grants.iter().map(|g| g.counts_until).collect();
         ends.sort_unstable();
         // The part may have become smaller than what was granted before.
-        let free_at = ends.get(used - part as usize).copied();
-        Err(free_at.map_or(window, |at| at.saturating_duration_since(now)))
+        let free_at = ends.get(ends.len() - limits.part as usize).copied();
+        free_at.map_or(limits.window, |at| at.saturating_duration_since(now))
+    }
+
+    fn used_burst(&self, now: Instant, per_second: f64) -> f64 {
+        let Some((used, at)) = self.used_burst else {
+            return 0.0;
+        };
+        let refilled = now.saturating_duration_since(at).as_secs_f64() * per_second;
+        (used - refilled).max(0.0)
     }
 
     /// Records what became of a grant. Returns whether it is one of these.
@@ -55,6 +95,9 @@
         match settled.arrived_within_ms {
             None => {
                 self.grants.swap_remove(index);
+                if let Some((used, _)) = &mut self.used_burst {
+                    *used = (*used - 1.0).max(0.0);
+                }
             }
             Some(ms) => {
                 let grant = &mut self.grants[index];
--- a/crates/turmericloft/src/core/quota/owned_parts.rs
+++ b/crates/turmericloft/src/core/quota/owned_parts.rs
@@ -47,9 +47,9 @@
             return QuotaAnswer::NoPart;
         }
         let id = self.next_id;
-        let window = self.bounds.window;
+        let limits = self.bounds.grant_limits(quota, usable);
         let grants = self.window(now, organisation);
-        let granted = grants.try_grant(now, id, usable, window);
+        let granted = grants.try_grant(now, id, &limits);
         let used = grants.count();
         self.restart.record_used(now, organisation, used, part);
         match granted {
