Quotas: organisations are busy for as long as they were, and owners without a part are asked again soon

Cause: an organisation that was busy once got nothing in the first window after any later restart, and an owner that answered that it owns no part was left out for 1.5 s for all organisations.

Change: the record of a busy organisation ends when it has kept to two thirds of the part for as long as a grant counts; an owner without a part is left out for 0.3 s and for that organisation alone.

Test: organisation_that_was_busy_long_ago_is_served_after_a_restart (came with the change).

--- a/crates/turmericloft/src/core/quota/asker.rs
+++ b/crates/turmericloft/src/core/quota/asker.rs
@@ -18,7 +18,10 @@
     SettledGrant, bounds::MAX_ARRIVAL_DELAY,
 };
 
-/// Time for which an owner that has not answered, or owns nothing, is not asked again.
+/// Time for which an owner that owns no part of an organisation's quota is not asked again for it: it may have
+/// restarted just now.
+const NO_PART_PAUSE: Duration = Duration::from_millis(300);
+/// Time for which an owner that has not answered is not asked again.
 const SILENCE_PAUSE: Duration = Duration::from_millis(1_500);
 /// Shortest time for which an owner that has denied is not asked again, so that gateways do not all ask for each
 /// request that becomes free.
@@ -41,6 +44,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct KnownOwner {
     denied_until: Option<Instant>,
+    /// Until when it is left out because it has said that it owns no part.
+    without_part_until: Option<Instant>,
     /// Part that it had left, and when it said so.
     left: Option<(f64, Instant)>,
 }
@@ -123,7 +128,8 @@
                 known.left = Some((0.0, now));
                 call.free_at = Some(call.free_at.map_or(free_at, |at| at.min(free_at)));
             }
-            Some(QuotaAnswer::NoPart) | None => {
+            Some(QuotaAnswer::NoPart) => known.without_part_until = Some(now + NO_PART_PAUSE),
+            None => {
                 self.silent_until
                     .insert(Arc::clone(host), now + SILENCE_PAUSE);
             }
@@ -163,7 +169,9 @@
     pub(super) fn retain_hosts(&mut self, now: Instant, is_known: impl Fn(&Arc<str>) -> bool) {
         for owners in self.known.values_mut() {
             let is_recent = |k: &KnownOwner| {
-                k.denied_until.is_some_and(|until| until > now)
+                k.denied_until
+                    .max(k.without_part_until)
+                    .is_some_and(|until| until > now)
                     || k.left.is_some_and(|(_, at)| now < at + MAX_LEFT_AGE)
             };
             owners.retain(|host, known| is_known(host) && is_recent(known));
@@ -181,9 +189,8 @@
 
     fn is_denied(&self, now: Instant, call: &QuotaCall, host: &Arc<str>) -> bool {
         let known = self.known_owner(call, host);
-        known
-            .and_then(|k| k.denied_until)
-            .is_some_and(|until| until > now)
+        let until = known.and_then(|k| k.denied_until.max(k.without_part_until));
+        until.is_some_and(|until| until > now)
     }
 
     fn left(&self, now: Instant, call: &QuotaCall, host: &Arc<str>) -> f64 {
--- a/crates/turmericloft/src/core/quota/owned_parts.rs
+++ b/crates/turmericloft/src/core/quota/owned_parts.rs
@@ -28,7 +28,7 @@
             bounds,
             windows: HashMap::new(),
             next_id: first_id,
-            restart: RestartState::default(),
+            restart: RestartState::new(bounds.grant_interval()),
         }
     }
 
--- a/crates/turmericloft/src/core/quota/quotas.rs
+++ b/crates/turmericloft/src/core/quota/quotas.rs
@@ -52,8 +52,8 @@
     }
 
     /// Records what the store says of the earlier process on the host.
-    pub fn record_before_restart(&mut self, before: RestartRecord) {
-        self.owned.restart.record_before(before);
+    pub fn record_before_restart(&mut self, now: Instant, before: RestartRecord) {
+        self.owned.restart.record_before(now, before);
     }
 
     /// The record to be written to the store now; `None` if the store has it.
--- a/crates/turmericloft/src/core/quota/restart_record.rs
+++ b/crates/turmericloft/src/core/quota/restart_record.rs
@@ -7,7 +7,11 @@
 //! grants more than two thirds, it records in the store that it does, and then its next process grants nothing in its
 //! first window. The next process also records that it has begun to use the last third, in case that it ends too.
 
-use std::{collections::BTreeSet, sync::Arc, time::Instant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -16,6 +20,11 @@
 /// Part of what an owner ordinarily grants from which on it asks for the record that lets it grant more, in percent.
 /// Writing it takes a moment.
 const RECORD_FROM_PERCENT: u32 = 80;
+/// Time after which an organisation is not busy any more, in multiples of the time for which a grant counts. From then
+/// on no grant beyond two thirds counts.
+const CALM_INTERVALS: u32 = 1;
+
+const _: () = assert!(CALM_INTERVALS >= 1);
 
 /// The record of one host in the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +42,10 @@
     stored: RestartRecord,
     /// What has to be in the store.
     wanted: RestartRecord,
+    /// When more than two thirds of a part were last in use, for each busy organisation.
+    busy_at: BTreeMap<Arc<str>, Instant>,
+    /// Time for which a grant counts.
+    grant_interval: Duration,
     /// Record of the earlier process; `None` if it is not known whether there was one.
     before: Option<RestartRecord>,
     /// When the grants of an earlier process have left the window; `None` if there was none.
@@ -40,6 +53,13 @@
 }
 
 impl RestartState {
+    pub(super) fn new(grant_interval: Duration) -> Self {
+        Self {
+            grant_interval,
+            ..Self::default()
+        }
+    }
+
     /// Records that an earlier process may have run on the host, whose grants have left the window at
     /// `first_window_ends`.
     pub(super) fn record_restart(&mut self, first_window_ends: Instant) {
@@ -56,8 +76,10 @@
     }
 
     /// Records what the store says of the earlier process, and asks for a record of this one.
-    pub(super) fn record_before(&mut self, before: RestartRecord) {
+    pub(super) fn record_before(&mut self, now: Instant, before: RestartRecord) {
         self.wanted.busy.clone_from(&before.busy);
+        let busy = before.busy.iter().map(|name| (Arc::clone(name), now));
+        self.busy_at.extend(busy);
         self.wanted.is_restarting = true;
         self.stored.clone_from(&before);
         self.before = Some(before);
@@ -76,7 +98,10 @@
                 _ => 0,
             };
         }
-        match self.stored.busy.contains(organisation) {
+        // One that is not busy any more is limited before the store says so.
+        let is_recorded =
+            self.stored.busy.contains(organisation) && self.wanted.busy.contains(organisation);
+        match is_recorded {
             true => part,
             false => part - reserve,
         }
@@ -86,24 +111,34 @@
     pub(super) fn record_used(&mut self, now: Instant, organisation: &str, used: u32, part: u32) {
         let ordinary = part - part / RESTART_DIVISOR;
         let is_busy = u64::from(used) * 100 >= u64::from(ordinary) * u64::from(RECORD_FROM_PERCENT);
-        let is_known = self.wanted.busy.contains(organisation);
-        if is_busy && !is_known && !self.is_in_first_window(now) {
-            self.wanted.busy.insert(organisation.into());
+        if is_busy && !self.is_in_first_window(now) {
+            let name: Arc<str> = organisation.into();
+            self.busy_at.insert(Arc::clone(&name), now);
+            self.wanted.busy.insert(name);
         }
     }
 
+    /// Ends the records of organisations that have kept to two thirds for so long that no other grant counts.
+    fn forget_calm(&mut self, now: Instant) {
+        let interval = self.grant_interval;
+        self.busy_at
+            .retain(|_, at| now.saturating_duration_since(*at) < interval * CALM_INTERVALS);
+        let busy_at = &self.busy_at;
+        self.wanted.busy.retain(|name| busy_at.contains_key(name));
+    }
+
     /// The record to be written now; `None` if the store has it.
     pub(super) fn unwritten(&mut self, now: Instant) -> Option<RestartRecord> {
         if !self.is_in_first_window(now) {
             self.wanted.is_restarting = false;
         }
+        self.forget_calm(now);
         (self.wanted != self.stored).then(|| self.wanted.clone())
     }
 
     /// Whether the store lacks a record because of requests.
     pub(super) fn has_unwritten(&self) -> bool {
-        // Organisations are only added.
-        self.wanted.busy.len() != self.stored.busy.len()
+        self.wanted.busy != self.stored.busy
     }
 
     /// Records that a record is in the store.
@@ -113,7 +148,10 @@
 
     /// When the record changes by itself; `None` if it does not.
     pub(super) fn changes_at(&self) -> Option<Instant> {
-        self.first_window_ends.filter(|_| self.wanted.is_restarting)
+        let first_window_ends = self.first_window_ends.filter(|_| self.wanted.is_restarting);
+        let busy_at = self.busy_at.values().min();
+        let calm_at = busy_at.map(|at| *at + self.grant_interval * CALM_INTERVALS);
+        [first_window_ends, calm_at].into_iter().flatten().min()
     }
 }
 
--- a/crates/turmericloft/src/ops/ingress/quotas.rs
+++ b/crates/turmericloft/src/ops/ingress/quotas.rs
@@ -267,7 +267,8 @@
             before.busy.len(),
             before.is_restarting
         );
-        self.quotas.lock().record_before_restart(before);
+        let now = self.now();
+        self.quotas.lock().record_before_restart(now, before);
     }
 
     /// The record to be written to the store now; `None` if the store has it.
--- a/crates/turmericloft/tests/testsuite/quota/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/quota/fleet.rs
@@ -281,7 +281,7 @@
             let list = SharingGateways::new(Arc::clone(&g.host), hosts, now, usable_from);
             g.quotas.record_list(now, &list);
             if g.quotas.needs_restart_record() {
-                g.quotas.record_before_restart(g.stored.clone());
+                g.quotas.record_before_restart(now, g.stored.clone());
             }
         }
         self.schedule_in(pause, Event::ReadList(gateway));
--- a/crates/turmericloft/tests/testsuite/quota/restarts.rs
+++ b/crates/turmericloft/tests/testsuite/quota/restarts.rs
@@ -26,7 +26,7 @@
 fn restarted(now: Instant, before: RestartRecord) -> Quotas {
     let mut quotas = owner(now);
     quotas.record_restart(now);
-    quotas.record_before_restart(before);
+    quotas.record_before_restart(now, before);
     quotas
 }
 
@@ -94,3 +94,16 @@
     let later = now + bounds.grant_interval();
     assert_eq!(grants(&mut restarted, later, true), granted);
 }
+
+/// Guards against an organisation that once was busy and gets nothing for a window after each later restart.
+#[test]
+fn organisation_that_was_busy_long_ago_is_served_after_a_restart() {
+    let now = Instant::now();
+    let mut busy = owner(now);
+    let granted = grants(&mut busy, now, true);
+    let calm = now + QuotaBounds::default().grant_interval();
+    let record = write(&mut busy, calm).expect("a record");
+    let mut restarted = restarted(calm, record);
+    write(&mut restarted, calm);
+    assert_eq!(grants(&mut restarted, calm, true), granted / 3);
+}
