Connections of an ingress gateway are recorded, with what is owed on each

The lines of a stop now have the number of connections in each stage, each connection that ends with the process is logged with the request and the bytes that are left, and bytes that are read and discarded behind a closing response are counted. When the gateway stops is not changed.

--- a/crates/turmericloft/src/ops/ingress/client.rs
+++ b/crates/turmericloft/src/ops/ingress/client.rs
@@ -2,6 +2,7 @@
 
 use std::{
     future::Future,
+    io,
     pin::Pin,
     sync::Arc,
     time::{Duration, Instant},
@@ -17,13 +18,16 @@
 
 use super::{
     client_response::{ClientResponse, GatewayResponse},
+    connection_stage::ConnectionStage,
     forward::forward,
+    metrics::count_discarded_bytes,
+    open_connections::OpenConnection,
     origin::RequestOrigin,
     shared::Ingress,
 };
 use crate::{
     core::traffic::{RequestLimits, RouteKind},
-    sources::http1::{ReaderLimits, Request, RequestReader},
+    sources::http1::{ReaderLimits, Request, RequestError, RequestReader},
 };
 
 /// Pipelined requests of one connection that are in flight at the same time.
@@ -50,14 +54,19 @@
 type PendingResponse = Pin<Box<dyn Future<Output = ReadyResponse> + Send>>;
 
 /// Serves the connection of a client until either side closes it.
-pub(super) async fn serve_client(ingress: Arc<Ingress>, stream: TcpStream) {
-    serve_connection(ingress, stream, RequestOrigin::Client).await;
+pub(super) async fn serve_client(
+    ingress: Arc<Ingress>,
+    stream: TcpStream,
+    connection: OpenConnection,
+) {
+    serve_connection(ingress, stream, connection, RequestOrigin::Client).await;
 }
 
 /// Serves one connection until either side closes it.
 pub(super) async fn serve_connection(
     ingress: Arc<Ingress>,
     stream: TcpStream,
+    connection: OpenConnection,
     origin: RequestOrigin,
 ) {
     if let Err(e) = stream.set_nodelay(true) {
@@ -66,7 +75,7 @@
     }
     let disconnected = CancellationToken::new();
     let now = ingress.now();
-    let connection = ClientStream {
+    let client = ClientStream {
         ingress,
         origin,
         stream,
@@ -79,8 +88,9 @@
         request_started: None,
         disconnected: disconnected.clone(),
         _disconnect_guard: disconnected.drop_guard(),
+        connection,
     };
-    connection.serve().await;
+    client.serve().await;
 }
 
 struct ClientStream {
@@ -103,6 +113,8 @@
     /// Cancelled when this value is dropped.
     disconnected: CancellationToken,
     _disconnect_guard: DropGuard,
+    /// The last field, so that it is dropped after the socket.
+    connection: OpenConnection,
 }
 
 impl ClientStream {
@@ -119,6 +131,11 @@
             }
             let is_quiet = self.pending.is_empty();
             let is_idle = is_quiet && !self.reader.has_partial_request();
+            self.connection.set_stage(match (is_quiet, is_idle) {
+                (false, _) => ConnectionStage::Responding,
+                (true, false) => ConnectionStage::Receiving,
+                (true, true) => ConnectionStage::Idle,
+            });
             let unread = self.reader.buffer().len();
             let can_read = if is_quiet {
                 self.is_accepting && unread < MAX_READ_AHEAD_BYTES
@@ -182,7 +199,7 @@
             let next = match deferred {
                 Some(req) => Ok(Some(req)),
                 None if self.is_exclusive => return,
-                None => self.reader.next(&limits),
+                None => self.read_request(&limits),
             };
             match next {
                 Ok(Some(req)) => {
@@ -203,6 +220,15 @@
         };
     }
 
+    fn read_request(&mut self, limits: &ReaderLimits) -> Result<Option<Request>, RequestError> {
+        let next = self.reader.next(limits)?;
+        if let Some(req) = &next {
+            let id = self.ingress.protocol.request_id(&req.headers);
+            self.connection.add_request(id.unwrap_or_default());
+        }
+        Ok(next)
+    }
+
     /// Starts a request. Returns false if it is deferred until earlier ones are complete.
     fn start_request(&mut self, req: Request) -> bool {
         let close = req.wants_close();
@@ -272,10 +298,11 @@
         let close = ready.close || ready.response.must_close() || is_stopping;
         let marker = self.origin.marker(&ready.response);
         let message = ready.response.marked_message(ready.is_head, close, marker);
-        let written = timeout(WRITE_TIMEOUT, self.stream.write_all(&message)).await;
+        let written = timeout(WRITE_TIMEOUT, self.write_message(&message)).await;
         if !matches!(written, Ok(Ok(()))) {
             return false;
         }
+        self.connection.record_written();
         self.last_activity = self.ingress.now();
         if close {
             self.shut_down().await;
@@ -283,6 +310,18 @@
         !close
     }
 
+    async fn write_message(&mut self, message: &[u8]) -> io::Result<()> {
+        let mut rest = message;
+        while !rest.is_empty() {
+            self.connection.record_writing(rest.len());
+            match self.stream.write(rest).await? {
+                0 => return Err(io::ErrorKind::WriteZero.into()),
+                n => rest = &rest[n..],
+            }
+        }
+        Ok(())
+    }
+
     /// Closes the connection after a timeout. A client that has sent part of a request gets a
     /// response first; an idle one does not.
     async fn time_out(mut self) {
@@ -300,12 +339,15 @@
     }
 
     async fn shut_down(&mut self) {
+        self.connection.set_stage(ConnectionStage::Closing);
         if self.stream.shutdown().await.is_err() {
             return;
         }
         let discard = async {
             let mut rest = [0; 1024];
-            while matches!(self.stream.read(&mut rest).await, Ok(n) if n > 0) {}
+            while let Ok(n @ 1..) = self.stream.read(&mut rest).await {
+                count_discarded_bytes(n);
+            }
         };
         // The connection is dropped even if the client keeps its side open.
         let _ = timeout(LINGER_TIMEOUT, discard).await;
--- a/crates/turmericloft/src/ops/ingress/helping.rs
+++ b/crates/turmericloft/src/ops/ingress/helping.rs
@@ -14,6 +14,7 @@
 /// like those of clients.
 pub async fn serve_handed_over(ingress: Arc<Ingress>, listener: TcpListener) {
     let stopping = ingress.stopping.clone();
+    let acceptor = ingress.connections.acceptor();
     loop {
         let accepted = tokio::select! {
             biased;
@@ -21,9 +22,11 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 let origin = RequestOrigin::Gateway;
-                tokio::spawn(serve_connection(Arc::clone(&ingress), stream, origin));
+                let connection = acceptor.open(peer);
+                let serve = serve_connection(Arc::clone(&ingress), stream, connection, origin);
+                tokio::spawn(serve);
             }
             Err(e) => {
                 log::warn!("cannot accept a connection of another gateway; retrying: {e}");
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -14,15 +14,15 @@
         rate_limit::{EndpointLimits, LimitEvent, LoanAnswer},
     },
     util::metrics_table::{
-        COLD_ENDPOINTS, COLD_KEPT_AWAY, CUT_OFF, EVACUATED_ZONES, HANDED_OVER, HEDGE_REFUSALS,
-        HEDGE_WASTED_SECONDS, HEDGES, HELPED, INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS,
-        INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS, INGRESS_PROBES, KEY_LEASE_AGE, KEY_REJECTIONS,
-        LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE, LIMITED_ENDPOINTS, QUOTA_ANSWERS,
-        QUOTA_OWNED_PARTS, QUOTA_REJECTIONS,
+        COLD_ENDPOINTS, COLD_KEPT_AWAY, CUT_CONNECTIONS, CUT_OFF, DISCARDED_BYTES, EVACUATED_ZONES,
+        HANDED_OVER, HEDGE_REFUSALS, HEDGE_WASTED_SECONDS, HEDGES, HELPED, INGRESS_ANSWER_SECONDS,
+        INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS, INGRESS_PROBES, KEY_LEASE_AGE,
+        KEY_REJECTIONS, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE,
+        LIMITED_ENDPOINTS, QUOTA_ANSWERS, QUOTA_OWNED_PARTS, QUOTA_REJECTIONS,
     },
 };
 
-use super::client_response::ClientResponse;
+use super::{client_response::ClientResponse, connection_stage::ConnectionStage};
 
 /// Counts a response to a client; `took` runs from the arrival of the request.
 pub(super) fn count_response(response: &ClientResponse, took: Duration) {
@@ -35,6 +35,17 @@
     histogram!(INGRESS_ANSWER_SECONDS.name, "by" => by).record(took.as_secs_f64());
 }
 
+/// Counts a connection that was open when the time to stop was over.
+pub(super) fn count_cut_connection(stage: ConnectionStage) {
+    let stage: &'static str = stage.into();
+    counter!(CUT_CONNECTIONS.name, "stage" => stage).increment(1);
+}
+
+/// Counts bytes that a client sent behind the response that closes its connection.
+pub(super) fn count_discarded_bytes(bytes: usize) {
+    counter!(DISCARDED_BYTES.name).increment(bytes as u64);
+}
+
 /// Counts an attempt at an endpoint.
 pub(super) fn count_attempt(outcome: AttemptOutcome, took: Duration) {
     let outcome = outcome.to_string();
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -21,6 +21,7 @@
     contact::follow_contact,
     evacuation::apply_evacuation,
     limits::{apply_sharing, check_limited},
+    metrics::count_cut_connection,
     ready::{serve_metrics, serve_readiness},
     settings::IngressSettings,
     shared::{Ingress, IngressFeeds},
@@ -118,9 +119,14 @@
     tokio::spawn(serve_readiness(Arc::clone(&ingress), listeners.ready));
     tokio::spawn(accept_clients(Arc::clone(&ingress), listeners.clients));
     stop.cancelled().await;
-    log::info!("gateway stopping open_requests={}", ingress.open_requests());
+    let open = ingress.open_requests();
+    let stages = ingress.connections.stages();
+    log::info!("gateway stopping open_requests={open} {stages}");
     ingress.stopping.cancel();
     sleep(CLOSE_IDLE_AFTER).await;
+    let open = ingress.open_requests();
+    let stages = ingress.connections.stages();
+    log::info!("closing idle connections open_requests={open} {stages}");
     ingress.closing_idle.cancel();
     let left = settings
         .grace_period
@@ -129,7 +135,16 @@
     if tokio::time::timeout(left, done).await.is_err() {
         log::warn!("gateway cut off open_requests={}", ingress.open_requests());
     }
-    log::info!("gateway stopped");
+    report_cut_connections(&ingress);
+    log::info!("gateway stopped {}", ingress.connections.stages());
+}
+
+/// Logs and counts the connections that end with the process.
+fn report_cut_connections(ingress: &Ingress) {
+    for work in ingress.connections.unfinished() {
+        count_cut_connection(work.stage);
+        log::warn!("connection cut off {work}");
+    }
 }
 
 async fn wait_for_open_requests(ingress: &Ingress) {
@@ -147,6 +162,7 @@
 /// Accepts clients until idle connections are closed; later clients connect to another gateway.
 async fn accept_clients(ingress: Arc<Ingress>, listener: TcpListener) {
     let closing_idle = ingress.closing_idle.clone();
+    let acceptor = ingress.connections.acceptor();
     loop {
         let accepted = tokio::select! {
             biased;
@@ -154,8 +170,9 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_client(Arc::clone(&ingress), stream));
+            Ok((stream, peer)) => {
+                let connection = acceptor.open(peer);
+                tokio::spawn(serve_client(Arc::clone(&ingress), stream, connection));
             }
             Err(e) => {
                 log::warn!("cannot accept a client connection; retrying: {e}");
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -18,8 +18,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    connection_pool::ConnectionPool, handover::Handover, protocol::EndpointProtocol,
-    settings::IngressSettings,
+    connection_pool::ConnectionPool, handover::Handover, open_connections::OpenConnections,
+    protocol::EndpointProtocol, settings::IngressSettings,
 };
 use crate::{
     core::{
@@ -86,6 +86,8 @@
     /// Memory for the large bodies of endpoints' responses.
     pub(super) body_budget: BodyBudget,
     pub(super) log: RateLimitedLog,
+    /// Connections of clients and other gateways.
+    pub(super) connections: Arc<OpenConnections>,
     /// Cancelled when the gateway begins to stop; responses then close the clients' connections.
     pub(super) stopping: CancellationToken,
     /// Cancelled when the gateway closes idle client connections and accepts no new ones.
@@ -164,6 +166,7 @@
             pool: ConnectionPool::default(),
             body_budget,
             log: RateLimitedLog::default(),
+            connections: OpenConnections::new(),
             stopping: CancellationToken::new(),
             closing_idle: CancellationToken::new(),
             limits_changed: watch::Sender::new(()),
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -2,6 +2,7 @@
 
 use strum::Display;
 
+pub use super::connection_metrics::{CUT_CONNECTIONS, DISCARDED_BYTES};
 pub use super::hedge_metrics::{HEDGE_REFUSALS, HEDGE_WASTED_SECONDS, HEDGES};
 
 /// Metric type in the Prometheus exposition.
@@ -439,6 +440,8 @@
     CUT_OFF,
     HANDED_OVER,
     HELPED,
+    CUT_CONNECTIONS,
+    DISCARDED_BYTES,
     HEDGES,
     HEDGE_REFUSALS,
     HEDGE_WASTED_SECONDS,
--- a/crates/turmericloft/src/util/mod.rs
+++ b/crates/turmericloft/src/util/mod.rs
@@ -1,6 +1,7 @@
 //! Utilities shared by all other modules: clock, errors, logging, metrics and settings.
 
 pub mod clock;
+mod connection_metrics;
 pub mod error_chain;
 pub mod fault_point;
 mod hedge_metrics;
