--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -26,3 +26,4 @@
 mod status_session;
 mod support;
 mod truncated_responses;
+mod unfinished_responses;
--- a/crates/turmericloft-cli/tests/testsuite/support/process.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/process.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs,
-    io::{BufRead, BufReader},
+    io::{BufRead, BufReader, Read},
     net::SocketAddr,
     process::{Child, Command, ExitStatus, Stdio},
     sync::mpsc::{Receiver, RecvTimeoutError, channel},
@@ -24,7 +24,7 @@
 /// A child process that is killed when dropped.
 pub struct Process {
     child: Child,
-    /// Lines of standard error; disconnected once the program closes it.
+    /// Lines of standard error, or of standard output; disconnected once the program closes it.
     lines: Receiver<String>,
 }
 
@@ -43,15 +43,21 @@
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
-        let stderr = BufReader::new(child.stderr.take().expect("stderr is piped"));
-        let (tx, lines) = channel();
-        // Reads continuously, so that the program never blocks on a full pipe.
-        thread::spawn(move || {
-            for line in stderr.lines() {
-                let line = line.expect("stderr is UTF-8");
-                let _ = tx.send(line + "\n");
-            }
-        });
+        let lines = read_lines(child.stderr.take().expect("stderr is piped"));
+        Self { child, lines }
+    }
+
+    /// Like [`start_with_env`](Self::start_with_env), for a program that logs to standard output; standard error is
+    /// discarded.
+    pub fn start_logging_to_stdout(program: &str, args: &[&str], env: &[(&str, &str)]) -> Self {
+        let mut child = Command::new(program)
+            .args(args)
+            .envs(env.iter().copied())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        let lines = read_lines(child.stdout.take().expect("stdout is piped"));
         Self { child, lines }
     }
 
@@ -130,6 +136,18 @@
     }
 }
 
+/// Reads lines continuously, so that the program never blocks on a full pipe.
+fn read_lines(output: impl Read + Send + 'static) -> Receiver<String> {
+    let (tx, lines) = channel();
+    thread::spawn(move || {
+        for line in BufReader::new(output).lines() {
+            let line = line.expect("the output is UTF-8");
+            let _ = tx.send(line + "\n");
+        }
+    });
+    lines
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
