A stopping gateway ends only when no connection owes a byte

Callers saw a download that ended in the middle of its 200 when their gateway was restarted. Cause: the gateway stopped when no request was being forwarded, and a response is written after that. A play of planned work shows it: the connection of the lost request is logged as stage=writing bytes_left=51320 when the gateway stops, 0.1 s after it closed idle connections.

A gateway is drained now when all connections and all acceptors have ended, which OpenConnections counts: a connection can only be served with the value that counts it, and Drained can only be had from there. Before the process ends, requests without a response get one, partial ones a refusal, and what is cut off after that is logged and counted. Requests that arrive while the gateway stops have no later deadline than that. Idle connections are closed without reading on, so that a request which crosses the close may be repeated; clients that have just connected get 0.5 s for their first request, and established connections are taken from the kernel before the listener is closed.

--- /dev/null
+++ b/crates/turmericloft/src/core/drain/drain_plan.rs
@@ -0,0 +1,47 @@
+//! When a stopping gateway does what.
+
+use std::time::{Duration, Instant};
+
+/// Time after the stop signal at which idle client connections are closed. The load balancer in front checks
+/// readiness every second and sends no more clients after two failures.
+pub const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2_800);
+/// Part of the grace period reserved for the process to exit.
+const EXIT_RESERVE: Duration = Duration::from_millis(500);
+/// Time to write the responses to requests that can't be finished.
+const RESPONSE_RESERVE: Duration = Duration::from_millis(300);
+/// In a grace period that is too short for the times above, part of it until idle connections are closed, as a
+/// divisor.
+const CLOSE_IDLE_DIVISOR: u32 = 2;
+/// In such a grace period, part of it for each of the two reserves, as a divisor.
+const RESERVE_DIVISOR: u32 = 8;
+
+/// When a stopping gateway does what. The times are in the order of the fields.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainPlan {
+    /// Idle connections are closed, and no more are accepted.
+    pub close_idle_at: Instant,
+    /// Requests that have no response yet get one of the gateway.
+    pub respond_by: Instant,
+    /// The process ends, whatever is unfinished.
+    pub cut_off_at: Instant,
+}
+
+impl DrainPlan {
+    /// Plans the stop of a gateway that is told to stop at `now` and killed after `grace_period`.
+    pub fn new(now: Instant, grace_period: Duration) -> Self {
+        let reserve = grace_period / RESERVE_DIVISOR;
+        let cut_off_after = grace_period - EXIT_RESERVE.min(reserve);
+        let respond_after = cut_off_after - RESPONSE_RESERVE.min(reserve);
+        let close_idle_after = CLOSE_IDLE_AFTER.min(grace_period / CLOSE_IDLE_DIVISOR);
+        Self {
+            close_idle_at: now + close_idle_after,
+            respond_by: now + respond_after,
+            cut_off_at: now + cut_off_after,
+        }
+    }
+
+    /// Deadline of a request that arrives while the gateway stops.
+    pub fn bound(&self, deadline: Instant) -> Instant {
+        deadline.min(self.respond_by)
+    }
+}
--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod counting;
 mod decayed_mean;
 pub mod document;
+pub mod drain;
 pub mod endpoint_contact;
 mod environment;
 pub mod evacuation;
--- a/crates/turmericloft/src/ops/ingress/client.rs
+++ b/crates/turmericloft/src/ops/ingress/client.rs
@@ -2,7 +2,6 @@
 
 use std::{
     future::Future,
-    io,
     pin::Pin,
     sync::Arc,
     time::{Duration, Instant},
@@ -12,7 +11,6 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::timeout,
 };
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -20,7 +18,6 @@
     client_response::{ClientResponse, GatewayResponse},
     connection_stage::ConnectionStage,
     forward::forward,
-    metrics::count_discarded_bytes,
     open_connections::OpenConnection,
     origin::RequestOrigin,
     shared::Ingress,
@@ -28,6 +25,7 @@
 use crate::{
     core::traffic::{RequestLimits, RouteKind},
     sources::http1::{ReaderLimits, Request, RequestError, RequestReader},
+    util::host_clock::HostClock,
 };
 
 /// Pipelined requests of one connection that are in flight at the same time.
@@ -39,16 +37,20 @@
 const MAX_PENDING_READ_AHEAD_BYTES: usize = 1 << 20;
 /// Bytes reserved in the buffer for each read.
 const READ_BYTES: usize = 4 << 10;
-/// Time within which a response has to be written completely.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time for which a client's remaining bytes are read after the write side is shut down. Closing at
-/// once would send a reset, which can discard the last response at the client.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time that a stopping gateway gives a client that has just connected to send its first request.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// `Retry-After` of a request that a gateway does not take any more, as it is about to end. Another gateway takes it.
+const ENDING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-struct ReadyResponse {
-    response: ClientResponse,
-    is_head: bool,
-    close: bool,
+/// Response to a request that is not taken any more, as the process is about to end.
+pub(super) const ENDING: GatewayResponse = GatewayResponse::Refused {
+    retry_after: ENDING_RETRY_AFTER,
+};
+
+pub(super) struct ReadyResponse {
+    pub(super) response: ClientResponse,
+    pub(super) is_head: bool,
+    pub(super) close: bool,
 }
 
 type PendingResponse = Pin<Box<dyn Future<Output = ReadyResponse> + Send>>;
@@ -85,6 +87,7 @@
         is_exclusive: false,
         is_accepting: true,
         last_activity: now,
+        idle_from: now + FIRST_REQUEST_TIMEOUT,
         request_started: None,
         disconnected: disconnected.clone(),
         _disconnect_guard: disconnected.drop_guard(),
@@ -93,20 +96,22 @@
     client.serve().await;
 }
 
-struct ClientStream {
-    ingress: Arc<Ingress>,
-    origin: RequestOrigin,
-    stream: TcpStream,
-    reader: RequestReader,
-    pending: FuturesOrdered<PendingResponse>,
+pub(super) struct ClientStream {
+    pub(super) ingress: Arc<Ingress>,
+    pub(super) origin: RequestOrigin,
+    pub(super) stream: TcpStream,
+    pub(super) reader: RequestReader,
+    pub(super) pending: FuturesOrdered<PendingResponse>,
     /// An at-most-once request that waits until all earlier responses are written.
-    deferred: Option<Request>,
+    pub(super) deferred: Option<Request>,
     /// Whether the request in flight is at-most-once, so that no other one may start.
     is_exclusive: bool,
     /// Whether further requests are read; false after one that closes the connection.
     is_accepting: bool,
     /// Time of the last read or written byte.
-    last_activity: Instant,
+    pub(super) last_activity: Instant,
+    /// From when on a stopping gateway closes the connection if it is idle.
+    idle_from: Instant,
     /// When the request that is being read began to arrive; `None` if there is none or a response
     /// is pending.
     request_started: Option<Instant>,
@@ -114,12 +119,13 @@
     disconnected: CancellationToken,
     _disconnect_guard: DropGuard,
     /// The last field, so that it is dropped after the socket.
-    connection: OpenConnection,
+    pub(super) connection: OpenConnection,
 }
 
 impl ClientStream {
     async fn serve(mut self) {
         let closing_idle = self.ingress.closing_idle.clone();
+        let ending = self.ingress.ending.clone();
         let clock = self.ingress.clock.clone();
         loop {
             self.start_requests();
@@ -144,6 +150,7 @@
                 unread < MAX_PENDING_READ_AHEAD_BYTES
             };
             let deadline = self.read_deadline();
+            let closing_idle = close_idle(&closing_idle, &clock, self.idle_from);
             self.reader.buffer().reserve(READ_BYTES);
             tokio::select! {
                 biased;
@@ -158,7 +165,9 @@
                         _ => return,
                     }
                 }
-                () = closing_idle.cancelled(), if is_idle => return self.close().await,
+                // Nothing is read any more, so a client whose request crosses the close may repeat it.
+                () = closing_idle, if is_idle => return,
+                () = ending.cancelled(), if is_quiet => return self.refuse().await,
                 () = clock.sleep_until(deadline), if is_quiet => return self.time_out().await,
             }
         }
@@ -223,6 +232,7 @@
     fn read_request(&mut self, limits: &ReaderLimits) -> Result<Option<Request>, RequestError> {
         let next = self.reader.next(limits)?;
         if let Some(req) = &next {
+            self.idle_from = self.ingress.now();
             let id = self.ingress.protocol.request_id(&req.headers);
             self.connection.add_request(id.unwrap_or_default());
         }
@@ -232,6 +242,10 @@
     /// Starts a request. Returns false if it is deferred until earlier ones are complete.
     fn start_request(&mut self, req: Request) -> bool {
         let close = req.wants_close();
+        if self.ingress.ending.is_cancelled() {
+            self.push_gateway_response(ENDING, true);
+            return true;
+        }
         let Some(table) = self.ingress.table.load_full() else {
             self.push_gateway_response(GatewayResponse::NotReady, close);
             return true;
@@ -259,11 +273,17 @@
         let ingress = Arc::clone(&self.ingress);
         let now = ingress.now();
         let disconnected = self.disconnected.clone();
+        let ending = ingress.ending.clone();
         let response = forward(ingress, req, route, now, disconnected, self.origin);
         self.push(async move {
             let _helped = helped;
+            let response = tokio::select! {
+                biased;
+                response = response => response,
+                () = ending.cancelled() => ClientResponse::Gateway(GatewayResponse::NoAnswer),
+            };
             ReadyResponse {
-                response: response.await,
+                response,
                 is_head,
                 close,
             }
@@ -288,68 +308,10 @@
     fn push(&mut self, response: impl Future<Output = ReadyResponse> + Send + 'static) {
         self.pending.push_back(Box::pin(response));
     }
+}
 
-    /// Writes a response. Returns false if the connection is closed.
-    async fn write(&mut self, ready: ReadyResponse) -> bool {
-        let is_last = self.pending.is_empty() && self.deferred.is_none();
-        // The client retries on another connection what arrived after the request that closes this
-        // one.
-        let is_stopping = is_last && self.ingress.stopping.is_cancelled();
-        let close = ready.close || ready.response.must_close() || is_stopping;
-        let marker = self.origin.marker(&ready.response);
-        let message = ready.response.marked_message(ready.is_head, close, marker);
-        let written = timeout(WRITE_TIMEOUT, self.write_message(&message)).await;
-        if !matches!(written, Ok(Ok(()))) {
-            return false;
-        }
-        self.connection.record_written();
-        self.last_activity = self.ingress.now();
-        if close {
-            self.shut_down().await;
-        }
-        !close
-    }
-
-    async fn write_message(&mut self, message: &[u8]) -> io::Result<()> {
-        let mut rest = message;
-        while !rest.is_empty() {
-            self.connection.record_writing(rest.len());
-            match self.stream.write(rest).await? {
-                0 => return Err(io::ErrorKind::WriteZero.into()),
-                n => rest = &rest[n..],
-            }
-        }
-        Ok(())
-    }
-
-    /// Closes the connection after a timeout. A client that has sent part of a request gets a
-    /// response first; an idle one does not.
-    async fn time_out(mut self) {
-        if self.reader.has_partial_request() {
-            let message = ClientResponse::Gateway(GatewayResponse::TooSlow).message(false, true);
-            if self.stream.write_all(&message).await.is_err() {
-                return;
-            }
-        }
-        self.shut_down().await;
-    }
-
-    async fn close(mut self) {
-        self.shut_down().await;
-    }
-
-    async fn shut_down(&mut self) {
-        self.connection.set_stage(ConnectionStage::Closing);
-        if self.stream.shutdown().await.is_err() {
-            return;
-        }
-        let discard = async {
-            let mut rest = [0; 1024];
-            while let Ok(n @ 1..) = self.stream.read(&mut rest).await {
-                count_discarded_bytes(n);
-            }
-        };
-        // The connection is dropped even if the client keeps its side open.
-        let _ = timeout(LINGER_TIMEOUT, discard).await;
-    }
+/// Waits until a connection that is idle at that time is to be closed, as the gateway stops.
+async fn close_idle(closing_idle: &CancellationToken, clock: &HostClock, idle_from: Instant) {
+    closing_idle.cancelled().await;
+    clock.sleep_until(idle_from).await;
 }
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -76,7 +76,7 @@
     let Some(service) = ingress.next_service(&route) else {
         return ClientResponse::Gateway(GatewayResponse::NoRoute);
     };
-    let deadline = arrived + timeout;
+    let deadline = ingress.bound_deadline(arrived + timeout);
     let forwarded = Arc::new(ForwardedRequest::new(
         req,
         id,
--- a/crates/turmericloft/src/ops/ingress/handover.rs
+++ b/crates/turmericloft/src/ops/ingress/handover.rs
@@ -17,11 +17,11 @@
     connection_pool::ConnectionPool,
     helper_address::helper_address,
     metrics::count_handover,
-    run::CLOSE_IDLE_AFTER,
     shared::Ingress,
 };
 use crate::{
     core::{
+        drain::CLOSE_IDLE_AFTER,
         endpoint_contact::EndpointContact,
         handover::{HandoverEnd, HandoverProgress, HandoverTry, HelperChoice, HelperRefusal},
         relay::RelayMember,
--- a/crates/turmericloft/src/ops/ingress/helping.rs
+++ b/crates/turmericloft/src/ops/ingress/helping.rs
@@ -2,38 +2,29 @@
 
 use std::sync::Arc;
 
-use tokio::{net::TcpListener, time::sleep};
+use tokio::net::TcpListener;
 
 use super::{
-    client::serve_connection, metrics::count_helped, origin::RequestOrigin,
-    run::ACCEPT_RETRY_DELAY, shared::Ingress,
+    client::serve_connection, metrics::count_helped, origin::RequestOrigin, run::accept,
+    shared::Ingress,
 };
 use crate::core::handover::{HelperRefusal, check_help};
 
-/// Accepts connections of other gateways until this one begins to stop. Those that are open then are served
-/// like those of clients.
+/// Accepts connections of other gateways, and serves them like those of clients, until this one closes idle
+/// connections.
 pub async fn serve_handed_over(ingress: Arc<Ingress>, listener: TcpListener) {
-    let stopping = ingress.stopping.clone();
-    let acceptor = ingress.connections.acceptor();
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            () = stopping.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, peer)) => {
-                let origin = RequestOrigin::Gateway;
-                let connection = acceptor.open(peer);
-                let serve = serve_connection(Arc::clone(&ingress), stream, connection, origin);
-                tokio::spawn(serve);
-            }
-            Err(e) => {
-                log::warn!("cannot accept a connection of another gateway; retrying: {e}");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
+    let acceptor = ingress.connections().acceptor();
+    accept(&ingress.closing_idle, &listener, |stream, peer| {
+        let connection = acceptor.open(peer);
+        let origin = RequestOrigin::Gateway;
+        tokio::spawn(serve_connection(
+            Arc::clone(&ingress),
+            stream,
+            connection,
+            origin,
+        ));
+    })
+    .await;
 }
 
 /// A request of another gateway, counted until it is dropped.
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -8,11 +8,13 @@
 mod access;
 mod attempt;
 mod client;
+mod client_output;
 mod client_response;
 mod connection_pool;
 mod connection_stage;
 mod contact;
 mod crash_watch;
+mod drain_end;
 mod evacuation;
 mod followed_attempt;
 mod forward;
@@ -41,7 +43,10 @@
 
 pub use self::{
     client_response::{ClientResponse, GatewayResponse},
+    connection_stage::ConnectionStage,
+    drain_end::DrainEnd,
     helping::serve_handed_over,
+    open_connections::{ConnectionWork, Drained, OpenConnections},
     protocol::{AttemptHeaders, Credentials, EndpointProtocol, ResponseMetadata},
     run::{IngressError, IngressListeners, run_ingress},
     settings::IngressSettings,
--- a/crates/turmericloft/src/ops/ingress/open_connections.rs
+++ b/crates/turmericloft/src/ops/ingress/open_connections.rs
@@ -9,6 +9,7 @@
 
 use parking_lot::Mutex;
 use strum::VariantArray;
+use tokio::sync::watch;
 
 use super::connection_stage::ConnectionStage;
 
@@ -16,6 +17,8 @@
 #[derive(Debug)]
 pub struct OpenConnections {
     connections: Mutex<Connections>,
+    /// Number of open connections and of acceptors, which may open more.
+    open: watch::Sender<usize>,
 }
 
 #[derive(Debug, Default)]
@@ -25,7 +28,7 @@
 }
 
 /// What is to be done on a connection.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConnectionWork {
     /// Address of the client or the other gateway.
     pub peer: SocketAddr,
@@ -37,28 +40,45 @@
     pub bytes_left: usize,
 }
 
-/// The right to open connections.
+/// Proof that no connection is open and none can be opened any more, so that no byte is owed to anybody.
 #[derive(Debug)]
-pub(super) struct Acceptor(Arc<OpenConnections>);
+pub struct Drained(());
 
-/// An open connection. Dropped after the socket.
+/// Accepts connections. No gateway is drained while it has one.
+#[derive(Debug)]
+pub(super) struct Acceptor(Counted);
+
+/// An open connection. Dropped after the socket, as the gateway may be drained from then on.
 #[derive(Debug)]
 pub(super) struct OpenConnection {
     work: Arc<Mutex<ConnectionWork>>,
     number: u64,
-    all: Arc<OpenConnections>,
+    counted: Counted,
 }
 
+/// Counts as open until it is dropped.
+#[derive(Debug)]
+struct Counted(Arc<OpenConnections>);
+
 impl OpenConnections {
     pub(super) fn new() -> Arc<Self> {
         Arc::new(Self {
             connections: Mutex::default(),
+            open: watch::Sender::new(0),
         })
     }
 
     /// Returns the right to open connections.
     pub(super) fn acceptor(self: &Arc<Self>) -> Acceptor {
-        Acceptor(Arc::clone(self))
+        Acceptor(Counted::new(self))
+    }
+
+    /// Waits until all acceptors and connections have ended.
+    pub async fn drained(&self) -> Drained {
+        let mut open = self.open.subscribe();
+        // The sender is a field of `self`, so it is not dropped meanwhile.
+        let _ = open.wait_for(|open| *open == 0).await;
+        Drained(())
     }
 
     /// What is to be done on each connection that is open.
@@ -78,7 +98,7 @@
 impl Acceptor {
     /// Records a connection that was accepted.
     pub(super) fn open(&self, peer: SocketAddr) -> OpenConnection {
-        let all = &self.0;
+        let all = &self.0.0;
         let work = Arc::new(Mutex::new(ConnectionWork {
             peer,
             stage: ConnectionStage::Idle,
@@ -92,7 +112,7 @@
         OpenConnection {
             work,
             number,
-            all: Arc::clone(all),
+            counted: Counted::new(all),
         }
     }
 }
@@ -125,11 +145,24 @@
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        let mut connections = self.all.connections.lock();
+        let mut connections = self.counted.0.connections.lock();
         connections.by_number.remove(&self.number);
     }
 }
 
+impl Counted {
+    fn new(all: &Arc<OpenConnections>) -> Self {
+        all.open.send_modify(|open| *open += 1);
+        Self(Arc::clone(all))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.open.send_modify(|open| *open -= 1);
+    }
+}
+
 impl fmt::Display for ConnectionWork {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -1,16 +1,26 @@
 //! Runs an ingress gateway from start to stop.
 
-use std::{collections::HashSet, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashSet,
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use futures_util::FutureExt;
 use thiserror::Error;
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     time::{interval, sleep},
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    core::placement::{DiscoveredEndpoint, probe_rate, reckoned_gateways},
+    core::{
+        drain::DrainPlan,
+        placement::{DiscoveredEndpoint, probe_rate, reckoned_gateways},
+    },
     util::metrics_recorder,
 };
 
@@ -19,25 +29,20 @@
     access::apply_newest_document,
     client::serve_client,
     contact::follow_contact,
+    drain_end::DrainEnd,
     evacuation::apply_evacuation,
     limits::{apply_sharing, check_limited},
     metrics::count_cut_connection,
+    open_connections::{Acceptor, ConnectionWork, Drained},
     ready::{serve_metrics, serve_readiness},
     settings::IngressSettings,
     shared::{Ingress, IngressFeeds},
 };
 
-/// Time after the stop signal at which idle client connections are closed. The load balancer in
-/// front checks readiness every second and sends no more clients after two failures.
-pub(super) const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(2_800);
-/// Part of the grace period reserved for the process to exit.
-const EXIT_RESERVE: Duration = Duration::from_millis(500);
-/// Interval at which a stopping gateway checks for open requests.
-const OPEN_REQUEST_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which expired idle connections to endpoints are closed.
 const POOL_SWEEP_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
-pub(super) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Error that prevents an ingress gateway from starting.
 #[derive(Debug, Error)]
@@ -79,7 +84,8 @@
     }
 }
 
-/// Runs a gateway until `stop` is cancelled, then completes open requests within the grace period.
+/// Runs a gateway until `stop` is cancelled, then completes open requests within the grace period, and returns
+/// whether all were completed.
 ///
 /// The gateway keeps accepting clients for a while after `stop`, until the load balancer in front
 /// has noticed that it is not ready.
@@ -88,7 +94,7 @@
     listeners: IngressListeners,
     feeds: IngressFeeds,
     stop: CancellationToken,
-) {
+) -> DrainEnd {
     let settings = &ingress.settings;
     log::info!(
         "gateway started host={} zone={} listen={} ready={}",
@@ -117,69 +123,94 @@
         tokio::spawn(serve_metrics(listener));
     }
     tokio::spawn(serve_readiness(Arc::clone(&ingress), listeners.ready));
-    tokio::spawn(accept_clients(Arc::clone(&ingress), listeners.clients));
+    let acceptor = ingress.connections().acceptor();
+    tokio::spawn(accept_clients(
+        Arc::clone(&ingress),
+        listeners.clients,
+        acceptor,
+    ));
     stop.cancelled().await;
-    let open = ingress.open_requests();
-    let stages = ingress.connections.stages();
-    log::info!("gateway stopping open_requests={open} {stages}");
-    ingress.stopping.cancel();
-    sleep(CLOSE_IDLE_AFTER).await;
-    let open = ingress.open_requests();
-    let stages = ingress.connections.stages();
-    log::info!("closing idle connections open_requests={open} {stages}");
+    drain(&ingress).await
+}
+
+/// Stops the gateway: finishes what it owes, as far as the grace period allows it.
+async fn drain(ingress: &Ingress) -> DrainEnd {
+    let connections = ingress.connections();
+    let plan = DrainPlan::new(ingress.now(), ingress.settings.grace_period);
+    log::info!("gateway stopping {}", connections.stages());
+    ingress.begin_drain(plan);
+    ingress.clock.sleep_until(plan.close_idle_at).await;
+    log::info!("closing idle connections {}", connections.stages());
     ingress.closing_idle.cancel();
-    let left = settings
-        .grace_period
-        .saturating_sub(CLOSE_IDLE_AFTER + EXIT_RESERVE);
-    let done = wait_for_open_requests(&ingress);
-    if tokio::time::timeout(left, done).await.is_err() {
-        log::warn!("gateway cut off open_requests={}", ingress.open_requests());
+    let end = finish_connections(ingress, &plan).await;
+    log::info!("gateway stopped {}", connections.stages());
+    end
+}
+
+async fn finish_connections(ingress: &Ingress, plan: &DrainPlan) -> DrainEnd {
+    let connections = ingress.connections();
+    if let Some(drained) = drained_by(ingress, plan.respond_by).await {
+        return DrainEnd::Drained(drained);
+    }
+    log::warn!("ending open requests {}", connections.stages());
+    ingress.ending.cancel();
+    if let Some(drained) = drained_by(ingress, plan.cut_off_at).await {
+        return DrainEnd::Drained(drained);
+    }
+    let unfinished = connections.unfinished();
+    report_cut_connections(&unfinished);
+    DrainEnd::CutOff(unfinished)
+}
+
+async fn drained_by(ingress: &Ingress, deadline: Instant) -> Option<Drained> {
+    tokio::select! {
+        biased;
+        drained = ingress.connections().drained() => Some(drained),
+        () = ingress.clock.sleep_until(deadline) => None,
     }
-    report_cut_connections(&ingress);
-    log::info!("gateway stopped {}", ingress.connections.stages());
 }
 
 /// Logs and counts the connections that end with the process.
-fn report_cut_connections(ingress: &Ingress) {
-    for work in ingress.connections.unfinished() {
+fn report_cut_connections(unfinished: &[ConnectionWork]) {
+    log::warn!("gateway cut off connections={}", unfinished.len());
+    for work in unfinished {
         count_cut_connection(work.stage);
         log::warn!("connection cut off {work}");
     }
 }
 
-async fn wait_for_open_requests(ingress: &Ingress) {
-    let mut checks = interval(OPEN_REQUEST_CHECK_INTERVAL);
-    // The first tick is immediate; the next one leaves time to write the last response.
-    checks.tick().await;
-    loop {
-        checks.tick().await;
-        if ingress.open_requests() == 0 {
-            return;
-        }
-    }
+/// Accepts clients until idle connections are closed; later clients connect to another gateway.
+async fn accept_clients(ingress: Arc<Ingress>, listener: TcpListener, acceptor: Acceptor) {
+    accept(&ingress.closing_idle, &listener, |stream, peer| {
+        let connection = acceptor.open(peer);
+        tokio::spawn(serve_client(Arc::clone(&ingress), stream, connection));
+    })
+    .await;
 }
 
-/// Accepts clients until idle connections are closed; later clients connect to another gateway.
-async fn accept_clients(ingress: Arc<Ingress>, listener: TcpListener) {
-    let closing_idle = ingress.closing_idle.clone();
-    let acceptor = ingress.connections.acceptor();
+/// Accepts connections until `until` is cancelled, and then those that the kernel has established by then.
+pub(super) async fn accept(
+    until: &CancellationToken,
+    listener: &TcpListener,
+    mut serve: impl FnMut(TcpStream, SocketAddr),
+) {
     loop {
         let accepted = tokio::select! {
             biased;
-            () = closing_idle.cancelled() => return,
+            () = until.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                let connection = acceptor.open(peer);
-                tokio::spawn(serve_client(Arc::clone(&ingress), stream, connection));
-            }
+            Ok((stream, peer)) => serve(stream, peer),
             Err(e) => {
-                log::warn!("cannot accept a client connection; retrying: {e}");
+                log::warn!("cannot accept a connection; retrying: {e}");
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
+        serve(stream, peer);
+    }
 }
 
 async fn apply_documents(ingress: Arc<Ingress>, mut feeds: IngressFeeds) {
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -23,6 +23,7 @@
 };
 use crate::{
     core::{
+        drain::DrainPlan,
         evacuation::EvacuatedZones,
         hedging::Hedging,
         key_lease::{KeyAuthority, NewestDocument},
@@ -87,11 +88,15 @@
     pub(super) body_budget: BodyBudget,
     pub(super) log: RateLimitedLog,
     /// Connections of clients and other gateways.
-    pub(super) connections: Arc<OpenConnections>,
+    connections: Arc<OpenConnections>,
+    /// What happens when while the gateway stops; unset before.
+    drain_plan: OnceLock<DrainPlan>,
     /// Cancelled when the gateway begins to stop; responses then close the clients' connections.
     pub(super) stopping: CancellationToken,
     /// Cancelled when the gateway closes idle client connections and accepts no new ones.
     pub(super) closing_idle: CancellationToken,
+    /// Cancelled when requests without a response get one of the gateway, as the process is about to end.
+    pub(super) ending: CancellationToken,
     /// Notified of each change of what is known of limits.
     pub(super) limits_changed: watch::Sender<()>,
     /// Asks other gateways for loans; unset if the gateways cannot reach each other.
@@ -168,7 +173,9 @@
             log: RateLimitedLog::default(),
             connections: OpenConnections::new(),
             stopping: CancellationToken::new(),
+            drain_plan: OnceLock::new(),
             closing_idle: CancellationToken::new(),
+            ending: CancellationToken::new(),
             limits_changed: watch::Sender::new(()),
             loans: OnceLock::new(),
             ended_limits: Mutex::default(),
@@ -189,6 +196,24 @@
         self.clock.now()
     }
 
+    /// Begins to stop the gateway.
+    pub(super) fn begin_drain(&self, plan: DrainPlan) {
+        // Only the first stop counts.
+        let _ = self.drain_plan.set(plan);
+        self.stopping.cancel();
+    }
+
+    /// Deadline of a request whose client waits until `deadline`.
+    pub(super) fn bound_deadline(&self, deadline: Instant) -> Instant {
+        let plan = self.drain_plan.get();
+        plan.map_or(deadline, |plan| plan.bound(deadline))
+    }
+
+    /// The connections of clients and other gateways.
+    pub fn connections(&self) -> &Arc<OpenConnections> {
+        &self.connections
+    }
+
     /// Whether the gateway accepts clients: it has a document and endpoints and is not stopping.
     pub(super) fn is_ready(&self) -> bool {
         let has_document = self.table.load().is_some();
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -15,7 +15,9 @@
         },
     },
     ops::SharedQuarantine,
-    ops::ingress::{Ingress, IngressFeeds, IngressListeners, IngressSettings, run_ingress},
+    ops::ingress::{
+        DrainEnd, Ingress, IngressFeeds, IngressListeners, IngressSettings, run_ingress,
+    },
     util::host_clock::HostClock,
 };
 
@@ -36,7 +38,7 @@
     pub documents: watch::Sender<Option<Arc<RouteTable>>>,
     pub newest: watch::Sender<NewestDocument>,
     pub stop: CancellationToken,
-    pub running: JoinHandle<()>,
+    pub running: JoinHandle<DrainEnd>,
     pub quarantine: Arc<SharedQuarantine>,
     pub evacuated: watch::Sender<EvacuatedZones>,
     pub ingress: Arc<Ingress>,
