Tests: a gateway is drained only when nothing is owed in any stage of a connection

Further tests for the plan of a stop, the last responses, what is cut off, and requests that cross the close of an idle connection.

--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -54,7 +54,16 @@
 
     /// Starts a gateway whose host has this clock.
     pub async fn start_with_clock(endpoints: &[Endpoint], clock: HostClock) -> Self {
-        let settings = settings();
+        let addresses: Vec<_> = endpoints.iter().map(|e| e.address).collect();
+        Self::start_with_settings(&addresses, clock, settings()).await
+    }
+
+    /// Starts a gateway with these settings and endpoints at these addresses.
+    pub async fn start_with_settings(
+        endpoints: &[SocketAddr],
+        clock: HostClock,
+        settings: IngressSettings,
+    ) -> Self {
         let listeners = IngressListeners::bind(&settings).await.expect("free ports");
         let clients = listeners.clients.local_addr().expect("an address");
         let ready = listeners.ready.local_addr().expect("an address");
@@ -68,7 +77,7 @@
         );
         let table = Arc::new(RouteTable::new(document(1)));
         let known = endpoints.iter().enumerate();
-        let known = known.map(|(i, e)| discovered(i, e.address)).collect();
+        let known = known.map(|(i, address)| discovered(i, *address)).collect();
         let (documents, documents_rx) = watch::channel(None);
         let (newest, newest_document) = watch::channel(NewestDocument::default());
         let (endpoints_tx, endpoints_rx) = watch::channel(None);
@@ -158,7 +167,7 @@
     }
 }
 
-fn settings() -> IngressSettings {
+pub fn settings() -> IngressSettings {
     let any = "127.0.0.1:0".parse().expect("an address");
     IngressSettings {
         host: "gw".into(),
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -11,6 +11,7 @@
 mod handover;
 mod hedges;
 mod organisations;
+mod owed;
 mod pipelining;
 mod protocol;
 mod routes;
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod backend_pool;
 mod config;
 mod counting;
+mod drain;
 mod endpoint_contact;
 mod evacuation;
 mod guard;
