Times and counts that others write saturate instead of ending a task

Gateways kept running but stopped following the list of endpoints once an entry stated a warm-up time of 1e19 s: `now + warmup_left` in the estimate of an endpoint panicked with "overflow when adding duration to instant", which ended the task that applies the list. Slots of and load reports of that size overflowed sums with "attempt to add with overflow" in builds with checks, and counted as little or no capacity in others. The same addition was made with times of relayed responses, of denied loans and denied quotas, and of documents, and for very small rate limits.

Instants are now computed by `core::saturating`, sums of counts saturate, load reports and times of documents are limited where they enter, and a denial excludes another gateway for a minute at most.

--- a/crates/turmericloft/src/core/evacuation/evacuation_table.rs
+++ b/crates/turmericloft/src/core/evacuation/evacuation_table.rs
@@ -113,7 +113,7 @@
         let was_evacuated = known.is_some_and(|known| known.is_evacuated);
         if was_evacuated || record.is_evacuated {
             let RegistryPosition { era, offset } = record.position;
-            let after = RegistryPosition::new(era, offset + 1);
+            let after = RegistryPosition::new(era, offset.saturating_add(1));
             self.changed_at = self.changed_at.max(after);
         }
         let known = KnownZone {
--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -23,6 +23,7 @@
 pub mod rate_limit;
 pub mod relay;
 pub mod routing;
+mod saturating;
 pub mod slow_start;
 mod step;
 pub mod traffic;
--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -25,7 +25,8 @@
     service_view::{ServiceBaseline, ServiceView},
 };
 use crate::core::{
-    evacuation::EvacuatedZones, rate_limit::EndpointLimits, slow_start::ColdEndpoints,
+    evacuation::EvacuatedZones, rate_limit::EndpointLimits, saturating::duration_of_seconds,
+    slow_start::ColdEndpoints,
 };
 
 /// Age below which a load report is recent enough to place a request without another probe.
@@ -178,6 +179,10 @@
     /// Records the end of a probe. Returns whether the endpoint has capacity at normal speed.
     pub fn record_probe_end(&mut self, now: Instant, probe: &Probe, outcome: ProbeOutcome) -> bool {
         let endpoint = &probe.endpoint;
+        let outcome = match outcome {
+            ProbeOutcome::Reported(load) => ProbeOutcome::Reported(load.limited()),
+            other => other,
+        };
         let Some(service) = self.services.get_mut(&endpoint.service) else {
             return false;
         };
@@ -255,7 +260,7 @@
             }
         }
         let Some((view, _)) = best else {
-            let service_time = Duration::from_secs_f64(baseline.service_time_s);
+            let service_time = duration_of_seconds(baseline.service_time_s);
             let random = self.rng.random::<f64>();
             return Err(PlacementError::NoCapacity {
                 retry_after: retry_after(service_time, req.max_latency, random),
@@ -288,6 +293,7 @@
         load: Option<LoadReport>,
     ) {
         let endpoint = &placement.endpoint;
+        let load = load.map(LoadReport::limited);
         self.cold.record_attempt_end(now, &endpoint.id, outcome);
         let Some(service) = self.services.get_mut(&endpoint.service) else {
             return;
@@ -359,8 +365,8 @@
 ) -> Placement {
     let placement = Placement {
         endpoint: Arc::clone(&view.endpoint),
-        expected_latency: Duration::from_secs_f64(view.expected_latency_s(now, baseline)),
-        service_time: Duration::from_secs_f64(baseline.service_time_s),
+        expected_latency: duration_of_seconds(view.expected_latency_s(now, baseline)),
+        service_time: duration_of_seconds(baseline.service_time_s),
         started_at: now,
         report_age: view.report_age(now),
         reported_slowdown: view.recent_slowdown(now, FRESHNESS_WINDOW),
--- a/crates/turmericloft/src/core/placement/balancer_hedges.rs
+++ b/crates/turmericloft/src/core/placement/balancer_hedges.rs
@@ -30,14 +30,14 @@
             let views = service.endpoints.values();
             views.filter(|v| v.accepts_requests())
         };
-        let slots: u32 = views().map(|v| v.endpoint.slots.max(1)).sum();
+        let slots: f64 = views().map(|v| f64::from(v.endpoint.slots.max(1))).sum();
         let used: f64 = views().map(|v| v.expected_requests(now, &baseline)).sum();
         let reported: Vec<_> = views()
             .filter_map(|v| v.recent_slowdown(now, SLOW_REPORT_AGE))
             .collect();
         let slow = reported.iter().filter(|s| **s >= MAX_NORMAL_SLOWDOWN);
         ServiceRoom {
-            is_short: used >= f64::from(slots) * SHORT_OF_ROOM_SHARE,
+            is_short: used >= slots * SHORT_OF_ROOM_SHARE,
             is_mostly_slow: slow.count() * 2 > reported.len(),
         }
     }
--- a/crates/turmericloft/src/core/placement/balancer_waits.rs
+++ b/crates/turmericloft/src/core/placement/balancer_waits.rs
@@ -11,6 +11,7 @@
     queue_limit::{SlotShare, queue_limit},
     retry_after::retry_after,
 };
+use crate::core::saturating::duration_of_seconds;
 
 impl Balancer {
     /// Number of requests of a service that may wait at this gateway for up to `max_wait`.
@@ -27,12 +28,12 @@
             return 0;
         }
         let share = SlotShare {
-            slots: views().map(|v| v.endpoint.slots).sum(),
+            slots: views().fold(0, |sum, v| v.endpoint.slots.saturating_add(sum)),
             gateways: self.gateways,
             own_in_flight: views().map(EndpointView::in_flight).sum(),
         };
         let service_time_s = service.baseline(req.target_latency).service_time_s;
-        let service_time = Duration::from_secs_f64(service_time_s);
+        let service_time = duration_of_seconds(service_time_s);
         queue_limit(share, max_wait, service_time)
     }
 
@@ -56,7 +57,7 @@
             return NO_ENDPOINT_RETRY_AFTER;
         };
         let service_time_s = service.baseline(req.target_latency).service_time_s;
-        let service_time = Duration::from_secs_f64(service_time_s);
+        let service_time = duration_of_seconds(service_time_s);
         retry_after(service_time, time_to_target, self.rng.random::<f64>())
     }
 }
--- a/crates/turmericloft/src/core/placement/endpoint_fullness.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_fullness.rs
@@ -44,7 +44,7 @@
 
     /// Records a load report. One with a free slot ends the state.
     pub(super) fn record_report(&mut self, load: &LoadReport) {
-        if load.running + load.waiting < load.slots {
+        if load.requests() < load.slots {
             self.full_until = None;
         }
     }
@@ -58,5 +58,6 @@
 /// Whether one more request may be one too many at an endpoint with `slots`. `own_in_flight` requests of this gateway
 /// are there, and `others` of other gateways as last reported.
 pub(super) fn may_overflow(slots: u32, own_in_flight: u32, others: u32) -> bool {
-    own_in_flight + others + 1 > slots.max(1) + MAX_BEYOND_SLOTS
+    let requests = own_in_flight.saturating_add(others);
+    requests >= slots.max(1).saturating_add(MAX_BEYOND_SLOTS)
 }
--- a/crates/turmericloft/src/core/placement/endpoint_view.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_view.rs
@@ -11,7 +11,7 @@
     received_report::{ReceivedReport, report_weight},
     service_view::{CONGESTED_SHARE, ServiceBaseline},
 };
-use crate::core::decayed_mean::DecayedMean;
+use crate::core::{decayed_mean::DecayedMean, saturating::instant_after};
 
 /// Factor on the service time of an endpoint that has just started.
 const WARMUP_SLOWDOWN: f64 = 2.0;
@@ -73,7 +73,7 @@
 impl EndpointView {
     pub(super) fn new(now: Instant, endpoint: DiscoveredEndpoint) -> Self {
         Self {
-            warmup_ends_at: now + endpoint.warmup_left,
+            warmup_ends_at: instant_after(now, endpoint.warmup_left),
             endpoint: Arc::new(endpoint),
             attempt_starts: Vec::new(),
             last_report: None,
@@ -104,7 +104,7 @@
             self.attempt_starts = attempt_starts;
             return;
         }
-        self.warmup_ends_at = now + endpoint.warmup_left;
+        self.warmup_ends_at = instant_after(now, endpoint.warmup_left);
         self.endpoint = Arc::new(endpoint.clone());
     }
 
@@ -190,7 +190,7 @@
         let slots = self.endpoint.slots;
         let load = LoadReport {
             running: slots,
-            waiting: slots * 2,
+            waiting: slots.saturating_mul(2),
             slots,
             slowdown: None,
         };
@@ -263,7 +263,7 @@
         let is_trusted = !self.last_broken_at.is_some_and(broke_off);
         is_trusted
             && has_normal_speed
-            && r.load.running + r.load.waiting + sent_since < r.load.slots
+            && r.load.requests().saturating_add(sent_since) < r.load.slots
     }
 
     /// Whether one more request fills more slots than the endpoint can use at its normal speed.
--- a/crates/turmericloft/src/core/placement/placement_times.rs
+++ b/crates/turmericloft/src/core/placement/placement_times.rs
@@ -6,6 +6,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::core::saturating::instant_after;
+
 /// Share of the time to the target for which a request may wait for capacity.
 const MAX_WAIT_SHARE: f64 = 0.4;
 /// Share of the time to the deadline within which a response has to be expected once the target
@@ -26,7 +28,7 @@
 impl PlacementTimes {
     /// The bounds for a request that arrived at `arrived`, on a route with this target latency.
     pub fn new(arrived: Instant, target_latency: Duration, deadline: Instant) -> Self {
-        let target = deadline.min(arrived + target_latency);
+        let target = deadline.min(instant_after(arrived, target_latency));
         let to_target = target.saturating_duration_since(arrived);
         Self {
             target,
--- a/crates/turmericloft/src/core/placement/received_report.rs
+++ b/crates/turmericloft/src/core/placement/received_report.rs
@@ -18,7 +18,7 @@
 impl ReceivedReport {
     /// Requests of other gateways that the endpoint had.
     pub(super) fn other_requests(&self) -> u32 {
-        (self.load.running + self.load.waiting).saturating_sub(self.own_in_flight)
+        self.load.requests().saturating_sub(self.own_in_flight)
     }
 
     /// Whether the report still says more of the queue than the mean of the service.
--- a/crates/turmericloft/src/core/placement/retry_budget.rs
+++ b/crates/turmericloft/src/core/placement/retry_budget.rs
@@ -5,9 +5,12 @@
 //! retries a share of its own requests only, so that the sum stays within the limit however the
 //! requests are distributed.
 
-use std::{collections::VecDeque, time::Instant};
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 
-use std::time::Duration;
+use crate::core::saturating::instant_after;
 
 /// Slices of the sliding window.
 const SLICES: u32 = 10;
@@ -59,7 +62,7 @@
     /// Holds the reserve back for a window: before a restart the host may have used it already.
     #[must_use]
     pub fn after_restart(mut self, now: Instant) -> Self {
-        self.reserve_from = Some(now + self.window);
+        self.reserve_from = Some(instant_after(now, self.window));
         self
     }
 
--- a/crates/turmericloft/src/core/placement/service_view.rs
+++ b/crates/turmericloft/src/core/placement/service_view.rs
@@ -137,7 +137,7 @@
     pub(super) fn record_report(&mut self, now: Instant, own_in_flight: u32, load: &LoadReport) {
         let s = now.saturating_duration_since(self.epoch).as_secs_f64();
         self.has_no_load_reports = false;
-        let other_requests = f64::from(load.running + load.waiting) - f64::from(own_in_flight);
+        let other_requests = f64::from(load.requests()) - f64::from(own_in_flight);
         self.other_requests.add(s, other_requests.max(0.0));
         if let Some(slowdown) = load.slowdown {
             self.slowdown.add(s, slowdown);
--- a/crates/turmericloft/src/core/placement/zone_room.rs
+++ b/crates/turmericloft/src/core/placement/zone_room.rs
@@ -51,7 +51,7 @@
     /// Records a load report of an endpoint in the zone.
     pub(super) fn record_report(&mut self, now: Instant, load: &LoadReport) {
         let s = self.seconds(now);
-        let used = f64::from(load.running + load.waiting) / f64::from(load.slots.max(1));
+        let used = f64::from(load.requests()) / f64::from(load.slots.max(1));
         self.used_share.add(s, used.min(1.0));
     }
 
--- a/crates/turmericloft/src/core/quarantine/crash_reports.rs
+++ b/crates/turmericloft/src/core/quarantine/crash_reports.rs
@@ -52,8 +52,10 @@
     /// The same report, which was made `elapsed` earlier than the present one.
     #[must_use]
     pub fn aged(mut self, elapsed: Duration) -> Self {
-        self.crashes.iter_mut().for_each(|c| c.age += elapsed);
-        self.response_age = self.response_age.map(|age| age + elapsed);
+        self.crashes
+            .iter_mut()
+            .for_each(|c| c.age = c.age.saturating_add(elapsed));
+        self.response_age = self.response_age.map(|age| age.saturating_add(elapsed));
         self
     }
 }
--- a/crates/turmericloft/src/core/quota/asker.rs
+++ b/crates/turmericloft/src/core/quota/asker.rs
@@ -26,6 +26,8 @@
 /// Shortest time for which an owner that has denied is not asked again, so that gateways do not all ask for each
 /// request that becomes free.
 const MIN_DENIAL_PAUSE: Duration = Duration::from_millis(30);
+/// Longest time for which it is not asked again, whatever it has said.
+const MAX_DENIAL_PAUSE: Duration = Duration::from_secs(60);
 /// Age up to which it counts how much an owner had left, less and less: about the time for which its grants count. With
 /// 1 s, gateways with few requests used up the small part of their usual owner.
 const MAX_LEFT_AGE: Duration = Duration::from_secs(6);
@@ -123,7 +125,7 @@
                 known.denied_until = None;
             }
             Some(QuotaAnswer::Denied { free_in }) => {
-                let free_at = now + free_in;
+                let free_at = now + free_in.min(MAX_DENIAL_PAUSE);
                 known.denied_until = Some(free_at.max(now + MIN_DENIAL_PAUSE));
                 known.left = Some((0.0, now));
                 call.free_at = Some(call.free_at.map_or(free_at, |at| at.min(free_at)));
--- a/crates/turmericloft/src/core/rate_limit/fleet_quota.rs
+++ b/crates/turmericloft/src/core/rate_limit/fleet_quota.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use super::RateLimit;
+use crate::core::saturating::MAX_TIME;
 
 /// Window in which the requests that arrive at an endpoint are counted.
 const COUNTING_WINDOW: Duration = Duration::from_secs(4);
@@ -54,6 +55,6 @@
     pub fn request_interval(self) -> Option<Duration> {
         let at_limit = f64::from(self.quota()) / self.per_second();
         let at_limit = Duration::try_from_secs_f64(at_limit).ok()?;
-        Some(at_limit.max(SHARE_INTERVAL))
+        Some(at_limit.clamp(SHARE_INTERVAL, MAX_TIME))
     }
 }
--- a/crates/turmericloft/src/core/rate_limit/lenders.rs
+++ b/crates/turmericloft/src/core/rate_limit/lenders.rs
@@ -15,6 +15,8 @@
 
 /// Time after which a gateway is asked again that has no share, or has not responded.
 const NO_SHARE_PAUSE: Duration = Duration::from_secs(6);
+/// Longest time for which a gateway is not asked again, whatever it has said.
+const MAX_PAUSE: Duration = Duration::from_secs(60);
 /// Requests for loans that one gateway may send in a second.
 const MAX_REQUESTS_PER_S: f64 = 50.0;
 
@@ -71,7 +73,8 @@
         free_in: Option<Duration>,
     ) {
         let key = (lender.endpoint.clone(), Arc::clone(&lender.host));
-        let until = now + free_in.unwrap_or(NO_SHARE_PAUSE);
+        let pause = free_in.unwrap_or(NO_SHARE_PAUSE).min(MAX_PAUSE);
+        let until = now + pause;
         self.denied_until.insert(key, until);
     }
 
--- a/crates/turmericloft/src/core/relay/document_freshness.rs
+++ b/crates/turmericloft/src/core/relay/document_freshness.rs
@@ -73,7 +73,7 @@
     /// What to tell a follower whose poll arrived at `received`.
     pub fn relayed(&self, received: Instant) -> Option<DocumentAsOf> {
         self.last
-            .map(|last| DocumentAsOf::new(received, last.as_of, last.hops + 1))
+            .map(|last| DocumentAsOf::new(received, last.as_of, last.hops.saturating_add(1)))
     }
 
     /// When the document has to be confirmed again; `None` if it never was.
--- a/crates/turmericloft/src/core/relay/registry_view.rs
+++ b/crates/turmericloft/src/core/relay/registry_view.rs
@@ -9,6 +9,7 @@
         DiscoveredEndpoint, DiscoveryChange, DiscoveryTable, Observation, RegistryList,
         RegistryPosition,
     },
+    saturating::instant_after,
 };
 
 /// Freshness of the data received from an upstream.
@@ -123,7 +124,7 @@
         match response.as_of_after_poll {
             Some(after) => {
                 // This host, and with it its monotonic clock, may have been suspended in between.
-                let as_of = (polled_at + after).min(now);
+                let as_of = instant_after(polled_at, after).min(now);
                 self.record_relayed(now, as_of, response.hops);
             }
             None if response.is_current && self.is_first_response() => {
@@ -209,7 +210,7 @@
             as_of_after_poll: self
                 .as_of
                 .and_then(|at| at.checked_duration_since(received)),
-            hops: self.hops(now) + 1,
+            hops: self.hops(now).saturating_add(1),
             next: self.next,
             is_full_list,
             changes,
--- a/crates/turmericloft/src/core/traffic/route_table.rs
+++ b/crates/turmericloft/src/core/traffic/route_table.rs
@@ -15,6 +15,7 @@
 impl RouteTable {
     /// Indexes the routes of a document.
     pub fn new(document: TrafficDocument) -> Self {
+        let document = document.with_limited_times();
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in &document.routes {
             let routes = by_host.entry(Arc::clone(&route.host)).or_default();
--- a/crates/turmericloft/src/core/traffic/traffic_document.rs
+++ b/crates/turmericloft/src/core/traffic/traffic_document.rs
@@ -1,11 +1,15 @@
 //! One version of the traffic rules.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use super::{Organisation, RequestLimits, Route, ServiceSettings};
 
+/// Longest time that a document sets; longer ones count as this, since instants beyond them cannot be represented:
+/// 30 days.
+const MAX_TIME: Duration = Duration::from_secs(30 * 86_400);
+
 /// Routes, services, organisations and limits that become active together. It is serialised in relay responses.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TrafficDocument {
@@ -20,3 +24,19 @@
     /// Limits of client requests and connections.
     pub limits: RequestLimits,
 }
+
+impl TrafficDocument {
+    /// The same document with no time above 30 days.
+    pub(super) fn with_limited_times(mut self) -> Self {
+        let limits = &mut self.limits;
+        let of_limits = [&mut limits.head_timeout, &mut limits.idle_timeout];
+        let routes = self.routes.iter_mut();
+        let of_routes = routes.flat_map(|r| [&mut r.timeout, &mut r.target_latency]);
+        let slow_starts = self.services.values_mut();
+        let of_services = slow_starts.filter_map(|s| Some(&mut s.slow_start.as_mut()?.duration));
+        for time in of_routes.chain(of_services).chain(of_limits) {
+            *time = MAX_TIME.min(*time);
+        }
+        self
+    }
+}
--- a/crates/turmericloft/tests/testsuite/placement/mod.rs
+++ b/crates/turmericloft/tests/testsuite/placement/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod balancer;
 mod discovery;
+mod extreme_values;
 mod fleet_size;
 mod full_endpoints;
 mod grey_failure;
--- a/crates/turmericloft/tests/testsuite/quota/parts.rs
+++ b/crates/turmericloft/tests/testsuite/quota/parts.rs
@@ -206,3 +206,33 @@
     let idle = now + Duration::from_secs(601);
     assert_eq!(quotas.refresh_at(idle), None);
 }
+
+/// Guards against an answer of an owner whose time overflows an instant, or excludes the owner for years.
+#[test]
+fn endless_denial_excludes_the_owner_for_a_while() {
+    let now = Instant::now();
+    let hosts = hosts(2);
+    let organisation = Organisation {
+        name: "north".into(),
+        keys: Vec::new(),
+        rank: 0,
+        quota: Some(QUOTA),
+    };
+    for free_in in [Duration::MAX, Duration::from_secs(i64::MAX as u64)] {
+        let mut quotas = gateway(&hosts[0], &hosts, now, now + Duration::from_secs(3_600));
+        for at in [now, now + Duration::from_secs(61)] {
+            read_list(
+                &mut quotas,
+                &hosts[0],
+                &hosts,
+                at,
+                now + Duration::from_secs(3_600),
+            );
+            let mut call = quotas.start_call(at, &organisation).expect("a quota");
+            let QuotaStep::Ask(_) = quotas.next_step(at, &mut call) else {
+                panic!("no owner is asked");
+            };
+            quotas.record_answer(at, &mut call, Some(QuotaAnswer::Denied { free_in }));
+        }
+    }
+}
--- a/crates/turmericloft/tests/testsuite/relay/view.rs
+++ b/crates/turmericloft/tests/testsuite/relay/view.rs
@@ -245,3 +245,21 @@
     assert_eq!(follower.next(), at(0, 12));
     assert_eq!(follower.endpoints()[0].state, EndpointState::Ready);
 }
+
+/// Guards against a response whose times or counts end the task that follows an upstream.
+#[test]
+fn extreme_values_of_an_upstream_overflow_nothing() {
+    let now = Instant::now();
+    for after in [Duration::MAX, Duration::from_secs(i64::MAX as u64)] {
+        let mut view = reader(now);
+        let extreme = RelayResponse {
+            hops: u32::MAX,
+            ..response(Some(after), u64::MAX)
+        };
+        view.apply_response(now + MS, now, &extreme);
+        assert!(view.is_current(now + MS));
+        assert_eq!(ids(&view), ["e1", "e2"]);
+        let passed_on = view.response(now + MS, now, &poll(10));
+        assert_eq!(passed_on.hops, u32::MAX);
+    }
+}
--- a/crates/turmericloft/tests/testsuite/traffic.rs
+++ b/crates/turmericloft/tests/testsuite/traffic.rs
@@ -35,6 +35,20 @@
     })
 }
 
+/// Guards against times of a document that overflow an instant at the first request of a route.
+#[test]
+fn times_of_a_document_are_limited() {
+    let endless = Duration::from_secs(10_000_000_000_000_000_000);
+    let table = table(vec![Route {
+        timeout: endless,
+        target_latency: endless,
+        ..route("r", "a.example", "/")
+    }]);
+    let found = table.find("a.example", "/x").expect("a route");
+    let max = Duration::from_secs(30 * 86_400);
+    assert_eq!((found.timeout, found.target_latency), (max, max));
+}
+
 fn route_name<'a>(table: &'a RouteTable, host: &str, path: &str) -> Option<&'a str> {
     table.find(host, path).map(|r| &*r.name)
 }
