Ingress: panics of tasks are logged, counted and acted on

A task of a gateway that panicked ended silently: the process ran on and took clients, and nobody noticed that nothing applied the list of endpoints any more. Builds for release unwind too, as no profile sets `panic`.

`util::supervised_tasks` runs each long-running task, logs a panic with the name of the task and counts it in `turmericloft_task_panics_total`. Tasks that can be made anew start again after a second: most of them read what all gateways read, and if each gateway stopped for a value there, none would take clients. Tasks that own a listener have the gateway stop in order. A panic in the task of a connection costs only that, and does not leak a follower's place. There was nothing to test before; the tests guard against a task that is gone after one odd value, a gateway that runs on without a task that it needs, and a connection that ends more than itself.

--- a/crates/turmericloft/src/ops/ingress/helping.rs
+++ b/crates/turmericloft/src/ops/ingress/helping.rs
@@ -8,7 +8,10 @@
     client::serve_connection, metrics::count_helped, origin::RequestOrigin,
     run::ACCEPT_RETRY_DELAY, shared::Ingress,
 };
-use crate::core::handover::{HelperRefusal, check_help};
+use crate::{
+    core::handover::{HelperRefusal, check_help},
+    util::supervised_tasks::spawn_contained,
+};
 
 /// Accepts connections of other gateways until this one begins to stop. Those that are open then are served
 /// like those of clients.
@@ -23,7 +26,8 @@
         match accepted {
             Ok((stream, _)) => {
                 let origin = RequestOrigin::Gateway;
-                tokio::spawn(serve_connection(Arc::clone(&ingress), stream, origin));
+                let serving = serve_connection(Arc::clone(&ingress), stream, origin);
+                spawn_contained("serve-gateway", serving);
             }
             Err(e) => {
                 log::warn!("cannot accept a connection of another gateway; retrying: {e}");
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashSet, io, net::SocketAddr, sync::Arc, time::Duration};
 
+use futures_util::{FutureExt, future::BoxFuture};
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
@@ -11,7 +12,7 @@
 
 use crate::{
     core::placement::{DiscoveredEndpoint, probe_rate, reckoned_gateways},
-    util::metrics_recorder,
+    util::{metrics_recorder, supervised_tasks::spawn_contained},
 };
 
 use super::{
@@ -96,27 +97,9 @@
         settings.listen,
         settings.ready_listen,
     );
-    tokio::spawn(apply_documents(Arc::clone(&ingress), feeds.clone()));
-    tokio::spawn(apply_newest_document(
-        Arc::clone(&ingress),
-        feeds.newest_document.clone(),
-    ));
-    tokio::spawn(apply_gateway_count(Arc::clone(&ingress), feeds.clone()));
-    tokio::spawn(apply_sharing(Arc::clone(&ingress), feeds.sharing.clone()));
-    let evacuated = feeds.evacuated.clone();
-    tokio::spawn(apply_evacuation(Arc::clone(&ingress), evacuated));
-    tokio::spawn(follow_contact(Arc::clone(&ingress), feeds.clone()));
-    tokio::spawn(apply_endpoints(Arc::clone(&ingress), feeds));
-    tokio::spawn(check_abandoned(Arc::clone(&ingress)));
-    tokio::spawn(check_limited(Arc::clone(&ingress)));
-    let clock = ingress.clock.clone();
-    tokio::spawn(async move { clock.watch_suspensions().await });
-    metrics_recorder::install();
-    if let Some(listener) = listeners.metrics {
-        tokio::spawn(serve_metrics(listener));
-    }
-    tokio::spawn(serve_readiness(Arc::clone(&ingress), listeners.ready));
-    tokio::spawn(accept_clients(Arc::clone(&ingress), listeners.clients));
+    let stop = stop.child_token();
+    ingress.tasks.stop_on_failure(&stop);
+    start_tasks(&ingress, listeners, &feeds);
     stop.cancelled().await;
     log::info!("gateway stopping open_requests={}", ingress.open_requests());
     ingress.stopping.cancel();
@@ -132,6 +115,53 @@
     log::info!("gateway stopped");
 }
 
+/// Starts the tasks that run for as long as the gateway.
+fn start_tasks(ingress: &Arc<Ingress>, listeners: IngressListeners, feeds: &IngressFeeds) {
+    start_followers(ingress, feeds);
+    let tasks = &ingress.tasks;
+    let checked = Arc::clone(ingress);
+    tasks.spawn_restarting("check-abandoned", move || {
+        check_abandoned(Arc::clone(&checked))
+    });
+    let checked = Arc::clone(ingress);
+    tasks.spawn_restarting("check-limited", move || check_limited(Arc::clone(&checked)));
+    let clock = ingress.clock.clone();
+    tasks.spawn_restarting("watch-suspensions", move || {
+        let clock = clock.clone();
+        async move { clock.watch_suspensions().await }
+    });
+    metrics_recorder::install();
+    if let Some(listener) = listeners.metrics {
+        tasks.spawn_essential("serve-metrics", serve_metrics(listener));
+    }
+    let ready = serve_readiness(Arc::clone(ingress), listeners.ready);
+    tasks.spawn_essential("serve-readiness", ready);
+    let accepting = accept_clients(Arc::clone(ingress), listeners.clients);
+    tasks.spawn_essential("accept-clients", accepting);
+}
+
+/// Starts the tasks that apply the feeds.
+fn start_followers(ingress: &Arc<Ingress>, feeds: &IngressFeeds) {
+    let follow = |name, apply: fn(Arc<Ingress>, IngressFeeds) -> BoxFuture<'static, ()>| {
+        let (follower, feeds) = (Arc::clone(ingress), feeds.clone());
+        let make = move || apply(Arc::clone(&follower), feeds.clone());
+        ingress.tasks.spawn_restarting(name, make);
+    };
+    follow("apply-documents", |i, f| apply_documents(i, f).boxed());
+    follow("apply-newest-document", |i, f| {
+        apply_newest_document(i, f.newest_document).boxed()
+    });
+    follow("apply-gateway-count", |i, f| {
+        apply_gateway_count(i, f).boxed()
+    });
+    follow("apply-sharing", |i, f| apply_sharing(i, f.sharing).boxed());
+    follow("apply-evacuation", |i, f| {
+        apply_evacuation(i, f.evacuated).boxed()
+    });
+    follow("follow-contact", |i, f| follow_contact(i, f).boxed());
+    follow("apply-endpoints", |i, f| apply_endpoints(i, f).boxed());
+}
+
 async fn wait_for_open_requests(ingress: &Ingress) {
     let mut checks = interval(OPEN_REQUEST_CHECK_INTERVAL);
     // The first tick is immediate; the next one leaves time to write the last response.
@@ -155,7 +185,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_client(Arc::clone(&ingress), stream));
+                spawn_contained("serve-client", serve_client(Arc::clone(&ingress), stream));
             }
             Err(e) => {
                 log::warn!("cannot accept a client connection; retrying: {e}");
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -36,7 +36,9 @@
     },
     ops::{LoanSocket, SharedQuarantine},
     sources::http1::BodyBudget,
-    util::{host_clock::HostClock, rate_limited_log::RateLimitedLog},
+    util::{
+        host_clock::HostClock, rate_limited_log::RateLimitedLog, supervised_tasks::SupervisedTasks,
+    },
 };
 
 /// Channels over which an ingress gateway receives its document, its endpoints and the number of
@@ -88,6 +90,8 @@
     pub(super) log: RateLimitedLog,
     /// Cancelled when the gateway begins to stop; responses then close the clients' connections.
     pub(super) stopping: CancellationToken,
+    /// Starts the long-running tasks.
+    pub(super) tasks: SupervisedTasks,
     /// Cancelled when the gateway closes idle client connections and accepts no new ones.
     pub(super) closing_idle: CancellationToken,
     /// Notified of each change of what is known of limits.
@@ -165,6 +169,7 @@
             body_budget,
             log: RateLimitedLog::default(),
             stopping: CancellationToken::new(),
+            tasks: SupervisedTasks::default(),
             closing_idle: CancellationToken::new(),
             limits_changed: watch::Sender::new(()),
             loans: OnceLock::new(),
@@ -186,6 +191,11 @@
         self.clock.now()
     }
 
+    /// Starts the long-running tasks of the gateway, which stops when an essential one panics.
+    pub fn tasks(&self) -> &SupervisedTasks {
+        &self.tasks
+    }
+
     /// Whether the gateway accepts clients: it has a document and endpoints and is not stopping.
     pub(super) fn is_ready(&self) -> bool {
         let has_document = self.table.load().is_some();
--- a/crates/turmericloft/src/ops/relay/serve.rs
+++ b/crates/turmericloft/src/ops/relay/serve.rs
@@ -16,7 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{RelayError, RelayHub, follower_connection::FollowerConnection, wire::RelayConnection};
-use crate::util::error_chain;
+use crate::util::{error_chain, supervised_tasks::spawn_contained};
 
 /// Maximum number of followers connected at the same time.
 const MAX_FOLLOWERS: usize = 64;
@@ -37,13 +37,8 @@
             Ok((stream, peer)) => {
                 let hub = Arc::clone(&hub);
                 let followers = Arc::clone(&followers);
-                tokio::spawn(handle_connection(
-                    hub,
-                    peer,
-                    stream,
-                    followers,
-                    stop.clone(),
-                ));
+                let serving = handle_connection(hub, peer, stream, followers, stop.clone());
+                spawn_contained("serve-follower", serving);
             }
             Err(e) => {
                 log::warn!("failed to accept the connection of a follower: {e}");
@@ -60,7 +55,8 @@
     followers: Arc<AtomicUsize>,
     stop: CancellationToken,
 ) {
-    if followers.fetch_add(1, Ordering::AcqRel) >= MAX_FOLLOWERS {
+    let counted = CountedFollower::new(followers);
+    if counted.before >= MAX_FOLLOWERS {
         log::warn!("follower rejected: too many connections peer={peer} limit={MAX_FOLLOWERS}");
     } else {
         tokio::select! {
@@ -74,7 +70,26 @@
             }
         }
     }
-    followers.fetch_sub(1, Ordering::AcqRel);
+}
+
+/// A connection that is counted until it is dropped, also by a panic.
+struct CountedFollower {
+    followers: Arc<AtomicUsize>,
+    /// Connections that were counted before.
+    before: usize,
+}
+
+impl CountedFollower {
+    fn new(followers: Arc<AtomicUsize>) -> Self {
+        let before = followers.fetch_add(1, Ordering::AcqRel);
+        Self { followers, before }
+    }
+}
+
+impl Drop for CountedFollower {
+    fn drop(&mut self) {
+        self.followers.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 async fn serve_follower(
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -2,7 +2,10 @@
 
 use strum::Display;
 
-pub use super::hedge_metrics::{HEDGE_REFUSALS, HEDGE_WASTED_SECONDS, HEDGES};
+pub use super::{
+    hedge_metrics::{HEDGE_REFUSALS, HEDGE_WASTED_SECONDS, HEDGES},
+    supervised_tasks::TASK_PANICS,
+};
 
 /// Metric type in the Prometheus exposition.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
@@ -446,4 +449,5 @@
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
     LOG_LINES_DROPPED,
+    TASK_PANICS,
 ];
--- a/crates/turmericloft/src/util/mod.rs
+++ b/crates/turmericloft/src/util/mod.rs
@@ -11,4 +11,5 @@
 pub mod metrics_table;
 pub(crate) mod rate_limited_log;
 pub mod settings;
+pub mod supervised_tasks;
 pub mod timestamp;
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -26,4 +26,5 @@
 mod relay;
 mod routing;
 mod slow_start;
+mod supervised_tasks;
 mod traffic;
