--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -15,3 +15,4 @@
 mod protocol;
 mod routes;
 mod suspension;
+mod task_panics;
--- a/crates/turmericloft/tests/testsuite/ingress/protocol.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/protocol.rs
@@ -12,6 +12,9 @@
     sources::http1::{Headers, Response},
 };
 
+/// Remaining time of a request at which the protocol panics.
+pub const ODD_TIMEOUT: &str = "odd";
+
 /// Header names differ from those of any platform.
 pub struct TestProtocol;
 
@@ -21,11 +24,9 @@
     }
 
     fn client_timeout(&self, headers: &Headers) -> Option<Duration> {
-        headers
-            .get_str("Left-Ms")?
-            .parse()
-            .ok()
-            .map(Duration::from_millis)
+        let text = headers.get_str("Left-Ms")?;
+        assert_ne!(text, ODD_TIMEOUT, "odd timeout");
+        text.parse().ok().map(Duration::from_millis)
     }
 
     fn credentials<'a>(&self, headers: &'a Headers) -> Credentials<'a> {
