--- a/crates/turmericloft/src/ops/ingress/helping.rs
+++ b/crates/turmericloft/src/ops/ingress/helping.rs
@@ -5,10 +5,13 @@
 use tokio::net::TcpListener;
 
 use super::{
-    client::serve_connection, metrics::count_helped, origin::RequestOrigin, run::accept,
+    accept::accept, client::serve_connection, metrics::count_helped, origin::RequestOrigin,
     shared::Ingress,
 };
-use crate::core::handover::{HelperRefusal, check_help};
+use crate::{
+    core::handover::{HelperRefusal, check_help},
+    util::supervised_tasks::spawn_contained,
+};
 
 /// Accepts connections of other gateways, and serves them like those of clients, until this one closes idle
 /// connections.
@@ -17,12 +20,8 @@
     accept(&ingress.closing_idle, &listener, |stream, peer| {
         let connection = acceptor.open(peer);
         let origin = RequestOrigin::Gateway;
-        tokio::spawn(serve_connection(
-            Arc::clone(&ingress),
-            stream,
-            connection,
-            origin,
-        ));
+        let serving = serve_connection(Arc::clone(&ingress), stream, connection, origin);
+        spawn_contained("serve-gateway", serving);
     })
     .await;
 }
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -5,6 +5,7 @@
 //! channels ([`IngressFeeds`]), so the program chooses their source.
 
 mod abandoned_checks;
+mod accept;
 mod access;
 mod attempt;
 mod client;
@@ -14,6 +15,7 @@
 mod connection_stage;
 mod contact;
 mod crash_watch;
+mod drain;
 mod drain_end;
 mod evacuation;
 mod followed_attempt;
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -1,48 +1,35 @@
 //! Runs an ingress gateway from start to stop.
 
-use std::{
-    collections::HashSet,
-    io,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::HashSet, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use futures_util::FutureExt;
+use futures_util::{FutureExt, future::BoxFuture};
 use thiserror::Error;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time::{interval, sleep},
-};
+use tokio::{net::TcpListener, time::interval};
 use tokio_util::sync::CancellationToken;
 
-use crate::{
-    core::{
-        drain::DrainPlan,
-        placement::{DiscoveredEndpoint, probe_rate, reckoned_gateways},
-    },
-    util::metrics_recorder,
-};
-
 use super::{
     abandoned_checks::{apply_entries, check_abandoned},
+    accept::accept,
     access::apply_newest_document,
     client::serve_client,
     contact::follow_contact,
+    drain::drain,
     drain_end::DrainEnd,
     evacuation::apply_evacuation,
     limits::{apply_sharing, check_limited},
-    metrics::count_cut_connection,
-    open_connections::{Acceptor, ConnectionWork, Drained},
+    open_connections::Acceptor,
     ready::{serve_metrics, serve_readiness},
     settings::IngressSettings,
     shared::{Ingress, IngressFeeds},
 };
 
+use crate::{
+    core::placement::{DiscoveredEndpoint, probe_rate, reckoned_gateways},
+    util::{metrics_recorder, supervised_tasks::spawn_contained},
+};
+
 /// Interval at which expired idle connections to endpoints are closed.
 const POOL_SWEEP_INTERVAL: Duration = Duration::from_millis(2_000);
-/// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Error that prevents an ingress gateway from starting.
 #[derive(Debug, Error)]
@@ -103,116 +90,71 @@
         settings.listen,
         settings.ready_listen,
     );
-    tokio::spawn(apply_documents(Arc::clone(&ingress), feeds.clone()));
-    tokio::spawn(apply_newest_document(
-        Arc::clone(&ingress),
-        feeds.newest_document.clone(),
-    ));
-    tokio::spawn(apply_gateway_count(Arc::clone(&ingress), feeds.clone()));
-    tokio::spawn(apply_sharing(Arc::clone(&ingress), feeds.sharing.clone()));
-    let evacuated = feeds.evacuated.clone();
-    tokio::spawn(apply_evacuation(Arc::clone(&ingress), evacuated));
-    tokio::spawn(follow_contact(Arc::clone(&ingress), feeds.clone()));
-    tokio::spawn(apply_endpoints(Arc::clone(&ingress), feeds));
-    tokio::spawn(check_abandoned(Arc::clone(&ingress)));
-    tokio::spawn(check_limited(Arc::clone(&ingress)));
-    let clock = ingress.clock.clone();
-    tokio::spawn(async move { clock.watch_suspensions().await });
-    metrics_recorder::install();
-    if let Some(listener) = listeners.metrics {
-        tokio::spawn(serve_metrics(listener));
-    }
-    tokio::spawn(serve_readiness(Arc::clone(&ingress), listeners.ready));
-    let acceptor = ingress.connections().acceptor();
-    tokio::spawn(accept_clients(
-        Arc::clone(&ingress),
-        listeners.clients,
-        acceptor,
-    ));
+    let stop = stop.child_token();
+    ingress.tasks.stop_on_failure(&stop);
+    start_tasks(&ingress, listeners, &feeds);
     stop.cancelled().await;
     drain(&ingress).await
 }
 
-/// Stops the gateway: finishes what it owes, as far as the grace period allows it.
-async fn drain(ingress: &Ingress) -> DrainEnd {
-    let connections = ingress.connections();
-    let plan = DrainPlan::new(ingress.now(), ingress.settings.grace_period);
-    log::info!("gateway stopping {}", connections.stages());
-    ingress.begin_drain(plan);
-    ingress.clock.sleep_until(plan.close_idle_at).await;
-    log::info!("closing idle connections {}", connections.stages());
-    ingress.closing_idle.cancel();
-    let end = finish_connections(ingress, &plan).await;
-    log::info!("gateway stopped {}", connections.stages());
-    end
-}
-
-async fn finish_connections(ingress: &Ingress, plan: &DrainPlan) -> DrainEnd {
-    let connections = ingress.connections();
-    if let Some(drained) = drained_by(ingress, plan.respond_by).await {
-        return DrainEnd::Drained(drained);
-    }
-    log::warn!("ending open requests {}", connections.stages());
-    ingress.ending.cancel();
-    if let Some(drained) = drained_by(ingress, plan.cut_off_at).await {
-        return DrainEnd::Drained(drained);
-    }
-    let unfinished = connections.unfinished();
-    report_cut_connections(&unfinished);
-    DrainEnd::CutOff(unfinished)
-}
-
-async fn drained_by(ingress: &Ingress, deadline: Instant) -> Option<Drained> {
-    tokio::select! {
-        biased;
-        drained = ingress.connections().drained() => Some(drained),
-        () = ingress.clock.sleep_until(deadline) => None,
+/// Starts the tasks that run for as long as the gateway.
+fn start_tasks(ingress: &Arc<Ingress>, listeners: IngressListeners, feeds: &IngressFeeds) {
+    start_followers(ingress, feeds);
+    let tasks = &ingress.tasks;
+    let checked = Arc::clone(ingress);
+    tasks.spawn_restarting("check-abandoned", move || {
+        check_abandoned(Arc::clone(&checked))
+    });
+    let checked = Arc::clone(ingress);
+    tasks.spawn_restarting("check-limited", move || check_limited(Arc::clone(&checked)));
+    let clock = ingress.clock.clone();
+    tasks.spawn_restarting("watch-suspensions", move || {
+        let clock = clock.clone();
+        async move { clock.watch_suspensions().await }
+    });
+    metrics_recorder::install();
+    if let Some(listener) = listeners.metrics {
+        tasks.spawn_essential("serve-metrics", serve_metrics(listener));
     }
+    let ready = serve_readiness(Arc::clone(ingress), listeners.ready);
+    tasks.spawn_essential("serve-readiness", ready);
+    let acceptor = ingress.connections().acceptor();
+    let accepting = accept_clients(Arc::clone(ingress), listeners.clients, acceptor);
+    tasks.spawn_essential("accept-clients", accepting);
 }
 
-/// Logs and counts the connections that end with the process.
-fn report_cut_connections(unfinished: &[ConnectionWork]) {
-    log::warn!("gateway cut off connections={}", unfinished.len());
-    for work in unfinished {
-        count_cut_connection(work.stage);
-        log::warn!("connection cut off {work}");
-    }
+/// Starts the tasks that apply the feeds.
+fn start_followers(ingress: &Arc<Ingress>, feeds: &IngressFeeds) {
+    let follow = |name, apply: fn(Arc<Ingress>, IngressFeeds) -> BoxFuture<'static, ()>| {
+        let (follower, feeds) = (Arc::clone(ingress), feeds.clone());
+        let make = move || apply(Arc::clone(&follower), feeds.clone());
+        ingress.tasks.spawn_restarting(name, make);
+    };
+    follow("apply-documents", |i, f| apply_documents(i, f).boxed());
+    follow("apply-newest-document", |i, f| {
+        apply_newest_document(i, f.newest_document).boxed()
+    });
+    follow("apply-gateway-count", |i, f| {
+        apply_gateway_count(i, f).boxed()
+    });
+    follow("apply-sharing", |i, f| apply_sharing(i, f.sharing).boxed());
+    follow("apply-evacuation", |i, f| {
+        apply_evacuation(i, f.evacuated).boxed()
+    });
+    follow("follow-contact", |i, f| follow_contact(i, f).boxed());
+    follow("apply-endpoints", |i, f| apply_endpoints(i, f).boxed());
 }
 
 /// Accepts clients until idle connections are closed; later clients connect to another gateway.
 async fn accept_clients(ingress: Arc<Ingress>, listener: TcpListener, acceptor: Acceptor) {
     accept(&ingress.closing_idle, &listener, |stream, peer| {
         let connection = acceptor.open(peer);
-        tokio::spawn(serve_client(Arc::clone(&ingress), stream, connection));
+        let serving = serve_client(Arc::clone(&ingress), stream, connection);
+        spawn_contained("serve-client", serving);
     })
     .await;
 }
 
-/// Accepts connections until `until` is cancelled, and then those that the kernel has established by then.
-pub(super) async fn accept(
-    until: &CancellationToken,
-    listener: &TcpListener,
-    mut serve: impl FnMut(TcpStream, SocketAddr),
-) {
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            () = until.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, peer)) => serve(stream, peer),
-            Err(e) => {
-                log::warn!("cannot accept a connection; retrying: {e}");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-    while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
-        serve(stream, peer);
-    }
-}
-
 async fn apply_documents(ingress: Arc<Ingress>, mut feeds: IngressFeeds) {
     loop {
         let table = feeds.documents.borrow_and_update().clone();
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -37,7 +37,9 @@
     },
     ops::{LoanSocket, SharedQuarantine},
     sources::http1::BodyBudget,
-    util::{host_clock::HostClock, rate_limited_log::RateLimitedLog},
+    util::{
+        host_clock::HostClock, rate_limited_log::RateLimitedLog, supervised_tasks::SupervisedTasks,
+    },
 };
 
 /// Channels over which an ingress gateway receives its document, its endpoints and the number of
@@ -93,6 +95,8 @@
     drain_plan: OnceLock<DrainPlan>,
     /// Cancelled when the gateway begins to stop; responses then close the clients' connections.
     pub(super) stopping: CancellationToken,
+    /// Starts the long-running tasks.
+    pub(super) tasks: SupervisedTasks,
     /// Cancelled when the gateway closes idle client connections and accepts no new ones.
     pub(super) closing_idle: CancellationToken,
     /// Cancelled when requests without a response get one of the gateway, as the process is about to end.
@@ -174,6 +178,7 @@
             connections: OpenConnections::new(),
             stopping: CancellationToken::new(),
             drain_plan: OnceLock::new(),
+            tasks: SupervisedTasks::default(),
             closing_idle: CancellationToken::new(),
             ending: CancellationToken::new(),
             limits_changed: watch::Sender::new(()),
@@ -214,6 +219,11 @@
         &self.connections
     }
 
+    /// Starts the long-running tasks of the gateway, which stops when an essential one panics.
+    pub fn tasks(&self) -> &SupervisedTasks {
+        &self.tasks
+    }
+
     /// Whether the gateway accepts clients: it has a document and endpoints and is not stopping.
     pub(super) fn is_ready(&self) -> bool {
         let has_document = self.table.load().is_some();
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -2,8 +2,11 @@
 
 use strum::Display;
 
-pub use super::connection_metrics::{CUT_CONNECTIONS, DISCARDED_BYTES};
-pub use super::hedge_metrics::{HEDGE_REFUSALS, HEDGE_WASTED_SECONDS, HEDGES};
+pub use super::{
+    connection_metrics::{CUT_CONNECTIONS, DISCARDED_BYTES},
+    hedge_metrics::{HEDGE_REFUSALS, HEDGE_WASTED_SECONDS, HEDGES},
+    supervised_tasks::TASK_PANICS,
+};
 
 /// Metric type in the Prometheus exposition.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
@@ -449,4 +452,5 @@
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
     LOG_LINES_DROPPED,
+    TASK_PANICS,
 ];
