Stopping gateways send a response to its last byte before they close the connection

Callers of a stopping gateway saw "connection reset" in the middle of a response that the gateway counted as served. A written byte is only held by the kernel; when a socket is closed with unread input, or input arrives later, the kernel resets the connection and discards what it has not sent. Pipelined requests (HTTP/1.1) and the window updates that every HTTP/2 caller sends are such input. The process also exited with those bytes still in its send buffer.

Every connection is now closed by LingeringClose: input is discarded until the kernel has sent everything, then the writing side is shut down, and the caller has 1 s to close its side. Until now this was done after rejections only, and without waiting for the send buffer.

--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod platform_gateway;
 mod routing;
 mod settings;
+mod slow_readers;
 mod standin_backend;
 mod status_session;
 mod support;
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -5,6 +5,7 @@
 mod command;
 mod eventually;
 mod gateway;
+mod http2_caller;
 mod operator_shell;
 mod platform;
 mod process;
@@ -17,6 +18,7 @@
     command::run,
     eventually::eventually,
     gateway::write_identity,
+    http2_caller::{Http2Caller, frame_type},
     operator_shell::{OperatorShell, rival_record},
     platform::Platform,
     process::Process,
--- a/crates/turmericloft/src/ops/gateway/caller_stream.rs
+++ b/crates/turmericloft/src/ops/gateway/caller_stream.rs
@@ -2,8 +2,8 @@
 //!
 //! The HTTP library responds to a request head that it cannot parse with a status and no body, and
 //! closes the connection of a sender that is too slow without a response. This layer sends a
-//! problem in both cases. After a rejection it goes on reading for a while before it closes the
-//! connection: unread data would cause a TCP reset, which may discard the response.
+//! problem in both cases. Before the connection is closed, received bytes are discarded until the
+//! response is sent and the caller has closed its side, see [`LingeringClose`].
 
 use std::{
     io::{self, IoSlice},
@@ -22,17 +22,12 @@
 };
 
 use super::{
-    connection_state::ConnectionState, metrics::UnadmittedReason, raw_response::RawResponse,
+    connection_state::ConnectionState, lingering_close::LingeringClose, metrics::UnadmittedReason,
+    raw_response::RawResponse,
 };
 
 /// First bytes of the HTTP/2 connection preface.
 const HTTP2_PREFACE: &[u8] = b"PRI";
-/// Time after a rejection during which received bytes are discarded.
-const LINGER: Duration = Duration::from_secs(1);
-/// Bytes per read while lingering.
-const LINGER_READ_BYTES: usize = 8 << 10;
-/// Most bytes that are discarded after a rejection.
-const MAX_LINGER_BYTES: usize = 16 << 20;
 
 /// Limits of a caller's connection.
 #[derive(Clone, Copy, Debug)]
@@ -52,8 +47,6 @@
     Request,
     /// Time until a begun head is complete.
     RestOfHead,
-    /// Time during which received bytes are discarded after a rejection.
-    Linger,
 }
 
 /// A caller's TCP connection with timeouts on request heads and idle time.
@@ -66,7 +59,7 @@
     wait: Option<Wait>,
     timer: Pin<Box<Sleep>>,
     pending: Bytes,
-    discarded: usize,
+    closing: LingeringClose,
     ended: bool,
 }
 
@@ -84,7 +77,7 @@
             wait: None,
             timer: Box::pin(sleep(limits.idle_timeout)),
             pending: Bytes::new(),
-            discarded: 0,
+            closing: LingeringClose::default(),
             ended: false,
         }
     }
@@ -124,7 +117,6 @@
             let limit = match wait {
                 Wait::Request => self.limits.idle_timeout,
                 Wait::RestOfHead => self.limits.head_timeout,
-                Wait::Linger => LINGER,
             };
             self.timer.as_mut().reset(Instant::now() + limit);
             self.wait = Some(wait);
@@ -143,7 +135,6 @@
         } else {
             UnadmittedReason::Malformed.count();
         }
-        self.state.set_rejected(true);
         Some(RawResponse::unreadable_head(status, self.limits.max_head_bytes).bytes())
     }
 
@@ -154,22 +145,6 @@
         }
         Poll::Ready(Ok(()))
     }
-
-    /// Reads and discards what the caller of a rejected request still sends.
-    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        while self.discarded < MAX_LINGER_BYTES {
-            let mut scratch = [0; LINGER_READ_BYTES];
-            let mut buf = ReadBuf::new(&mut scratch);
-            match Pin::new(&mut self.stream).poll_read(cx, &mut buf) {
-                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
-                    self.discarded += buf.filled().len();
-                }
-                Poll::Ready(_) => break,
-                Poll::Pending => return self.poll_wait(cx, Wait::Linger).map(Ok),
-            }
-        }
-        Poll::Ready(Ok(()))
-    }
 }
 
 impl AsyncRead for CallerStream {
@@ -231,10 +206,7 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.poll_pending(cx))?;
-        ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-        if self.state.is_rejected() {
-            return self.poll_linger(cx);
-        }
-        Poll::Ready(Ok(()))
+        let this = &mut *self;
+        this.closing.poll_close(cx, &mut this.stream)
     }
 }
--- a/crates/turmericloft/src/ops/gateway/connection_state.rs
+++ b/crates/turmericloft/src/ops/gateway/connection_state.rs
@@ -21,7 +21,6 @@
     open: AtomicUsize,
     open_total: Arc<AtomicUsize>,
     has_partial_head: AtomicBool,
-    rejected: AtomicBool,
 }
 
 /// A request whose response is not written completely. Dropping it ends the request.
@@ -42,7 +41,6 @@
             open: AtomicUsize::new(0),
             open_total,
             has_partial_head: AtomicBool::new(false),
-            rejected: AtomicBool::new(false),
         }
     }
 
@@ -70,16 +68,6 @@
     pub(super) fn has_partial_head(&self) -> bool {
         self.has_partial_head.load(Ordering::Acquire)
     }
-
-    /// Records whether the newest request was rejected, perhaps before its body was read.
-    pub(super) fn set_rejected(&self, rejected: bool) {
-        self.rejected.store(rejected, Ordering::Release);
-    }
-
-    /// Whether the newest request was rejected.
-    pub(super) fn is_rejected(&self) -> bool {
-        self.rejected.load(Ordering::Acquire)
-    }
 }
 
 impl OpenRequest {
--- a/crates/turmericloft/src/ops/gateway/listener.rs
+++ b/crates/turmericloft/src/ops/gateway/listener.rs
@@ -117,7 +117,6 @@
     ) -> Response<TrackedBody> {
         let open = state.begin();
         let response = handle(Arc::clone(&self.gateway), req, self.body_pause).await;
-        state.set_rejected(response.status().is_client_error());
         response.map(|body| open.body(body))
     }
 
--- a/crates/turmericloft/src/ops/gateway/mod.rs
+++ b/crates/turmericloft/src/ops/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod handle;
 mod idempotent;
 mod in_flight;
+mod lingering_close;
 mod listener;
 mod matched_request;
 mod metrics;
