A stopping reporter publishes every count that it acknowledges

A gateway that sent counts while its reporter stopped got an acknowledgement for counts that never reached the log service: the publisher ended as soon as nothing was left at the stop signal, while the server still finished requests in flight.

--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod load;
 mod peers;
 mod platform_gateway;
+mod reporter_stop;
 mod routing;
 mod settings;
 mod slow_readers;
--- a/crates/turmericloft/src/ops/reporter/mod.rs
+++ b/crates/turmericloft/src/ops/reporter/mod.rs
@@ -7,10 +7,11 @@
 mod state;
 mod summary;
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
+use axum::Router;
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 pub use self::{
@@ -25,6 +26,9 @@
     util::settings::ReporterSettings,
 };
 
+/// Time that requests in flight have after a stop signal; a gateway waits 0.5 s for a reply.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Error that ends a reporter.
 #[derive(Debug, Error)]
 pub enum ReporterError {
@@ -69,13 +73,30 @@
     let state = ReporterState::new(scope);
     let log: Arc<dyn LogService> = Arc::new(HttpLog::new(settings.log_service));
     let stream = RoundPart::stream(&settings.environment);
-    let publisher = tokio::spawn(publish(Arc::clone(&state), log, stream, stop.clone()));
+    // Cancelled after the server has ended, because each of its requests may bring counts.
+    let ended = CancellationToken::new();
+    let publisher = tokio::spawn(publish(Arc::clone(&state), log, stream, ended.clone()));
     let app = routes::router(state);
-    let serve_result = axum::serve(listener, app)
-        .with_graceful_shutdown(stop.cancelled_owned())
-        .await;
+    let serve_result = tokio::select! {
+        result = serve(listener, app, stop.clone()) => result,
+        () = request_limit(stop) => Ok(()),
+    };
+    ended.cancel();
     if let Ok(publish_result) = publisher.await {
         publish_result?;
     }
     serve_result.map_err(ReporterError::Serve)
 }
+
+/// Serves requests until `stop`, then waits for those in flight.
+async fn serve(listener: TcpListener, app: Router, stop: CancellationToken) -> io::Result<()> {
+    axum::serve(listener, app)
+        .with_graceful_shutdown(stop.cancelled_owned())
+        .await
+}
+
+/// Waits until requests in flight are no longer waited for.
+async fn request_limit(stop: CancellationToken) {
+    stop.cancelled().await;
+    sleep(REQUEST_TIMEOUT).await;
+}
--- a/crates/turmericloft/src/ops/reporter/publish.rs
+++ b/crates/turmericloft/src/ops/reporter/publish.rs
@@ -69,7 +69,7 @@
             continue;
         }
         if Instant::now() >= deadline {
-            let records = state.summary().queued_records;
+            let records = state.abandon_records();
             return Err(PublishError { records });
         }
         sleep(PUBLISH_INTERVAL).await;
--- a/crates/turmericloft/src/ops/reporter/routes.rs
+++ b/crates/turmericloft/src/ops/reporter/routes.rs
@@ -32,7 +32,9 @@
     let Ok(message) = postcard::from_bytes::<SnapshotMessage>(&body) else {
         return StatusCode::BAD_REQUEST.into_response();
     };
-    let reply = state.apply_snapshot(message);
+    let Some(reply) = state.apply_snapshot(message) else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
     postcard::to_stdvec(&reply)
         .unwrap_or_default()
         .into_response()
--- a/crates/turmericloft/src/ops/reporter/state.rs
+++ b/crates/turmericloft/src/ops/reporter/state.rs
@@ -28,6 +28,8 @@
     budget: MeasurementBudget,
     cost: MeasuredCost,
     gateway_core_share: f64,
+    /// Whether the publisher has ended, so that further counts would not be published.
+    is_closed: bool,
 }
 
 impl ReporterState {
@@ -42,21 +44,26 @@
                 budget,
                 cost: MeasuredCost::default(),
                 gateway_core_share: 0.0,
+                is_closed: false,
             }),
         })
     }
 
     /// Applies a snapshot of the gateway's counts, and the budget if the message contains one.
-    pub fn apply_snapshot(&self, message: SnapshotMessage) -> SnapshotReply {
+    /// `None` once the publisher has ended: a reply would acknowledge counts that nobody publishes.
+    pub fn apply_snapshot(&self, message: SnapshotMessage) -> Option<SnapshotReply> {
         let start = ThreadTime::now();
         let mut inner = self.inner.lock();
+        if inner.is_closed {
+            return None;
+        }
         inner.gateway_core_share = message.core_share;
         if let Some(budget) = message.budget {
             inner.budget = budget;
         }
         let reply = inner.publisher.apply(message.snapshot);
         inner.meter.add_work(start);
-        reply
+        Some(reply)
     }
 
     /// Measures the cost, compares it with the budget and sets the resolution accordingly.
@@ -80,9 +87,21 @@
     }
 
     /// Returns the next encoded record to append while the reporter stops, or `None` if all are
-    /// appended.
+    /// appended. After `None`, no further snapshot is accepted.
     pub fn next_record_at_stop(&self, now: Instant) -> Option<Vec<u8>> {
-        self.with_publisher(|p| p.next_record_at_stop(now).map(<[u8]>::to_vec))
+        let start = ThreadTime::now();
+        let mut inner = self.inner.lock();
+        let record = inner.publisher.next_record_at_stop(now).map(<[u8]>::to_vec);
+        inner.is_closed |= record.is_none();
+        inner.meter.add_work(start);
+        record
+    }
+
+    /// Accepts no further snapshot, although records are left that are not appended. Returns their
+    /// number.
+    pub(super) fn abandon_records(&self) -> usize {
+        self.inner.lock().is_closed = true;
+        self.summary().queued_records
     }
 
     /// Records whether the append of the record that was returned last succeeded.
--- a/crates/turmericloft/tests/testsuite/counting/publishing.rs
+++ b/crates/turmericloft/tests/testsuite/counting/publishing.rs
@@ -107,8 +107,8 @@
     }
 }
 
-/// A reporter that has received the last counts of a gateway that served three requests.
-fn reporter() -> Arc<ReporterState> {
+/// The last counts of a gateway that served three requests.
+fn last_counts() -> SnapshotMessage {
     let counters = RequestCounters::new();
     for caller in ["anna", "anna", "bo"] {
         counters.admit(key(caller)).end(Outcome::Served);
@@ -117,12 +117,17 @@
         name: name("gw-1"),
         incarnation: START_MS,
     };
-    let state = ReporterState::new(CpuTimeScope::OwnWork);
-    state.apply_snapshot(SnapshotMessage {
+    SnapshotMessage {
         snapshot: counters.snapshot(host, 0, START_MS + 1).into_last(),
         budget: None,
         core_share: 0.0,
-    });
+    }
+}
+
+/// A reporter that has received [`last_counts`].
+fn reporter() -> Arc<ReporterState> {
+    let state = ReporterState::new(CpuTimeScope::OwnWork);
+    assert!(state.apply_snapshot(last_counts()).is_some());
     state
 }
 
@@ -159,3 +164,35 @@
     assert_eq!(log.records.lock().len(), 2);
     assert_exact(&log).await;
 }
+
+#[tokio::test]
+async fn counts_that_arrive_after_the_last_append_are_not_acknowledged() {
+    let log = FailingLog::new([]);
+    let state = ReporterState::new(CpuTimeScope::OwnWork);
+    let stop = CancellationToken::new();
+    stop.cancel();
+    let published = publish(
+        Arc::clone(&state),
+        Arc::clone(&log) as _,
+        log.stream.clone(),
+        stop,
+    );
+    assert_eq!(published.await, Ok(()));
+    assert_eq!(state.apply_snapshot(last_counts()), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn counts_that_arrive_after_appends_were_given_up_are_not_acknowledged() {
+    let log = FailingLog::new([AppendFault::Rejected; 1_000]);
+    let state = reporter();
+    let stop = CancellationToken::new();
+    stop.cancel();
+    let published = publish(
+        Arc::clone(&state),
+        Arc::clone(&log) as _,
+        log.stream.clone(),
+        stop,
+    );
+    assert_eq!(published.await, Err(PublishError { records: 1 }));
+    assert_eq!(state.apply_snapshot(last_counts()), None);
+}
