A stopping gateway accepts no peer request after it has waited for the last one

A gateway that ended with exit code 0 ("every request in flight was finished") could still accept a guarded action of a peer: it waited until the replies were acknowledged, and then sent its last counts for up to some seconds with the mesh open. An action that began in that time ran at the backend server and was cut off by the exit without being counted.

The mesh is now closed once the last reply is acknowledged, and requests and actions that were accepted in between are waited for. Before the fix the test printed "called `Result::unwrap_err()` on an `Ok` value: Heartbeat(...)".

--- a/crates/turmericloft/src/ops/gateway/peers.rs
+++ b/crates/turmericloft/src/ops/gateway/peers.rs
@@ -146,7 +146,8 @@
             })
     }
 
-    /// Waits until the requests of peers are responded to.
+    /// Waits until the requests of peers are responded to, and accepts no further ones from then
+    /// on.
     pub async fn finish_responses(&self) {
         self.mesh.wait_for_replies().await;
     }
--- a/crates/turmericloft/src/ops/gateway/run.rs
+++ b/crates/turmericloft/src/ops/gateway/run.rs
@@ -160,6 +160,8 @@
     gateway.actions.finish().await;
     if let Some(peers) = gateway.peers() {
         peers.finish_responses().await;
+        // A request that arrived before the last one ended may have started an action.
+        gateway.actions.finish().await;
     }
 }
 
--- a/crates/turmericloft/src/sources/peer/mesh.rs
+++ b/crates/turmericloft/src/sources/peer/mesh.rs
@@ -92,10 +92,14 @@
         ));
     }
 
-    /// Waits until all received requests are handled and the peers have acknowledged the replies.
+    /// Waits until all received requests are handled and the peers have acknowledged the replies,
+    /// then closes the mesh, so that no request is accepted that nobody would wait for.
     pub async fn wait_for_replies(&self) {
         self.request_tasks.close();
         self.request_tasks.wait().await;
+        self.close();
+        // Requests that were accepted between the two steps above.
+        self.request_tasks.wait().await;
     }
 
     /// Local address of the endpoint.
--- a/crates/turmericloft/tests/testsuite/peer.rs
+++ b/crates/turmericloft/tests/testsuite/peer.rs
@@ -88,3 +88,24 @@
         .unwrap();
     assert_eq!(reply, PeerReply::Heartbeat(heartbeat(&a)));
 }
+
+#[tokio::test]
+async fn peer_request_after_the_last_reply_of_a_stopping_gateway_is_not_handled() {
+    let identity = PeerIdentity::generate().unwrap();
+    let handler = Arc::new(Echo);
+    let (a, b) = (
+        mesh("gw-a", &identity, &handler),
+        mesh("gw-b", &identity, &handler),
+    );
+    let address = b.address().unwrap();
+    let heartbeat = heartbeat(&a);
+    a.send_request(address, PeerRequest::Heartbeat(heartbeat))
+        .await
+        .unwrap();
+    b.wait_for_replies().await;
+    let e = a
+        .send_request(address, PeerRequest::Heartbeat(heartbeat))
+        .await
+        .unwrap_err();
+    assert!(matches!(e, PeerError::Exchange { .. }), "{e:?}");
+}
