A response that is cut off in the send buffer counts as cut off

When the stop deadline or a second signal cut off a response whose last byte was still in the gateway's send buffer, the gateway exited with "0 requests in flight ... were cut off": a request stopped counting when its body had been handed to the HTTP library. The test printed that line before the fix, with "1 requests" expected.

An ended request is now counted until its bytes are written, and a connection that is being closed counts until the kernel has sent everything. Bytes that the HTTP library holds back for HTTP/2 flow control are still not counted.

--- a/crates/turmericloft-cli/tests/testsuite/slow_readers.rs
+++ b/crates/turmericloft-cli/tests/testsuite/slow_readers.rs
@@ -3,16 +3,20 @@
 
 use std::net::SocketAddr;
 
+use http::Method;
 use nix::sys::signal::Signal;
+use snapbox::{assert_data_eq, str};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
 };
 
-use crate::support::{Http2Caller, Platform, eventually, frame_type, total_runs};
+use crate::support::{Http2Caller, Platform, eventually, frame_type, send, total_runs};
 
 /// Size of a response that fills the socket buffers of both sides several times, in bytes.
 const RESPONSE_BYTES: usize = 2 << 20;
+/// Size of a response that fits into the gateway's send buffer, in bytes.
+const BUFFERED_RESPONSE_BYTES: usize = 64 << 10;
 /// Receive buffer of a caller, in bytes; most of a response waits in the gateway's send buffer.
 const RECEIVE_BUFFER_BYTES: u32 = 4 << 10;
 /// Requests that are sent before the first response is read; more than the HTTP library reads
@@ -29,6 +33,11 @@
     eventually(|| async { (total_runs(platform.backend).await > 0).then_some(()) }).await;
 }
 
+fn lookup() -> String {
+    let token = Platform::TOKEN;
+    format!("GET /calendar/free HTTP/1.1\r\nhost: gateway\r\nauthorization: Bearer {token}\r\n\r\n")
+}
+
 async fn connect_slow_reader(gateway: SocketAddr) -> TcpStream {
     let socket = TcpSocket::new_v4().expect("a socket");
     let set = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
@@ -68,11 +77,7 @@
     let mut platform = Platform::start_promoted();
     set_large_responses(&platform, false).await;
     let mut caller = connect_slow_reader(platform.caller_address).await;
-    let token = Platform::TOKEN;
-    let request = format!(
-        "GET /calendar/free HTTP/1.1\r\nhost: gateway\r\nauthorization: Bearer {token}\r\n\r\n"
-    );
-    let requests = request.repeat(PIPELINED_REQUESTS);
+    let requests = lookup().repeat(PIPELINED_REQUESTS);
     let sent = caller.write_all(requests.as_bytes()).await;
     sent.expect("the gateway is connected");
     wait_for_run(&platform).await;
@@ -101,3 +106,31 @@
     drop(caller);
     assert_eq!(platform.gateway.wait().code(), Some(0));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn response_that_the_stop_deadline_cuts_off_in_the_send_buffer_is_counted() {
+    let mut platform = Platform::start_with_settings("stop_deadline_ms = 50\n");
+    platform.promote();
+    let behaviour = format!(r#"{{"answer_bytes": {BUFFERED_RESPONSE_BYTES}}}"#);
+    platform.set_backend_behaviour(&behaviour).await;
+    let mut caller = connect_slow_reader(platform.caller_address).await;
+    let sent = caller.write_all(lookup().as_bytes()).await;
+    sent.expect("the gateway is connected");
+    let served = "turmericloft_ended_requests_total{outcome=\"served\"} 1";
+    let admin = platform.admin_address;
+    eventually(|| async {
+        let metrics = send(admin, "", Method::GET, "/metrics", &[]).await;
+        metrics.body.contains(served).then_some(())
+    })
+    .await;
+    platform.gateway.signal(Signal::SIGTERM);
+    let error = platform.gateway.wait_for_line("error:");
+    let status = platform.gateway.wait();
+    assert_data_eq!(
+        format!("{error}exit code: {:?}", status.code()),
+        str![[r#"
+error: 1 requests in flight and 0 guarded actions were cut off
+exit code: Some(4)
+"#]]
+    );
+}
--- a/crates/turmericloft/src/ops/gateway/caller_stream.rs
+++ b/crates/turmericloft/src/ops/gateway/caller_stream.rs
@@ -201,12 +201,21 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.poll_pending(cx))?;
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.state.record_sent();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.poll_pending(cx))?;
         let this = &mut *self;
-        this.closing.poll_close(cx, &mut this.stream)
+        if !this.closing.has_begun() {
+            this.state.begin_closing();
+        }
+        let closed = this.closing.poll_close(cx, &mut this.stream);
+        if this.closing.is_sent() {
+            this.state.record_sent();
+        }
+        closed
     }
 }
--- a/crates/turmericloft/src/ops/gateway/connection_state.rs
+++ b/crates/turmericloft/src/ops/gateway/connection_state.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
+use parking_lot::Mutex;
 
 use super::response::ResponseBody;
 use crate::sources::backend::BodyError;
@@ -21,13 +22,24 @@
     open: AtomicUsize,
     open_total: Arc<AtomicUsize>,
     has_partial_head: AtomicBool,
+    has_responded: AtomicBool,
+    /// Held while bytes of ended responses may be unsent.
+    unsent: Mutex<Option<Counted>>,
 }
 
-/// A request whose response is not written completely. Dropping it ends the request.
+/// A request whose response body has not ended. Dropping it ends the request.
 #[derive(Debug)]
-pub(super) struct OpenRequest(Arc<ConnectionState>);
+pub(super) struct OpenRequest {
+    state: Arc<ConnectionState>,
+    count: Option<Counted>,
+}
+
+/// One of the open requests of all connections, until it is dropped.
+#[derive(Debug)]
+struct Counted(Arc<AtomicUsize>);
 
-/// The body of a response; its request counts as open until the body is dropped.
+/// The body of a response; its request counts as open until the body is dropped and its bytes are
+/// written, see [`ConnectionState::record_sent`].
 #[derive(Debug)]
 pub(super) struct TrackedBody {
     body: ResponseBody,
@@ -41,6 +53,8 @@
             open: AtomicUsize::new(0),
             open_total,
             has_partial_head: AtomicBool::new(false),
+            has_responded: AtomicBool::new(false),
+            unsent: Mutex::default(),
         }
     }
 
@@ -48,8 +62,24 @@
     pub(super) fn begin(self: &Arc<Self>) -> OpenRequest {
         self.has_partial_head.store(false, Ordering::Release);
         self.open.fetch_add(1, Ordering::AcqRel);
-        self.open_total.fetch_add(1, Ordering::AcqRel);
-        OpenRequest(Arc::clone(self))
+        OpenRequest {
+            state: Arc::clone(self),
+            count: Some(Counted::new(&self.open_total)),
+        }
+    }
+
+    /// Records that every byte given to the stream so far was passed on. What the HTTP library
+    /// still holds back for the flow control of HTTP/2 is not known here.
+    pub(super) fn record_sent(&self) {
+        self.unsent.lock().take();
+    }
+
+    /// Records that the connection is being closed, and that the kernel may still have bytes of
+    /// its responses to send.
+    pub(super) fn begin_closing(&self) {
+        if self.has_responded.load(Ordering::Acquire) {
+            *self.unsent.lock() = Some(Counted::new(&self.open_total));
+        }
     }
 
     /// Whether no response is being prepared or written.
@@ -79,8 +109,22 @@
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::AcqRel);
-        self.0.open_total.fetch_sub(1, Ordering::AcqRel);
+        self.state.open.fetch_sub(1, Ordering::AcqRel);
+        self.state.has_responded.store(true, Ordering::Release);
+        *self.state.unsent.lock() = self.count.take();
+    }
+}
+
+impl Counted {
+    fn new(total: &Arc<AtomicUsize>) -> Self {
+        total.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(total))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
--- a/crates/turmericloft/src/ops/gateway/lingering_close.rs
+++ b/crates/turmericloft/src/ops/gateway/lingering_close.rs
@@ -54,6 +54,16 @@
 }
 
 impl LingeringClose {
+    /// Whether the connection is being closed or is closed.
+    pub(super) fn has_begun(&self) -> bool {
+        !matches!(self.phase, Phase::Open)
+    }
+
+    /// Whether the kernel has sent everything that was written.
+    pub(super) fn is_sent(&self) -> bool {
+        matches!(self.phase, Phase::AwaitingCaller(_) | Phase::Closed)
+    }
+
     /// Waits until the kernel has sent everything, shuts down the writing side, and waits until
     /// the caller closes its side, at most for [`LINGER`]. Received bytes are discarded meanwhile.
     ///
--- a/crates/turmericloft/src/ops/gateway/listener.rs
+++ b/crates/turmericloft/src/ops/gateway/listener.rs
@@ -39,7 +39,7 @@
     gateway: Arc<Gateway>,
     limits: ConnectionLimits,
     body_pause: Duration,
-    /// Open requests on all connections.
+    /// Open requests on all connections, unsent responses included.
     open: Arc<AtomicUsize>,
     abort: CancellationToken,
 }
