--- a/crates/turmericloft/src/ops/gateway/listener.rs
+++ b/crates/turmericloft/src/ops/gateway/listener.rs
@@ -39,7 +39,7 @@
     gateway: Arc<Gateway>,
     limits: ConnectionLimits,
     body_pause: Duration,
-    /// Open requests on all connections.
+    /// Open requests on all connections, unsent responses included.
     open: Arc<AtomicUsize>,
     abort: CancellationToken,
 }
@@ -117,7 +117,6 @@
     ) -> Response<TrackedBody> {
         let open = state.begin();
         let response = handle(Arc::clone(&self.gateway), req, self.body_pause).await;
-        state.set_rejected(response.status().is_client_error());
         response.map(|body| open.body(body))
     }
 
--- a/crates/turmericloft/src/util/supervised_tasks.rs
+++ b/crates/turmericloft/src/util/supervised_tasks.rs
@@ -7,7 +7,7 @@
 
 use futures_util::FutureExt;
 use metrics::counter;
-use tokio::time::sleep;
+use tokio::{task::JoinHandle, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 use super::metrics_table::{Metric, MetricKind};
@@ -36,12 +36,13 @@
 
 impl SupervisedTasks {
     /// Starts a task that starts again, as made by `make`, after each panic. Locks are not poisoned, so what the task
-    /// shares with others has to be usable after any of its steps.
+    /// shares with others has to be usable after any of its steps. The handle ends with the task.
     pub fn spawn_restarting<T>(
         &self,
         name: &'static str,
         mut make: impl FnMut() -> T + Send + 'static,
-    ) where
+    ) -> JoinHandle<()>
+    where
         T: Future<Output = ()> + Send + 'static,
     {
         tokio::spawn(async move {
@@ -49,7 +50,7 @@
                 sleep(RESTART_DELAY).await;
                 log::info!("task starts again task={name}");
             }
-        });
+        })
     }
 
     /// Starts a task whose panic has the gateway stop.
