Ingress: exchange with an endpoint and choice of endpoints are in files of their own

The exchange of an attempt is in endpoint_exchange.rs now, the choice of endpoints in forward_placement.rs. No change of behaviour.

--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -8,39 +8,27 @@
     time::{Duration, Instant},
 };
 
-use bytes::{BufMut, BytesMut};
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    access::ArrivedAccess,
-    client_response::GatewayResponse,
-    crash_watch::record_attempt,
-    followed_attempt::FollowedAttempt,
-    in_flight_attempt::InFlightAttempt,
-    protocol::{AttemptHeaders, EndpointProtocol},
-    quotas::{bound_transit, may_still_send},
-    shared::Ingress,
+    access::ArrivedAccess, client_response::GatewayResponse, crash_watch::record_attempt,
+    endpoint_exchange::exchange, followed_attempt::FollowedAttempt,
+    in_flight_attempt::InFlightAttempt, quotas::may_still_send, shared::Ingress,
 };
 use crate::{
     core::{
         guard::Fingerprint,
-        key_lease::Access,
         placement::{AttemptOutcome, LoadReport},
         quarantine::Crash,
         traffic::{Organisation, Route},
     },
-    sources::http1::{ClientConnection, ExchangeError, Request, Response, ResponseLimits},
+    sources::http1::{ClientConnection, ExchangeError, Request, Response},
 };
 
 /// Timeout for opening a connection to an endpoint: several round trips and one retransmission.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Largest response body that is forwarded, in bytes.
-pub(super) const MAX_BODY_BYTES: usize = 16 << 20;
-/// Time past the deadline that the gateway still waits, so that a response which the endpoint sends
-/// at the deadline arrives.
-pub(super) const RESPONSE_MARGIN: Duration = Duration::from_millis(40);
 
 /// A request that is forwarded, shared by all its attempts.
 #[derive(Debug)]
@@ -233,59 +221,6 @@
     classify(ingress, in_flight, connection, result)
 }
 
-/// Returns `None` if no response arrived in time.
-async fn exchange(
-    ingress: &Ingress,
-    forwarded: &ForwardedRequest,
-    in_flight: &InFlightAttempt,
-    access: &Access,
-    connection: &mut ClientConnection,
-) -> Option<Result<Response, ExchangeError>> {
-    let left = forwarded.deadline.saturating_duration_since(ingress.now());
-    let protocol = &*ingress.protocol;
-    let instance = &in_flight.placement().endpoint.id;
-    let message = request_message(
-        protocol,
-        &forwarded.req,
-        &AttemptHeaders {
-            timeout: left,
-            instance,
-            organisation: access.organisation.as_ref().map(|o| &*o.name),
-        },
-        access.removes_credentials,
-    );
-    if let Err(e) = bound_transit(ingress, in_flight, connection) {
-        return Some(Err(e));
-    }
-    let is_own_response = |response: &Response| {
-        let metadata = protocol.read_metadata(response);
-        match metadata.request_id {
-            Some(id) => id == forwarded.id,
-            None => !(200..300).contains(&response.status),
-        }
-    };
-    let method = &forwarded.req.method;
-    let limits = ResponseLimits {
-        body_bytes: MAX_BODY_BYTES,
-        budget: Some(ingress.body_budget.clone()),
-    };
-    // What an endpoint states of its limit holds although the rest of the response is missing.
-    let read_truncated = |head: &Response| {
-        if is_own_response(head) {
-            let placement = in_flight.placement();
-            let limit = protocol.read_metadata(head).limit;
-            ingress.record_limit(placement.started_at, &placement.endpoint, limit);
-        }
-    };
-    let response =
-        connection.exchange_with_heads(method, &message, &limits, is_own_response, read_truncated);
-    tokio::select! {
-        biased;
-        response = response => Some(response),
-        () = ingress.clock.sleep_until(forwarded.deadline + RESPONSE_MARGIN) => None,
-    }
-}
-
 fn classify(
     ingress: &Ingress,
     in_flight: &InFlightAttempt,
@@ -354,30 +289,3 @@
         .find_map(|p| p.trim().strip_prefix("timeout="))?;
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
-
-fn request_message(
-    protocol: &dyn EndpointProtocol,
-    req: &Request,
-    attempt: &AttemptHeaders<'_>,
-    removes_credentials: bool,
-) -> BytesMut {
-    let mut buf = BytesMut::with_capacity(512 + req.body.len());
-    buf.put_slice(&req.method);
-    buf.put_u8(b' ');
-    buf.put_slice(&req.target);
-    buf.put_slice(b" HTTP/1.1\r\n");
-    let mut removed = protocol.replaced_headers().to_vec();
-    if removes_credentials {
-        removed.extend(protocol.credential_headers());
-    }
-    let kept = protocol.kept_headers();
-    req.headers.write_end_to_end(&mut buf, &removed, kept);
-    protocol.write_attempt_headers(&mut buf, attempt);
-    let is_bodiless = matches!(&req.method[..], b"GET" | b"HEAD" | b"DELETE" | b"OPTIONS");
-    if !req.body.is_empty() || !is_bodiless {
-        buf.put_slice(format!("Content-Length: {}\r\n", req.body.len()).as_bytes());
-    }
-    buf.put_slice(b"\r\n");
-    buf.put_slice(&req.body);
-    buf
-}
--- a/crates/turmericloft/src/ops/ingress/forward_handover.rs
+++ b/crates/turmericloft/src/ops/ingress/forward_handover.rs
@@ -3,8 +3,7 @@
 use std::sync::Arc;
 
 use super::{
-    client_response::ClientResponse,
-    forward::{Forwarder, rejection},
+    client_response::ClientResponse, forward::Forwarder, forward_placement::rejection,
     handover::hand_over,
 };
 use crate::core::placement::Placement;
--- a/crates/turmericloft/src/ops/ingress/handover.rs
+++ b/crates/turmericloft/src/ops/ingress/handover.rs
@@ -12,9 +12,10 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
-    attempt::{ForwardedRequest, MAX_BODY_BYTES, RESPONSE_MARGIN},
+    attempt::ForwardedRequest,
     client_response::{ClientResponse, GatewayResponse},
     connection_pool::ConnectionPool,
+    endpoint_exchange::{MAX_BODY_BYTES, RESPONSE_MARGIN},
     helper_address::helper_address,
     metrics::count_handover,
     run::CLOSE_IDLE_AFTER,
