Refusals of endpoints: believed only with proof that they belong to the present attempt

Seen: clients got 503 (not run) for at-most-once requests that an endpoint was running, when it wrote an earlier refusal once more on a kept connection. A refusal without an id was taken for one of the present request on any connection, and one with an id also if the same id had been refused there before (a client that uses its id twice).

Change: a connection keeps a history. A response without an id counts only if its request is the first one with an id on the connection and nothing came before but successful responses to health checks; otherwise the request may have run, and the connection is closed. A request is not sent on a connection on which its id was refused. Full endpoints that answer without an id on a fresh connection are still retried.

--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -184,13 +184,14 @@
         Err(denied) => return (AttemptEnd::Denied(denied), AttemptOutcome::Abandoned, None),
     };
     let pooled = ingress.pool.take(now, &endpoint.id, forwarded.route.kind);
-    if let Some(mut connection) = pooled {
+    let usable = pooled.filter(|c| c.history.allows_request(&forwarded.id));
+    if let Some(mut connection) = usable {
         followed.record_sending();
         match exchange(ingress, forwarded, in_flight, &access, &mut connection).await {
             Some(Err(e)) if e.is_unsent() => followed.record_unsent(),
             result => {
                 ingress.record_exchange(&endpoint.id, now, false, result.as_ref());
-                return classify(ingress, in_flight, connection, result);
+                return classify(ingress, forwarded, in_flight, connection, result);
             }
         }
     }
@@ -218,11 +219,13 @@
     followed.record_sending();
     let result = exchange(ingress, forwarded, in_flight, &access, &mut connection).await;
     ingress.record_exchange(&endpoint.id, now, true, result.as_ref());
-    classify(ingress, in_flight, connection, result)
+    classify(ingress, forwarded, in_flight, connection, result)
 }
 
+/// Classifies the result of an exchange, and keeps the connection if it can carry another request.
 fn classify(
     ingress: &Ingress,
+    forwarded: &ForwardedRequest,
     in_flight: &InFlightAttempt,
     mut connection: ClientConnection,
     result: Option<Result<Response, ExchangeError>>,
@@ -249,6 +252,11 @@
     };
     let metadata = ingress.protocol.read_metadata(&response);
     let load = metadata.load;
+    let has_id = metadata.request_id.is_some();
+    if !has_id && !connection.history.proves_response_without_id() {
+        // An endpoint may have written an earlier response once more, while it runs this request.
+        return unknown(AttemptOutcome::Broken, None);
+    }
     if metadata.is_other_instance {
         return (AttemptEnd::NotRun, AttemptOutcome::OtherInstance, None);
     }
@@ -262,7 +270,11 @@
         return unknown(AttemptOutcome::Broken, load);
     }
     let is_not_run = metadata.is_not_run;
-    if response.can_reuse_connection {
+    if is_not_run {
+        connection.history.record_refusal(&forwarded.id);
+    }
+    // After a response without an id, another one would prove nothing.
+    if response.can_reuse_connection && has_id {
         connection.keep_alive_timeout = keep_alive_timeout(&response);
         let id = &in_flight.placement().endpoint.id;
         ingress.pool.put(ingress.now(), id, connection);
--- a/crates/turmericloft/src/ops/ingress/endpoint_exchange.rs
+++ b/crates/turmericloft/src/ops/ingress/endpoint_exchange.rs
@@ -66,6 +66,7 @@
             ingress.record_limit(placement.started_at, &placement.endpoint, limit);
         }
     };
+    connection.history.record_request();
     let response =
         connection.exchange_with_heads(method, &message, &limits, is_own_response, read_truncated);
     tokio::select! {
--- a/crates/turmericloft/src/sources/http1/client_connection.rs
+++ b/crates/turmericloft/src/sources/http1/client_connection.rs
@@ -14,7 +14,10 @@
     time::timeout,
 };
 
-use super::{ExchangeError, ExchangeStep, Response, ResponseError, ResponseLimits, ResponseReader};
+use super::{
+    ConnectionHistory, ExchangeError, ExchangeStep, Response, ResponseError, ResponseLimits,
+    ResponseReader,
+};
 
 /// Maximum number of responses to other requests that are dropped before the expected one.
 const MAX_UNEXPECTED: u32 = 4;
@@ -37,6 +40,8 @@
     /// How long the server keeps the connection open when idle, as set by the caller from the
     /// `Keep-Alive` header; `None` if the server did not say.
     pub keep_alive_timeout: Option<Duration>,
+    /// What it has carried. The caller records requests and refusals.
+    pub history: ConnectionHistory,
 }
 
 impl ClientConnection {
@@ -72,6 +77,7 @@
             buf: BytesMut::new(),
             idle_since: tokio::time::Instant::now().into_std(),
             keep_alive_timeout: None,
+            history: ConnectionHistory::default(),
         })
     }
 
@@ -174,13 +180,17 @@
             };
             if read == 0 {
                 let response = reader.finish().map_err(invalid)?;
-                if is_expected(&response) {
+                let is_own = is_expected(&response);
+                self.history.record_response(response.status, is_own);
+                if is_own {
                     return Ok(response);
                 }
                 return Err(invalid(ResponseError::Truncated));
             }
             while let Some(mut response) = reader.next(&mut self.buf).map_err(invalid)? {
-                if !is_expected(&response) {
+                let is_own = is_expected(&response);
+                self.history.record_response(response.status, is_own);
+                if !is_own {
                     unexpected += 1;
                     if unexpected > MAX_UNEXPECTED {
                         return Err(invalid(ResponseError::Malformed));
--- a/crates/turmericloft/src/sources/http1/mod.rs
+++ b/crates/turmericloft/src/sources/http1/mod.rs
@@ -4,6 +4,7 @@
 
 mod body_budget;
 mod client_connection;
+mod connection_history;
 mod exchange_error;
 mod framing;
 mod header;
@@ -16,6 +17,7 @@
 pub use self::{
     body_budget::BodyBudget,
     client_connection::ClientConnection,
+    connection_history::ConnectionHistory,
     exchange_error::{ExchangeError, ExchangeStep},
     framing::BodyFraming,
     header::{Header, Headers},
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -52,6 +52,12 @@
 
     /// Starts a gateway whose host has this clock.
     pub async fn start_with_clock(endpoints: &[Endpoint], clock: HostClock) -> Self {
+        let addresses: Vec<_> = endpoints.iter().map(|e| e.address).collect();
+        Self::start_at(&addresses, clock).await
+    }
+
+    /// Starts a gateway that sends to endpoints at these addresses.
+    pub async fn start_at(endpoints: &[SocketAddr], clock: HostClock) -> Self {
         let settings = settings();
         let listeners = IngressListeners::bind(&settings).await.expect("free ports");
         let clients = listeners.clients.local_addr().expect("an address");
@@ -66,7 +72,7 @@
         );
         let table = Arc::new(RouteTable::new(document(1)));
         let known = endpoints.iter().enumerate();
-        let known = known.map(|(i, e)| discovered(i, e.address)).collect();
+        let known = known.map(|(i, address)| discovered(i, *address)).collect();
         let (documents, documents_rx) = watch::channel(None);
         let (newest, newest_document) = watch::channel(NewestDocument::default());
         let (endpoints_tx, endpoints_rx) = watch::channel(None);
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -13,5 +13,7 @@
 mod organisations;
 mod pipelining;
 mod protocol;
+mod raw_endpoint;
+mod repeated_refusals;
 mod routes;
 mod suspension;
