Statuses of endpoints: 408, 429 and 503 without a statement are no promise to the client

Seen: an endpoint that had run a request and responded with 503, 429 or 408 without saying that it had not run it; the client got that status from the gateway, which promises that the request has not run.

Change: such a response counts as a failed attempt that may have run: a safe request is retried, and a client gets 502.

--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -29,6 +29,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Statuses by which clients are told that a request has not run. An endpoint that responds with one of them
+/// without stating that may have run the request.
+const PROMISING_STATUSES: [u16; 3] = [408, 429, 503];
 
 /// A request that is forwarded, shared by all its attempts.
 #[derive(Debug)]
@@ -282,6 +285,9 @@
     if is_not_run {
         return (AttemptEnd::NotRun, AttemptOutcome::Shed, load);
     }
+    if PROMISING_STATUSES.contains(&response.status) {
+        return unknown(AttemptOutcome::Failed, load);
+    }
     let outcome = if response.status >= 500 {
         AttemptOutcome::Failed
     } else {
--- a/crates/turmericloft/tests/testsuite/ingress/repeated_refusals.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/repeated_refusals.rs
@@ -169,3 +169,18 @@
         }
     }
 }
+
+/// Guards against a status that promises too much: an endpoint says with a header that it has not run a request.
+#[tokio::test]
+async fn status_of_an_endpoint_that_does_not_state_it_is_no_promise() {
+    for status in ["503 Unavailable", "429 Too Many", "408 Timeout"] {
+        let endpoint = RawEndpoint::start(move |_, id| {
+            Step::run(format!(
+                "HTTP/1.1 {status}\r\nId: {id}\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"
+            ))
+        });
+        let endpoints = [endpoint.await];
+        let statuses = check(&endpoints, &["r1", "r2"], status).await;
+        assert_eq!(statuses, [502, 502], "{status}");
+    }
+}
