Handover: each request has a connection of its own, and successes need an id

A success without an id is dropped. A handed over request takes one round trip more to open its connection.

--- a/crates/turmericloft/src/ops/ingress/contact.rs
+++ b/crates/turmericloft/src/ops/ingress/contact.rs
@@ -160,9 +160,6 @@
     let contact = handover.contact.lock();
     handover.is_cut_off.send_replace(contact.is_cut_off());
     drop(contact);
-    if !is_cut_off {
-        handover.pool.sweep(ingress.now(), |_| false);
-    }
 }
 
 impl Ingress {
--- a/crates/turmericloft/src/ops/ingress/handover.rs
+++ b/crates/turmericloft/src/ops/ingress/handover.rs
@@ -14,11 +14,9 @@
 use super::{
     attempt::ForwardedRequest,
     client_response::{ClientResponse, GatewayResponse},
-    connection_pool::ConnectionPool,
     endpoint_exchange::{MAX_BODY_BYTES, RESPONSE_MARGIN},
     helper_address::helper_address,
     metrics::count_handover,
-    run::CLOSE_IDLE_AFTER,
     shared::Ingress,
 };
 use crate::{
@@ -42,14 +40,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Longest time that a connection to a helper is kept idle.
-const MAX_IDLE_TIME: Duration = Duration::from_millis(2_500);
 /// `Retry-After` of a request that no helper takes, as all are busy: helpers are left out for as long.
 const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-// A helper that stops closes idle connections only when none is used for a further request any more.
-const _: () = assert!(MAX_IDLE_TIME.as_millis() < CLOSE_IDLE_AFTER.as_millis());
-
 /// State of a gateway that can hand over requests.
 #[derive(Debug)]
 pub(super) struct Handover {
@@ -57,8 +50,6 @@
     /// Notified when the contact may call for checks earlier than planned.
     pub(super) contact_changed: Notify,
     pub(super) is_cut_off: watch::Sender<bool>,
-    /// Idle connections to helpers, by host.
-    pub(super) pool: ConnectionPool,
     choice: Mutex<HelperChoice>,
     /// All gateways; `None` until they are known.
     members: watch::Receiver<Option<Vec<RelayMember>>>,
@@ -77,7 +68,6 @@
             contact: Mutex::new(EndpointContact::new(self.now(), rng(1))),
             contact_changed: Notify::new(),
             is_cut_off: watch::Sender::new(false),
-            pool: ConnectionPool::default(),
             choice: Mutex::new(HelperChoice::new(host, zone, rng(2))),
             members,
             port,
@@ -140,7 +130,7 @@
             helper: helper.clone(),
             has_ended: false,
         };
-        let end = send_to_helper(ingress, handover, forwarded, &helper, respond_by).await;
+        let end = send_to_helper(ingress, handover.port, forwarded, &helper, respond_by).await;
         let now = ingress.now();
         let failed = match end {
             Ok(response) => {
@@ -191,51 +181,27 @@
     );
 }
 
-/// Sends a request to a helper and returns the response for the client.
+/// Sends a request to a helper and returns the response for the client. Each request has a connection of its own:
+/// a helper's own responses have no id, so on a kept connection nothing tells them from those to earlier requests.
 async fn send_to_helper(
     ingress: &Ingress,
-    handover: &Handover,
+    port: u16,
     forwarded: &ForwardedRequest,
     helper: &RelayMember,
     respond_by: Instant,
 ) -> Result<Response, HandoverTry> {
-    let pooled = handover
-        .pool
-        .take(ingress.now(), &helper.host, forwarded.route.kind);
-    if let Some(connection) = pooled {
-        match exchange(
-            ingress,
-            handover,
-            forwarded,
-            (helper, connection),
-            respond_by,
-        )
-        .await
-        {
-            Err(HandoverTry::Unsent) => {}
-            end => return end,
-        }
-    }
-    let address = helper_address(helper, handover.port);
+    let address = helper_address(helper, port);
     let left = respond_by.saturating_duration_since(ingress.now());
     let limit = CONNECT_TIMEOUT.min(left);
     let opened = ClientConnection::open(address, limit, UNACKNOWLEDGED_TIMEOUT).await;
     let connection = opened.map_err(|_| HandoverTry::Unsent)?;
-    exchange(
-        ingress,
-        handover,
-        forwarded,
-        (helper, connection),
-        respond_by,
-    )
-    .await
+    exchange(ingress, forwarded, connection, respond_by).await
 }
 
 async fn exchange(
     ingress: &Ingress,
-    handover: &Handover,
     forwarded: &ForwardedRequest,
-    (helper, mut connection): (&RelayMember, ClientConnection),
+    mut connection: ClientConnection,
     respond_by: Instant,
 ) -> Result<Response, HandoverTry> {
     let now = ingress.now();
@@ -249,10 +215,14 @@
         budget: Some(ingress.body_budget.clone()),
     };
     let is_own_response = |response: &Response| {
-        let id = ingress.protocol.read_metadata(response).request_id;
-        id.is_none_or(|id| id == forwarded.id)
+        match ingress.protocol.read_metadata(response).request_id {
+            Some(id) => id == forwarded.id,
+            // Successes are those of endpoints, which have an id.
+            None => !(200..300).contains(&response.status),
+        }
     };
     let method = &forwarded.req.method;
+    connection.history.record_request();
     let exchanged = tokio::select! {
         biased;
         exchanged = connection.exchange(method, &message, &limits, is_own_response) => exchanged,
@@ -261,9 +231,13 @@
         }
     };
     let response = exchanged.map_err(|e| failed_try(&e))?;
-    if response.can_reuse_connection {
-        connection.keep_alive_timeout = Some(MAX_IDLE_TIME);
-        handover.pool.put(ingress.now(), &helper.host, connection);
+    let has_id = ingress
+        .protocol
+        .read_metadata(&response)
+        .request_id
+        .is_some();
+    if !has_id && !connection.history.proves_response_without_id() {
+        return Err(HandoverTry::Broken);
     }
     match refusal(&response) {
         Some(refusal) => Err(HandoverTry::Refused(refusal)),
--- a/crates/turmericloft/tests/testsuite/ingress/handover/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/mod.rs
@@ -4,6 +4,7 @@
 mod helper;
 mod link;
 mod partition;
+mod repeated_refusals;
 
 use tokio::runtime::Builder;
 
