Responses: a head with a second status line in it is malformed

Seen: the beginning of a refusal that ended within a header value ("Not-Run: 1, A: b") and was followed on a kept connection by the response to the next request was read as one head: a refusal with the id of that request, which had run. The client got 503 (not run).

Change: the reader rejects a head that contains a status line behind its own.

A refusal whose body is cut is no promise: an endpoint that fails while it writes is not known to have done what the head says.

--- a/crates/turmericloft/src/sources/http1/response_reader.rs
+++ b/crates/turmericloft/src/sources/http1/response_reader.rs
@@ -15,6 +15,8 @@
 const MAX_HEADERS: usize = 100;
 /// Largest head of a response, in bytes: status line and header fields.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Beginning of a status line.
+const HTTP_1: &[u8] = b"HTTP/1.";
 /// Maximum number of informational responses before a response.
 const MAX_INFORMATIONAL: u32 = 16;
 
@@ -131,6 +133,9 @@
             _ => return Err(ResponseError::Malformed),
         };
         let status = parsed.code.ok_or(ResponseError::Malformed)?;
+        if has_second_status_line(&buf[..used]) {
+            return Err(ResponseError::Malformed);
+        }
         if (100..200).contains(&status) {
             buf.advance(used);
             self.informational += 1;
@@ -175,3 +180,18 @@
         })
     }
 }
+
+/// Whether a head contains a status line behind its own: the beginning of another response that ends within a header
+/// value joins the response that follows, and would get its id.
+fn has_second_status_line(head: &[u8]) -> bool {
+    let is_status_line = |text: &[u8]| {
+        let (version, status) = text.split_at(HTTP_1.len());
+        let (minor, code) = status.split_at(2);
+        version == HTTP_1
+            && minor[0].is_ascii_digit()
+            && minor[1] == b' '
+            && code.iter().all(u8::is_ascii_digit)
+    };
+    let length = HTTP_1.len() + "1 200".len();
+    head.windows(length).skip(1).any(is_status_line)
+}
--- a/crates/turmericloft/tests/testsuite/http1/responses.rs
+++ b/crates/turmericloft/tests/testsuite/http1/responses.rs
@@ -139,6 +139,25 @@
     }
 }
 
+/// Guards against a cut head that joins the response behind it and gets the headers of that one.
+#[test]
+fn head_with_a_status_line_within_is_malformed() {
+    let rest = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for head in [
+        "HTTP/1.1 503 Busy\r\nA: ",
+        "HTTP/1.1 503 Busy\r\nA: b",
+        "HTTP/1.1 503 ",
+        "HTTP/1.1 100 Continue\r\nA: b",
+    ] {
+        for size in [1, 1_000] {
+            let result = read(format!("{head}{rest}").as_bytes(), size).map(|r| r.status);
+            assert_eq!(result, Err(ResponseError::Malformed), "{head:?}");
+        }
+    }
+    let named = "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nContent-Length: 0\r\n\r\n";
+    assert_eq!(read(named.as_bytes(), 100).map(|r| r.status), Ok(200));
+}
+
 #[test]
 fn bytes_that_are_not_http_are_malformed() {
     for message in ["hello\r\n\r\n", "HTTP/1.1 abc\r\n\r\n"] {
--- a/crates/turmericloft/tests/testsuite/ingress/handover/repeated_refusals.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/repeated_refusals.rs
@@ -1,4 +1,4 @@
-//! Helpers that write an earlier refusal once more on a kept connection.
+//! Helpers that write an earlier refusal once more, or stop in the middle of a response.
 
 use std::{
     net::{IpAddr, SocketAddr},
@@ -131,3 +131,48 @@
         assert_eq!(helpers.iter().map(|h| h.runs("r0")).sum::<usize>(), 2);
     });
 }
+
+/// Guards against a refusal of a helper that is cut, by a close or a reset, and against a cut response.
+#[test]
+fn cut_response_of_a_helper_is_neither_a_promise_nor_a_success() {
+    const CUTS: [(&str, Then); 6] = [
+        (
+            "HTTP/1.1 503 Busy\r\nX-Handover: busy\r\nConte",
+            Then::Close,
+        ),
+        (
+            "HTTP/1.1 503 Busy\r\nX-Handover: busy\r\nContent-Length: 1\r\n\r\n",
+            Then::Close,
+        ),
+        ("HTTP/1.1 503 Busy\r\nX-Handover: own\r\n\r\n", Then::Reset),
+        ("HTTP/1.1 100 Continue\r\n\r\n", Then::Close),
+        (
+            "HTTP/1.1 200 OK\r\nId: r\r\nSeal: s\r\nContent-Length: 5\r\n\r\nhell",
+            Then::Close,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nId: r\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+            Then::Close,
+        ),
+    ];
+    block_on(async {
+        let cut = |_, id: &str| {
+            let (text, then) = CUTS[id.parse::<usize>().expect("a number")];
+            Step {
+                then,
+                ..Step::run(text.replace("Id: r", &format!("Id: {id}")))
+            }
+        };
+        let (gateway, helpers) = cut_off_gateway(6, 2, cut).await;
+        for kind in [UNSAFE, SAFE] {
+            for n in 0..CUTS.len() {
+                let id = n.to_string();
+                assert_eq!(call(&gateway, kind, &id).await, 502, "{:?}", CUTS[n]);
+                let runs: usize = helpers.iter().map(|h| h.runs(&id)).sum();
+                assert!(kind == SAFE || runs == 1, "{:?}: {runs} runs", CUTS[n]);
+                // Helpers that failed are left out for a second.
+                sleep(Duration::from_millis(1_100)).await;
+            }
+        }
+    });
+}
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod crashing_requests;
+mod cut_responses;
 mod deadlines;
 mod drain;
 mod endpoint;
