Backend servers: a connection is closed after a response that sheds a request

Seen: a backend server wrote an earlier refusal once more on a kept connection, and the caller of a guarded action that the server had run was told not-run.

Before the change repeated_refusal_is_not_taken_for_one_of_the_present_action printed, for the second action, status 503 with the outcome not-run ("the service shed the request without starting it").

Change: responses of backend servers name no request, so a connection carries nothing after a refusal. A service that sheds costs one more connection for each refusal. A server that invents a refusal on a connection on which it refused nothing cannot be told from one that sheds.

--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod load;
 mod peers;
 mod platform_gateway;
+mod repeated_refusals;
 mod routing;
 mod settings;
 mod standin_backend;
--- a/crates/turmericloft/src/ops/gateway/attempts.rs
+++ b/crates/turmericloft/src/ops/gateway/attempts.rs
@@ -205,6 +205,9 @@
         if is_shed(&received.response) {
             attempt.set_outcome(CallOutcome::Shed);
             drop(attempt);
+            // Responses name no request: on a kept connection, this one written once more would be a promise
+            // about the next request.
+            received.lease.close();
             return self.retry().unwrap_or_else(|| NextStep::Fail(shed_error()));
         }
         if !is_failure(received.response.status()) {
--- a/crates/turmericloft/src/sources/backend/connection.rs
+++ b/crates/turmericloft/src/sources/backend/connection.rs
@@ -27,6 +27,14 @@
     pub(super) progress: ConnectionProgress,
 }
 
+/// Whether a connection may carry another request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reuse {
+    /// Unless it is closed.
+    IfOpen,
+    Never,
+}
+
 /// A connection in use. Dropping the lease returns the connection to its pool.
 #[derive(Debug)]
 pub struct ConnectionLease {
@@ -65,12 +73,19 @@
             connection.progress.record_bytes(now());
         }
     }
+
+    /// Closes the connection in place of returning it to its pool.
+    pub fn close(mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.pool.release(connection, Reuse::Never);
+        }
+    }
 }
 
 impl Drop for ConnectionLease {
     fn drop(&mut self) {
         if let Some(connection) = self.connection.take() {
-            self.pool.release(connection);
+            self.pool.release(connection, Reuse::IfOpen);
         }
     }
 }
--- a/crates/turmericloft/src/sources/backend/connection_pool.rs
+++ b/crates/turmericloft/src/sources/backend/connection_pool.rs
@@ -19,7 +19,7 @@
 
 use super::{
     AbortReason, BodyError, ConnectionLease, RequestBody, SendError,
-    connection::{Connection, now},
+    connection::{Connection, Reuse, now},
 };
 use crate::{core::Step, util::fault_point::FaultPoint};
 
@@ -115,12 +115,12 @@
         }
     }
 
-    pub(super) fn release(&self, mut connection: Connection) {
+    pub(super) fn release(&self, mut connection: Connection, reuse: Reuse) {
         let sent = connection.progress.pending_since();
         connection.progress.record_response(now());
         let mut connections = self.connections.lock();
         connections.last_completed_sent = connections.last_completed_sent.max(sent);
-        if !connection.sender.is_closed() {
+        if reuse == Reuse::IfOpen && !connection.sender.is_closed() {
             connections.idle.push(connection);
         }
     }
