--- a/crates/turmericloft/tests/testsuite/ingress/handover/repeated_refusals.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/repeated_refusals.rs
@@ -165,11 +165,11 @@
         };
         let (gateway, helpers) = cut_off_gateway(6, 2, cut).await;
         for kind in [UNSAFE, SAFE] {
-            for n in 0..CUTS.len() {
+            for (n, cut) in CUTS.iter().enumerate() {
                 let id = n.to_string();
-                assert_eq!(call(&gateway, kind, &id).await, 502, "{:?}", CUTS[n]);
+                assert_eq!(call(&gateway, kind, &id).await, 502, "{cut:?}");
                 let runs: usize = helpers.iter().map(|h| h.runs(&id)).sum();
-                assert!(kind == SAFE || runs == 1, "{:?}: {runs} runs", CUTS[n]);
+                assert!(kind == SAFE || runs == 1, "{cut:?}: {runs} runs");
                 // Helpers that failed are left out for a second.
                 sleep(Duration::from_millis(1_100)).await;
             }
