--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod lost_output;
 mod peers;
 mod platform_gateway;
+mod repeated_refusals;
 mod reporter_stop;
 mod routing;
 mod settings;
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -8,39 +8,30 @@
     time::{Duration, Instant},
 };
 
-use bytes::{BufMut, BytesMut};
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    access::ArrivedAccess,
-    client_response::GatewayResponse,
-    crash_watch::record_attempt,
-    followed_attempt::FollowedAttempt,
-    in_flight_attempt::InFlightAttempt,
-    protocol::{AttemptHeaders, EndpointProtocol},
-    quotas::{bound_transit, may_still_send},
-    shared::Ingress,
+    access::ArrivedAccess, client_response::GatewayResponse, crash_watch::record_attempt,
+    endpoint_exchange::exchange, followed_attempt::FollowedAttempt,
+    in_flight_attempt::InFlightAttempt, quotas::may_still_send, shared::Ingress,
 };
 use crate::{
     core::{
         guard::Fingerprint,
-        key_lease::Access,
         placement::{AttemptOutcome, LoadReport},
         quarantine::Crash,
         traffic::{Organisation, Route},
     },
-    sources::http1::{ClientConnection, ExchangeError, Request, Response, ResponseLimits},
+    sources::http1::{ClientConnection, ExchangeError, Request, Response},
 };
 
 /// Timeout for opening a connection to an endpoint: several round trips and one retransmission.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Largest response body that is forwarded, in bytes.
-pub(super) const MAX_BODY_BYTES: usize = 16 << 20;
-/// Time past the deadline that the gateway still waits, so that a response which the endpoint sends
-/// at the deadline arrives.
-pub(super) const RESPONSE_MARGIN: Duration = Duration::from_millis(40);
+/// Statuses by which clients are told that a request has not run. An endpoint that responds with one of them
+/// without stating that may have run the request.
+const PROMISING_STATUSES: [u16; 3] = [408, 429, 503];
 
 /// A request that is forwarded, shared by all its attempts.
 #[derive(Debug)]
@@ -196,13 +187,14 @@
         Err(denied) => return (AttemptEnd::Denied(denied), AttemptOutcome::Abandoned, None),
     };
     let pooled = ingress.pool.take(now, &endpoint.id, forwarded.route.kind);
-    if let Some(mut connection) = pooled {
+    let usable = pooled.filter(|c| c.history.allows_request(&forwarded.id));
+    if let Some(mut connection) = usable {
         followed.record_sending();
         match exchange(ingress, forwarded, in_flight, &access, &mut connection).await {
             Some(Err(e)) if e.is_unsent() => followed.record_unsent(),
             result => {
                 ingress.record_exchange(&endpoint.id, now, false, result.as_ref());
-                return classify(ingress, in_flight, connection, result);
+                return classify(ingress, forwarded, in_flight, connection, result);
             }
         }
     }
@@ -230,64 +222,13 @@
     followed.record_sending();
     let result = exchange(ingress, forwarded, in_flight, &access, &mut connection).await;
     ingress.record_exchange(&endpoint.id, now, true, result.as_ref());
-    classify(ingress, in_flight, connection, result)
-}
-
-/// Returns `None` if no response arrived in time.
-async fn exchange(
-    ingress: &Ingress,
-    forwarded: &ForwardedRequest,
-    in_flight: &InFlightAttempt,
-    access: &Access,
-    connection: &mut ClientConnection,
-) -> Option<Result<Response, ExchangeError>> {
-    let left = forwarded.deadline.saturating_duration_since(ingress.now());
-    let protocol = &*ingress.protocol;
-    let instance = &in_flight.placement().endpoint.id;
-    let message = request_message(
-        protocol,
-        &forwarded.req,
-        &AttemptHeaders {
-            timeout: left,
-            instance,
-            organisation: access.organisation.as_ref().map(|o| &*o.name),
-        },
-        access.removes_credentials,
-    );
-    if let Err(e) = bound_transit(ingress, in_flight, connection) {
-        return Some(Err(e));
-    }
-    let is_own_response = |response: &Response| {
-        let metadata = protocol.read_metadata(response);
-        match metadata.request_id {
-            Some(id) => id == forwarded.id,
-            None => !(200..300).contains(&response.status),
-        }
-    };
-    let method = &forwarded.req.method;
-    let limits = ResponseLimits {
-        body_bytes: MAX_BODY_BYTES,
-        budget: Some(ingress.body_budget.clone()),
-    };
-    // What an endpoint states of its limit holds although the rest of the response is missing.
-    let read_truncated = |head: &Response| {
-        if is_own_response(head) {
-            let placement = in_flight.placement();
-            let limit = protocol.read_metadata(head).limit;
-            ingress.record_limit(placement.started_at, &placement.endpoint, limit);
-        }
-    };
-    let response =
-        connection.exchange_with_heads(method, &message, &limits, is_own_response, read_truncated);
-    tokio::select! {
-        biased;
-        response = response => Some(response),
-        () = ingress.clock.sleep_until(forwarded.deadline + RESPONSE_MARGIN) => None,
-    }
+    classify(ingress, forwarded, in_flight, connection, result)
 }
 
+/// Classifies the result of an exchange, and keeps the connection if it can carry another request.
 fn classify(
     ingress: &Ingress,
+    forwarded: &ForwardedRequest,
     in_flight: &InFlightAttempt,
     mut connection: ClientConnection,
     result: Option<Result<Response, ExchangeError>>,
@@ -314,6 +255,11 @@
     };
     let metadata = ingress.protocol.read_metadata(&response);
     let load = metadata.load;
+    let has_id = metadata.request_id.is_some();
+    if !has_id && !connection.history.proves_response_without_id() {
+        // An endpoint may have written an earlier response once more, while it runs this request.
+        return unknown(AttemptOutcome::Broken, None);
+    }
     if metadata.is_other_instance {
         return (AttemptEnd::NotRun, AttemptOutcome::OtherInstance, None);
     }
@@ -327,7 +273,11 @@
         return unknown(AttemptOutcome::Broken, load);
     }
     let is_not_run = metadata.is_not_run;
-    if response.can_reuse_connection {
+    if is_not_run {
+        connection.history.record_refusal(&forwarded.id);
+    }
+    // After a response without an id, another one would prove nothing.
+    if response.can_reuse_connection && has_id {
         connection.keep_alive_timeout = keep_alive_timeout(&response);
         let id = &in_flight.placement().endpoint.id;
         ingress.pool.put(ingress.now(), id, connection);
@@ -335,6 +285,9 @@
     if is_not_run {
         return (AttemptEnd::NotRun, AttemptOutcome::Shed, load);
     }
+    if PROMISING_STATUSES.contains(&response.status) {
+        return unknown(AttemptOutcome::Failed, load);
+    }
     let outcome = if response.status >= 500 {
         AttemptOutcome::Failed
     } else {
@@ -354,30 +307,3 @@
         .find_map(|p| p.trim().strip_prefix("timeout="))?;
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
-
-fn request_message(
-    protocol: &dyn EndpointProtocol,
-    req: &Request,
-    attempt: &AttemptHeaders<'_>,
-    removes_credentials: bool,
-) -> BytesMut {
-    let mut buf = BytesMut::with_capacity(512 + req.body.len());
-    buf.put_slice(&req.method);
-    buf.put_u8(b' ');
-    buf.put_slice(&req.target);
-    buf.put_slice(b" HTTP/1.1\r\n");
-    let mut removed = protocol.replaced_headers().to_vec();
-    if removes_credentials {
-        removed.extend(protocol.credential_headers());
-    }
-    let kept = protocol.kept_headers();
-    req.headers.write_end_to_end(&mut buf, &removed, kept);
-    protocol.write_attempt_headers(&mut buf, attempt);
-    let is_bodiless = matches!(&req.method[..], b"GET" | b"HEAD" | b"DELETE" | b"OPTIONS");
-    if !req.body.is_empty() || !is_bodiless {
-        buf.put_slice(format!("Content-Length: {}\r\n", req.body.len()).as_bytes());
-    }
-    buf.put_slice(b"\r\n");
-    buf.put_slice(&req.body);
-    buf
-}
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -55,10 +55,15 @@
     /// Starts a gateway whose host has this clock.
     pub async fn start_with_clock(endpoints: &[Endpoint], clock: HostClock) -> Self {
         let addresses: Vec<_> = endpoints.iter().map(|e| e.address).collect();
-        Self::start_with_settings(&addresses, clock, settings()).await
+        Self::start_at(&addresses, clock).await
     }
 
-    /// Starts a gateway with these settings and endpoints at these addresses.
+    /// Starts a gateway that sends to endpoints at these addresses.
+    pub async fn start_at(endpoints: &[SocketAddr], clock: HostClock) -> Self {
+        Self::start_with_settings(endpoints, clock, settings()).await
+    }
+
+    /// Starts a gateway with these settings that sends to endpoints at these addresses.
     pub async fn start_with_settings(
         endpoints: &[SocketAddr],
         clock: HostClock,
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod crashing_requests;
+mod cut_responses;
 mod deadlines;
 mod drain;
 mod endpoint;
@@ -14,6 +15,8 @@
 mod owed;
 mod pipelining;
 mod protocol;
+mod raw_endpoint;
+mod repeated_refusals;
 mod routes;
 mod suspension;
 mod task_panics;
