Requests that are open when the gateway ends are refused if they were never sent

Clients of requests that waited for capacity got 502 at the end of the grace period, after which an at-most-once request can not be repeated, although it was never sent. SendGate decides between sending a request and telling its client that it never will be: the two exclude each other, also for attempts that run in tasks of their own. The test counts the requests that the endpoint got.

--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -13,7 +13,8 @@
 use super::{
     access::ArrivedAccess, client_response::GatewayResponse, crash_watch::record_attempt,
     endpoint_exchange::exchange, followed_attempt::FollowedAttempt,
-    in_flight_attempt::InFlightAttempt, quotas::may_still_send, shared::Ingress,
+    in_flight_attempt::InFlightAttempt, quotas::may_still_send, send_gate::SendGate,
+    shared::Ingress,
 };
 use crate::{
     core::{
@@ -48,6 +49,8 @@
     pub(super) deadline: Instant,
     /// Cancelled when the client's connection ends.
     pub(super) client_disconnected: CancellationToken,
+    /// Whether it was sent, or may not be sent any more.
+    pub(super) gate: SendGate,
     fingerprint: OnceLock<Fingerprint>,
     has_succeeded: AtomicBool,
 }
@@ -69,6 +72,7 @@
             organisation,
             deadline,
             client_disconnected,
+            gate: SendGate::default(),
             fingerprint: OnceLock::new(),
             has_succeeded: AtomicBool::new(false),
         }
@@ -189,6 +193,9 @@
     let pooled = ingress.pool.take(now, &endpoint.id, forwarded.route.kind);
     let usable = pooled.filter(|c| c.history.allows_request(&forwarded.id));
     if let Some(mut connection) = usable {
+        if !forwarded.gate.try_send() {
+            return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
+        }
         followed.record_sending();
         match exchange(ingress, forwarded, in_flight, &access, &mut connection).await {
             Some(Err(e)) if e.is_unsent() => followed.record_unsent(),
@@ -219,6 +226,9 @@
         Ok(access) => access,
         Err(denied) => return (AttemptEnd::Denied(denied), AttemptOutcome::Abandoned, None),
     };
+    if !forwarded.gate.try_send() {
+        return (AttemptEnd::NotRun, AttemptOutcome::Abandoned, None);
+    }
     followed.record_sending();
     let result = exchange(ingress, forwarded, in_flight, &access, &mut connection).await;
     ingress.record_exchange(&endpoint.id, now, true, result.as_ref());
--- a/crates/turmericloft/src/ops/ingress/client.rs
+++ b/crates/turmericloft/src/ops/ingress/client.rs
@@ -39,13 +39,6 @@
 const READ_BYTES: usize = 4 << 10;
 /// Time that a stopping gateway gives a client that has just connected to send its first request.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
-/// `Retry-After` of a request that a gateway does not take any more, as it is about to end. Another gateway takes it.
-const ENDING_RETRY_AFTER: Duration = Duration::from_millis(100);
-
-/// Response to a request that is not taken any more, as the process is about to end.
-pub(super) const ENDING: GatewayResponse = GatewayResponse::Refused {
-    retry_after: ENDING_RETRY_AFTER,
-};
 
 pub(super) struct ReadyResponse {
     pub(super) response: ClientResponse,
@@ -243,7 +236,7 @@
     fn start_request(&mut self, req: Request) -> bool {
         let close = req.wants_close();
         if self.ingress.ending.is_cancelled() {
-            self.push_gateway_response(ENDING, true);
+            self.push_gateway_response(GatewayResponse::Ending, true);
             return true;
         }
         let Some(table) = self.ingress.table.load_full() else {
@@ -273,17 +266,11 @@
         let ingress = Arc::clone(&self.ingress);
         let now = ingress.now();
         let disconnected = self.disconnected.clone();
-        let ending = ingress.ending.clone();
         let response = forward(ingress, req, route, now, disconnected, self.origin);
         self.push(async move {
             let _helped = helped;
-            let response = tokio::select! {
-                biased;
-                response = response => response,
-                () = ending.cancelled() => ClientResponse::Gateway(GatewayResponse::NoAnswer),
-            };
             ReadyResponse {
-                response,
+                response: response.await,
                 is_head,
                 close,
             }
--- a/crates/turmericloft/src/ops/ingress/client_output.rs
+++ b/crates/turmericloft/src/ops/ingress/client_output.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    client::{ClientStream, ENDING, ReadyResponse},
+    client::{ClientStream, ReadyResponse},
     client_response::{ClientResponse, GatewayResponse},
     connection_stage::ConnectionStage,
     metrics::count_discarded_bytes,
@@ -68,7 +68,7 @@
     /// Closes the connection, as the process is about to end. A client that has sent part of a request is told that
     /// it is not taken.
     pub(super) async fn refuse(self) {
-        self.close_with(ENDING).await;
+        self.close_with(GatewayResponse::Ending).await;
     }
 
     async fn close_with(mut self, response: GatewayResponse) {
--- a/crates/turmericloft/src/ops/ingress/client_response.rs
+++ b/crates/turmericloft/src/ops/ingress/client_response.rs
@@ -60,6 +60,8 @@
         /// Delay before the client should retry.
         retry_after: Duration,
     },
+    /// The gateway is about to end. The request has not run and never will; another gateway takes it.
+    Ending,
     /// The request of another gateway is not taken. It has not run here and never will.
     NotHelping(HelperRefusal),
     /// The request may have run; no complete response arrived.
@@ -79,6 +81,7 @@
             Self::TooSlow => 408,
             Self::QuotaExhausted { .. } => 429,
             Self::NotReady
+            | Self::Ending
             | Self::KeyUnconfirmed { .. }
             | Self::QuotaUnavailable { .. }
             | Self::Refused { .. }
@@ -106,7 +109,7 @@
     }
 
     fn must_close(self) -> bool {
-        matches!(self, Self::Faulty(_) | Self::TooSlow)
+        matches!(self, Self::Faulty(_) | Self::TooSlow | Self::Ending)
     }
 
     fn retry_after(self) -> Option<Duration> {
@@ -117,6 +120,7 @@
             | Self::Refused { retry_after }
             | Self::Quarantined { retry_after } => Some(retry_after),
             Self::NotReady => Some(Duration::from_millis(500)),
+            Self::Ending => Some(Duration::from_millis(100)),
             _ => None,
         }
     }
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -81,33 +81,12 @@
         deadline,
         client_disconnected,
     ));
-    let may_hand_over = origin == RequestOrigin::Client;
-    let handed_over = match may_hand_over {
-        true => hand_over(&ingress, &forwarded).await,
-        false => None,
-    };
-    let (response, attempts) = match handed_over {
-        Some(response) => (response, 0),
-        None => {
-            let now = ingress.now();
-            // A helper counts the requests that it gets for its own retry budget.
-            ingress.balancer.lock().record_request(now, &service);
-            ingress.hedging.lock().record_request();
-            let forwarder = Forwarder {
-                ingress: Arc::clone(&ingress),
-                forwarded: Arc::clone(&forwarded),
-                service,
-                tried: Vec::new(),
-                attempts: FuturesUnordered::new(),
-                may_have_run: false,
-                crash_watch: CrashWatch::default(),
-                arrived,
-                may_hand_over,
-                last_sent_at: arrived,
-                hedge_run: None,
-            };
-            forwarder.run().await
-        }
+    let ending = ingress.ending.clone();
+    let responding = respond(&ingress, &forwarded, service, arrived, origin);
+    let (response, attempts) = tokio::select! {
+        biased;
+        responded = responding => responded,
+        () = ending.cancelled() => (ending_response(&forwarded), 0),
     };
     let took = ingress.now().saturating_duration_since(arrived);
     count_response(&response, took);
@@ -115,6 +94,46 @@
     response
 }
 
+/// Returns the response and the number of endpoints that the request was sent to.
+async fn respond(
+    ingress: &Arc<Ingress>,
+    forwarded: &Arc<ForwardedRequest>,
+    service: Arc<str>,
+    arrived: Instant,
+    origin: RequestOrigin,
+) -> (ClientResponse, usize) {
+    let may_hand_over = origin == RequestOrigin::Client;
+    if may_hand_over && let Some(response) = hand_over(ingress, forwarded).await {
+        return (response, 0);
+    }
+    let now = ingress.now();
+    // A helper counts the requests that it gets for its own retry budget.
+    ingress.balancer.lock().record_request(now, &service);
+    ingress.hedging.lock().record_request();
+    let forwarder = Forwarder {
+        ingress: Arc::clone(ingress),
+        forwarded: Arc::clone(forwarded),
+        service,
+        tried: Vec::new(),
+        attempts: FuturesUnordered::new(),
+        may_have_run: false,
+        crash_watch: CrashWatch::default(),
+        arrived,
+        may_hand_over,
+        last_sent_at: arrived,
+        hedge_run: None,
+    };
+    forwarder.run().await
+}
+
+/// The response to a request that is open when the process is about to end.
+fn ending_response(forwarded: &ForwardedRequest) -> ClientResponse {
+    ClientResponse::Gateway(match forwarded.gate.try_refuse() {
+        true => GatewayResponse::Ending,
+        false => GatewayResponse::NoAnswer,
+    })
+}
+
 /// State of forwarding one request, with all its attempts.
 pub(super) struct Forwarder {
     pub(super) ingress: Arc<Ingress>,
--- a/crates/turmericloft/src/ops/ingress/handover.rs
+++ b/crates/turmericloft/src/ops/ingress/handover.rs
@@ -21,7 +21,6 @@
 };
 use crate::{
     core::{
-        drain::CLOSE_IDLE_AFTER,
         endpoint_contact::EndpointContact,
         handover::{HandoverEnd, HandoverProgress, HandoverTry, HelperChoice, HelperRefusal},
         relay::RelayMember,
@@ -207,7 +206,7 @@
 ) -> Result<Response, HandoverTry> {
     let now = ingress.now();
     let left = forwarded.deadline.saturating_duration_since(now);
-    if left.is_zero() {
+    if left.is_zero() || !forwarded.gate.try_send() {
         return Err(HandoverTry::Unsent);
     }
     let message = request_message(ingress, forwarded, left);
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -40,6 +40,7 @@
 mod ready;
 mod request_log;
 mod run;
+mod send_gate;
 mod settings;
 mod shared;
 mod slow_start;
--- a/crates/turmericloft/src/ops/ingress/origin.rs
+++ b/crates/turmericloft/src/ops/ingress/origin.rs
@@ -42,8 +42,10 @@
         match response {
             ClientResponse::Endpoint(_) => None,
             ClientResponse::Gateway(GatewayResponse::NotHelping(refusal)) => Some(refusal.into()),
-            // A gateway without a document cannot serve what another one can.
-            ClientResponse::Gateway(GatewayResponse::NotReady) => Some(HelperRefusal::Busy.into()),
+            // A gateway that has no document or is about to end cannot serve what another one can.
+            ClientResponse::Gateway(GatewayResponse::NotReady | GatewayResponse::Ending) => {
+                Some(HelperRefusal::Busy.into())
+            }
             ClientResponse::Gateway(_) => Some(HANDOVER_OWN),
         }
     }
--- a/crates/turmericloft/tests/testsuite/ingress/owed.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/owed.rs
@@ -10,7 +10,7 @@
     sync::Semaphore,
 };
 use turmericloft::{
-    ops::ingress::{ConnectionStage, DrainEnd},
+    ops::ingress::{ConnectionStage, ConnectionWork, DrainEnd},
     sources::http1::{ReaderLimits, RequestReader, Response, ResponseLimits, ResponseReader},
     util::host_clock::HostClock,
 };
@@ -267,6 +267,42 @@
     assert_eq!(world.response().await.status, 502);
 }
 
+/// More requests than the endpoint has slots: some are at the endpoint, which never responds, and others wait.
+#[tokio::test]
+async fn requests_that_wait_at_the_end_of_the_grace_period_are_refused_and_never_sent() {
+    const REQUESTS: usize = 60;
+    let world = World::start_with_grace_period(SHORT_GRACE_PERIOD).await;
+    let mut clients = Vec::new();
+    for i in 0..REQUESTS {
+        let mut client = Client::connect(world.gateway.clients).await;
+        client
+            .send(&request("POST", "/act/1", &format!("r{i}")))
+            .await;
+        clients.push(client);
+    }
+    let connections = world.gateway.ingress.connections();
+    let is_responding = |work: &ConnectionWork| work.stage == ConnectionStage::Responding;
+    let mut prober = Client::connect(world.gateway.ready).await;
+    let mut responding = 0;
+    while responding < REQUESTS {
+        prober.call("GET", "/ready", "q").await;
+        let unfinished = connections.unfinished();
+        responding = unfinished.iter().filter(|work| is_responding(work)).count();
+    }
+    world
+        .stop(SHORT_GRACE_PERIOD - LAST_RESPONSES_BEFORE_END)
+        .await;
+    let mut refused = 0;
+    for client in &mut clients {
+        let response = client.response().await.expect("a response");
+        assert!([502, 503].contains(&response.status), "{response:?}");
+        refused += usize::from(response.status == 503);
+    }
+    assert!(refused > 0, "no request waited");
+    let sent = world.endpoint.arrived.available_permits();
+    assert_eq!(sent, REQUESTS - refused);
+}
+
 /// The client does not read its response.
 #[tokio::test]
 async fn connection_that_is_cut_off_is_reported_with_what_it_was_owed() {
