Requests prefer an endpoint known to have room to a guess when all are nearly full

Near the capacity of all endpoints, requests found full queues, and many were rejected while endpoints had room.

A request whose best endpoint is nearly full by estimate and has not reported within the freshness window now goes to one that has just reported an empty queue and normal speed, if there is one. Requests for which no endpoint is eligible wait as before.

Before the change, hardly_any_request_of_many_gateways_finds_a_full_queue failed with found_full: 93, and an_old_report_does_not_draw_a_request_away_from_an_endpoint_known_to_have_room with e0. The other two new tests guard against too much of it and passed before.

--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -21,6 +21,7 @@
     endpoint_cost::{ZoneCosts, cost, is_eligible},
     endpoint_notice::EndpointNotices,
     endpoint_view::EndpointView,
+    known_room::{has_known_room, is_guess},
     retry_after::retry_after,
     service_view::{ServiceBaseline, ServiceView},
 };
@@ -254,6 +255,11 @@
                 is_best_available = is_available;
             }
         }
+        if best.is_some_and(|(v, _)| is_guess(v, now, &baseline, req)) {
+            let known = views().filter(|v| has_known_room(v, now, &baseline, req));
+            let costs = known.map(|v| (v, cost(v, now, &baseline, &zones, rng.random::<f64>())));
+            best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b)).or(best);
+        }
         let Some((view, _)) = best else {
             let service_time = Duration::from_secs_f64(baseline.service_time_s);
             let random = self.rng.random::<f64>();
--- a/crates/turmericloft/src/core/placement/balancer_hedges.rs
+++ b/crates/turmericloft/src/core/placement/balancer_hedges.rs
@@ -8,7 +8,8 @@
     Balancer, Placement, PlacementRequest, ServiceRoom,
     balancer::{FRESHNESS_WINDOW, start_attempt},
     endpoint_cost::{ZoneCosts, cost, is_eligible},
-    endpoint_view::{EndpointView, MAX_NORMAL_SLOWDOWN},
+    endpoint_view::EndpointView,
+    received_report::MAX_NORMAL_SLOWDOWN,
 };
 
 /// Share of the slots in use from which a service is short of room: endpoints slow down from 0.8 on.
--- a/crates/turmericloft/src/core/placement/endpoint_cost.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_cost.rs
@@ -21,7 +21,7 @@
 /// Additional share of an endpoint's slots that requests of rank 0 may use.
 const URGENT_EXTRA_SHARE: f64 = 0.2;
 /// Requests by which the expected load may exceed the limit, as it is a mean and not a count.
-const LOAD_TOLERANCE: f64 = 0.3;
+pub(super) const LOAD_TOLERANCE: f64 = 0.3;
 /// Share of the limit up to which requests that need spare capacity may fill an endpoint, such as
 /// retries while the first attempt is pending.
 const SPARE_CAPACITY_SHARE: f64 = 0.75;
@@ -90,11 +90,21 @@
     now: Instant,
     baseline: &ServiceBaseline,
     req: &PlacementRequest<'_>,
+) -> bool {
+    is_in_time(view, now, baseline, req) && has_capacity(view, now, baseline, req)
+}
+
+/// Whether an endpoint should respond in time.
+pub(super) fn is_in_time(
+    view: &EndpointView,
+    now: Instant,
+    baseline: &ServiceBaseline,
+    req: &PlacementRequest<'_>,
 ) -> bool {
     let can_meet_deadline = view.min_latency_s(now, baseline) < req.time_left.as_secs_f64();
     let is_within_max_latency =
         view.expected_latency_s(now, baseline) <= req.max_latency.as_secs_f64();
-    can_meet_deadline && is_within_max_latency && has_capacity(view, now, baseline, req)
+    can_meet_deadline && is_within_max_latency
 }
 
 fn has_capacity(
--- a/crates/turmericloft/src/core/placement/endpoint_view.rs
+++ b/crates/turmericloft/src/core/placement/endpoint_view.rs
@@ -24,8 +24,6 @@
 /// Time after a request broke off within which an endpoint's report of free slots is no reason to
 /// prefer it to others.
 const BROKEN_OFF_FOR: Duration = Duration::from_secs(2);
-/// Slowdown below which an endpoint counts as running at its normal speed.
-pub(super) const MAX_NORMAL_SLOWDOWN: f64 = 1.5;
 /// Length of the first ejection after an endpoint was unreachable or did not respond.
 const INITIAL_EJECTION: Duration = Duration::from_millis(700);
 /// Longest ejection.
@@ -239,31 +237,35 @@
 
     /// Age of the last report; `None` without one.
     pub(super) fn report_age(&self, now: Instant) -> Option<Duration> {
-        let report = self.last_report.as_ref()?;
-        Some(now.saturating_duration_since(report.received_at))
+        let received_at = self.last_report?.received_at;
+        Some(now.saturating_duration_since(received_at))
     }
 
     /// Slowdown of the last report if that is younger than `age`.
     pub(super) fn recent_slowdown(&self, now: Instant, age: Duration) -> Option<f64> {
-        let report = self.last_report.as_ref()?;
-        let is_fresh = now.saturating_duration_since(report.received_at) < age;
-        report.load.slowdown.filter(|_| is_fresh)
+        let report = self.last_report.filter(|r| r.is_younger(now, age))?;
+        report.load.slowdown
     }
 
-    /// Whether the last report is younger than `age` and shows a free slot and normal speed, and no
-    /// request broke off lately: an endpoint that breaks requests off at once always has free slots.
+    /// Whether the last report is younger than `age` and shows a free slot and normal speed.
     pub(super) fn is_known_available(&self, now: Instant, age: Duration) -> bool {
-        let is_fresh = |r: &&ReceivedReport| now.saturating_duration_since(r.received_at) < age;
-        let Some(r) = self.last_report.as_ref().filter(is_fresh) else {
-            return false;
-        };
-        let sent_since = self.in_flight().saturating_sub(r.own_in_flight);
-        let has_normal_speed = r.load.slowdown.is_none_or(|s| s < MAX_NORMAL_SLOWDOWN);
+        let report = self.trusted_report(now, age);
+        report.is_some_and(|r| r.requests(self.in_flight()) < r.load.slots)
+    }
+
+    /// Whether the last report is younger than `age` and shows an empty queue and normal speed.
+    pub(super) fn has_empty_queue(&self, now: Instant, age: Duration) -> bool {
+        let report = self.trusted_report(now, age);
+        report.is_some_and(|r| r.requests(self.in_flight()) <= r.load.slots)
+    }
+
+    /// Report younger than `age` and of normal speed. `None` if a request broke off lately: an endpoint that breaks
+    /// requests off at once always has free slots.
+    fn trusted_report(&self, now: Instant, age: Duration) -> Option<ReceivedReport> {
         let broke_off = |at: Instant| now.saturating_duration_since(at) < BROKEN_OFF_FOR;
         let is_trusted = !self.last_broken_at.is_some_and(broke_off);
-        is_trusted
-            && has_normal_speed
-            && r.load.running + r.load.waiting + sent_since < r.load.slots
+        let report = self.last_report.filter(|_| is_trusted)?;
+        (report.is_younger(now, age) && report.has_normal_speed()).then_some(report)
     }
 
     /// Whether one more request fills more slots than the endpoint can use at its normal speed.
@@ -273,8 +275,7 @@
     }
 
     pub(super) fn has_recent_report(&self, now: Instant, age: Duration) -> bool {
-        self.last_report
-            .is_some_and(|r| now.saturating_duration_since(r.received_at) < age)
+        self.last_report.is_some_and(|r| r.is_younger(now, age))
     }
 
     pub(super) fn has_pending_probe(&self) -> bool {
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -15,6 +15,7 @@
 mod endpoint_notice;
 mod endpoint_view;
 mod fleet_size;
+mod known_room;
 mod load_report;
 mod observation;
 mod placement_error;
--- a/crates/turmericloft/src/core/placement/received_report.rs
+++ b/crates/turmericloft/src/core/placement/received_report.rs
@@ -6,6 +6,8 @@
 
 /// Time constant by which a load report loses weight: speed and queues change within this time.
 pub(super) const REPORT_TIME_CONSTANT: Duration = Duration::from_millis(400);
+/// Slowdown below which an endpoint counts as running at its normal speed.
+pub(super) const MAX_NORMAL_SLOWDOWN: f64 = 1.5;
 
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ReceivedReport {
@@ -21,9 +23,27 @@
         (self.load.running + self.load.waiting).saturating_sub(self.own_in_flight)
     }
 
+    /// Requests that the endpoint has if none of other gateways came or ended since. `own_in_flight` are those of this
+    /// gateway now.
+    pub(super) fn requests(&self, own_in_flight: u32) -> u32 {
+        let sent_since = own_in_flight.saturating_sub(self.own_in_flight);
+        self.load.running + self.load.waiting + sent_since
+    }
+
+    /// Whether the endpoint ran at its normal speed, which is assumed if it did not report its speed.
+    pub(super) fn has_normal_speed(&self) -> bool {
+        let slowdown = self.load.slowdown;
+        slowdown.is_none_or(|s| s < MAX_NORMAL_SLOWDOWN)
+    }
+
+    /// Whether the report is younger than `age`.
+    pub(super) fn is_younger(&self, now: Instant, age: Duration) -> bool {
+        now.saturating_duration_since(self.received_at) < age
+    }
+
     /// Whether the report still says more of the queue than the mean of the service.
     pub(super) fn is_recent(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.received_at) < REPORT_TIME_CONSTANT
+        self.is_younger(now, REPORT_TIME_CONSTANT)
     }
 }
 
--- a/crates/turmericloft/tests/testsuite/placement/full_endpoints.rs
+++ b/crates/turmericloft/tests/testsuite/placement/full_endpoints.rs
@@ -6,8 +6,8 @@
 };
 
 use turmericloft::core::placement::{
-    AttemptOutcome, Balancer, DiscoveredEndpoint, Placement, PlacementError, PlacementRequest,
-    Probe, ProbeOutcome,
+    AttemptOutcome, Balancer, DiscoveredEndpoint, LoadReport, Placement, PlacementError,
+    PlacementRequest, Probe, ProbeOutcome,
 };
 
 use super::{
@@ -125,6 +125,46 @@
     assert!(sent_to_silent <= 4, "{sent_to_silent}");
 }
 
+/// Id of the endpoint that gets a request. `e0` reported a free slot a second ago. The others, which had `usual`
+/// requests then, report `load` just now.
+fn choice_beside_an_old_report(usual: u32, load: LoadReport) -> String {
+    let start = Instant::now();
+    let mut balancer = balancer(start, &endpoints(4));
+    let others = ["e1", "e2", "e3"];
+    for id in (0..10).flat_map(|_| others) {
+        report(&mut balancer, start, id, usual);
+    }
+    report(&mut balancer, start, "e0", usual.min(1));
+    let now = start + 1_000 * MS;
+    for id in others {
+        let probe = Probe {
+            endpoint: Arc::new(endpoint(id, "a")),
+        };
+        balancer.record_probe_end(now, &probe, ProbeOutcome::Reported(load));
+    }
+    let placed = place(&mut balancer, now).expect("capacity");
+    placed.endpoint.id.to_string()
+}
+
+/// Near the capacity of all endpoints, each gateway that has found no free slot would send its request to the endpoint
+/// whose report is the oldest, and their requests would fill its queue.
+#[test]
+fn an_old_report_does_not_draw_a_request_away_from_an_endpoint_known_to_have_room() {
+    assert_ne!(choice_beside_an_old_report(3, load(4, 0, 1.0)), "e0");
+}
+
+/// An endpoint that just happens to be known must not get a queue while others probably have free slots.
+#[test]
+fn a_known_endpoint_gets_no_queue_while_the_service_has_room() {
+    assert_eq!(choice_beside_an_old_report(0, load(4, 0, 1.0)), "e0");
+}
+
+/// The queue of an endpoint may have room for a single request.
+#[test]
+fn a_known_endpoint_with_a_queue_gets_no_further_request() {
+    assert_eq!(choice_beside_an_old_report(3, load(4, 1, 1.0)), "e0");
+}
+
 /// Twelve gateways share endpoints of two slots near their limit, and each knows only its own requests and reports.
 #[test]
 fn hardly_any_request_of_many_gateways_finds_a_full_queue() {
