--- a/crates/turmericloft/src/core/placement/load_report.rs
+++ b/crates/turmericloft/src/core/placement/load_report.rs
@@ -1,5 +1,7 @@
 //! Load that an endpoint reports in a response header.
 
+#![deny(clippy::arithmetic_side_effects)] // Other parties write the values here.
+
 /// Most requests or slots that a report counts, so that one odd report leaves the means of the service usable soon.
 const MAX_REPORTED_REQUESTS: u32 = 65_535;
 /// Largest slowdown that a report counts; endpoints beyond it are all too slow to be chosen.
--- a/crates/turmericloft/src/core/placement/received_report.rs
+++ b/crates/turmericloft/src/core/placement/received_report.rs
@@ -1,5 +1,7 @@
 //! A load report of one endpoint, and how much it still says.
 
+#![deny(clippy::arithmetic_side_effects)] // Other parties write the values here.
+
 use std::time::{Duration, Instant};
 
 use super::LoadReport;
@@ -27,7 +29,7 @@
     /// gateway now.
     pub(super) fn requests(&self, own_in_flight: u32) -> u32 {
         let sent_since = own_in_flight.saturating_sub(self.own_in_flight);
-        self.load.running + self.load.waiting + sent_since
+        self.load.requests().saturating_add(sent_since)
     }
 
     /// Whether the endpoint ran at its normal speed, which is assumed if it did not report its speed.
--- a/crates/turmericloft/src/core/quarantine/crash_reports.rs
+++ b/crates/turmericloft/src/core/quarantine/crash_reports.rs
@@ -1,5 +1,7 @@
 //! What gateways tell each other of requests that endpoints broke off.
 
+#![deny(clippy::arithmetic_side_effects)] // Other parties write the values here.
+
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
--- a/crates/turmericloft/src/core/relay/document_as_of.rs
+++ b/crates/turmericloft/src/core/relay/document_as_of.rs
@@ -1,5 +1,7 @@
 //! What an upstream says of the time as of which its document is the newest one.
 
+#![deny(clippy::arithmetic_side_effects)] // Other parties write the values here.
+
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
--- a/crates/turmericloft/src/core/saturating.rs
+++ b/crates/turmericloft/src/core/saturating.rs
@@ -1,5 +1,7 @@
 //! Instants and durations from values that other parties write, where plain arithmetic would panic.
 
+#![deny(clippy::arithmetic_side_effects)] // Other parties write the values here.
+
 use std::time::{Duration, Instant};
 
 /// Longest time that is told from longer ones, about 30 years. An instant so far ahead can be represented on every
--- a/crates/turmericloft/src/ops/ingress/abandoned_checks.rs
+++ b/crates/turmericloft/src/ops/ingress/abandoned_checks.rs
@@ -16,6 +16,7 @@
         quarantine::{ConcludedCrash, EndpointSign},
     },
     sources::http1::ExchangeError,
+    util::supervised_tasks::spawn_contained,
 };
 
 /// Checks endpoints when they are due. Does not return.
@@ -34,7 +35,10 @@
         }
         let endpoints = ingress.abandoned.lock().take_due(ingress.now());
         for endpoint in endpoints {
-            tokio::spawn(check(Arc::clone(&ingress), endpoint));
+            spawn_contained(
+                "check-abandoned-endpoint",
+                check(Arc::clone(&ingress), endpoint),
+            );
         }
     }
 }
--- a/crates/turmericloft/src/ops/ingress/contact.rs
+++ b/crates/turmericloft/src/ops/ingress/contact.rs
@@ -18,6 +18,7 @@
         placement::{DiscoveredEndpoint, InstanceId},
     },
     sources::http1::{ClientConnection, ExchangeError, Response, ResponseError},
+    util::supervised_tasks::spawn_contained,
 };
 
 /// Follows the contact of a gateway that can hand over requests. Does not return while it runs.
@@ -38,7 +39,7 @@
         let (checks, change) = handover.contact.lock().poll(now);
         report_change(&ingress, handover, change);
         for endpoint in checks {
-            tokio::spawn(check(Arc::clone(&ingress), endpoint, now));
+            spawn_contained("check-contact", check(Arc::clone(&ingress), endpoint, now));
         }
         let next_poll = handover.contact.lock().next_poll(now);
         let due = async {
--- a/crates/turmericloft/src/ops/ingress/limits.rs
+++ b/crates/turmericloft/src/ops/ingress/limits.rs
@@ -19,6 +19,7 @@
     },
     ops::LoanSocket,
     sources::http1::{ClientConnection, ExchangeError},
+    util::supervised_tasks::spawn_contained,
 };
 
 impl Ingress {
@@ -183,7 +184,7 @@
         let turn = balancer.limits_mut().read_claim(now, endpoint, host);
         drop(balancer);
         if let Some(endpoint) = turn {
-            tokio::spawn(check(Arc::clone(self), endpoint));
+            spawn_contained("check-limit", check(Arc::clone(self), endpoint));
         }
     }
 }
@@ -224,7 +225,7 @@
         let now = ingress.now();
         let endpoints = ingress.balancer.lock().limits_mut().take_due_checks(now);
         for endpoint in endpoints {
-            tokio::spawn(check(Arc::clone(&ingress), endpoint));
+            spawn_contained("check-limit", check(Arc::clone(&ingress), endpoint));
         }
     }
 }
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -102,11 +102,11 @@
     start_followers(ingress, feeds);
     let tasks = &ingress.tasks;
     let checked = Arc::clone(ingress);
-    tasks.spawn_restarting("check-abandoned", move || {
+    tasks.spawn_restarting("watch-abandoned", move || {
         check_abandoned(Arc::clone(&checked))
     });
     let checked = Arc::clone(ingress);
-    tasks.spawn_restarting("check-limited", move || check_limited(Arc::clone(&checked)));
+    tasks.spawn_restarting("watch-limited", move || check_limited(Arc::clone(&checked)));
     let clock = ingress.clock.clone();
     tasks.spawn_restarting("watch-suspensions", move || {
         let clock = clock.clone();
