--- a/crates/turmericloft/src/core/drain/drain_plan.rs
+++ b/crates/turmericloft/src/core/drain/drain_plan.rs
@@ -9,17 +9,21 @@
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
 /// Time to write the responses to requests that can't be finished.
 const RESPONSE_RESERVE: Duration = Duration::from_millis(300);
+/// Time in which the response of an endpoint to a request with the latest deadline arrives.
+const TRANSIT_RESERVE: Duration = Duration::from_millis(200);
 /// In a grace period that is too short for the times above, part of it until idle connections are closed, as a
 /// divisor.
 const CLOSE_IDLE_DIVISOR: u32 = 2;
-/// In such a grace period, part of it for each of the two reserves, as a divisor.
-const RESERVE_DIVISOR: u32 = 8;
+/// In such a grace period, part of it for each of the reserves, as a divisor.
+const RESERVE_DIVISOR: u32 = 12;
 
 /// When a stopping gateway does what. The times are in the order of the fields.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DrainPlan {
     /// Idle connections are closed, and no more are accepted.
     pub close_idle_at: Instant,
+    /// Latest deadline of requests that arrive while the gateway stops.
+    pub latest_deadline: Instant,
     /// Requests that have no response yet get one of the gateway.
     pub respond_by: Instant,
     /// The process ends, whatever is unfinished.
@@ -32,9 +36,11 @@
         let reserve = grace_period / RESERVE_DIVISOR;
         let cut_off_after = grace_period - EXIT_RESERVE.min(reserve);
         let respond_after = cut_off_after - RESPONSE_RESERVE.min(reserve);
+        let latest_deadline = respond_after - TRANSIT_RESERVE.min(reserve);
         let close_idle_after = CLOSE_IDLE_AFTER.min(grace_period / CLOSE_IDLE_DIVISOR);
         Self {
             close_idle_at: now + close_idle_after,
+            latest_deadline: now + latest_deadline,
             respond_by: now + respond_after,
             cut_off_at: now + cut_off_after,
         }
@@ -42,6 +48,6 @@
 
     /// Deadline of a request that arrives while the gateway stops.
     pub fn bound(&self, deadline: Instant) -> Instant {
-        deadline.min(self.respond_by)
+        deadline.min(self.latest_deadline)
     }
 }
--- a/crates/turmericloft/src/ops/gateway/lingering_close.rs
+++ b/crates/turmericloft/src/ops/gateway/lingering_close.rs
@@ -7,20 +7,19 @@
 
 use std::{
     io,
-    os::fd::AsFd,
     pin::Pin,
     task::{Context, Poll, ready},
     time::Duration,
 };
 
-use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
-use socket2::SockRef;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
+    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     time::{Sleep, sleep},
 };
 
+use crate::sources::send_buffer::{poll_sent, report_writable_when_sent};
+
 /// Time that a caller has to close its side after everything was sent. It covers a retransmission
 /// of the last bytes.
 const LINGER: Duration = Duration::from_secs(1);
@@ -28,8 +27,6 @@
 const LINGER_READ_BYTES: usize = 8 << 10;
 /// Most bytes that are discarded before the connection is closed.
 const MAX_LINGER_BYTES: usize = 16 << 20;
-/// Value of `TCP_NOTSENT_LOWAT` with which a socket is writable only if no byte is unsent.
-const NOTHING_UNSENT: u32 = 1;
 
 /// Progress of closing a connection.
 #[derive(Debug, Default)]
@@ -78,9 +75,7 @@
             self.discard_input(cx, stream);
             self.phase = match &mut self.phase {
                 Phase::Open => {
-                    // Without the option, the connection is closed while up to two thirds of the
-                    // send buffer are unsent.
-                    let _ = SockRef::from(&*stream).set_tcp_notsent_lowat(NOTHING_UNSENT);
+                    report_writable_when_sent(stream);
                     Phase::Sending
                 }
                 Phase::Sending => {
@@ -114,24 +109,3 @@
         }
     }
 }
-
-/// Waits until the kernel has sent every written byte, or the connection has failed.
-fn poll_sent(cx: &mut Context<'_>, stream: &TcpStream) -> Poll<io::Result<()>> {
-    loop {
-        ready!(stream.poll_write_ready(cx))?;
-        match stream.try_io(Interest::WRITABLE, || check_sent(stream)) {
-            // The readiness was outdated and is cleared now.
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            result => return Poll::Ready(result),
-        }
-    }
-}
-
-/// Asks the kernel, because the readiness that the runtime remembers may be older than the option.
-fn check_sent(stream: &TcpStream) -> io::Result<()> {
-    let mut fds = [PollFd::new(stream.as_fd(), PollFlags::POLLOUT)];
-    match poll(&mut fds, PollTimeout::ZERO)? {
-        0 => Err(io::ErrorKind::WouldBlock.into()),
-        _ => Ok(()),
-    }
-}
--- a/crates/turmericloft/src/ops/ingress/client.rs
+++ b/crates/turmericloft/src/ops/ingress/client.rs
@@ -2,16 +2,14 @@
 
 use std::{
     future::Future,
+    io,
     pin::Pin,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use futures_util::{StreamExt, stream::FuturesOrdered};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-};
+use tokio::net::TcpStream;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use super::{
@@ -24,7 +22,10 @@
 };
 use crate::{
     core::traffic::{RequestLimits, RouteKind},
-    sources::http1::{ReaderLimits, Request, RequestError, RequestReader},
+    sources::{
+        http1::{ReaderLimits, Request, RequestError, RequestReader},
+        send_buffer::wait_until_sent,
+    },
     util::host_clock::HostClock,
 };
 
@@ -38,7 +39,10 @@
 /// Bytes reserved in the buffer for each read.
 const READ_BYTES: usize = 4 << 10;
 /// Time that a stopping gateway gives a client that has just connected to send its first request.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Tells a client to send the body of its request.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 pub(super) struct ReadyResponse {
     pub(super) response: ClientResponse,
@@ -122,11 +126,11 @@
         let clock = self.ingress.clock.clone();
         loop {
             self.start_requests();
-            if self.reader.take_expects_continue() && self.pending.is_empty() {
-                let written = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
-                if written.await.is_err() {
-                    return;
-                }
+            if self.pending.is_empty()
+                && self.reader.take_expects_continue()
+                && self.write_message(CONTINUE).await.is_err()
+            {
+                return;
             }
             let is_quiet = self.pending.is_empty();
             let is_idle = is_quiet && !self.reader.has_partial_request();
@@ -143,7 +147,7 @@
                 unread < MAX_PENDING_READ_AHEAD_BYTES
             };
             let deadline = self.read_deadline();
-            let closing_idle = close_idle(&closing_idle, &clock, self.idle_from);
+            let closed_idle = close_idle(&closing_idle, &clock, self.idle_from, &self.stream);
             self.reader.buffer().reserve(READ_BYTES);
             tokio::select! {
                 biased;
@@ -152,14 +156,16 @@
                         return;
                     }
                 }
-                read = self.stream.read_buf(self.reader.buffer()), if can_read => {
+                readable = self.stream.readable(), if can_read => {
+                    let read = readable.and_then(|()| self.stream.try_read_buf(self.reader.buffer()));
                     match read {
                         Ok(n) if n > 0 => self.last_activity = self.ingress.now(),
+                        Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                         _ => return,
                     }
                 }
                 // Nothing is read any more, so a client whose request crosses the close may repeat it.
-                () = closing_idle, if is_idle => return,
+                () = closed_idle, if is_idle => return,
                 () = ending.cancelled(), if is_quiet => return self.refuse().await,
                 () = clock.sleep_until(deadline), if is_quiet => return self.time_out().await,
             }
@@ -297,8 +303,15 @@
     }
 }
 
-/// Waits until a connection that is idle at that time is to be closed, as the gateway stops.
-async fn close_idle(closing_idle: &CancellationToken, clock: &HostClock, idle_from: Instant) {
+/// Waits until a connection that is idle at that time is to be closed, as the gateway stops and the kernel has sent
+/// the last response.
+async fn close_idle(
+    closing_idle: &CancellationToken,
+    clock: &HostClock,
+    idle_from: Instant,
+    stream: &TcpStream,
+) {
     closing_idle.cancelled().await;
     clock.sleep_until(idle_from).await;
+    wait_until_sent(stream).await;
 }
--- a/crates/turmericloft/src/ops/ingress/client_output.rs
+++ b/crates/turmericloft/src/ops/ingress/client_output.rs
@@ -13,13 +13,14 @@
     connection_stage::ConnectionStage,
     metrics::count_discarded_bytes,
 };
-use crate::core::drain::transfer_timeout;
+use crate::{core::drain::transfer_timeout, sources::send_buffer::wait_until_sent};
 
-/// Time within which a response has to be written, beside the time that its bytes take.
+/// Time within which a client has to take some bytes, and all of a message, beside the time that its bytes take.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which a client's remaining bytes are read after the write side is shut down, beside the time that the bytes
 /// of the last response take. Closing at once would send a reset, which can discard that response at the client.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
+
 impl ClientStream {
     /// Writes a response. Returns false if the connection is closed.
     pub(super) async fn write(&mut self, ready: ReadyResponse) -> bool {
@@ -35,14 +36,17 @@
         }
         self.connection.record_written();
         self.last_activity = self.ingress.now();
+        let written = message.len();
+        // Their memory is free for other responses while the client is waited for.
+        drop((message, ready));
         if close {
-            self.shut_down(message.len()).await;
+            self.shut_down(written).await;
         }
         !close
     }
 
     /// Writes a message, unless the client does not take it in time.
-    async fn write_message(&mut self, message: &[u8]) -> io::Result<()> {
+    pub(super) async fn write_message(&mut self, message: &[u8]) -> io::Result<()> {
         let limit = transfer_timeout(WRITE_TIMEOUT, message.len());
         timeout(limit, self.write_bytes(message)).await?
     }
@@ -51,7 +55,7 @@
         let mut rest = message;
         while !rest.is_empty() {
             self.connection.record_writing(rest.len());
-            match self.stream.write(rest).await? {
+            match timeout(WRITE_TIMEOUT, self.stream.write(rest)).await?? {
                 0 => return Err(io::ErrorKind::WriteZero.into()),
                 n => rest = &rest[n..],
             }
@@ -73,7 +77,7 @@
 
     async fn close_with(mut self, response: GatewayResponse) {
         if !self.reader.has_partial_request() {
-            return;
+            return wait_until_sent(&self.stream).await;
         }
         let message = ClientResponse::Gateway(response).message(false, true);
         if self.write_message(&message).await.is_ok() {
--- a/crates/turmericloft/src/ops/ingress/helping.rs
+++ b/crates/turmericloft/src/ops/ingress/helping.rs
@@ -1,6 +1,6 @@
 //! Serves requests that other gateways, which are cut off from all endpoints, hand over.
 
-use std::sync::Arc;
+use std::{future::Future, sync::Arc};
 
 use tokio::net::TcpListener;
 
@@ -14,16 +14,21 @@
 };
 
 /// Accepts connections of other gateways, and serves them like those of clients, until this one closes idle
-/// connections.
-pub async fn serve_handed_over(ingress: Arc<Ingress>, listener: TcpListener) {
+/// connections. The gateway is not drained before the returned future has ended.
+pub fn serve_handed_over(
+    ingress: Arc<Ingress>,
+    listener: TcpListener,
+) -> impl Future<Output = ()> + Send + 'static {
     let acceptor = ingress.connections().acceptor();
-    accept(&ingress.closing_idle, &listener, |stream, peer| {
-        let connection = acceptor.open(peer);
-        let origin = RequestOrigin::Gateway;
-        let serving = serve_connection(Arc::clone(&ingress), stream, connection, origin);
-        spawn_contained("serve-gateway", serving);
-    })
-    .await;
+    async move {
+        accept(&ingress.closing_idle, &listener, |stream, peer| {
+            let connection = acceptor.open(peer);
+            let origin = RequestOrigin::Gateway;
+            let serving = serve_connection(Arc::clone(&ingress), stream, connection, origin);
+            spawn_contained("serve-gateway", serving);
+        })
+        .await;
+    }
 }
 
 /// A request of another gateway, counted until it is dropped.
@@ -31,8 +36,11 @@
 pub(super) struct HelpedRequest(Arc<Ingress>);
 
 impl HelpedRequest {
-    /// Counts one more request, unless this gateway cannot help.
+    /// Counts one more request, unless this gateway stops or cannot help.
     pub(super) fn admit(ingress: &Arc<Ingress>) -> Result<Self, HelperRefusal> {
+        if ingress.stopping.is_cancelled() {
+            return Err(HelperRefusal::Busy);
+        }
         let mut helped = ingress.helped_requests.lock();
         let own = ingress.open_requests().saturating_sub(*helped);
         let checked = check_help(ingress.is_cut_off(), *helped, own);
--- a/crates/turmericloft/src/sources/mod.rs
+++ b/crates/turmericloft/src/sources/mod.rs
@@ -6,3 +6,4 @@
 pub mod http_client;
 pub mod log_service;
 pub mod peer;
+pub(crate) mod send_buffer;
