--- a/crates/turmericloft/src/util/mod.rs
+++ b/crates/turmericloft/src/util/mod.rs
@@ -6,6 +6,7 @@
 pub mod fault_point;
 mod hedge_metrics;
 pub mod host_clock;
+mod ingress_metrics;
 pub mod log_writer;
 pub mod logging;
 pub mod metrics_recorder;
