--- a/crates/turmericloft/src/core/placement/balancer.rs
+++ b/crates/turmericloft/src/core/placement/balancer.rs
@@ -18,12 +18,13 @@
 use super::{
     AttemptOutcome, DiscoveredEndpoint, EndpointNotice, LoadReport, Placement, PlacementError,
     PlacementRequest, Probe, ProbeOutcome, RetryBudget,
+    attempt_start::start_attempt,
     endpoint_cost::{ZoneCosts, cost, is_eligible},
     endpoint_notice::EndpointNotices,
     endpoint_view::EndpointView,
     known_room::{has_known_room, is_guess},
     retry_after::retry_after,
-    service_view::{ServiceBaseline, ServiceView},
+    service_view::ServiceView,
 };
 use crate::core::{
     evacuation::EvacuatedZones, rate_limit::EndpointLimits, saturating::duration_of_seconds,
@@ -362,22 +363,3 @@
         views.any(EndpointView::is_ready)
     }
 }
-
-/// Counts a request as in flight at an endpoint from `now` on.
-pub(super) fn start_attempt(
-    now: Instant,
-    view: &mut EndpointView,
-    baseline: &ServiceBaseline,
-) -> Placement {
-    let placement = Placement {
-        endpoint: Arc::clone(&view.endpoint),
-        expected_latency: duration_of_seconds(view.expected_latency_s(now, baseline)),
-        service_time: duration_of_seconds(baseline.service_time_s),
-        started_at: now,
-        report_age: view.report_age(now),
-        reported_slowdown: view.recent_slowdown(now, FRESHNESS_WINDOW),
-        is_congested: view.is_congested(now, baseline),
-    };
-    view.record_attempt_start(now);
-    placement
-}
--- a/crates/turmericloft/src/core/placement/balancer_hedges.rs
+++ b/crates/turmericloft/src/core/placement/balancer_hedges.rs
@@ -6,7 +6,8 @@
 
 use super::{
     Balancer, Placement, PlacementRequest, ServiceRoom,
-    balancer::{FRESHNESS_WINDOW, start_attempt},
+    attempt_start::start_attempt,
+    balancer::FRESHNESS_WINDOW,
     endpoint_cost::{ZoneCosts, cost, is_eligible},
     endpoint_view::EndpointView,
     received_report::MAX_NORMAL_SLOWDOWN,
--- a/crates/turmericloft/src/core/placement/balancer_limits.rs
+++ b/crates/turmericloft/src/core/placement/balancer_limits.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Balancer, DiscoveredEndpoint, Placement, PlacementError, PlacementRequest,
-    balancer::start_attempt,
+    attempt_start::start_attempt,
 };
 use crate::core::rate_limit::{
     EndpointLimits, Lender, LimitChange, LoanAnswer, RateLimit, SharingGateways, StatedLimit,
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Choice of the endpoint for each request, from sparse and outdated load reports.
 
 mod attempt_outcome;
+mod attempt_start;
 mod balancer;
 mod balancer_evacuation;
 mod balancer_hedges;
