An idle connection whose client reads nothing is dropped after its idle timeout

Since idle connections are closed when the kernel has sent everything, one whose client is alive and reads nothing would have stayed open for good after its idle timeout. The wait ends after the 10 s that a client has to take some bytes. Found by reading; no test shows it.

--- a/crates/turmericloft/src/ops/ingress/client_output.rs
+++ b/crates/turmericloft/src/ops/ingress/client_output.rs
@@ -77,7 +77,9 @@
 
     async fn close_with(mut self, response: GatewayResponse) {
         if !self.reader.has_partial_request() {
-            return wait_until_sent(&self.stream).await;
+            // The connection is dropped even if the client reads nothing.
+            let _ = timeout(WRITE_TIMEOUT, wait_until_sent(&self.stream)).await;
+            return;
         }
         let message = ClientResponse::Gateway(response).message(false, true);
         if self.write_message(&message).await.is_ok() {
