--- a/crates/turmericloft/src/ops/relay/active_document.rs
+++ b/crates/turmericloft/src/ops/relay/active_document.rs
@@ -32,6 +32,8 @@
     published: watch::Sender<PublishedDocument>,
     /// Newest document version known to exist, whether or not that document was received.
     newest_version: watch::Sender<u64>,
+    /// Since when that document was not received; out of date while it is the active one.
+    outdated_since: Mutex<Option<Instant>>,
     freshness: Mutex<DocumentFreshness>,
     /// That version, and as of when it is the newest one.
     newest: watch::Sender<NewestDocument>,
@@ -47,6 +49,7 @@
             clock,
             published: watch::Sender::new(None),
             newest_version: watch::Sender::new(0),
+            outdated_since: Mutex::new(None),
             freshness: Mutex::new(DocumentFreshness::new(timings)),
             newest: watch::Sender::new(NewestDocument::default()),
             confirmed: watch::Sender::new(()),
@@ -76,8 +79,21 @@
         self.record_version(version);
     }
 
+    /// Version of the active document; `None` without one.
+    pub fn version(&self) -> Option<u64> {
+        let active = self.published.borrow();
+        active.as_ref().map(|t| t.document().version)
+    }
+
+    /// For how long a newer document than the active one has been known to exist; `None` if none is.
+    pub fn outdated_for(&self) -> Option<Duration> {
+        let since = *self.outdated_since.lock();
+        let known = self.clock.now().saturating_duration_since(since?);
+        self.is_outdated().then_some(known)
+    }
+
     /// Newest version known to exist; 0 if none is known.
-    pub(super) fn newest_version(&self) -> u64 {
+    pub fn newest_version(&self) -> u64 {
         *self.newest_version.borrow()
     }
 
@@ -93,9 +109,17 @@
             *newest = (*newest).max(version);
             is_newer
         });
+        self.record_outdated();
         self.publish_newest();
     }
 
+    fn record_outdated(&self) {
+        let now = self.clock.now();
+        let is_outdated = self.is_outdated();
+        let mut since = self.outdated_since.lock();
+        *since = since.filter(|_| is_outdated).or(is_outdated.then_some(now));
+    }
+
     /// Receives what is known of the newest document whenever it changes.
     pub fn newest_documents(&self) -> watch::Receiver<NewestDocument> {
         self.newest.subscribe()
@@ -124,9 +148,7 @@
 
     /// Whether a newer document than the active one is known to exist.
     pub fn is_outdated(&self) -> bool {
-        let active = self.published.borrow();
-        let active = active.as_ref().map(|t| t.document().version);
-        self.newest_version() > active.unwrap_or_default()
+        self.newest_version() > self.version().unwrap_or_default()
     }
 
     /// Waits until a newer document than the active one is known to exist.
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -177,6 +177,15 @@
     help: "Calls to the platform's store, by call and by whether it answered",
 };
 
+/// Bytes of the responses of the platform's store.
+pub const STORE_BYTES: Metric = Metric {
+    name: "turmericloft_store_bytes_total",
+    kind: MetricKind::Counter,
+    unit: "bytes",
+    labels: &["call"],
+    help: "Bytes of the bodies that the platform's store has sent, by call",
+};
+
 /// Relay responses, by direction: sent to followers or received from an upstream.
 pub const RELAY_ANSWERS: Metric = Metric {
     name: "turmericloft_relay_answers_total",
@@ -249,6 +258,7 @@
     HEDGE_REFUSALS,
     HEDGE_WASTED_SECONDS,
     STORE_CALLS,
+    STORE_BYTES,
     RELAY_ANSWERS,
     REGISTRY_ERA_CHANGES,
     LOG_LINES_DROPPED,
