Large configurations reach followers as changes, and a partial page confirms nothing

Cause: a document of more than 200 routes was not relayed, so each of 230 gateways read 460 kB from the store for each version, and all records since its own last read. That is more than a link of 10 Mbit/s and the store carry; reads timed out and began again, those of the endpoints with them. A follower that knew of a version and did not hold it was never sent it. A page that the store had cut short counted as complete, and confirmed an old version.

Now: an upstream sends the changes since the follower's version, with a digest of the result, and the whole document, deflated, to one that has none. Gateways with faster links come first in the tree. A poll tells which version is active. A reader that finds more records than a page of its link reads the newest ones, which confirm only if they reach the end that the page told of. Confirming reads begin where the last one of the zone ended.

--- a/crates/turmericloft/src/core/relay/document_timings.rs
+++ b/crates/turmericloft/src/core/relay/document_timings.rs
@@ -19,6 +19,9 @@
 const PATIENCE_FRACTION: f64 = 0.1;
 /// Time for a successful read on a busy host, as a fraction of the config deadline.
 const READ_FRACTION: f64 = 0.1;
+/// Time that a gateway which was told of a newer document waits for it to be relayed, as a fraction of the config
+/// deadline.
+const RELAY_GRACE_FRACTION: f64 = 0.1;
 
 /// Age at which the document of any gateway is stale, as a fraction of the config deadline.
 const MAX_STALE_FRACTION: f64 = STALE_FRACTION + STALE_FRACTION_PER_HOP * MAX_STALE_HOPS as f64;
@@ -62,6 +65,11 @@
         self.part(PATIENCE_FRACTION)
     }
 
+    /// Time to wait for a newer document from an upstream that told of it, before it is read from the store.
+    pub fn relay_grace(&self) -> Duration {
+        self.part(RELAY_GRACE_FRACTION)
+    }
+
     fn part(&self, fraction: f64) -> Duration {
         self.config_deadline.mul_f64(fraction)
     }
--- a/crates/turmericloft/src/core/relay/mod.rs
+++ b/crates/turmericloft/src/core/relay/mod.rs
@@ -13,6 +13,7 @@
 
 mod document_as_of;
 mod document_freshness;
+mod document_history;
 mod document_notice;
 mod document_timings;
 mod era_change;
@@ -24,6 +25,7 @@
 mod relay_poll;
 mod relay_response;
 mod relay_timings;
+mod relayed_document;
 mod spread;
 mod upstream_chooser;
 mod upstream_message;
@@ -31,6 +33,7 @@
 pub use self::{
     document_as_of::{DocumentAsOf, PollOffset},
     document_freshness::DocumentFreshness,
+    document_history::DocumentHistory,
     document_notice::DocumentNotice,
     document_timings::DocumentTimings,
     era_change::EraChange,
@@ -42,6 +45,7 @@
     relay_poll::RelayPoll,
     relay_response::RelayResponse,
     relay_timings::RelayTimings,
+    relayed_document::{RelayedDocument, RelayedDocumentError},
     spread::delay_of_host,
     upstream_chooser::UpstreamChooser,
     upstream_message::UpstreamMessage,
--- a/crates/turmericloft/src/core/relay/registry_view.rs
+++ b/crates/turmericloft/src/core/relay/registry_view.rs
@@ -216,6 +216,7 @@
             changes,
             document_version: 0,
             document_as_of: None,
+            document_position: RegistryPosition::default(),
             evacuation: EvacuationList::default(),
             document: None,
         }
--- a/crates/turmericloft/src/core/relay/relay_bounds.rs
+++ b/crates/turmericloft/src/core/relay/relay_bounds.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-/// Times that the operator requires. All intervals and timeouts are derived from them.
+/// Times that the operator requires, and the link that they have to be kept with. All intervals and timeouts are
+/// derived from them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RelayBounds {
     /// Time within which every gateway has to know that an endpoint is draining.
@@ -12,4 +13,6 @@
     /// Time after the end of a fault, such as an outage of the registry, from which on the other
     /// bounds hold again.
     pub stability_window: Duration,
+    /// What the host's link carries, in bytes a second.
+    pub link_bytes_per_second: u64,
 }
--- a/crates/turmericloft/src/core/relay/relay_member.rs
+++ b/crates/turmericloft/src/core/relay/relay_member.rs
@@ -16,4 +16,7 @@
     /// UDP port on which the gateway answers questions about limits and quotas; `None` if its entry does not
     /// give it.
     pub datagram_port: Option<u16>,
+    /// What the host's link carries, in Mbit/s; 0 if its entry does not give it. Hosts with faster links come first
+    /// in the order of the zone.
+    pub link_mbps: u32,
 }
--- a/crates/turmericloft/src/core/relay/relay_poll.rs
+++ b/crates/turmericloft/src/core/relay/relay_poll.rs
@@ -16,6 +16,8 @@
     pub from: RegistryPosition,
     /// Newest document version that the follower knows to exist; 0 if it knows of none.
     pub document_version: u64,
+    /// Version of the follower's active document, which may be relayed as changes to it; 0 if it has none.
+    pub active_version: u64,
     /// Position after the latest change of the evacuated zones that the follower knows.
     pub evacuation: RegistryPosition,
     /// Whether the follower knows that the upstream's data is stale, and waits until it is not.
--- a/crates/turmericloft/src/core/relay/relay_response.rs
+++ b/crates/turmericloft/src/core/relay/relay_response.rs
@@ -4,11 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::DocumentAsOf;
+use super::{DocumentAsOf, RelayedDocument};
 use crate::core::{
     evacuation::EvacuationList,
     placement::{Observation, RegistryPosition},
-    traffic::TrafficDocument,
 };
 
 /// Changes since the follower's position, and the time as of which they are complete.
@@ -36,8 +35,8 @@
     pub document_as_of: Option<DocumentAsOf>,
     /// All evacuated zones. A confirmation of the document covers them too.
     pub evacuation: EvacuationList,
-    /// The document of the upstream, if it is newer than the follower's and small. Each gateway
-    /// reads a large document from the store instead, because relaying it would occupy the links
-    /// between the gateways one after the other.
-    pub document: Option<TrafficDocument>,
+    /// Position in the document's topic up to which `document_version` is the newest version.
+    pub document_position: RegistryPosition,
+    /// The document of the upstream, if it is newer than the follower's.
+    pub document: Option<RelayedDocument>,
 }
--- a/crates/turmericloft/src/core/relay/relay_timings.rs
+++ b/crates/turmericloft/src/core/relay/relay_timings.rs
@@ -24,6 +24,12 @@
 /// responds that it is not current, as a fraction of the drain time.
 const READ_GRACE_FRACTION: f64 = 0.05;
 
+/// Time that a page of records may occupy the host's link, as a fraction of the config deadline.
+const PAGE_FRACTION: f64 = 0.1;
+/// Sizes of a page, in bytes.
+const MIN_PAGE_BYTES: u64 = 16 << 10;
+const MAX_PAGE_BYTES: u64 = 1 << 20;
+
 /// Intervals and timeouts of the relay, all in proportion to the bounds of the deployment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RelayTimings {
@@ -72,6 +78,13 @@
         self.of_drain_time(READ_GRACE_FRACTION)
     }
 
+    /// Size of a page of records that the host's link carries in a part of the config deadline, in bytes.
+    pub fn page_bytes(&self) -> u64 {
+        let time = self.bounds.config_deadline.mul_f64(PAGE_FRACTION);
+        let bytes = self.bounds.link_bytes_per_second as f64 * time.as_secs_f64();
+        (bytes as u64).clamp(MIN_PAGE_BYTES, MAX_PAGE_BYTES)
+    }
+
     fn of_drain_time(&self, fraction: f64) -> Duration {
         self.bounds.drain_time.mul_f64(fraction)
     }
--- a/crates/turmericloft/src/core/relay/upstream_chooser.rs
+++ b/crates/turmericloft/src/core/relay/upstream_chooser.rs
@@ -1,12 +1,13 @@
 //! Selection of the gateway to follow.
 //!
 //! Load pattern: a hundred gateways start together, and any number of them fails at once. The
-//! gateways of a zone form a tree, ordered by a hash of their host names. The followers of a failed
+//! gateways of a zone form a tree, ordered by their links and a hash of their host names. The followers of a failed
 //! gateway spread over all gateways that precede them, and a gateway without a usable upstream
 //! reads the registry itself. While the registry is unavailable to all of them, each waits at its parent,
 //! so that the first gateway that reads it again feeds the whole tree at once.
 
 use std::{
+    cmp::Reverse,
     collections::HashMap,
     sync::Arc,
     time::{Duration, Instant},
@@ -32,6 +33,7 @@
 pub struct UpstreamChooser {
     host: Arc<str>,
     zone: Arc<str>,
+    link_mbps: u32,
     /// Gateways of the zone that precede this one, in order of preference.
     candidates: Vec<RelayMember>,
     excluded: HashMap<Arc<str>, Exclusion>,
@@ -52,11 +54,13 @@
 }
 
 impl UpstreamChooser {
-    /// Selects for the gateway on `host` in `zone`. There are no candidates before `set_members`.
-    pub fn new(host: Arc<str>, zone: Arc<str>) -> Self {
+    /// Selects for the gateway on `host` in `zone`, whose link carries so much. There are no candidates before
+    /// `set_members`.
+    pub fn new(host: Arc<str>, zone: Arc<str>, link_mbps: u32) -> Self {
         Self {
             host,
             zone,
+            link_mbps,
             candidates: Vec::new(),
             excluded: HashMap::new(),
         }
@@ -65,13 +69,14 @@
     /// Replaces the candidates. `members` are all gateways, including those of other zones and this
     /// one.
     pub fn set_members(&mut self, members: &[RelayMember]) {
-        let own = rank(&self.host);
+        let own = rank(&self.host, self.link_mbps);
+        let rank_of = |m: &RelayMember| rank(&m.host, m.link_mbps);
         let mut predecessors: Vec<_> = members
             .iter()
-            .filter(|m| m.zone == self.zone && rank(&m.host) < own)
+            .filter(|m| m.zone == self.zone && rank_of(m) < own)
             .cloned()
             .collect();
-        predecessors.sort_by(|a, b| rank(&a.host).cmp(&rank(&b.host)));
+        predecessors.sort_by_key(rank_of);
         let parent = predecessors.len().checked_sub(1).map(|last| last / FAN_OUT);
         let parent = parent.map(|index| predecessors.remove(index));
         predecessors.sort_by_key(|m| rendezvous_weight(&self.host, &m.host));
@@ -136,9 +141,12 @@
     }
 }
 
-/// Position in the order of all gateways. The host name breaks ties between equal hashes.
-fn rank(host: &str) -> (u64, &str) {
-    (xxh3_64_with_seed(host.as_bytes(), 0), host)
+/// Position in the order of all gateways: those with the fastest links first, since a document passes through them to
+/// the others. The host name breaks ties between equal hashes. An entry that gives no link puts its gateway behind its
+/// own view of itself, which cannot make a cycle.
+fn rank(host: &Arc<str>, link_mbps: u32) -> (Reverse<u32>, u64, Arc<str>) {
+    let hash = xxh3_64_with_seed(host.as_bytes(), 0);
+    (Reverse(link_mbps), hash, Arc::clone(host))
 }
 
 /// Sort key that differs between followers, so that they spread over the candidates.
--- a/crates/turmericloft/src/core/traffic/mod.rs
+++ b/crates/turmericloft/src/core/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! Traffic rules that operators set: routes, traffic splits, services,
 //! organisations and request limits.
 
+mod document_changes;
 mod organisation;
 mod organisation_table;
 mod request_limits;
@@ -14,6 +15,7 @@
 mod traffic_document;
 
 pub use self::{
+    document_changes::{ChangesError, DocumentChanges},
     organisation::{KeyDigest, Organisation},
     organisation_table::OrganisationTable,
     request_limits::RequestLimits,
--- a/crates/turmericloft/src/ops/relay/active_document.rs
+++ b/crates/turmericloft/src/ops/relay/active_document.rs
@@ -2,7 +2,10 @@
 //! version is the newest one.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -12,15 +15,16 @@
 use crate::{
     core::{
         key_lease::NewestDocument,
-        relay::{DocumentAsOf, DocumentFreshness, DocumentTimings},
-        traffic::{RouteTable, TrafficDocument},
+        placement::RegistryPosition,
+        relay::{
+            DocumentAsOf, DocumentFreshness, DocumentHistory, DocumentTimings, RelayedDocument,
+            RelayedDocumentError,
+        },
+        traffic::{DocumentChanges, RouteTable, TrafficDocument},
     },
-    util::host_clock::HostClock,
+    util::{error_chain, host_clock::HostClock},
 };
 
-/// Maximum number of routes of a relayed document. Such a document has some tens of kilobytes.
-const MAX_RELAYED_ROUTES: usize = 200;
-
 /// Published document as a route table; `None` until there is one.
 pub type PublishedDocument = Option<Arc<RouteTable>>;
 
@@ -39,6 +43,21 @@
     newest: watch::Sender<NewestDocument>,
     /// Notified after every confirmation of the newest version.
     confirmed: watch::Sender<()>,
+    /// Position in the document's topic up to which the newest known version is the newest one.
+    position: Mutex<RegistryPosition>,
+    /// How the active document came about.
+    history: Mutex<DocumentHistory>,
+    /// The last one that a follower got, which the next one mostly gets too.
+    relayed: Mutex<Option<RelayedTo>>,
+    /// Whether relayed changes did not apply, so that the whole document is needed.
+    needs_whole: AtomicBool,
+}
+
+/// A document that was relayed to a follower with the version `base`.
+#[derive(Clone, Debug)]
+struct RelayedTo {
+    base: u64,
+    document: RelayedDocument,
 }
 
 impl ActiveDocument {
@@ -53,6 +72,10 @@
             freshness: Mutex::new(DocumentFreshness::new(timings)),
             newest: watch::Sender::new(NewestDocument::default()),
             confirmed: watch::Sender::new(()),
+            position: Mutex::default(),
+            history: Mutex::default(),
+            relayed: Mutex::new(None),
+            needs_whole: AtomicBool::new(false),
         }
     }
 
@@ -72,7 +95,13 @@
             let before = active.as_ref().map(|t| t.document().version);
             let is_newer = before.is_none_or(|before| before < version);
             if is_newer {
-                *active = Some(Arc::new(RouteTable::new(document)));
+                let table = RouteTable::new(document);
+                if let Some(before) = active {
+                    let mut history = self.history.lock();
+                    history.record(before.document(), table.document());
+                }
+                *active = Some(Arc::new(table));
+                self.needs_whole.store(false, Ordering::Release);
             }
             is_newer
         });
@@ -103,7 +132,7 @@
     }
 
     /// Records that a version exists.
-    pub(super) fn record_version(&self, version: u64) {
+    pub fn record_version(&self, version: u64) {
         self.newest_version.send_if_modified(|newest| {
             let is_newer = *newest < version;
             *newest = (*newest).max(version);
@@ -138,12 +167,81 @@
         });
     }
 
-    /// The active document, if it is newer than `version` and small enough to be relayed.
-    pub(super) fn newer_than(&self, version: u64) -> Option<TrafficDocument> {
-        let table = self.published.borrow();
-        let document = table.as_ref()?.document();
-        let is_small = document.routes.len() <= MAX_RELAYED_ROUTES;
-        (document.version > version && is_small).then(|| document.clone())
+    /// Takes a document that an upstream has relayed, if it is newer than the active one.
+    pub(super) fn receive(&self, relayed: &RelayedDocument) {
+        if self.version() >= Some(relayed.version) {
+            return;
+        }
+        let active = self.published.borrow().clone();
+        match relayed.unpack(active.as_ref().map(|t| t.document())) {
+            Ok(document) => self.publish(document),
+            Err(e) => {
+                log::warn!(
+                    "relayed document ignored version={} cause=\"{}\"",
+                    relayed.version,
+                    error_chain::one_line(&e)
+                );
+                self.needs_whole.store(true, Ordering::Release);
+            }
+        }
+    }
+
+    /// Version to which an upstream may send changes; 0 if the whole document is needed.
+    pub(super) fn base_for_changes(&self) -> u64 {
+        let needs_whole = self.needs_whole.load(Ordering::Acquire);
+        self.version().filter(|_| !needs_whole).unwrap_or_default()
+    }
+
+    /// The active document for a follower that has the version `base`, if it is newer.
+    pub(super) fn newer_than(&self, base: u64) -> Option<RelayedDocument> {
+        let table = self.published.borrow().clone()?;
+        let document = table.document();
+        if document.version <= base {
+            return None;
+        }
+        let mut relayed = self.relayed.lock();
+        let last = relayed.as_ref();
+        let last = last.filter(|last| last.document.version == document.version);
+        let last = last.filter(|last| last.base == base);
+        if let Some(last) = last {
+            return Some(last.document.clone());
+        }
+        let packed = self.pack(document, base);
+        let packed = packed.inspect_err(|e| {
+            log::warn!("cannot relay the document: {}", error_chain::one_line(e));
+        });
+        let document = packed.ok()?;
+        *relayed = Some(RelayedTo {
+            base,
+            document: document.clone(),
+        });
+        Some(document)
+    }
+
+    fn pack(
+        &self,
+        document: &TrafficDocument,
+        base: u64,
+    ) -> Result<RelayedDocument, RelayedDocumentError> {
+        let steps = self.history.lock().since(base);
+        let is_newest = |steps: &Vec<DocumentChanges>| {
+            steps.last().map(DocumentChanges::version) == Some(document.version)
+        };
+        match steps.filter(is_newest) {
+            Some(steps) => RelayedDocument::changes(document.version, &steps),
+            None => RelayedDocument::whole(document),
+        }
+    }
+
+    /// Position in the document's topic up to which the newest known version is the newest one.
+    pub fn position(&self) -> RegistryPosition {
+        *self.position.lock()
+    }
+
+    /// Records that position; it never moves back.
+    pub fn record_position(&self, position: RegistryPosition) {
+        let mut known = self.position.lock();
+        *known = position.max(*known);
     }
 
     /// Whether a newer document than the active one is known to exist.
@@ -161,6 +259,16 @@
         }
     }
 
+    /// Waits until no newer document than the active one is known to exist.
+    pub async fn wait_until_newest(&self) {
+        let mut published = self.published.subscribe();
+        while self.is_outdated() {
+            if published.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Records that a read which started at `read_started` found no newer document than the newest known
     /// version, which has to be recorded before.
     pub fn confirm(&self, read_started: Instant) {
--- a/crates/turmericloft/src/ops/relay/follower_connection.rs
+++ b/crates/turmericloft/src/ops/relay/follower_connection.rs
@@ -139,6 +139,9 @@
         let poll = &mut self.poll;
         poll.from = poll.from.max(response.next);
         poll.document_version = poll.document_version.max(response.document_version);
+        if let Some(document) = &response.document {
+            poll.active_version = poll.active_version.max(document.version);
+        }
         poll.evacuation = poll.evacuation.max(response.evacuation.changed_at);
     }
 }
--- a/crates/turmericloft/src/ops/relay/hub_messages.rs
+++ b/crates/turmericloft/src/ops/relay/hub_messages.rs
@@ -12,6 +12,7 @@
             host: Arc::clone(host),
             from: self.next_position(),
             document_version: self.document.newest_version(),
+            active_version: self.document.base_for_changes(),
             evacuation: self.evacuation.changed_at(),
             awaits_current,
         }
@@ -25,9 +26,10 @@
         self.evacuation
             .apply_relayed(std::mem::take(&mut response.evacuation));
         if let Some(document) = response.document.take() {
-            self.publish_document(document);
+            self.document.receive(&document);
         }
         self.document.record_version(response.document_version);
+        self.document.record_position(response.document_position);
         if let Some(as_of) = response.document_as_of {
             self.document.confirm_relayed(polled_at, as_of);
         }
@@ -57,11 +59,13 @@
     /// The response to a poll that arrived at `received`.
     pub(super) fn response(&self, poll: &RelayPoll, received: Instant) -> RelayResponse {
         let mut response = self.view.lock().response(self.now(), received, poll);
+        // Before the version: what is recorded in between is newer than the position.
+        response.document_position = self.document.position();
         response.document_version = self.document.newest_version();
         response.document_as_of = self.document.relayed_as_of(received);
         // After the confirmation: it covers the zones that were read before it.
         response.evacuation = self.evacuation.list();
-        response.document = self.document.newer_than(poll.document_version);
+        response.document = self.document.newer_than(poll.active_version);
         response
     }
 
@@ -71,6 +75,7 @@
         let mut zones_changed = self.evacuation.changes();
         loop {
             let is_newer = *newest_version.borrow_and_update() > poll.document_version
+                || self.document.version() > Some(poll.active_version)
                 || *zones_changed.borrow_and_update() > poll.evacuation;
             // The follower gives up a gateway that responds without being current, unless it awaits that.
             let may_respond = poll.awaits_current || self.is_current();
@@ -89,8 +94,11 @@
     /// What to tell a follower whose earliest poll without a response arrived at `received`, between two responses.
     pub(super) fn notice(&self, received: Instant) -> Option<DocumentNotice> {
         let as_of = self.document.relayed_as_of(received)?;
+        // Before the version: what is recorded in between is newer than the position.
+        let position = self.document.position();
         Some(DocumentNotice {
             version: self.document.newest_version(),
+            position,
             // After the confirmation: it covers the zones that were read before it.
             evacuation: self.evacuation.list(),
             as_of,
@@ -101,11 +109,13 @@
     pub(super) fn apply_notice(&self, polled_at: Instant, notice: DocumentNotice) {
         let DocumentNotice {
             version,
+            position,
             evacuation,
             as_of,
         } = notice;
         self.evacuation.apply_relayed(evacuation);
         self.document.record_version(version);
+        self.document.record_position(position);
         self.document.confirm_relayed(polled_at, as_of);
     }
 }
--- a/crates/turmericloft/tests/testsuite/handover.rs
+++ b/crates/turmericloft/tests/testsuite/handover.rs
@@ -23,6 +23,7 @@
         zone: ["a", "b", "c"][i % 3].into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         datagram_port: None,
+        link_mbps: 1_000,
     };
     (0..count).map(member).collect()
 }
--- a/crates/turmericloft/tests/testsuite/ingress/handover/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/fleet.rs
@@ -180,6 +180,7 @@
         zone: ZONES[number % ZONES.len()].into(),
         address,
         datagram_port: None,
+        link_mbps: 1_000,
     }
 }
 
--- a/crates/turmericloft/tests/testsuite/relay/mod.rs
+++ b/crates/turmericloft/tests/testsuite/relay/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod connections;
 mod crash_reports;
+mod document_changes;
 mod document_freshness;
 mod read_pace;
 mod recovery;
@@ -21,6 +22,8 @@
 };
 
 /// Time within which every gateway has to know that an endpoint is draining.
+/// Link of each host.
+const LINK_MBPS: u32 = 1_000;
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
 pub(crate) fn timings() -> RelayTimings {
@@ -33,6 +36,7 @@
         drain_time,
         config_deadline: drain_time,
         stability_window: drain_time.mul_f64(1.5),
+        link_bytes_per_second: 125_000_000,
     })
 }
 
@@ -42,6 +46,7 @@
         zone: zone.into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         datagram_port: None,
+        link_mbps: LINK_MBPS,
     }
 }
 
--- a/crates/turmericloft/tests/testsuite/relay/view.rs
+++ b/crates/turmericloft/tests/testsuite/relay/view.rs
@@ -17,6 +17,7 @@
         host: "follower".into(),
         from,
         document_version: 0,
+        active_version: 0,
         evacuation: RegistryPosition::default(),
         awaits_current: false,
     }
@@ -52,6 +53,7 @@
         changes: Vec::new(),
         document_version: 0,
         document_as_of: None,
+        document_position: RegistryPosition::default(),
         evacuation: EvacuationList::default(),
         document: None,
     }
