A stopping gateway refuses requests that it would have to cut off

Reported by operators of systems like this one: in a planned stop requests that came late in the grace period were passed on and cut at its end.

It happened here. A request that became complete after idle connections were closed, and whose client waited longer than the gateway could, was sent to an endpoint with the shorter deadline and got 504 at the end; an at-most-once request can't be repeated then.

--- a/crates/turmericloft/src/core/drain/drain_plan.rs
+++ b/crates/turmericloft/src/core/drain/drain_plan.rs
@@ -46,8 +46,11 @@
         }
     }
 
-    /// Deadline of a request that arrives while the gateway stops.
-    pub fn bound(&self, deadline: Instant) -> Instant {
-        deadline.min(self.latest_deadline)
+    /// Deadline of a request that arrives while the gateway stops, and whose client waits until `deadline`; `None` if it
+    /// is refused. From the closing of idle connections on the stop would cut off work that its client still waits for.
+    pub fn bound(&self, arrived: Instant, deadline: Instant) -> Option<Instant> {
+        let is_cut_short = deadline > self.latest_deadline;
+        let is_late = arrived >= self.close_idle_at;
+        (!(is_late && is_cut_short)).then(|| deadline.min(self.latest_deadline))
     }
 }
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -72,7 +72,9 @@
     let Some(service) = ingress.next_service(&route) else {
         return ClientResponse::Gateway(GatewayResponse::NoRoute);
     };
-    let deadline = ingress.bound_deadline(arrived + timeout);
+    let Some(deadline) = ingress.bound_deadline(arrived, arrived + timeout) else {
+        return ClientResponse::Gateway(GatewayResponse::Ending);
+    };
     let forwarded = Arc::new(ForwardedRequest::new(
         req,
         id,
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -208,10 +208,17 @@
         self.stopping.cancel();
     }
 
-    /// Deadline of a request whose client waits until `deadline`.
-    pub(super) fn bound_deadline(&self, deadline: Instant) -> Instant {
+    /// Deadline of a request that arrived at `arrived` and whose client waits until `deadline`; `None` if the gateway
+    /// stops too soon for it.
+    pub(super) fn bound_deadline(&self, arrived: Instant, deadline: Instant) -> Option<Instant> {
         let plan = self.drain_plan.get();
-        plan.map_or(deadline, |plan| plan.bound(deadline))
+        plan.map_or(Some(deadline), |plan| plan.bound(arrived, deadline))
+    }
+
+    /// Version of the document by which requests are handled; `None` without one.
+    pub fn document_version(&self) -> Option<u64> {
+        let table = self.table.load();
+        table.as_ref().map(|t| t.document().version)
     }
 
     /// The connections of clients and other gateways.
--- a/crates/turmericloft/tests/testsuite/drain.rs
+++ b/crates/turmericloft/tests/testsuite/drain.rs
@@ -23,11 +23,17 @@
 
     /// Guards against a request that is sent to an endpoint for longer than the gateway can wait.
     #[test]
-    fn request_of_a_stopping_gateway_ends_before_its_last_responses_are_sent(timeout_ms in 0_u64..60_000) {
+    fn request_of_a_stopping_gateway_ends_before_its_last_responses_are_sent(
+        arrived_ms in 0_u64..6_000,
+        timeout_ms in 0_u64..60_000,
+    ) {
         let now = Instant::now();
         let plan = DrainPlan::new(now, Duration::from_secs(6));
-        let deadline = now + Duration::from_millis(timeout_ms);
-        prop_assert_eq!(plan.bound(deadline), deadline.min(plan.latest_deadline));
+        let arrived = now + Duration::from_millis(arrived_ms);
+        let deadline = arrived + Duration::from_millis(timeout_ms);
+        let bound = deadline.min(plan.latest_deadline);
+        let is_refused = arrived >= plan.close_idle_at && bound < deadline;
+        prop_assert_eq!(plan.bound(arrived, deadline), (!is_refused).then_some(bound));
     }
 }
 
