An upstream that relays an unusable document is excluded, and the document is read from the store

A follower whose changes did not apply asked for the whole document by saying that it had none. An upstream with an older document than the follower's then answered each poll at once with what the follower had no use for. Now the follower always states its version, gives up the upstream and reads the store; changes that a read of its own has overtaken are left out.

--- a/crates/turmericloft/src/core/relay/relayed_document.rs
+++ b/crates/turmericloft/src/core/relay/relayed_document.rs
@@ -59,11 +59,6 @@
         Ok(Self { version, content })
     }
 
-    /// Whether it applies to any version.
-    pub fn is_whole(&self) -> bool {
-        matches!(self.content, Content::Whole(_))
-    }
-
     /// Number of bytes that are sent.
     pub fn bytes(&self) -> usize {
         let (Content::Whole(bytes) | Content::Changes(bytes)) = &self.content;
--- a/crates/turmericloft/src/ops/relay/active_document.rs
+++ b/crates/turmericloft/src/ops/relay/active_document.rs
@@ -2,10 +2,7 @@
 //! version is the newest one.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -20,7 +17,7 @@
             DocumentAsOf, DocumentFreshness, DocumentHistory, DocumentTimings, RelayedDocument,
             RelayedDocumentError,
         },
-        traffic::{DocumentChanges, RouteTable, TrafficDocument},
+        traffic::{ChangesError, DocumentChanges, RouteTable, TrafficDocument},
     },
     util::{error_chain, host_clock::HostClock},
 };
@@ -49,8 +46,6 @@
     history: Mutex<DocumentHistory>,
     /// The last one that a follower got, which the next one mostly gets too.
     relayed: Mutex<Option<RelayedTo>>,
-    /// Whether relayed changes did not apply, so that the whole document is needed.
-    needs_whole: AtomicBool,
 }
 
 /// A document that was relayed to a follower with the version `base`.
@@ -75,7 +70,6 @@
             position: Mutex::default(),
             history: Mutex::default(),
             relayed: Mutex::new(None),
-            needs_whole: AtomicBool::new(false),
         }
     }
 
@@ -101,7 +95,6 @@
                     history.record(before.document(), table.document());
                 }
                 *active = Some(Arc::new(table));
-                self.needs_whole.store(false, Ordering::Release);
             }
             is_newer
         });
@@ -167,31 +160,31 @@
         });
     }
 
-    /// Takes a document that an upstream has relayed, if it is newer than the active one.
-    pub(super) fn receive(&self, relayed: &RelayedDocument) {
+    /// Takes a document that an upstream has relayed, if it is newer than the active one. Returns false if the upstream
+    /// relays what cannot be used.
+    pub(super) fn receive(&self, relayed: &RelayedDocument) -> bool {
         if self.version() >= Some(relayed.version) {
-            return;
+            return true;
         }
         let active = self.published.borrow().clone();
         match relayed.unpack(active.as_ref().map(|t| t.document())) {
-            Ok(document) => self.publish(document),
+            Ok(document) => {
+                self.publish(document);
+                true
+            }
+            // This gateway has got a later version since its poll, which the next one states.
+            Err(RelayedDocumentError::Changes(ChangesError::OtherBase { .. })) => true,
             Err(e) => {
                 log::warn!(
                     "relayed document ignored version={} cause=\"{}\"",
                     relayed.version,
                     error_chain::one_line(&e)
                 );
-                self.needs_whole.store(true, Ordering::Release);
+                false
             }
         }
     }
 
-    /// Version to which an upstream may send changes; 0 if the whole document is needed.
-    pub(super) fn base_for_changes(&self) -> u64 {
-        let needs_whole = self.needs_whole.load(Ordering::Acquire);
-        self.version().filter(|_| !needs_whole).unwrap_or_default()
-    }
-
     /// The active document for a follower that has the version `base`, if it is newer.
     pub(super) fn newer_than(&self, base: u64) -> Option<RelayedDocument> {
         let table = self.published.borrow().clone()?;
--- a/crates/turmericloft/src/ops/relay/hub_messages.rs
+++ b/crates/turmericloft/src/ops/relay/hub_messages.rs
@@ -12,22 +12,21 @@
             host: Arc::clone(host),
             from: self.next_position(),
             document_version: self.document.newest_version(),
-            active_version: self.document.base_for_changes(),
+            active_version: self.document.version().unwrap_or_default(),
             evacuation: self.evacuation.changed_at(),
             awaits_current,
         }
     }
 
     /// Applies the response to the poll that was sent at `polled_at`. Returns false if the upstream
-    /// does not know the present era of the registry.
+    /// does not know the present era of the registry, or relays a document that cannot be used.
     pub(super) fn apply_response(&self, polled_at: Instant, mut response: RelayResponse) -> bool {
         *self.upstream_heard_at.lock() = Some(self.now());
         // Before the document, so that no confirmation precedes the zones that were read with it.
         self.evacuation
             .apply_relayed(std::mem::take(&mut response.evacuation));
-        if let Some(document) = response.document.take() {
-            self.document.receive(&document);
-        }
+        let document = response.document.take();
+        let is_usable = document.is_none_or(|document| self.document.receive(&document));
         self.document.record_version(response.document_version);
         self.document.record_position(response.document_position);
         if let Some(as_of) = response.document_as_of {
@@ -35,7 +34,7 @@
         }
         let mut is_accepted = false;
         self.update_view(|view, now| {
-            is_accepted = view.accepts(&response);
+            is_accepted = is_usable && view.accepts(&response);
             view.apply_response(now, polled_at, &response)
         });
         self.view_updated.send_replace(());
