--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -11,6 +11,7 @@
 mod gateway;
 mod handover;
 mod hedges;
+mod late_arrivals;
 mod organisations;
 mod owed;
 mod pipelining;
--- a/crates/turmericloft/tests/testsuite/ingress/owed.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/owed.rs
@@ -10,7 +10,6 @@
     sync::Semaphore,
 };
 use turmericloft::{
-    core::traffic::RouteTable,
     ops::ingress::{ConnectionStage, ConnectionWork, DrainEnd},
     sources::http1::{ReaderLimits, RequestReader, Response, ResponseLimits, ResponseReader},
     util::host_clock::HostClock,
@@ -18,11 +17,11 @@
 
 use super::{
     client::{Client, request},
-    gateway::{Gateway, document, settings},
+    gateway::{Gateway, settings},
 };
 
 /// Body that does not fit into the buffers of the kernel, in bytes.
-const LARGE_BODY: usize = 12 << 20;
+pub(super) const LARGE_BODY: usize = 12 << 20;
 /// Bytes of a response that the client's kernel may have and the client has not read, at most.
 const UNACKNOWLEDGED_BYTES: usize = 256 << 10;
 /// Bytes that a client reads at once.
@@ -34,7 +33,7 @@
 /// Time after the stop at which idle connections are closed, and a little more.
 const AFTER_IDLE_CLOSE: Duration = Duration::from_millis(2_900);
 /// Grace period that is longer than any test runs.
-const GRACE_PERIOD: Duration = Duration::from_secs(300);
+pub(super) const GRACE_PERIOD: Duration = Duration::from_secs(300);
 /// A grace period within which no timeout of a client is reached.
 const SHORT_GRACE_PERIOD: Duration = Duration::from_secs(2);
 /// Part of the grace period after which open requests have got a response of the gateway, before it ends.
@@ -46,10 +45,10 @@
 };
 
 /// An endpoint that responds with a large body once it is released.
-struct LargeEndpoint {
+pub(super) struct LargeEndpoint {
     address: SocketAddr,
-    arrived: Arc<Semaphore>,
-    release: Arc<Semaphore>,
+    pub(super) arrived: Arc<Semaphore>,
+    pub(super) release: Arc<Semaphore>,
 }
 
 impl LargeEndpoint {
@@ -94,15 +93,15 @@
 }
 
 /// A gateway with a client, and an endpoint that holds its requests.
-struct World {
-    endpoint: LargeEndpoint,
-    gateway: Gateway,
+pub(super) struct World {
+    pub(super) endpoint: LargeEndpoint,
+    pub(super) gateway: Gateway,
     clock: HostClock,
     client: TcpStream,
 }
 
 impl World {
-    async fn start() -> Self {
+    pub(super) async fn start() -> Self {
         Self::start_with_grace_period(GRACE_PERIOD).await
     }
 
@@ -128,7 +127,7 @@
         world
     }
 
-    async fn send(&mut self, text: &str) {
+    pub(super) async fn send(&mut self, text: &str) {
         let sent = self.client.write_all(text.as_bytes()).await;
         sent.expect("the gateway reads");
     }
@@ -186,7 +185,7 @@
         assert_eq!((response.status, response.body.len()), (200, LARGE_BODY));
     }
 
-    async fn response(&mut self) -> Response {
+    pub(super) async fn response(&mut self) -> Response {
         let limits = ResponseLimits {
             body_bytes: 2 * LARGE_BODY,
             budget: None,
@@ -202,14 +201,14 @@
         }
     }
 
-    async fn wait_for_document(&self, version: u64) {
+    pub(super) async fn wait_for_document(&self, version: u64) {
         let mut prober = Client::connect(self.gateway.ready).await;
         while self.gateway.ingress.document_version() != Some(version) {
             prober.call("GET", "/ready", "q").await;
         }
     }
 
-    async fn wait_for_stage(&self, stage: ConnectionStage) {
+    pub(super) async fn wait_for_stage(&self, stage: ConnectionStage) {
         let mut prober = Client::connect(self.gateway.ready).await;
         while !self.is_in(stage) {
             prober.call("GET", "/ready", "q").await;
@@ -222,7 +221,7 @@
     }
 
     /// Stops the gateway, `after` ago.
-    async fn stop(&self, after: Duration) {
+    pub(super) async fn stop(&self, after: Duration) {
         self.gateway.stop.cancel();
         let mut prober = Client::connect(self.gateway.ready).await;
         while prober.call("GET", "/ready", "q").await.status == 200 {}
@@ -281,50 +280,6 @@
     assert_eq!(world.response().await.status, 502);
 }
 
-/// Time after the stop at which a request has less time left than its client allows it.
-const LATE_IN_GRACE_PERIOD: Duration = Duration::from_secs(260);
-
-/// Time after the stop at which a request has all the time that its client allows it, and idle connections are closed.
-const EARLY_IN_GRACE_PERIOD: Duration = Duration::from_secs(20);
-
-/// Completes a request so long after the stop whose first bytes arrived before it, and returns the response.
-async fn response_after_stop(world: &mut World, req: &str, after: Duration) -> Response {
-    let mut document = document(2);
-    document.limits.head_timeout = GRACE_PERIOD;
-    let table = Arc::new(RouteTable::new(document));
-    world.gateway.documents.send_replace(Some(table));
-    world.wait_for_document(2).await;
-    world.send(&req[..20]).await;
-    world.wait_for_stage(ConnectionStage::Receiving).await;
-    world.stop(after).await;
-    world.send(&req[20..]).await;
-    world.response().await
-}
-
-/// Guards against a gateway that refuses whatever arrives while it stops.
-#[tokio::test]
-async fn request_that_can_end_within_the_grace_period_is_served_by_a_stopping_gateway() {
-    let mut world = World::start().await;
-    world.endpoint.release.add_permits(1);
-    let req = request("POST", "/act/1", "r0");
-    let response = response_after_stop(&mut world, &req, EARLY_IN_GRACE_PERIOD).await;
-    assert_eq!((response.status, response.body.len()), (200, LARGE_BODY));
-}
-
-/// Requests that became complete late in the grace period were sent to an endpoint, and cut off at its end.
-#[tokio::test]
-async fn request_that_arrives_late_in_the_grace_period_is_refused_and_never_sent() {
-    for (method, target) in [("GET", "/read/1"), ("POST", "/act/1")] {
-        let mut world = World::start().await;
-        let req = request(method, target, "r0");
-        let response = response_after_stop(&mut world, &req, LATE_IN_GRACE_PERIOD).await;
-        assert_eq!(response.status, 503, "{method}");
-        assert!(response.headers.contains_token("Connection", "close"));
-        assert!(response.headers.contains("Retry-After"));
-        assert_eq!(world.endpoint.arrived.available_permits(), 0, "{method}");
-    }
-}
-
 /// More requests than the endpoint has slots: some are at the endpoint, which never responds, and others wait.
 #[tokio::test]
 async fn requests_that_wait_at_the_end_of_the_grace_period_are_refused_and_never_sent() {
