--- a/review/harness/case1.rs
+++ b/review/harness/case1.rs
@@ -29,7 +29,7 @@
 const CONFIG: &str = "{\"version\":3,\"routes\":{\
 \"booking\":{\"host\":\"station.example\",\"pathPrefix\":\"/booking/\",\"routeType\":\"unsafe\",\"timeoutS\":1,\
 \"targetLatencyS\":0.4,\"priority\":1,\"service\":\"bookings\",\"maxAttempts\":2},\
-\"logs\":{\"host\":\"station.example\",\"pathPrefix\":\"/logs/\",\"routeType\":\"upload\",\"timeoutS\":4,\
+\"logs\":{\"host\":\"station.example\",\"pathPrefix\":\"/logs/\",\"routeType\":\"unsafe\",\"timeoutS\":4,\
 \"targetLatencyS\":2,\"priority\":2,\"service\":\"logs\",\"maxAttempts\":2}},\
 \"services\":{\"bookings\":{\"healthPath\":\"/health\",\"maxConnections\":260},\
 \"logs\":{\"healthPath\":\"/health\",\"maxConnections\":260}},\
