A request that crashes all endpoints stays in quarantine

Cause: while all endpoints are down, a gateway takes itself for cut off from them. It then dropped all crashes since the last response, for good and at all gateways. Whether all endpoints or the network failed cannot be told from the failures.

Now being cut off clears nothing, and crashes are recorded all the while. A crash is dropped, alone, when its endpoint responds after it in the same incarnation: that is what tells a crash from a cut. So a sound path whose connections were reset is served again once the endpoints are heard, where it was refused for a minute.

Failed before: crash_claims::request_that_crashed_all_endpoints_is_not_sent_to_their_next_incarnations (502, not 503), path_whose_connections_were_reset_is_served_again_once_the_endpoints_are_heard (503, not 200) and gateway_that_is_cut_off_does_not_erase_the_crashes_that_others_saw (Allowed, not Refused).

Found by the new tests on the way: a request of which all crashes were cleared without a response was forgotten, with what was cleared, so that a late report brought the crashes back. It is remembered like others now.

--- a/crates/turmericloft/src/core/quarantine/crash_history.rs
+++ b/crates/turmericloft/src/core/quarantine/crash_history.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    Crash, CrashId,
+    Crash, CrashId, Survivor,
     crash_reports::{CrashReport, ReportedCrash},
 };
 use crate::core::{guard::Fingerprint, placement::InstanceId};
@@ -39,6 +39,8 @@
     /// Crashes that a response has cleared, and that late reports must not bring back. The latest are
     /// at the end.
     cleared: Vec<CrashId>,
+    /// When an endpoint was last known to have survived a crash.
+    survived_at: Option<Instant>,
 }
 
 impl CrashHistory {
@@ -88,16 +90,27 @@
         is_first || !cleared.is_empty()
     }
 
-    /// Drops the crashes from `since` on, of which the network was the cause. Returns whether there were any.
-    pub(super) fn clear_since(&mut self, since: Instant) -> bool {
-        let crashes = self.crashes.iter().filter(|c| c.crash.at >= since);
+    /// Drops the crashes that an endpoint has survived. Returns whether there were any.
+    pub(super) fn clear_survived(&mut self, survivor: &Survivor) -> bool {
+        let is_survived = |c: &Crash| {
+            c.endpoint == survivor.endpoint && survivor.since <= c.at && c.at < survivor.until
+        };
+        let crashes = self.crashes.iter().filter(|c| is_survived(&c.crash));
         let ids: Vec<_> = crashes.map(|c| c.id).collect();
         for id in &ids {
             self.clear_crash(*id);
         }
+        if !ids.is_empty() {
+            self.survived_at = self.survived_at.max(Some(survivor.until));
+        }
         !ids.is_empty()
     }
 
+    /// The crashes since the last response.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().map(|c| &c.crash)
+    }
+
     /// Drops one crash for good. Returns false if that is already done.
     fn clear_crash(&mut self, id: CrashId) -> bool {
         if self.cleared.contains(&id) {
@@ -159,9 +172,10 @@
         self.crashes.iter().map(|c| c.crash.at).max()
     }
 
-    /// Time of the latest crash or response.
+    /// Time of the latest crash or response, or of the latest sign that there was no crash.
     pub(super) fn last_change(&self) -> Option<Instant> {
-        self.last_crash().max(self.responded_at)
+        let last = self.last_crash().max(self.responded_at);
+        last.max(self.survived_at)
     }
 
     pub(super) fn report(&self, now: Instant, request: Fingerprint) -> CrashReport {
@@ -190,6 +204,9 @@
         for id in report.cleared {
             is_changed |= self.clear_crash(id);
         }
+        if is_changed {
+            self.survived_at = Some(now);
+        }
         if let Some(responded_at) = report.response_age.and_then(before) {
             is_changed |= self.merge_response(responded_at);
         }
--- a/crates/turmericloft/src/core/quarantine/mod.rs
+++ b/crates/turmericloft/src/core/quarantine/mod.rs
@@ -7,7 +7,8 @@
 //!
 //! An endpoint that crashes for another reason breaks off sound requests too. They are told apart
 //! by the order of events: one of the crashes has to be of a copy that was sent after the crash of
-//! another, since endpoints which are lost together are no reason, and any success clears the request.
+//! another, since endpoints which are lost together are no reason, and any success clears the request. A crash is
+//! dropped, and only this one, when its endpoint turns out to have survived it.
 
 mod abandoned_attempts;
 mod crash;
@@ -17,6 +18,7 @@
 mod quarantine_change;
 mod request_quarantine;
 mod stored_crashes;
+mod suspected_endpoints;
 mod watched_endpoint;
 
 pub use self::{
@@ -27,4 +29,5 @@
     quarantine_change::{QuarantineChange, QuarantineEvent, RequestCondition},
     request_quarantine::{RequestQuarantine, SendDecision},
     stored_crashes::StoredCrashes,
+    suspected_endpoints::{Survivor, SuspectedCrash, SuspectedEndpoints},
 };
--- a/crates/turmericloft/src/core/quarantine/quarantine_change.rs
+++ b/crates/turmericloft/src/core/quarantine/quarantine_change.rs
@@ -14,8 +14,8 @@
     Response,
     /// Another gateway reported crashes or a response.
     Report,
-    /// This gateway turned out to be cut off from all endpoints when they seemed to crash.
-    CutOff,
+    /// An endpoint that was said to have crashed has survived.
+    Survival,
 }
 
 /// What is known of one request at one moment.
--- a/crates/turmericloft/src/core/quarantine/request_quarantine.rs
+++ b/crates/turmericloft/src/core/quarantine/request_quarantine.rs
@@ -11,9 +11,10 @@
 
 use super::{
     Crash, CrashId, CrashReport, CrashReports, QuarantineChange, QuarantineEvent, RequestCondition,
+    Survivor, SuspectedCrash,
     crash_history::{CrashHistory, KnownCrash},
 };
-use crate::core::{guard::Fingerprint, relay::delay_of_host};
+use crate::core::{guard::Fingerprint, placement::InstanceId, relay::delay_of_host};
 
 /// Time over which the gateways spread the end of a quarantine, so that the first one to send the
 /// request can tell the others that it still crashes endpoints.
@@ -117,17 +118,39 @@
         self.change(now, *request, event, |history| history.clear(now))
     }
 
-    /// Drops the crashes since `since`, as no endpoint could be reached from then on: connections ended because of
-    /// the network. Returns what changed, which other gateways have to know.
-    pub fn clear_since(&mut self, now: Instant, since: Instant) -> Vec<QuarantineChange> {
+    /// Drops the crashes that an endpoint has survived. Returns what changed, which other gateways have to know.
+    pub fn clear_survived(&mut self, now: Instant, survivor: &Survivor) -> Vec<QuarantineChange> {
         let requests: Vec<_> = self.requests.keys().copied().collect();
-        let event = QuarantineEvent::CutOff;
+        let event = QuarantineEvent::Survival;
         let changes = requests.into_iter().filter_map(|request| {
-            self.change(now, request, event, |history| history.clear_since(since))
+            self.change(now, request, event, |history| {
+                history.clear_survived(survivor)
+            })
         });
         changes.collect()
     }
 
+    /// The crashes in the table, by endpoint.
+    pub fn suspected_crashes(&self, now: Instant) -> Vec<SuspectedCrash> {
+        let mut suspected: HashMap<&InstanceId, SuspectedCrash> = HashMap::new();
+        for (request, tracked) in &self.requests {
+            let is_decisive = self.condition(now, request).is_quarantined;
+            for crash in tracked.history.iter() {
+                let known = suspected.entry(&crash.endpoint);
+                let known = known.or_insert_with(|| SuspectedCrash {
+                    endpoint: crash.endpoint.clone(),
+                    first_at: crash.at,
+                    last_at: crash.at,
+                    is_decisive,
+                });
+                known.first_at = known.first_at.min(crash.at);
+                known.last_at = known.last_at.max(crash.at);
+                known.is_decisive |= is_decisive;
+            }
+        }
+        suspected.into_values().collect()
+    }
+
     /// Decides whether a request may be sent.
     pub fn decide(&self, now: Instant, request: &Fingerprint) -> SendDecision {
         let Some(history) = self.requests.get(request).map(|r| &r.history) else {
--- a/crates/turmericloft/src/ops/ingress/abandoned_checks.rs
+++ b/crates/turmericloft/src/ops/ingress/abandoned_checks.rs
@@ -44,21 +44,28 @@
 }
 
 async fn check(ingress: Arc<Ingress>, endpoint: DiscoveredEndpoint) {
-    let Some(path) = health_path(&ingress, &endpoint.service) else {
-        return;
-    };
     let asked_at = ingress.now();
-    if !ingress.may_check(&endpoint) || !ingress.try_take_check(asked_at, &endpoint.id) {
-        // The endpoint accepts no further check; its registry entry still tells whether it lives.
-        return;
+    // If the endpoint accepts no further check, its registry entry still tells whether it lives.
+    if let Some(sign) = check_endpoint(&ingress, &endpoint).await {
+        record_sign(&ingress, &endpoint, asked_at, sign);
     }
-    let response = timeout(PROBE_TIMEOUT, send_probe(&ingress, &endpoint, &path)).await;
+}
+
+/// Checks whether an endpoint lives; `None` if it accepts no check.
+pub(super) async fn check_endpoint(
+    ingress: &Ingress,
+    endpoint: &DiscoveredEndpoint,
+) -> Option<EndpointSign> {
+    let path = health_path(ingress, &endpoint.service)?;
+    if !ingress.may_check(endpoint) || !ingress.try_take_check(ingress.now(), &endpoint.id) {
+        return None;
+    }
+    let response = timeout(PROBE_TIMEOUT, send_probe(ingress, endpoint, &path)).await;
     count_probe(matches!(response, Ok(Ok(_))));
-    let sign = match response {
-        Ok(response) => sign_of(&endpoint, &response),
+    Some(match response {
+        Ok(response) => sign_of(endpoint, &response),
         Err(_) => EndpointSign::Silent,
-    };
-    record_sign(&ingress, &endpoint, asked_at, sign);
+    })
 }
 
 fn sign_of(
@@ -99,9 +106,6 @@
 }
 
 fn record_crashes(ingress: &Ingress, now: Instant, crashes: Vec<ConcludedCrash>) {
-    if ingress.is_cut_off() {
-        return;
-    }
     for (request, crash) in crashes {
         let endpoint = crash.endpoint.clone();
         let ran_for = crash.at.saturating_duration_since(crash.sent_at);
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -276,6 +276,9 @@
     let endpoint = &in_flight.placement().endpoint;
     ingress.record_notice(endpoint, metadata.notice);
     let sent_at = in_flight.placement().started_at;
+    if has_id {
+        ingress.record_sign_of_life(&endpoint.id, sent_at);
+    }
     ingress.record_limit(sent_at, endpoint, metadata.limit);
     let is_success = (200..300).contains(&response.status);
     let is_encoded = response.headers.contains("content-encoding");
--- a/crates/turmericloft/src/ops/ingress/contact.rs
+++ b/crates/turmericloft/src/ops/ingress/contact.rs
@@ -135,9 +135,6 @@
             known,
             silent_for,
         }) => {
-            let now = ingress.now();
-            let heard_at = now.checked_sub(silent_for).unwrap_or(now);
-            ingress.quarantine.clear_since(now, heard_at);
             log::warn!(
                 "cut off from all endpoints; requests are handed over failed={failed} known={known} \
              silent_ms={} open_requests={}",
--- a/crates/turmericloft/src/ops/ingress/crash_watch.rs
+++ b/crates/turmericloft/src/ops/ingress/crash_watch.rs
@@ -58,8 +58,6 @@
     let quarantine = &ingress.quarantine;
     let now = ingress.now();
     match end {
-        // The connections of a gateway that is cut off end because of the network.
-        AttemptEnd::Disconnected(_) if ingress.is_cut_off() => {}
         AttemptEnd::Disconnected(crash) => record_crash(ingress, now, forwarded, crash),
         AttemptEnd::Response(response) if is_success(response.status) => {
             forwarded.record_success();
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -44,6 +44,7 @@
 mod settings;
 mod shared;
 mod slow_start;
+mod suspected;
 mod wait;
 
 pub use self::{
--- a/crates/turmericloft/src/ops/ingress/probe.rs
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -156,6 +156,9 @@
     let load = metadata.load;
     let instance = metadata.instance.map(InstanceId::from);
     ingress.record_notice(endpoint, metadata.notice);
+    if instance.as_ref() == Some(&endpoint.id) {
+        ingress.record_sign_of_life(&endpoint.id, sent_at);
+    }
     let is_own = instance.as_ref().is_none_or(|id| *id == endpoint.id);
     if is_own {
         ingress.record_limit(sent_at, endpoint, metadata.limit);
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -21,6 +21,7 @@
     ready::{serve_metrics, serve_readiness},
     settings::IngressSettings,
     shared::{Ingress, IngressFeeds},
+    suspected::follow_suspected,
 };
 
 use crate::{
@@ -106,6 +107,10 @@
         check_abandoned(Arc::clone(&checked))
     });
     let checked = Arc::clone(ingress);
+    tasks.spawn_restarting("watch-suspected", move || {
+        follow_suspected(Arc::clone(&checked))
+    });
+    let checked = Arc::clone(ingress);
     tasks.spawn_restarting("watch-limited", move || check_limited(Arc::clone(&checked)));
     let clock = ingress.clock.clone();
     tasks.spawn_restarting("watch-suspensions", move || {
@@ -217,6 +222,8 @@
             log::info!("endpoints changed count={}", endpoints.len());
             ingress.balancer.lock().set_endpoints(now, &endpoints);
             apply_entries(&ingress, now, &endpoints);
+            ingress.suspected.lock().set_endpoints(now, &endpoints);
+            ingress.suspected_changed.notify_one();
             applied = Some(Arc::clone(&endpoints));
         }
         let registered: HashSet<_> = endpoints.iter().map(|e| &e.id).collect();
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -30,7 +30,7 @@
         placement::{
             Balancer, DiscoveredEndpoint, EndpointNotice, InstanceId, ResponseSizes, WaitQueue,
         },
-        quarantine::AbandonedAttempts,
+        quarantine::{AbandonedAttempts, SuspectedEndpoints},
         quota::Quotas,
         rate_limit::SharingGateways,
         traffic::{Route, RouteTable, Splitter},
@@ -71,6 +71,10 @@
     pub(super) quarantine: Arc<SharedQuarantine>,
     /// Attempts whose end the gateway does not see.
     pub(super) abandoned: Mutex<AbandonedAttempts>,
+    /// Endpoints that are said to have crashed.
+    pub(super) suspected: Mutex<SuspectedEndpoints>,
+    /// Notified when something is due earlier for `suspected`.
+    pub(super) suspected_changed: Notify,
     /// Notified when an attempt is added to `abandoned`.
     pub(super) attempt_abandoned: Notify,
     pub(super) table: ArcSwapOption<RouteTable>,
@@ -167,6 +171,8 @@
             quarantine,
             abandoned: Mutex::default(),
             attempt_abandoned: Notify::new(),
+            suspected: Mutex::default(),
+            suspected_changed: Notify::new(),
             table: ArcSwapOption::empty(),
             keys,
             balancer: Mutex::new(balancer),
--- a/crates/turmericloft/src/ops/shared_quarantine.rs
+++ b/crates/turmericloft/src/ops/shared_quarantine.rs
@@ -11,6 +11,7 @@
         guard::Fingerprint,
         quarantine::{
             Crash, CrashReport, CrashReports, QuarantineChange, RequestQuarantine, SendDecision,
+            Survivor, SuspectedCrash,
         },
     },
     util::{
@@ -76,14 +77,19 @@
         }
     }
 
-    /// Drops the crashes since `since`, from when on no endpoint could be reached.
-    pub fn clear_since(&self, now: Instant, since: Instant) {
-        let changes = self.table.lock().clear_since(now, since);
+    /// Drops the crashes that an endpoint has survived.
+    pub fn clear_survived(&self, now: Instant, survivor: &Survivor) {
+        let changes = self.table.lock().clear_survived(now, survivor);
         for change in changes {
             self.publish(now, &change);
         }
     }
 
+    /// The crashes in the table, by endpoint.
+    pub fn suspected_crashes(&self, now: Instant) -> Vec<SuspectedCrash> {
+        self.table.lock().suspected_crashes(now)
+    }
+
     /// Adds what another gateway reports.
     pub fn merge(&self, now: Instant, reports: Vec<CrashReport>) {
         let changes = self.table.lock().merge(now, reports);
--- a/crates/turmericloft/tests/testsuite/ingress/handover/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/mod.rs
@@ -1,5 +1,6 @@
 //! Gateways that are cut off from all endpoints, between clients and other gateways.
 
+mod crash_claims;
 mod fleet;
 mod helper;
 mod link;
