--- a/crates/turmericloft/src/core/handover/helper_choice.rs
+++ b/crates/turmericloft/src/core/handover/helper_choice.rs
@@ -21,6 +21,8 @@
 struct Helper {
     in_flight: usize,
     left_out_until: Option<Instant>,
+    /// Whether it is left out because it was busy.
+    is_busy: bool,
 }
 
 /// What one gateway knows of the others as helpers.
@@ -96,6 +98,9 @@
     /// Records that `helper` has rejected a request.
     pub fn record_refusal(&mut self, now: Instant, helper: &RelayMember, refusal: HelperRefusal) {
         self.record_failure(now, helper);
+        if let Some(helper) = self.helpers.get_mut(&helper.host) {
+            helper.is_busy = refusal == HelperRefusal::Busy;
+        }
         if refusal != HelperRefusal::CutOff || helper.zone != self.own_zone {
             return;
         }
@@ -111,9 +116,16 @@
         self.record_end(&helper.host);
         if let Some(helper) = self.helpers.get_mut(&helper.host) {
             helper.left_out_until = Some(now + LEFT_OUT_FOR);
+            helper.is_busy = false;
         }
     }
 
+    /// Whether a helper is left out because it is busy, which shows that it reaches endpoints.
+    pub fn has_busy(&self, now: Instant) -> bool {
+        let mut busy = self.helpers.iter().filter(|(_, helper)| helper.is_busy);
+        busy.any(|(host, _)| self.is_left_out(now, host))
+    }
+
     /// Records the end of a request of which nothing is known, as its client has left.
     pub fn record_end(&mut self, host: &str) {
         if let Some(helper) = self.helpers.get_mut(host) {
--- a/crates/turmericloft/src/core/handover/progress.rs
+++ b/crates/turmericloft/src/core/handover/progress.rs
@@ -25,7 +25,9 @@
     Unsent,
     /// The connection ended without a complete response, so the request may have run.
     Broken,
-    /// No response came in time, so the request may have run.
+    /// The helper gave no sign that it has taken the request, which may have run all the same.
+    Silent,
+    /// The helper has taken the request, and no response came in time, so the request may have run.
     TimedOut,
 }
 
@@ -71,7 +73,7 @@
         &self.tried
     }
 
-    /// When the next helper has to have responded; `None` if the request may not go to another one. An
+    /// When the next helper has to have taken the request; `None` if the request may not go to another one. An
     /// idempotent request leaves half of its time for another helper, as the host of a helper may freeze.
     pub fn next_try(&self, now: Instant) -> Option<Instant> {
         let left = self.deadline.saturating_duration_since(now);
@@ -92,10 +94,17 @@
             HandoverTry::Refused(HelperRefusal::Busy) => self.was_busy = true,
             HandoverTry::Refused(HelperRefusal::CutOff) | HandoverTry::Unsent => {}
             HandoverTry::Broken => self.may_have_run = Some(HandoverEnd::Broken),
-            HandoverTry::TimedOut => self.may_have_run = Some(HandoverEnd::TimedOut),
+            HandoverTry::Silent | HandoverTry::TimedOut => {
+                self.may_have_run = Some(HandoverEnd::TimedOut);
+            }
         }
     }
 
+    /// Records that helpers are left out as they were busy a moment ago.
+    pub fn record_busy(&mut self) {
+        self.was_busy = true;
+    }
+
     /// What to do as no further helper can be tried.
     pub fn end(&self) -> HandoverEnd {
         let untouched = match self.was_busy {
--- a/crates/turmericloft/src/ops/ingress/client.rs
+++ b/crates/turmericloft/src/ops/ingress/client.rs
@@ -3,6 +3,7 @@
 use std::{
     future::Future,
     io,
+    mem::take,
     pin::Pin,
     sync::Arc,
     time::{Duration, Instant},
@@ -43,6 +44,8 @@
 
 /// Tells a client to send the body of its request.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// Tells another gateway that this one has taken its request. A build that does not know it skips it.
+const TAKEN: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
 
 pub(super) struct ReadyResponse {
     pub(super) response: ClientResponse,
@@ -83,6 +86,7 @@
         deferred: None,
         is_exclusive: false,
         is_accepting: true,
+        owes_sign: false,
         last_activity: now,
         idle_from: now + FIRST_REQUEST_TIMEOUT,
         request_started: None,
@@ -105,6 +109,8 @@
     is_exclusive: bool,
     /// Whether further requests are read; false after one that closes the connection.
     is_accepting: bool,
+    /// Whether another gateway has to be told that its request is taken.
+    owes_sign: bool,
     /// Time of the last read or written byte.
     pub(super) last_activity: Instant,
     /// From when on a stopping gateway closes the connection if it is idle.
@@ -126,6 +132,9 @@
         let clock = self.ingress.clock.clone();
         loop {
             self.start_requests();
+            if take(&mut self.owes_sign) && self.write_message(TAKEN).await.is_err() {
+                return;
+            }
             if self.pending.is_empty()
                 && self.reader.take_expects_continue()
                 && self.write_message(CONTINUE).await.is_err()
@@ -268,6 +277,7 @@
                 return true;
             }
         };
+        self.owes_sign = helped.is_some();
         let is_head = &req.method[..] == b"HEAD";
         let ingress = Arc::clone(&self.ingress);
         let now = ingress.now();
--- a/crates/turmericloft/src/ops/ingress/handover.rs
+++ b/crates/turmericloft/src/ops/ingress/handover.rs
@@ -10,13 +10,14 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
 
 use super::{
     attempt::ForwardedRequest,
     client_response::{ClientResponse, GatewayResponse},
     endpoint_exchange::{MAX_BODY_BYTES, RESPONSE_MARGIN},
     helper_address::helper_address,
-    metrics::count_handover,
+    metrics::{count_handover, count_no_helper},
     shared::Ingress,
 };
 use crate::{
@@ -120,9 +121,14 @@
     }
     let is_idempotent = forwarded.route.kind == RouteKind::Idempotent;
     let mut progress = HandoverProgress::new(is_idempotent, forwarded.deadline);
-    while let Some(respond_by) = progress.next_try(ingress.now()) {
+    while let Some(sign_by) = progress.next_try(ingress.now()) {
         let now = ingress.now();
         let Some(helper) = handover.choose(now, progress.tried()) else {
+            let has_busy = handover.choice.lock().has_busy(now);
+            count_no_helper(has_busy);
+            if has_busy {
+                progress.record_busy();
+            }
             break;
         };
         let used = HelperUse {
@@ -130,7 +136,7 @@
             helper: helper.clone(),
             has_ended: false,
         };
-        let end = send_to_helper(ingress, handover.port, forwarded, &helper, respond_by).await;
+        let end = send_to_helper(ingress, handover.port, forwarded, &helper, sign_by).await;
         let now = ingress.now();
         let failed = match end {
             Ok(response) => {
@@ -142,6 +148,8 @@
         };
         used.end(|choice, helper| match failed {
             HandoverTry::Refused(refusal) => choice.record_refusal(now, helper, refusal),
+            // It has taken the request, which may run that long.
+            HandoverTry::TimedOut => choice.record_end(&helper.host),
             _ => choice.record_failure(now, helper),
         });
         count_handover(failed.into());
@@ -188,21 +196,23 @@
     port: u16,
     forwarded: &ForwardedRequest,
     helper: &RelayMember,
-    respond_by: Instant,
+    sign_by: Instant,
 ) -> Result<Response, HandoverTry> {
     let address = helper_address(helper, port);
-    let left = respond_by.saturating_duration_since(ingress.now());
+    let left = sign_by.saturating_duration_since(ingress.now());
     let limit = CONNECT_TIMEOUT.min(left);
     let opened = ClientConnection::open(address, limit, UNACKNOWLEDGED_TIMEOUT).await;
     let connection = opened.map_err(|_| HandoverTry::Unsent)?;
-    exchange(ingress, forwarded, connection, respond_by).await
+    exchange(ingress, forwarded, connection, sign_by).await
 }
 
+/// Sends the request over this connection. A helper that has taken it says so at once, so one that has said nothing until
+/// `sign_by` is frozen; one that has may respond until the deadline.
 async fn exchange(
     ingress: &Ingress,
     forwarded: &ForwardedRequest,
     mut connection: ClientConnection,
-    respond_by: Instant,
+    sign_by: Instant,
 ) -> Result<Response, HandoverTry> {
     let now = ingress.now();
     let left = forwarded.deadline.saturating_duration_since(now);
@@ -223,12 +233,31 @@
     };
     let method = &forwarded.req.method;
     connection.history.record_request();
+    let taken = CancellationToken::new();
+    let on_informational = || taken.cancel();
+    let exchanging = connection.exchange_with_informational(
+        method,
+        &message,
+        &limits,
+        is_own_response,
+        on_informational,
+    );
+    let timed_out = async {
+        let clock = &ingress.clock;
+        tokio::select! {
+            biased;
+            () = taken.cancelled() => {}
+            () = clock.sleep_until(sign_by + RESPONSE_MARGIN) => return HandoverTry::Silent,
+        }
+        clock
+            .sleep_until(forwarded.deadline + RESPONSE_MARGIN)
+            .await;
+        HandoverTry::TimedOut
+    };
     let exchanged = tokio::select! {
         biased;
-        exchanged = connection.exchange(method, &message, &limits, is_own_response) => exchanged,
-        () = ingress.clock.sleep_until(respond_by + RESPONSE_MARGIN) => {
-            return Err(HandoverTry::TimedOut);
-        }
+        exchanged = exchanging => exchanged,
+        end = timed_out => return Err(end),
     };
     let response = exchanged.map_err(|e| failed_try(&e))?;
     let has_id = ingress
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -145,6 +145,11 @@
     counter!(HANDED_OVER.name, "result" => result).increment(1);
 }
 
+/// Counts a request for which no other gateway was left to try.
+pub(super) fn count_no_helper(has_busy: bool) {
+    count_handover(if has_busy { "none-free" } else { "none-left" });
+}
+
 /// Counts a request that another gateway wants to hand over, by whether it is taken.
 pub(super) fn count_helped(checked: Result<(), HelperRefusal>) {
     let result = match checked {
--- a/crates/turmericloft/src/sources/http1/client_connection.rs
+++ b/crates/turmericloft/src/sources/http1/client_connection.rs
@@ -133,7 +133,8 @@
         on_truncated: impl FnOnce(&Response),
     ) -> Result<Response, ExchangeError> {
         let mut reader = ResponseReader::new(method, limits.clone());
-        let sending = self.send_and_read(&mut reader, method, message, limits, is_expected);
+        let request = (method, message);
+        let sending = self.send_and_read(&mut reader, request, limits, is_expected, || {});
         let result = sending.await;
         if let (Err(_), Some(head)) = (&result, reader.head()) {
             on_truncated(head);
@@ -141,13 +142,28 @@
         result
     }
 
-    async fn send_and_read(
+    /// Like [`exchange`](Self::exchange). `on_informational` is called when informational responses have arrived.
+    pub async fn exchange_with_informational(
         &mut self,
-        reader: &mut ResponseReader,
         method: &[u8],
         message: &[u8],
         limits: &ResponseLimits,
+        is_expected: impl FnMut(&Response) -> bool,
+        on_informational: impl FnMut(),
+    ) -> Result<Response, ExchangeError> {
+        let mut reader = ResponseReader::new(method, limits.clone());
+        let request = (method, message);
+        self.send_and_read(&mut reader, request, limits, is_expected, on_informational)
+            .await
+    }
+
+    async fn send_and_read(
+        &mut self,
+        reader: &mut ResponseReader,
+        (method, message): (&[u8], &[u8]),
+        limits: &ResponseLimits,
         mut is_expected: impl FnMut(&Response) -> bool,
+        mut on_informational: impl FnMut(),
     ) -> Result<Response, ExchangeError> {
         let peer = self.peer;
         let sent = |source| ExchangeError::Io {
@@ -187,6 +203,7 @@
                 }
                 return Err(invalid(ResponseError::Truncated));
             }
+            let informational = reader.informational();
             while let Some(mut response) = reader.next(&mut self.buf).map_err(invalid)? {
                 let is_own = is_expected(&response);
                 self.history.record_response(response.status, is_own);
@@ -201,6 +218,9 @@
                 response.can_reuse_connection &= written == message.len() && self.buf.is_empty();
                 return Ok(response);
             }
+            if reader.informational() > informational {
+                on_informational();
+            }
         }
     }
 }
--- a/crates/turmericloft/src/sources/http1/response_reader.rs
+++ b/crates/turmericloft/src/sources/http1/response_reader.rs
@@ -99,6 +99,11 @@
         Ok(self.take())
     }
 
+    /// Number of informational responses so far.
+    pub fn informational(&self) -> u32 {
+        self.informational
+    }
+
     /// The head of the response that is being read, without a body; `None` before it is complete.
     pub fn head(&self) -> Option<&Response> {
         self.partial.as_ref().map(|partial| &partial.response)
--- a/crates/turmericloft/tests/testsuite/handover.rs
+++ b/crates/turmericloft/tests/testsuite/handover.rs
@@ -117,17 +117,46 @@
     assert_eq!(choice.choose(later, &members, &[]), None);
 }
 
+/// Helpers that are left out as they are busy reach endpoints: a gateway that is cut off must not send the request itself.
+#[test]
+fn request_is_rejected_while_all_helpers_are_left_out_as_busy() {
+    let members = members(3);
+    let now = Instant::now();
+    let mut choice = choice(&members[0], 1);
+    for _ in 0..2 {
+        let helper = choice.choose(now, &members, &[]).expect("a helper");
+        choice.record_refusal(now, &helper, HelperRefusal::Busy);
+    }
+    assert_eq!(choice.choose(now, &members, &[]), None);
+    assert!(choice.has_busy(now));
+    let mut progress = HandoverProgress::new(true, now + Duration::from_secs(1));
+    progress.record_busy();
+    assert_eq!(progress.end(), HandoverEnd::Busy);
+    assert!(!choice.has_busy(now + Duration::from_secs(1)));
+    // One that has failed since tells nothing.
+    let later = now + Duration::from_secs(1);
+    for _ in 0..2 {
+        let helper = choice.choose(later, &members, &[]).expect("a helper");
+        choice.record_failure(later, &helper);
+    }
+    assert!(!choice.has_busy(later));
+}
+
 /// A request that may have run at a helper runs twice if it is sent again.
 #[test]
 fn request_that_may_have_run_is_sent_again_only_if_it_is_idempotent() {
     let now = Instant::now();
     for is_idempotent in [false, true] {
-        for end in [HandoverTry::Broken, HandoverTry::TimedOut] {
+        for end in [
+            HandoverTry::Broken,
+            HandoverTry::Silent,
+            HandoverTry::TimedOut,
+        ] {
             let mut progress = HandoverProgress::new(is_idempotent, now + Duration::from_secs(1));
             progress.record("g1".into(), end);
             assert_eq!(progress.next_try(now).is_some(), is_idempotent, "{end:?}");
             let expected = match end {
-                HandoverTry::TimedOut => HandoverEnd::TimedOut,
+                HandoverTry::Silent | HandoverTry::TimedOut => HandoverEnd::TimedOut,
                 _ => HandoverEnd::Broken,
             };
             assert_eq!(progress.end(), expected);
--- a/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
@@ -7,6 +7,7 @@
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
+    time::Duration,
 };
 
 use strum::{EnumIter, VariantArray};
@@ -14,6 +15,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::Semaphore,
+    time::sleep,
 };
 use tokio_util::sync::CancellationToken;
 use turmericloft::sources::http1::{ReaderLimits, Request, RequestReader};
@@ -341,7 +343,10 @@
             Behaviour::EndlessStale => {
                 send_endlessly(stream, "", &response("another", "stale")).await
             }
-            _ => send(stream, &full).await,
+            _ => {
+                sleep(run_time(req.target())).await;
+                send(stream, &full).await
+            }
         }
     }
 
@@ -358,6 +363,12 @@
     }
 }
 
+/// How long a request runs: as many milliseconds as its target names behind `ms=`.
+fn run_time(target: &str) -> Duration {
+    let ms = target.split_once("ms=").and_then(|(_, ms)| ms.parse().ok());
+    Duration::from_millis(ms.unwrap_or(0))
+}
+
 fn response(id: &str, body: &str) -> String {
     let length = body.len();
     format!("HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: {length}\r\n\r\n{body}")
--- a/crates/turmericloft/tests/testsuite/ingress/handover/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/fleet.rs
@@ -15,7 +15,7 @@
         key_lease::{KeyRules, NewestDocument},
         placement::{DiscoveredEndpoint, EndpointState, RetryBudget},
         relay::RelayMember,
-        traffic::RouteTable,
+        traffic::{RouteTable, TrafficDocument},
     },
     ops::{
         SharedQuarantine,
@@ -93,11 +93,8 @@
             gateways,
             sharing,
         };
-        let mut document = document(1);
-        for route in &mut document.routes {
-            route.target_latency = TARGET_LATENCY;
-        }
-        documents_tx.send_replace(Some(Arc::new(RouteTable::new(document))));
+        let table = RouteTable::new(fleet_document(1));
+        documents_tx.send_replace(Some(Arc::new(table)));
         endpoints_tx.send_replace(Some(Arc::new(endpoints)));
         let stop = CancellationToken::new();
         tokio::spawn(run_ingress(ingress, listeners, feeds, stop.clone()));
@@ -124,6 +121,16 @@
             .send_replace(Some(Arc::new(restarted.collect())));
     }
 
+    /// Gives it a later document, in which each route allows this number of attempts.
+    pub fn set_max_attempts(&self, max_attempts: u32) {
+        let mut document = fleet_document(2);
+        for route in &mut document.routes {
+            route.max_attempts = max_attempts;
+        }
+        let table = RouteTable::new(document);
+        self._feeds.0.send_replace(Some(Arc::new(table)));
+    }
+
     /// Cuts it off from all endpoints in this way, or ends that.
     pub fn cut(&self, cut: Cut) {
         self.links.iter().for_each(|link| link.set(cut));
@@ -228,6 +235,14 @@
     }
 }
 
+fn fleet_document(version: u64) -> TrafficDocument {
+    let mut document = document(version);
+    for route in &mut document.routes {
+        route.target_latency = TARGET_LATENCY;
+    }
+    document
+}
+
 fn settings(number: usize, zone: &str) -> IngressSettings {
     let any = "127.0.0.1:0".parse().expect("an address");
     IngressSettings {
--- a/crates/turmericloft/tests/testsuite/ingress/handover/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/mod.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod helper;
 mod link;
+mod long_runs;
 mod partition;
 mod repeated_refusals;
 
