Gateways that hand a request over share one account of its attempts

Cause: each gateway counted the attempts of a request anew.

Now a request that is handed over says how many endpoints it may still be sent to and whether it may have run.

--- a/crates/turmericloft/src/core/handover/mod.rs
+++ b/crates/turmericloft/src/core/handover/mod.rs
@@ -4,14 +4,16 @@
 //! clients. Their requests have to spread over the other gateways, of which each has little memory, and must
 //! not go round among gateways that are cut off.
 
+mod attempt_grant;
 mod help_limit;
 mod helper_choice;
 mod helper_refusal;
 mod progress;
 
 pub use self::{
+    attempt_grant::{AttemptGrant, AttemptGrantError},
     help_limit::{MAX_HELPED, check_help},
     helper_choice::HelperChoice,
     helper_refusal::HelperRefusal,
-    progress::{HandoverEnd, HandoverProgress, HandoverTry, MAX_HELPERS},
+    progress::{HandoverEnd, HandoverProgress, HandoverTry, HelperTry, MAX_HELPERS},
 };
--- a/crates/turmericloft/src/core/handover/progress.rs
+++ b/crates/turmericloft/src/core/handover/progress.rs
@@ -7,7 +7,7 @@
 
 use strum::{Display, IntoStaticStr};
 
-use super::HelperRefusal;
+use super::{AttemptGrant, HelperRefusal};
 
 /// Helpers that one request is sent to at most. With a third of all gateways cut off, six in a row are so for
 /// one request in 700.
@@ -25,6 +25,8 @@
     Unsent,
     /// The connection ended without a complete response, so the request may have run.
     Broken,
+    /// The helper responded that the request has failed at its endpoints, or has no response from there.
+    Failed,
     /// The helper gave no sign that it has taken the request, which may have run all the same.
     Silent,
     /// The helper has taken the request, and no response came in time, so the request may have run.
@@ -45,11 +47,22 @@
     TimedOut,
 }
 
+/// One try at a helper.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HelperTry {
+    /// What the helper may do with the request.
+    pub grant: AttemptGrant,
+    /// When the helper has to have taken the request.
+    pub sign_by: Instant,
+}
+
 /// The tries so far of one request.
 #[derive(Clone, Debug)]
 pub struct HandoverProgress {
     is_idempotent: bool,
     deadline: Instant,
+    /// What may still be done with the request.
+    left: AttemptGrant,
     tried: Vec<Arc<str>>,
     was_busy: bool,
     /// How the last try ended after which the request may have run; `None` if it has not.
@@ -57,11 +70,12 @@
 }
 
 impl HandoverProgress {
-    /// Begins with no try of a request with this deadline.
-    pub fn new(is_idempotent: bool, deadline: Instant) -> Self {
+    /// Begins with no try of a request with this deadline. `left` is what the gateway has not done itself.
+    pub fn new(is_idempotent: bool, deadline: Instant, left: AttemptGrant) -> Self {
         Self {
             is_idempotent,
             deadline,
+            left,
             tried: Vec::new(),
             was_busy: false,
             may_have_run: None,
@@ -73,31 +87,61 @@
         &self.tried
     }
 
-    /// When the next helper has to have taken the request; `None` if the request may not go to another one. An
-    /// idempotent request leaves half of its time for another helper, as the host of a helper may freeze.
-    pub fn next_try(&self, now: Instant) -> Option<Instant> {
+    /// The next try; `None` if the request may not go to another helper. An idempotent request leaves half of its time
+    /// and of its attempts for one more helper, as the host of a helper may freeze.
+    pub fn next_try(&self, now: Instant) -> Option<HelperTry> {
         let left = self.deadline.saturating_duration_since(now);
         let is_at_risk = self.may_have_run.is_some() && !self.is_idempotent;
-        if is_at_risk || self.tried.len() >= MAX_HELPERS || left < MIN_TIME {
+        let is_exhausted = self.left.attempts == 0 || self.tried.len() >= MAX_HELPERS;
+        if is_at_risk || is_exhausted || left < MIN_TIME {
             return None;
         }
-        Some(match self.is_idempotent && self.may_have_run.is_none() {
+        let attempts = self.next_attempts();
+        let sign_by = match attempts < self.left.attempts {
             true => now + left / 2,
             false => self.deadline,
+        };
+        Some(HelperTry {
+            grant: AttemptGrant {
+                attempts,
+                ..self.left
+            },
+            sign_by,
         })
     }
 
-    /// Records how the try at `host` ended.
+    /// Attempts that the next helper gets.
+    fn next_attempts(&self) -> u32 {
+        match self.is_idempotent {
+            true => self.left.attempts.div_ceil(2),
+            false => self.left.attempts,
+        }
+    }
+
+    /// What may still be done with the request.
+    pub fn left(&self) -> AttemptGrant {
+        self.left
+    }
+
+    /// Whether the next try may repeat what a helper has done.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run.is_some()
+    }
+
+    /// Records how the try at `host` ended. A helper whose end is not known may have used all its attempts.
     pub fn record(&mut self, host: Arc<str>, end: HandoverTry) {
         self.tried.push(host);
-        match end {
-            HandoverTry::Refused(HelperRefusal::Busy) => self.was_busy = true,
-            HandoverTry::Refused(HelperRefusal::CutOff) | HandoverTry::Unsent => {}
-            HandoverTry::Broken => self.may_have_run = Some(HandoverEnd::Broken),
-            HandoverTry::Silent | HandoverTry::TimedOut => {
-                self.may_have_run = Some(HandoverEnd::TimedOut);
-            }
-        }
+        let end = match end {
+            HandoverTry::Refused(HelperRefusal::Busy) => return self.was_busy = true,
+            HandoverTry::Refused(HelperRefusal::CutOff) | HandoverTry::Unsent => return,
+            HandoverTry::Broken | HandoverTry::Failed => HandoverEnd::Broken,
+            HandoverTry::Silent | HandoverTry::TimedOut => HandoverEnd::TimedOut,
+        };
+        self.left = AttemptGrant {
+            attempts: self.left.attempts - self.next_attempts(),
+            is_retry: true,
+        };
+        self.may_have_run = Some(end);
     }
 
     /// Records that helpers are left out as they were busy a moment ago.
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -19,6 +19,7 @@
 use crate::{
     core::{
         guard::Fingerprint,
+        handover::AttemptGrant,
         placement::{AttemptOutcome, LoadReport},
         quarantine::Crash,
         traffic::{Organisation, Route},
@@ -47,6 +48,8 @@
     pub(super) organisation: Option<Arc<Organisation>>,
     /// End of the client's timeout or the route's timeout, whichever comes first.
     pub(super) deadline: Instant,
+    /// What another gateway that has handed the request over allows; `None` for one of a client.
+    pub(super) grant: Option<AttemptGrant>,
     /// Cancelled when the client's connection ends.
     pub(super) client_disconnected: CancellationToken,
     /// Whether it was sent, or may not be sent any more.
@@ -61,7 +64,7 @@
         id: Vec<u8>,
         route: Arc<Route>,
         (access, organisation): (ArrivedAccess, Option<Arc<Organisation>>),
-        deadline: Instant,
+        (deadline, grant): (Instant, Option<AttemptGrant>),
         client_disconnected: CancellationToken,
     ) -> Self {
         Self {
@@ -71,6 +74,7 @@
             access,
             organisation,
             deadline,
+            grant,
             client_disconnected,
             gate: SendGate::default(),
             fingerprint: OnceLock::new(),
@@ -78,6 +82,12 @@
         }
     }
 
+    /// Endpoints that the request may be sent to.
+    pub(super) fn max_attempts(&self) -> u32 {
+        let allowed = self.route.max_attempts;
+        self.grant.map_or(allowed, |g| g.attempts.min(allowed))
+    }
+
     /// Records that an endpoint responded with success.
     pub(super) fn record_success(&self) {
         self.has_succeeded.store(true, Ordering::Release);
--- a/crates/turmericloft/src/ops/ingress/endpoint_exchange.rs
+++ b/crates/turmericloft/src/ops/ingress/endpoint_exchange.rs
@@ -6,6 +6,7 @@
 
 use super::{
     attempt::ForwardedRequest,
+    handover::HANDOVER_HEADER,
     in_flight_attempt::InFlightAttempt,
     protocol::{AttemptHeaders, EndpointProtocol},
     quotas::bound_transit,
@@ -13,7 +14,7 @@
 };
 use crate::{
     core::key_lease::Access,
-    sources::http1::{ClientConnection, ExchangeError, Request, Response, ResponseLimits},
+    sources::http1::{ClientConnection, ExchangeError, Response, ResponseLimits},
 };
 
 /// Largest response body that is forwarded, in bytes.
@@ -35,7 +36,7 @@
     let instance = &in_flight.placement().endpoint.id;
     let message = request_message(
         protocol,
-        &forwarded.req,
+        forwarded,
         &AttemptHeaders {
             timeout: left,
             instance,
@@ -78,10 +79,11 @@
 
 fn request_message(
     protocol: &dyn EndpointProtocol,
-    req: &Request,
+    forwarded: &ForwardedRequest,
     attempt: &AttemptHeaders<'_>,
     removes_credentials: bool,
 ) -> BytesMut {
+    let req = &forwarded.req;
     let mut buf = BytesMut::with_capacity(512 + req.body.len());
     buf.put_slice(&req.method);
     buf.put_u8(b' ');
@@ -91,6 +93,9 @@
     if removes_credentials {
         removed.extend(protocol.credential_headers());
     }
+    if forwarded.grant.is_some() {
+        removed.push(HANDOVER_HEADER);
+    }
     let kept = protocol.kept_headers();
     req.headers.write_end_to_end(&mut buf, &removed, kept);
     protocol.write_attempt_headers(&mut buf, attempt);
--- a/crates/turmericloft/src/ops/ingress/forward.rs
+++ b/crates/turmericloft/src/ops/ingress/forward.rs
@@ -27,6 +27,7 @@
 };
 use crate::{
     core::{
+        handover::AttemptGrant,
         hedging::HedgeRun,
         placement::{AttemptOutcome, InstanceId, Placement},
         traffic::{Route, RouteKind},
@@ -67,6 +68,7 @@
     };
     let name = organisation.as_ref().map(|o| Arc::clone(&o.name));
     let _organisation_request = OrganisationRequest::open(&ingress, name);
+    let grant = origin.grant(&req.headers);
     let client_timeout = ingress.protocol.client_timeout(&req.headers);
     let timeout = client_timeout.unwrap_or(route.timeout).min(route.timeout);
     let Some(service) = ingress.next_service(&route) else {
@@ -80,7 +82,7 @@
         id,
         route,
         (access, organisation),
-        deadline,
+        (deadline, grant),
         client_disconnected,
     ));
     let ending = ingress.ending.clone();
@@ -105,12 +107,20 @@
     origin: RequestOrigin,
 ) -> (ClientResponse, usize) {
     let may_hand_over = origin == RequestOrigin::Client;
-    if may_hand_over && let Some(response) = hand_over(ingress, forwarded).await {
+    let max_attempts = forwarded.max_attempts();
+    // The gateway that hands a request over counts it for the retry budget, unless it is too old to say how many attempts
+    // are left.
+    if forwarded.grant.is_none() {
+        let now = ingress.now();
+        ingress.balancer.lock().record_request(now, &service);
+    }
+    let left = AttemptGrant {
+        attempts: max_attempts,
+        is_retry: false,
+    };
+    if may_hand_over && let Some(response) = hand_over(ingress, forwarded, &service, left).await {
         return (response, 0);
     }
-    let now = ingress.now();
-    // A helper counts the requests that it gets for its own retry budget.
-    ingress.balancer.lock().record_request(now, &service);
     ingress.hedging.lock().record_request();
     let forwarder = Forwarder {
         ingress: Arc::clone(ingress),
@@ -118,6 +128,8 @@
         service,
         tried: Vec::new(),
         attempts: FuturesUnordered::new(),
+        max_attempts,
+        not_run: 0,
         may_have_run: false,
         crash_watch: CrashWatch::default(),
         arrived,
@@ -143,6 +155,10 @@
     pub(super) service: Arc<str>,
     pub(super) tried: Vec<InstanceId>,
     pub(super) attempts: FuturesUnordered<Attempt>,
+    /// Endpoints that the request may be sent to.
+    pub(super) max_attempts: u32,
+    /// Attempts that have ended and did not run.
+    pub(super) not_run: u32,
     pub(super) may_have_run: bool,
     crash_watch: CrashWatch,
     pub(super) arrived: Instant,
@@ -242,6 +258,7 @@
                 Some(ClientResponse::Endpoint(response))
             }
             AttemptEnd::NotRun => {
+                self.not_run += 1;
                 if self.attempts.is_empty()
                     && let Some(response) = self.hand_over_unsent().await
                 {
@@ -258,6 +275,7 @@
                 }))
             }
             AttemptEnd::Denied(denied) => {
+                self.not_run += 1;
                 if !self.attempts.is_empty() {
                     return None;
                 }
@@ -324,7 +342,7 @@
         let left = self.forwarded.deadline.saturating_duration_since(now);
         let attempts = self.tried.len() as u32;
         left >= MIN_RETRY_TIME
-            && attempts < self.forwarded.route.max_attempts
+            && attempts < self.max_attempts
             && self
                 .crash_watch
                 .allows_retry(&self.ingress, &self.forwarded)
--- a/crates/turmericloft/src/ops/ingress/forward_handover.rs
+++ b/crates/turmericloft/src/ops/ingress/forward_handover.rs
@@ -6,7 +6,7 @@
     client_response::ClientResponse, forward::Forwarder, forward_placement::rejection,
     handover::hand_over,
 };
-use crate::core::placement::Placement;
+use crate::core::{handover::AttemptGrant, placement::Placement};
 
 impl Forwarder {
     /// Chooses the endpoint of the first attempt, or returns the response for the client. A request that waits
@@ -34,13 +34,23 @@
         if !self.may_hand_over || self.may_have_run {
             return None;
         }
-        hand_over(&self.ingress, &self.forwarded).await
+        let left = AttemptGrant {
+            attempts: self.max_attempts,
+            is_retry: false,
+        };
+        hand_over(&self.ingress, &self.forwarded, &self.service, left).await
     }
 
     /// Hands an idempotent request over that an endpoint may have, as a retry.
     pub(super) async fn hand_over_retry(&mut self) -> Option<ClientResponse> {
         let is_possible = self.may_hand_over && self.is_idempotent() && self.ingress.is_cut_off();
-        if !is_possible {
+        // Attempts in flight, and those whose end is not known, may run.
+        let may_run = self.tried.len() as u32 - self.not_run;
+        let left = AttemptGrant {
+            attempts: self.max_attempts.saturating_sub(may_run),
+            is_retry: true,
+        };
+        if !is_possible || left.attempts == 0 {
             return None;
         }
         let now = self.ingress.now();
@@ -52,6 +62,6 @@
         if !is_allowed {
             return None;
         }
-        hand_over(&self.ingress, &self.forwarded).await
+        hand_over(&self.ingress, &self.forwarded, &self.service, left).await
     }
 }
--- a/crates/turmericloft/src/ops/ingress/handover.rs
+++ b/crates/turmericloft/src/ops/ingress/handover.rs
@@ -23,20 +23,24 @@
 use crate::{
     core::{
         endpoint_contact::EndpointContact,
-        handover::{HandoverEnd, HandoverProgress, HandoverTry, HelperChoice, HelperRefusal},
+        handover::{
+            AttemptGrant, HandoverEnd, HandoverProgress, HandoverTry, HelperChoice, HelperRefusal,
+            HelperTry,
+        },
         relay::RelayMember,
         traffic::RouteKind,
     },
     sources::http1::{ClientConnection, ExchangeError, Response, ResponseLimits},
 };
 
-/// Header of a helper's own responses to other gateways. Clients never get it.
+/// Header of a request that is handed over, with its [`AttemptGrant`], and of a helper's own responses to other gateways.
+/// Neither endpoints nor clients get it.
 pub(super) const HANDOVER_HEADER: &str = "X-Handover";
 /// Its value in a response that a gateway made itself and another one passes on. A [`HelperRefusal`] has
 /// its name as the value.
 pub(super) const HANDOVER_OWN: &str = "own";
-/// Header fields of a request that are not passed on: its body is complete.
-const SKIPPED_HEADERS: [&str; 1] = ["Expect"];
+/// Header fields of a request that are not passed on: its body is complete, and its grant is that of this gateway.
+const SKIPPED_HEADERS: [&str; 2] = ["Expect", HANDOVER_HEADER];
 /// Timeout for opening a connection to a helper: a few round trips between zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
@@ -109,20 +113,27 @@
     }
 }
 
-/// Hands a request of a client over to another gateway. Returns `None` if this gateway is not cut off, or if it
-/// has to serve the request itself: no other gateway reaches endpoints either, and none has got the request.
+/// Hands a request of a client over to another gateway, which may do `left` with it. Returns `None` if this gateway is
+/// not cut off, or if it has to serve the request itself: no other gateway reaches endpoints either, and none has got
+/// the request.
 pub(super) async fn hand_over(
     ingress: &Ingress,
     forwarded: &ForwardedRequest,
+    service: &str,
+    left: AttemptGrant,
 ) -> Option<ClientResponse> {
     let handover = ingress.handover.get()?;
     if !ingress.is_cut_off() {
         return None;
     }
     let is_idempotent = forwarded.route.kind == RouteKind::Idempotent;
-    let mut progress = HandoverProgress::new(is_idempotent, forwarded.deadline);
-    while let Some(sign_by) = progress.next_try(ingress.now()) {
+    let mut progress = HandoverProgress::new(is_idempotent, forwarded.deadline, left);
+    let mut failure = None;
+    while let Some(next) = progress.next_try(ingress.now()) {
         let now = ingress.now();
+        if progress.may_have_run() && !ingress.balancer.lock().try_take_retry(now, service) {
+            break;
+        }
         let Some(helper) = handover.choose(now, progress.tried()) else {
             let has_busy = handover.choice.lock().has_busy(now);
             count_no_helper(has_busy);
@@ -136,26 +147,31 @@
             helper: helper.clone(),
             has_ended: false,
         };
-        let end = send_to_helper(ingress, handover.port, forwarded, &helper, sign_by).await;
+        let end = send_to_helper(ingress, handover.port, forwarded, &helper, next).await;
         let now = ingress.now();
         let failed = match end {
             Ok(response) => {
                 count_handover("answered");
                 used.end(|choice, helper| choice.record_served(helper));
-                return Some(ClientResponse::Endpoint(response));
+                let has_more = is_idempotent && next.grant.attempts < progress.left().attempts;
+                if !has_more || !is_failure(&response) {
+                    return Some(ClientResponse::Endpoint(response));
+                }
+                failure = Some(response);
+                HandoverTry::Failed
+            }
+            Err(failed) => {
+                record_failed_try(used, now, failed);
+                count_handover(failed.into());
+                failed
             }
-            Err(failed) => failed,
         };
-        used.end(|choice, helper| match failed {
-            HandoverTry::Refused(refusal) => choice.record_refusal(now, helper, refusal),
-            // It has taken the request, which may run that long.
-            HandoverTry::TimedOut => choice.record_end(&helper.host),
-            _ => choice.record_failure(now, helper),
-        });
-        count_handover(failed.into());
         log_failed_try(ingress, forwarded, &helper, failed);
         progress.record(helper.host, failed);
     }
+    if let Some(response) = failure {
+        return Some(ClientResponse::Endpoint(response));
+    }
     let response = match progress.end() {
         HandoverEnd::ServeHere => return None,
         HandoverEnd::Busy => GatewayResponse::Refused {
@@ -167,6 +183,24 @@
     Some(ClientResponse::Gateway(response))
 }
 
+fn record_failed_try(used: HelperUse<'_>, now: Instant, failed: HandoverTry) {
+    used.end(|choice, helper| match failed {
+        HandoverTry::Refused(refusal) => choice.record_refusal(now, helper, refusal),
+        // It has taken the request, which may run that long.
+        HandoverTry::TimedOut => choice.record_end(&helper.host),
+        _ => choice.record_failure(now, helper),
+    });
+}
+
+/// Whether a response says that the request has failed, so that an idempotent one is worth another attempt: that of an
+/// endpoint, or of a helper that has got none. Its other responses promise that the request has not run, or come late.
+fn is_failure(response: &Response) -> bool {
+    match response.headers.contains(HANDOVER_HEADER) {
+        true => response.status == GatewayResponse::NoAnswer.status(),
+        false => response.status >= 500,
+    }
+}
+
 fn log_failed_try(
     ingress: &Ingress,
     forwarded: &ForwardedRequest,
@@ -196,30 +230,30 @@
     port: u16,
     forwarded: &ForwardedRequest,
     helper: &RelayMember,
-    sign_by: Instant,
+    next: HelperTry,
 ) -> Result<Response, HandoverTry> {
     let address = helper_address(helper, port);
-    let left = sign_by.saturating_duration_since(ingress.now());
+    let left = next.sign_by.saturating_duration_since(ingress.now());
     let limit = CONNECT_TIMEOUT.min(left);
     let opened = ClientConnection::open(address, limit, UNACKNOWLEDGED_TIMEOUT).await;
     let connection = opened.map_err(|_| HandoverTry::Unsent)?;
-    exchange(ingress, forwarded, connection, sign_by).await
+    exchange(ingress, forwarded, connection, next).await
 }
 
 /// Sends the request over this connection. A helper that has taken it says so at once, so one that has said nothing until
-/// `sign_by` is frozen; one that has may respond until the deadline.
+/// `next.sign_by` is frozen; one that has may respond until the deadline.
 async fn exchange(
     ingress: &Ingress,
     forwarded: &ForwardedRequest,
     mut connection: ClientConnection,
-    sign_by: Instant,
+    next: HelperTry,
 ) -> Result<Response, HandoverTry> {
     let now = ingress.now();
     let left = forwarded.deadline.saturating_duration_since(now);
     if left.is_zero() || !forwarded.gate.try_send() {
         return Err(HandoverTry::Unsent);
     }
-    let message = request_message(ingress, forwarded, left);
+    let message = request_message(ingress, forwarded, next.grant, left);
     let limits = ResponseLimits {
         body_bytes: MAX_BODY_BYTES,
         budget: Some(ingress.body_budget.clone()),
@@ -247,7 +281,7 @@
         tokio::select! {
             biased;
             () = taken.cancelled() => {}
-            () = clock.sleep_until(sign_by + RESPONSE_MARGIN) => return HandoverTry::Silent,
+            () = clock.sleep_until(next.sign_by + RESPONSE_MARGIN) => return HandoverTry::Silent,
         }
         clock
             .sleep_until(forwarded.deadline + RESPONSE_MARGIN)
@@ -287,8 +321,13 @@
     marker.parse().ok()
 }
 
-/// Encodes the request as the client sent it, with the time that is left.
-fn request_message(ingress: &Ingress, forwarded: &ForwardedRequest, left: Duration) -> BytesMut {
+/// Encodes the request as the client sent it, with the time and the attempts that are left.
+fn request_message(
+    ingress: &Ingress,
+    forwarded: &ForwardedRequest,
+    grant: AttemptGrant,
+    left: Duration,
+) -> BytesMut {
     let protocol = &*ingress.protocol;
     let req = &forwarded.req;
     let mut buf = BytesMut::with_capacity(512 + req.body.len());
@@ -301,6 +340,7 @@
     req.headers
         .write_end_to_end(&mut buf, &skipped, protocol.kept_headers());
     protocol.write_client_timeout(&mut buf, left);
+    buf.put_slice(format!("{HANDOVER_HEADER}: {grant}\r\n").as_bytes());
     buf.put_slice(format!("Content-Length: {}\r\n\r\n", req.body.len()).as_bytes());
     buf.put_slice(&req.body);
     buf
--- a/crates/turmericloft/src/ops/ingress/origin.rs
+++ b/crates/turmericloft/src/ops/ingress/origin.rs
@@ -4,11 +4,14 @@
 
 use super::{
     client_response::{ClientResponse, GatewayResponse},
-    handover::HANDOVER_OWN,
+    handover::{HANDOVER_HEADER, HANDOVER_OWN},
     helping::HelpedRequest,
     shared::Ingress,
 };
-use crate::core::handover::HelperRefusal;
+use crate::{
+    core::handover::{AttemptGrant, HelperRefusal},
+    sources::http1::Headers,
+};
 
 /// Who sends the requests of a connection, by the listener on which it came in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +36,14 @@
         }
     }
 
+    /// What the gateway that sends a request allows; `None` if it does not say, and for a request of a client.
+    pub(super) fn grant(self, headers: &Headers) -> Option<AttemptGrant> {
+        match self {
+            Self::Client => None,
+            Self::Gateway => headers.get_str(HANDOVER_HEADER)?.parse().ok(),
+        }
+    }
+
     /// Value of the header by which another gateway tells this gateway's own responses from those of endpoints;
     /// `None` for a response that has none.
     pub(super) fn marker(self, response: &ClientResponse) -> Option<&'static str> {
--- a/crates/turmericloft/tests/testsuite/handover.rs
+++ b/crates/turmericloft/tests/testsuite/handover.rs
@@ -10,12 +10,18 @@
 use rand_pcg::Pcg64Mcg;
 use turmericloft::core::{
     handover::{
-        HandoverEnd, HandoverProgress, HandoverTry, HelperChoice, HelperRefusal, MAX_HELPED,
-        MAX_HELPERS, check_help,
+        AttemptGrant, HandoverEnd, HandoverProgress, HandoverTry, HelperChoice, HelperRefusal,
+        MAX_HELPED, MAX_HELPERS, check_help,
     },
     relay::RelayMember,
 };
 
+/// A request that may be sent to three endpoints and has not run.
+const THREE: AttemptGrant = AttemptGrant {
+    attempts: 3,
+    is_retry: false,
+};
+
 /// Gateways in three zones.
 fn members(count: usize) -> Vec<RelayMember> {
     let member = |i: usize| RelayMember {
@@ -44,7 +50,7 @@
         let mut choice = choice(own, seed * 1_000 + i as u64);
         for n in 0..90 {
             let now = start + Duration::from_millis(110) * n;
-            let mut progress = HandoverProgress::new(false, now + Duration::from_secs(2));
+            let mut progress = HandoverProgress::new(false, now + Duration::from_secs(2), THREE);
             let mut is_served = false;
             while !is_served && progress.next_try(now).is_some() {
                 let Some(helper) = choice.choose(now, &members, progress.tried()) else {
@@ -129,7 +135,7 @@
     }
     assert_eq!(choice.choose(now, &members, &[]), None);
     assert!(choice.has_busy(now));
-    let mut progress = HandoverProgress::new(true, now + Duration::from_secs(1));
+    let mut progress = HandoverProgress::new(true, now + Duration::from_secs(1), THREE);
     progress.record_busy();
     assert_eq!(progress.end(), HandoverEnd::Busy);
     assert!(!choice.has_busy(now + Duration::from_secs(1)));
@@ -152,7 +158,8 @@
             HandoverTry::Silent,
             HandoverTry::TimedOut,
         ] {
-            let mut progress = HandoverProgress::new(is_idempotent, now + Duration::from_secs(1));
+            let mut progress =
+                HandoverProgress::new(is_idempotent, now + Duration::from_secs(1), THREE);
             progress.record("g1".into(), end);
             assert_eq!(progress.next_try(now).is_some(), is_idempotent, "{end:?}");
             let expected = match end {
@@ -177,7 +184,7 @@
         HandoverTry::Unsent,
     ];
     for end in ends {
-        let mut progress = HandoverProgress::new(false, now + Duration::from_secs(1));
+        let mut progress = HandoverProgress::new(false, now + Duration::from_secs(1), THREE);
         for n in 0..MAX_HELPERS {
             assert!(progress.next_try(now).is_some(), "{end:?} {n}");
             progress.record(format!("g{n}").into(), end);
@@ -197,14 +204,14 @@
 fn first_try_of_an_idempotent_request_leaves_time_for_a_second() {
     let now = Instant::now();
     let deadline = now + Duration::from_secs(1);
-    let first = HandoverProgress::new(true, deadline).next_try(now);
-    assert_eq!(first, Some(now + Duration::from_millis(500)));
-    assert_eq!(
-        HandoverProgress::new(false, deadline).next_try(now),
-        Some(deadline)
-    );
+    let sign_by = |is_idempotent: bool, at: Instant| {
+        let progress = HandoverProgress::new(is_idempotent, deadline, THREE);
+        progress.next_try(at).map(|next| next.sign_by)
+    };
+    assert_eq!(sign_by(true, now), Some(now + Duration::from_millis(500)));
+    assert_eq!(sign_by(false, now), Some(deadline));
     let late = deadline - Duration::from_millis(1);
-    assert_eq!(HandoverProgress::new(true, deadline).next_try(late), None);
+    assert_eq!(sign_by(true, late), None);
 }
 
 #[test]
@@ -219,3 +226,66 @@
         Err(HelperRefusal::Busy)
     );
 }
+
+/// Whatever helpers do with a request, it must not reach more endpoints than its route allows.
+#[test]
+fn helpers_together_get_no_more_attempts_than_are_left() {
+    let now = Instant::now();
+    let ends = [
+        HandoverTry::Broken,
+        HandoverTry::Failed,
+        HandoverTry::Silent,
+        HandoverTry::TimedOut,
+        HandoverTry::Unsent,
+        HandoverTry::Refused(HelperRefusal::Busy),
+    ];
+    for attempts in 0..6 {
+        for first in ends {
+            for second in ends {
+                let left = AttemptGrant {
+                    attempts,
+                    is_retry: false,
+                };
+                let deadline = now + Duration::from_secs(1);
+                let mut progress = HandoverProgress::new(true, deadline, left);
+                let mut used = 0;
+                for n in 0..MAX_HELPERS {
+                    let Some(next) = progress.next_try(now) else {
+                        break;
+                    };
+                    assert!(next.grant.attempts > 0);
+                    assert_eq!(next.grant.is_retry, used > 0);
+                    let end = if n % 2 == 0 { first } else { second };
+                    let has_run = !matches!(end, HandoverTry::Unsent | HandoverTry::Refused(_));
+                    used += if has_run { next.grant.attempts } else { 0 };
+                    progress.record(format!("g{n}").into(), end);
+                }
+                assert!(used <= attempts, "{attempts}: {first:?}, {second:?}");
+                // A frozen helper is no reason to give up while an attempt is left.
+                let is_known = matches!(first, HandoverTry::Silent) && attempts >= 2;
+                assert!(!is_known || used > attempts / 2 || second == HandoverTry::Unsent);
+            }
+        }
+    }
+}
+
+#[test]
+fn grant_is_read_as_it_is_written() {
+    for attempts in [0, 1, 7, u32::MAX] {
+        for is_retry in [false, true] {
+            let grant = AttemptGrant { attempts, is_retry };
+            assert_eq!(grant.to_string().parse(), Ok(grant));
+        }
+    }
+    for text in [
+        "",
+        "one",
+        "-1",
+        "1 again",
+        "1  retry",
+        "1 retry ",
+        "4294967296",
+    ] {
+        assert!(text.parse::<AttemptGrant>().is_err(), "{text}");
+    }
+}
--- a/crates/turmericloft/tests/testsuite/ingress/handover/helper.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/helper.rs
@@ -5,8 +5,12 @@
     time::Duration,
 };
 
-use tokio::{net::TcpListener, sync::watch, time::sleep};
-use turmericloft::sources::http1::Response;
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    time::{sleep, timeout},
+};
+use turmericloft::{core::handover::AttemptGrant, sources::http1::Response};
 
 use super::{
     super::{
@@ -94,6 +98,54 @@
     });
 }
 
+/// A helper may have sent the request to as many endpoints as it was allowed before it failed.
+#[test]
+fn helpers_that_fail_get_no_more_attempts_together_than_the_route_allows() {
+    for (net, max_attempts) in [(24, 1), (25, 2), (26, 3)] {
+        block_on(async {
+            let (gateway, helpers) = cut_off_gateway(net, &[Behaviour::RunAndClose; 4]).await;
+            gateway.set_max_attempts(max_attempts);
+            for n in 0..4 {
+                // The reserve of the retry budget is for one retry in ten seconds.
+                sleep(Duration::from_secs(12)).await;
+                let id = format!("r{n}");
+                let response = call(&gateway, "GET", "/read/1", &id).await;
+                assert_eq!(response.status, 502);
+                let ran = helpers.iter().flat_map(Endpoint::ran);
+                let ran = ran.filter(|run| run.id == id);
+                let granted = ran.map(|run| {
+                    let mut headers = run.headers.iter();
+                    let grant = headers.find(|(name, _)| name.eq_ignore_ascii_case("X-Handover"));
+                    let (_, grant) = grant.expect("a grant");
+                    let grant: AttemptGrant = grant.parse().expect("valid");
+                    grant.attempts
+                });
+                assert_eq!(granted.sum::<u32>(), max_attempts, "{id}");
+            }
+        });
+    }
+}
+
+/// An endpoint that got the request before the cut counts too.
+#[test]
+fn request_in_flight_when_the_cut_begins_is_not_handed_over_without_an_attempt_left() {
+    for (net, cut) in [(27, Cut::Hang), (28, Cut::ResetAtRequest)] {
+        block_on(async {
+            let fleet = Fleet::start(net, 3, 4).await;
+            let gateway = &fleet.gateways[0];
+            gateway.set_max_attempts(1);
+            sleep(Duration::from_millis(100)).await;
+            let response = call(gateway, "GET", "/read/1?ms=4000", "r");
+            let cutting = async {
+                sleep(Duration::from_millis(50)).await;
+                gateway.cut(cut);
+            };
+            let _ = tokio::join!(timeout(Duration::from_secs(10), response), cutting);
+            assert_eq!(fleet.runs("r"), 1, "{cut:?}");
+        });
+    }
+}
+
 /// A helper that is frozen accepts the request and says nothing.
 #[test]
 fn silent_helper_costs_an_at_most_once_request_and_no_idempotent_one() {
--- a/crates/turmericloft/tests/testsuite/ingress/handover/long_runs.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/long_runs.rs
@@ -4,7 +4,7 @@
 
 use tokio::{
     task::JoinSet,
-    time::{Instant, sleep},
+    time::{Instant, sleep, sleep_until},
 };
 
 use super::{super::client::Client, block_on, fleet::Fleet, link::Cut};
@@ -33,6 +33,7 @@
 /// A first try of a client.
 #[derive(Clone, Debug)]
 struct Try {
+    id: String,
     gateway: usize,
     sent_at: Instant,
     status: Option<u16>,
@@ -71,6 +72,7 @@
             running.spawn(async move {
                 let status = response.await;
                 Try {
+                    id,
                     gateway,
                     sent_at,
                     status,
@@ -90,11 +92,15 @@
     }
     sleep(Duration::from_millis(100)).await;
     let cut_off: HashSet<_> = (0..case.cut_off).collect();
-    cut_off
-        .iter()
-        .for_each(|i| fleet.gateways[*i].cut(case.cut));
-    let cut_at = Instant::now();
-    let tries = send_requests(&fleet, case, Duration::from_secs(10)).await;
+    let cut_at = Instant::now() + Duration::from_secs(1);
+    let cutting = async {
+        sleep_until(cut_at).await;
+        cut_off
+            .iter()
+            .for_each(|i| fleet.gateways[*i].cut(case.cut));
+    };
+    let sending = send_requests(&fleet, case, Duration::from_secs(11));
+    let (tries, ()) = tokio::join!(sending, cutting);
     let counted = tries
         .iter()
         .filter(|t| t.sent_at >= cut_at + STABILITY_WINDOW);
@@ -102,6 +108,13 @@
     let served = |tries: &[&Try]| tries.iter().filter(|t| t.status == Some(200)).count();
     let (served_there, served_elsewhere) = (served(&there), served(&elsewhere));
     let (all_there, all_elsewhere) = (there.len(), elsewhere.len());
+    for t in &tries {
+        let runs = fleet.runs(&t.id);
+        assert!(
+            runs <= case.max_attempts as usize,
+            "{case:?}: {t:?} ran {runs} times"
+        );
+    }
     assert!(
         3 * served_there * all_elsewhere >= 2 * served_elsewhere * all_there,
         "{case:?}: {served_there} of {all_there} there, {served_elsewhere} of {all_elsewhere} elsewhere"
