--- a/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
@@ -124,6 +124,10 @@
     health_checks: Arc<AtomicUsize>,
     /// Id that it states in responses to health checks; empty if it states none.
     instance: Arc<Mutex<String>>,
+    /// How it responds to health checks, if without end.
+    health: Arc<Mutex<Option<Behaviour>>>,
+    /// Bytes that it has written in responses without end.
+    endless_bytes: Arc<AtomicUsize>,
     /// Has one permit per held request that has arrived.
     pub arrived: Arc<Semaphore>,
     /// Releases one held request per permit.
@@ -152,6 +156,8 @@
             connections: Arc::default(),
             health_checks: Arc::default(),
             instance: Arc::default(),
+            health: Arc::default(),
+            endless_bytes: Arc::default(),
             arrived: Arc::new(Semaphore::new(0)),
             release: Arc::new(Semaphore::new(0)),
             disconnected: Arc::new(Semaphore::new(0)),
@@ -162,6 +168,8 @@
             runs: Arc::clone(&endpoint.runs),
             health_checks: Arc::clone(&endpoint.health_checks),
             instance: Arc::clone(&endpoint.instance),
+            health: Arc::clone(&endpoint.health),
+            endless_bytes: Arc::clone(&endpoint.endless_bytes),
             arrived: Arc::clone(&endpoint.arrived),
             release: Arc::clone(&endpoint.release),
             disconnected: Arc::clone(&endpoint.disconnected),
@@ -189,6 +197,16 @@
         *self.instance.lock().expect("not poisoned") = id.to_owned();
     }
 
+    /// Has it respond to health checks without end.
+    pub fn set_endless_health(&self, behaviour: Behaviour) {
+        *self.health.lock().expect("not poisoned") = Some(behaviour);
+    }
+
+    /// Number of bytes that it has written in responses without end.
+    pub fn endless_bytes(&self) -> usize {
+        self.endless_bytes.load(Ordering::Acquire)
+    }
+
     /// Number of health checks that it has answered.
     pub fn health_checks(&self) -> usize {
         self.health_checks.load(Ordering::Acquire)
@@ -209,6 +227,8 @@
     runs: Arc<Mutex<Vec<Run>>>,
     health_checks: Arc<AtomicUsize>,
     instance: Arc<Mutex<String>>,
+    health: Arc<Mutex<Option<Behaviour>>>,
+    endless_bytes: Arc<AtomicUsize>,
     arrived: Arc<Semaphore>,
     release: Arc<Semaphore>,
     disconnected: Arc<Semaphore>,
@@ -239,6 +259,10 @@
     async fn respond(&self, stream: &mut TcpStream, req: &Request) -> bool {
         if req.target() == "/health" {
             self.health_checks.fetch_add(1, Ordering::AcqRel);
+            let health = *self.health.lock().expect("not poisoned");
+            if let Some((head, part)) = health.and_then(|b| endless_response(b, "")) {
+                return self.send_endlessly(stream, &head, &part).await;
+            }
             let instance = match &*self.instance.lock().expect("not poisoned") {
                 id if id.is_empty() => String::new(),
                 id => format!("Instance-Id: {id}\r\n"),
@@ -282,6 +306,9 @@
             _ => {}
         }
         self.run(req, &id);
+        if let Some((head, part)) = endless_response(behaviour, &id) {
+            return self.send_endlessly(stream, &head, &part).await;
+        }
         match behaviour {
             Behaviour::Fail => {
                 let text = "HTTP/1.1 500 Failed\r\nSeal: s\r\nContent-Length: 0\r\n";
@@ -316,33 +343,6 @@
                 false
             }
             Behaviour::Twice => send(stream, &(full.clone() + &full)).await,
-            Behaviour::EndlessInformational => {
-                send_endlessly(stream, "", "HTTP/1.1 102 Processing\r\n\r\n").await
-            }
-            Behaviour::EndlessHeader => send_endlessly(stream, "HTTP/1.1 200 OK\r\nA: ", "a").await,
-            Behaviour::EndlessHead => {
-                send_endlessly(stream, "HTTP/1.1 200 OK\r\n", "A: b\r\n").await
-            }
-            Behaviour::EndlessBody => {
-                let head = format!("HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n\r\n");
-                send_endlessly(stream, &head, "body").await
-            }
-            Behaviour::EndlessChunks => {
-                send_endlessly(stream, &chunked(&id), "4\r\nbody\r\n").await
-            }
-            Behaviour::EndlessExtension => {
-                send_endlessly(stream, &(chunked(&id) + "4;"), "e").await
-            }
-            Behaviour::EndlessExtensions => {
-                let chunk = format!("1;{}\r\nb\r\n", "e".repeat(900));
-                send_endlessly(stream, &chunked(&id), &chunk).await
-            }
-            Behaviour::EndlessTrailers => {
-                send_endlessly(stream, &(chunked(&id) + "0\r\n"), "A: b\r\n").await
-            }
-            Behaviour::EndlessStale => {
-                send_endlessly(stream, "", &response("another", "stale")).await
-            }
             _ => {
                 sleep(run_time(req.target())).await;
                 send(stream, &full).await
@@ -350,6 +350,18 @@
         }
     }
 
+    /// Sends `head` and then `part` again and again until the gateway closes the connection.
+    async fn send_endlessly(&self, stream: &mut TcpStream, head: &str, part: &str) -> bool {
+        const PARTS_PER_WRITE: usize = 256;
+        let parts = part.repeat(PARTS_PER_WRITE);
+        let mut is_open = send(stream, head).await;
+        while is_open {
+            is_open = send(stream, &parts).await;
+            self.endless_bytes.fetch_add(parts.len(), Ordering::AcqRel);
+        }
+        false
+    }
+
     fn run(&self, req: &Request, id: &str) {
         let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
         let headers = req.headers.iter();
@@ -379,15 +391,25 @@
     format!("HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n")
 }
 
-/// Sends `head` and then `part` again and again until the gateway closes the connection.
-async fn send_endlessly(stream: &mut TcpStream, head: &str, part: &str) -> bool {
-    const PARTS_PER_WRITE: usize = 256;
-    let parts = part.repeat(PARTS_PER_WRITE);
-    let mut is_open = send(stream, head).await;
-    while is_open {
-        is_open = send(stream, &parts).await;
-    }
-    false
+/// Head of a response without end, and what is repeated behind it; `None` if the behaviour is no such response.
+fn endless_response(behaviour: Behaviour, id: &str) -> Option<(String, String)> {
+    let ok = "HTTP/1.1 200 OK\r\n";
+    let (head, part) = match behaviour {
+        Behaviour::EndlessInformational => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n"),
+        Behaviour::EndlessHeader => (format!("{ok}A: "), "a"),
+        Behaviour::EndlessHead => (ok.to_owned(), "A: b\r\n"),
+        Behaviour::EndlessBody => (format!("{ok}Id: {id}\r\nSeal: s\r\n\r\n"), "body"),
+        Behaviour::EndlessChunks => (chunked(id), "4\r\nbody\r\n"),
+        Behaviour::EndlessExtension => (chunked(id) + "4;", "e"),
+        Behaviour::EndlessExtensions => {
+            let chunk = format!("1;{}\r\nb\r\n", "e".repeat(900));
+            return Some((chunked(id), chunk));
+        }
+        Behaviour::EndlessTrailers => (chunked(id) + "0\r\n", "A: b\r\n"),
+        Behaviour::EndlessStale => return Some((String::new(), response("another", "stale"))),
+        _ => return None,
+    };
+    Some((head, part.to_owned()))
 }
 
 /// Returns false if the gateway has closed the connection, which is not an error in these tests.
--- a/crates/turmericloft/tests/testsuite/ingress/handover/helper.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/helper.rs
@@ -15,6 +15,7 @@
 use super::{
     super::{
         client::Client,
+        endless_responses::endless,
         endpoint::{Behaviour, Endpoint, Script},
     },
     block_on,
@@ -98,6 +99,23 @@
     });
 }
 
+/// A helper whose response has no end is left like one that ends the connection.
+#[test]
+fn endless_response_of_a_helper_is_not_kept() {
+    for (net, behaviour) in (30..).zip(endless()) {
+        block_on(async {
+            let helpers = [behaviour, Behaviour::Respond];
+            let (gateway, _helpers) = cut_off_gateway(net, &helpers).await;
+            for n in 0..3 {
+                // The reserve of the retry budget is for one retry in ten seconds.
+                sleep(Duration::from_secs(12)).await;
+                let response = call(&gateway, "GET", "/read/1", &format!("r{n}")).await;
+                assert_eq!(response.status, 200, "{behaviour:?}, request {n}");
+            }
+        });
+    }
+}
+
 /// A helper may have sent the request to as many endpoints as it was allowed before it failed.
 #[test]
 fn helpers_that_fail_get_no_more_attempts_together_than_the_route_allows() {
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -5,6 +5,7 @@
 mod cut_responses;
 mod deadlines;
 mod drain;
+mod endless_responses;
 mod endpoint;
 mod evacuation;
 mod faults;
