--- a/crates/turmericloft/src/core/handover/mod.rs
+++ b/crates/turmericloft/src/core/handover/mod.rs
@@ -8,6 +8,7 @@
 mod help_limit;
 mod helper_choice;
 mod helper_refusal;
+mod helper_try;
 mod progress;
 
 pub use self::{
@@ -15,5 +16,6 @@
     help_limit::{MAX_HELPED, check_help},
     helper_choice::HelperChoice,
     helper_refusal::HelperRefusal,
-    progress::{HandoverEnd, HandoverProgress, HandoverTry, HelperTry, MAX_HELPERS},
+    helper_try::HelperTry,
+    progress::{HandoverEnd, HandoverProgress, HandoverTry, MAX_HELPERS},
 };
--- a/crates/turmericloft/src/core/handover/progress.rs
+++ b/crates/turmericloft/src/core/handover/progress.rs
@@ -7,7 +7,7 @@
 
 use strum::{Display, IntoStaticStr};
 
-use super::{AttemptGrant, HelperRefusal};
+use super::{AttemptGrant, HelperRefusal, HelperTry};
 
 /// Helpers that one request is sent to at most. With a third of all gateways cut off, six in a row are so for
 /// one request in 700.
@@ -47,15 +47,6 @@
     TimedOut,
 }
 
-/// One try at a helper.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HelperTry {
-    /// What the helper may do with the request.
-    pub grant: AttemptGrant,
-    /// When the helper has to have taken the request.
-    pub sign_by: Instant,
-}
-
 /// The tries so far of one request.
 #[derive(Clone, Debug)]
 pub struct HandoverProgress {
--- a/crates/turmericloft/src/core/quarantine/mod.rs
+++ b/crates/turmericloft/src/core/quarantine/mod.rs
@@ -18,6 +18,8 @@
 mod quarantine_change;
 mod request_quarantine;
 mod stored_crashes;
+mod survivor;
+mod suspected_crash;
 mod suspected_endpoints;
 mod watched_endpoint;
 
@@ -29,5 +31,7 @@
     quarantine_change::{QuarantineChange, QuarantineEvent, RequestCondition},
     request_quarantine::{RequestQuarantine, SendDecision},
     stored_crashes::StoredCrashes,
-    suspected_endpoints::{Survivor, SuspectedCrash, SuspectedEndpoints},
+    survivor::Survivor,
+    suspected_crash::SuspectedCrash,
+    suspected_endpoints::SuspectedEndpoints,
 };
--- a/crates/turmericloft/src/core/quarantine/suspected_endpoints.rs
+++ b/crates/turmericloft/src/core/quarantine/suspected_endpoints.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use super::{Survivor, SuspectedCrash};
 use crate::core::placement::{DiscoveredEndpoint, InstanceId};
 
 /// Time from a response of an endpoint until it counts as a survivor. An endpoint that has started again under the
@@ -20,30 +21,6 @@
 /// Time after a crash for which an endpoint is checked. The entry of one that has ended is removed within it.
 const CHECKED_FOR: Duration = Duration::from_secs(30);
 
-/// The latest of the crashes of one endpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SuspectedCrash {
-    /// The endpoint.
-    pub endpoint: InstanceId,
-    /// When it is said to have crashed first.
-    pub first_at: Instant,
-    /// When it is said to have crashed last.
-    pub last_at: Instant,
-    /// Whether a request is in quarantine because of this endpoint, among others.
-    pub is_decisive: bool,
-}
-
-/// An endpoint that has not crashed within a span of time.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Survivor {
-    /// The endpoint.
-    pub endpoint: InstanceId,
-    /// Since when its present incarnation is known. Nothing is known of crashes before that.
-    pub since: Instant,
-    /// When it was asked for what it has responded to.
-    pub until: Instant,
-}
-
 /// A response to something that was asked after a crash.
 #[derive(Clone, Copy, Debug)]
 struct Sign {
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -26,6 +26,7 @@
 mod handover;
 mod hedge;
 mod helper_address;
+mod helper_exchange;
 mod helping;
 mod in_flight_attempt;
 mod limits;
--- a/crates/turmericloft/src/ops/ingress/suspected.rs
+++ b/crates/turmericloft/src/ops/ingress/suspected.rs
@@ -1,6 +1,10 @@
 //! Finds out whether endpoints that are said to have crashed have survived.
 
-use std::{future::pending, sync::Arc, time::Instant};
+use std::{
+    future::pending,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use tokio::select;
 
@@ -10,10 +14,14 @@
     util::supervised_tasks::spawn_contained,
 };
 
+/// Shortest time between two looks at the crashes in the table, which change often where endpoints reset connections.
+const READ_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Follows the endpoints of the crashes in the quarantine table. Does not return.
 pub(super) async fn follow_suspected(ingress: Arc<Ingress>) {
     let mut revision = ingress.quarantine.revision();
     revision.mark_changed();
+    let mut next_read = ingress.now();
     loop {
         let now = ingress.now();
         let next_poll = ingress.suspected.lock().next_poll(now);
@@ -23,10 +31,15 @@
                 None => pending().await,
             }
         };
+        let changed = async {
+            ingress.clock.sleep_until(next_read).await;
+            revision.changed().await
+        };
         select! {
             biased;
-            Ok(()) = revision.changed() => {
+            Ok(()) = changed => {
                 let now = ingress.now();
+                next_read = now + READ_INTERVAL;
                 let crashes = ingress.quarantine.suspected_crashes(now);
                 ingress.suspected.lock().set_crashes(now, crashes);
             }
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -1,5 +1,6 @@
 //! An ingress gateway with clients and endpoints on loopback.
 
+mod behaviour;
 mod client;
 mod crashing_requests;
 mod cut_responses;
