--- a/crates/turmericloft/tests/testsuite/ingress/handover/crash_claims.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/crash_claims.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use tokio::time::sleep;
 use turmericloft::core::{
     guard::Fingerprint,
@@ -92,6 +93,67 @@
     });
 }
 
+/// The connections of all gateways are reset for some seconds, and all clients use one path.
+#[test]
+fn path_of_all_clients_is_served_again_after_all_gateways_were_cut_off() {
+    for (net, cut) in [(46, Cut::ResetAtRequest), (47, Cut::Reset), (48, Cut::Hang)] {
+        block_on(async {
+            let fleet = Fleet::start(net, 3, 6).await;
+            sleep(Duration::from_millis(100)).await;
+            send_to_all(&fleet, "before", Duration::from_secs(2)).await;
+            fleet.gateways.iter().for_each(|gateway| gateway.cut(cut));
+            send_to_all(&fleet, "during", Duration::from_secs(4)).await;
+            fleet
+                .gateways
+                .iter()
+                .for_each(|gateway| gateway.cut(Cut::None));
+            send_to_all(&fleet, "just after", STABILITY_WINDOW).await;
+            let statuses = send_to_all(&fleet, "after", Duration::from_secs(4)).await;
+            assert!(
+                statuses.iter().all(|status| *status == 200),
+                "{cut:?}: {statuses:?}"
+            );
+        });
+    }
+}
+
+/// Sends requests with the same path to all gateways, which tell each other of crashes. Returns the statuses.
+async fn send_to_all(fleet: &Fleet, name: &str, length: Duration) -> Vec<u16> {
+    const PERIOD: Duration = Duration::from_millis(110);
+    let rounds = length.div_duration_f64(PERIOD) as u32;
+    let mut calls = Vec::new();
+    for n in 0..rounds {
+        for (i, gateway) in fleet.gateways.iter().enumerate() {
+            let id = format!("{name}-{i}-{n}");
+            calls.push(async move {
+                sleep(PERIOD * n).await;
+                call(gateway, "POST", "/act/1", &id).await
+            });
+        }
+    }
+    let sharing = async {
+        loop {
+            share_crashes(fleet);
+            sleep(PERIOD).await;
+        }
+    };
+    tokio::select! {
+        statuses = join_all(calls) => statuses,
+        () = sharing => unreachable!("it has no end"),
+    }
+}
+
+/// Tells all gateways what each of them knows of crashes.
+fn share_crashes(fleet: &Fleet) {
+    let now = tokio::time::Instant::now().into_std();
+    for from in &fleet.gateways {
+        for to in &fleet.gateways {
+            let reports = from.quarantine.reports_since(now, 0);
+            to.quarantine.merge(now, reports.reports);
+        }
+    }
+}
+
 /// A gateway that was cut off made all others forget crashes that they had seen themselves.
 #[test]
 fn gateway_that_is_cut_off_does_not_erase_the_crashes_that_others_saw() {
