All gateways together check a suspected endpoint eight times a second at most

Each gateway checked the endpoints of a request in quarantine twice a second. With 300 gateways that is 600 checks a second, and each takes a slot: a sound endpoint would have been busy with them. Now the interval grows with the number of gateways, and hosts begin at different times; what one finds out, all learn. Found by reading; the test came with the change.

--- a/crates/turmericloft/src/core/quarantine/suspected_endpoints.rs
+++ b/crates/turmericloft/src/core/quarantine/suspected_endpoints.rs
@@ -7,19 +7,25 @@
 
 use std::{
     collections::HashMap,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use super::{Survivor, SuspectedCrash};
-use crate::core::placement::{DiscoveredEndpoint, InstanceId};
+use crate::core::{
+    placement::{DiscoveredEndpoint, InstanceId},
+    relay::delay_of_host,
+};
 
 /// Time from a response of an endpoint until it counts as a survivor. An endpoint that has started again under the
 /// id it had is registered as a new incarnation within it.
 const REGISTRATION_TIME: Duration = Duration::from_secs(1);
-/// Delay between the checks of an endpoint.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after a crash for which an endpoint is checked. The entry of one that has ended is removed within it.
-const CHECKED_FOR: Duration = Duration::from_secs(30);
+/// Interval between the checks of an endpoint by all gateways together. A check takes a slot of the endpoint.
+const CHECK_INTERVAL: Duration = Duration::from_millis(125);
+/// Shortest interval between the checks of an endpoint by one gateway.
+const MIN_OWN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after a crash for which an endpoint is checked: as long as requests are refused because of it at first.
+const CHECKED_FOR: Duration = Duration::from_secs(60);
 
 /// A response to something that was asked after a crash.
 #[derive(Clone, Copy, Debug)]
@@ -43,13 +49,37 @@
 }
 
 /// The endpoints of the crashes in the quarantine table of one gateway.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct SuspectedEndpoints {
+    host: Arc<str>,
+    /// Gateways that check the same endpoints, this one included.
+    gateways: usize,
     suspected: HashMap<InstanceId, Suspected>,
     listed: HashMap<InstanceId, Incarnation>,
 }
 
 impl SuspectedEndpoints {
+    /// No endpoint is suspected, at the only gateway, on `host`.
+    pub fn new(host: Arc<str>) -> Self {
+        Self {
+            host,
+            gateways: 1,
+            suspected: HashMap::new(),
+            listed: HashMap::new(),
+        }
+    }
+
+    /// Sets the number of gateways that check the same endpoints, this one included.
+    pub fn set_gateways(&mut self, gateways: usize) {
+        self.gateways = gateways;
+    }
+
+    /// Interval between the checks of an endpoint by this gateway. What one finds out, it tells the others.
+    fn own_check_interval(&self) -> Duration {
+        let share = CHECK_INTERVAL.saturating_mul(self.gateways.try_into().unwrap_or(u32::MAX));
+        share.max(MIN_OWN_CHECK_INTERVAL)
+    }
+
     /// Applies the full list of endpoints.
     pub fn set_endpoints(&mut self, now: Instant, endpoints: &[DiscoveredEndpoint]) {
         let mut before = std::mem::take(&mut self.listed);
@@ -71,9 +101,10 @@
     /// Applies all crashes in the table.
     pub fn set_crashes(&mut self, now: Instant, crashes: Vec<SuspectedCrash>) {
         let mut before = std::mem::take(&mut self.suspected);
+        let first_check = now + delay_of_host(&self.host, self.own_check_interval());
         for crash in crashes {
             let known = before.remove(&crash.endpoint);
-            let next_check = known.as_ref().map_or(now, |s| s.next_check);
+            let next_check = known.as_ref().map_or(first_check, |s| s.next_check);
             let sign = known.and_then(|s| s.sign);
             let suspected = Suspected {
                 sign: sign.filter(|sign| sign.asked_at > crash.first_at),
@@ -124,6 +155,7 @@
     pub fn poll(&mut self, now: Instant) -> (Vec<Survivor>, Vec<DiscoveredEndpoint>) {
         let mut survivors = Vec::new();
         let mut checks = Vec::new();
+        let next_check = now + self.own_check_interval();
         let mut suspected = std::mem::take(&mut self.suspected);
         for (id, s) in &mut suspected {
             let judged = s
@@ -138,7 +170,7 @@
                 });
             }
             if s.sign.is_none() && self.is_checked(now, s) && s.next_check <= now {
-                s.next_check = now + CHECK_INTERVAL;
+                s.next_check = next_check;
                 checks.extend(listed.map(|i| i.endpoint.clone()));
             }
         }
--- a/crates/turmericloft/src/ops/ingress/endpoint_exchange.rs
+++ b/crates/turmericloft/src/ops/ingress/endpoint_exchange.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     core::key_lease::Access,
-    sources::http1::{ClientConnection, ExchangeError, Response, ResponseLimits},
+    sources::http1::{ClientConnection, ExchangeError, Request, Response, ResponseLimits},
 };
 
 /// Largest response body that is forwarded, in bytes.
@@ -77,6 +77,16 @@
     }
 }
 
+/// Encodes the first line of a request, with room for the rest.
+pub(super) fn begin_message(req: &Request) -> BytesMut {
+    let mut buf = BytesMut::with_capacity(512 + req.body.len());
+    buf.put_slice(&req.method);
+    buf.put_u8(b' ');
+    buf.put_slice(&req.target);
+    buf.put_slice(b" HTTP/1.1\r\n");
+    buf
+}
+
 fn request_message(
     protocol: &dyn EndpointProtocol,
     forwarded: &ForwardedRequest,
@@ -84,11 +94,7 @@
     removes_credentials: bool,
 ) -> BytesMut {
     let req = &forwarded.req;
-    let mut buf = BytesMut::with_capacity(512 + req.body.len());
-    buf.put_slice(&req.method);
-    buf.put_u8(b' ');
-    buf.put_slice(&req.target);
-    buf.put_slice(b" HTTP/1.1\r\n");
+    let mut buf = begin_message(req);
     let mut removed = protocol.replaced_headers().to_vec();
     if removes_credentials {
         removed.extend(protocol.credential_headers());
--- a/crates/turmericloft/src/ops/ingress/helper_exchange.rs
+++ b/crates/turmericloft/src/ops/ingress/helper_exchange.rs
@@ -8,7 +8,7 @@
 use super::{
     attempt::ForwardedRequest,
     client_response::GatewayResponse,
-    endpoint_exchange::{MAX_BODY_BYTES, RESPONSE_MARGIN},
+    endpoint_exchange::{MAX_BODY_BYTES, RESPONSE_MARGIN, begin_message},
     handover::HANDOVER_HEADER,
     helper_address::helper_address,
     shared::Ingress,
@@ -135,11 +135,7 @@
 ) -> BytesMut {
     let protocol = &*ingress.protocol;
     let req = &forwarded.req;
-    let mut buf = BytesMut::with_capacity(512 + req.body.len());
-    buf.put_slice(&req.method);
-    buf.put_u8(b' ');
-    buf.put_slice(&req.target);
-    buf.put_slice(b" HTTP/1.1\r\n");
+    let mut buf = begin_message(req);
     let replaced = protocol.replaced_headers();
     let skipped: Vec<_> = replaced.iter().chain(&SKIPPED_HEADERS).copied().collect();
     req.headers
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -188,6 +188,7 @@
     loop {
         let gateways = reckoned_gateways(*feeds.gateways.borrow_and_update());
         ingress.balancer.lock().set_gateways(gateways);
+        ingress.suspected.lock().set_gateways(gateways);
         if let Some(max_rate) = ingress.settings.max_endpoint_probe_rate {
             let rate = probe_rate(max_rate, gateways);
             ingress.balancer.lock().set_probe_rate(rate);
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -157,6 +157,7 @@
             Arc::clone(&settings.host),
             first_grant,
         );
+        let suspected = Mutex::new(SuspectedEndpoints::new(Arc::clone(&settings.host)));
         let hedging = Mutex::new(Hedging::new(settings.hedge_limit));
         let response_sizes = Mutex::new(ResponseSizes::new(clock.now()));
         let keys = Mutex::new(KeyAuthority::new(settings.key_rules));
@@ -171,7 +172,7 @@
             quarantine,
             abandoned: Mutex::default(),
             attempt_abandoned: Notify::new(),
-            suspected: Mutex::default(),
+            suspected,
             suspected_changed: Notify::new(),
             table: ArcSwapOption::empty(),
             keys,
--- a/crates/turmericloft/tests/testsuite/quarantine/suspected.rs
+++ b/crates/turmericloft/tests/testsuite/quarantine/suspected.rs
@@ -36,7 +36,7 @@
 
 impl Gateway {
     fn new(seed: u64, now: Instant) -> Self {
-        let mut suspected = SuspectedEndpoints::default();
+        let mut suspected = SuspectedEndpoints::new(format!("g{seed}").into());
         let endpoints: Vec<_> = (0..5).map(|n| endpoint(n, 1)).collect();
         suspected.set_endpoints(now, &endpoints);
         Self {
@@ -102,6 +102,26 @@
     assert_eq!(gateway.checks, checks, "nothing is suspected any more");
 }
 
+/// All gateways of a large fleet suspect the same endpoint: their checks together must not take its slots.
+#[test]
+fn many_gateways_together_check_an_endpoint_eight_times_a_second() {
+    for gateways in [8, 60, 300] {
+        let start = Instant::now();
+        let mut checks = 0;
+        for seed in 0..gateways {
+            let mut gateway = Gateway::new(seed, start);
+            gateway.suspected.set_gateways(gateways as usize);
+            gateway.record_crashes(start + SECOND);
+            gateway.run(start + SECOND, 10 * SECOND, &[]);
+            checks += gateway.checks;
+        }
+        let endpoints = 3;
+        // Each gateway may send its first check.
+        let most = endpoints * (10 * 8 + gateways as usize);
+        assert!((endpoints..=most).contains(&checks), "{gateways}: {checks}");
+    }
+}
+
 /// Endpoints that respond say nothing of those that have ended.
 #[test]
 fn crashes_of_endpoints_that_are_not_heard_again_stay() {
