Test: no client is too slow while a gateway drains

Trace: the test suspends the host for 2.9 s of the 3 s that a client has for the head of a request, so 200 round trips that take more than 0.1 s of real time reach that timeout, and the gateway answers 408 as it has to. The gateway is not at fault.

The document of these tests gives clients as long as the grace period. What is checked is unchanged.

--- a/crates/turmericloft/tests/testsuite/ingress/late_arrivals.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/late_arrivals.rs
@@ -20,11 +20,11 @@
 
 /// Completes a request so long after the stop whose first bytes arrived before it, and returns the response.
 async fn response_after_stop(world: &mut World, req: &str, after: Duration) -> Response {
-    let mut document = document(2);
+    let mut document = document(3);
     document.limits.head_timeout = GRACE_PERIOD;
     let table = Arc::new(RouteTable::new(document));
     world.gateway.documents.send_replace(Some(table));
-    world.wait_for_document(2).await;
+    world.wait_for_document(3).await;
     world.send(&req[..20]).await;
     world.wait_for_stage(ConnectionStage::Receiving).await;
     world.stop(after).await;
--- a/crates/turmericloft/tests/testsuite/ingress/owed.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/owed.rs
@@ -10,6 +10,7 @@
     sync::Semaphore,
 };
 use turmericloft::{
+    core::traffic::RouteTable,
     ops::ingress::{ConnectionStage, ConnectionWork, DrainEnd},
     sources::http1::{ReaderLimits, RequestReader, Response, ResponseLimits, ResponseReader},
     util::host_clock::HostClock,
@@ -17,7 +18,7 @@
 
 use super::{
     client::{Client, request},
-    gateway::{Gateway, settings},
+    gateway::{Gateway, document, settings},
 };
 
 /// Body that does not fit into the buffers of the kernel, in bytes.
@@ -36,6 +37,8 @@
 pub(super) const GRACE_PERIOD: Duration = Duration::from_secs(300);
 /// A grace period within which no timeout of a client is reached.
 const SHORT_GRACE_PERIOD: Duration = Duration::from_secs(2);
+/// Version of the document of these tests.
+const PATIENT_VERSION: u64 = 2;
 /// Part of the grace period after which open requests have got a response of the gateway, before it ends.
 const LAST_RESPONSES_BEFORE_END: Duration = Duration::from_millis(350);
 
@@ -123,6 +126,13 @@
             clock,
             client,
         };
+        // No client is too slow, however long the round trips of a test take.
+        let mut patient = document(PATIENT_VERSION);
+        patient.limits.head_timeout = GRACE_PERIOD;
+        patient.limits.idle_timeout = GRACE_PERIOD;
+        let table = Arc::new(RouteTable::new(patient));
+        world.gateway.documents.send_replace(Some(table));
+        world.wait_for_document(PATIENT_VERSION).await;
         world.wait_for_stage(ConnectionStage::Idle).await;
         world
     }
