--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -2,21 +2,18 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::http::{Message, Reader};
 
-/// Rate at which a client sends a body: two together fill a link of 1,000 Mbit/s.
-const BODY_BYTES_PER_SECOND: f64 = 62_500_000.0;
-
 /// How a request ended.
 #[derive(Debug)]
 pub enum Answer {
     Response(Message),
     /// The connection could not be opened.
     NoConnection,
-    /// The connection ended, or failed, without a complete answer.
+    /// The connection ended, or failed, without a complete answer. Why is shown in the record.
+    #[allow(dead_code)]
     Cut(String),
     TimedOut,
 }
@@ -73,17 +70,7 @@
             "{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {ms}\r\n\
              {headers}Content-Length: {body}\r\n\r\n"
         );
-        let part = vec![b'x'; (*body).min(256 << 10)];
-        let mut left = *body;
-        let mut sent = stream.write_all(head.as_bytes());
-        let started = Instant::now();
-        while left > 0 && sent.is_ok() {
-            let n = left.min(part.len());
-            sent = stream.write_all(&part[..n]);
-            left -= n;
-            let due = started + Duration::from_secs_f64((body - left) as f64 / BODY_BYTES_PER_SECOND);
-            thread::sleep(due.saturating_duration_since(Instant::now()));
-        }
+        let _ = stream.write_all(&[head.into_bytes(), vec![b'x'; *body]].concat());
         match reader.next() {
             Ok(Some(response)) => Answer::Response(response),
             Ok(None) => Answer::Cut("closed".into()),
--- a/review/standins-2/endpoint.rs
+++ b/review/standins-2/endpoint.rs
@@ -14,6 +14,7 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub id: String,
+    pub endpoint: String,
     pub service: String,
     pub at: Instant,
 }
@@ -27,6 +28,8 @@
     pub work: Duration,
     pub address: SocketAddr,
     running: AtomicU32,
+    /// Whether the endpoint is entered in the store.
+    is_listed: Mutex<bool>,
     seq: AtomicU64,
     born: u128,
     runs: Arc<Mutex<Vec<Run>>>,
@@ -51,6 +54,7 @@
             work,
             address: listener.local_addr().unwrap(),
             running: AtomicU32::new(0),
+            is_listed: Mutex::new(true),
             seq: AtomicU64::new(0),
             born: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis(),
             runs: Arc::clone(runs),
@@ -65,12 +69,23 @@
         });
         let (beating, store) = (Arc::clone(&endpoint), Arc::clone(store));
         thread::spawn(move || loop {
-            store.put("keyed.servers", &beating.id, &beating.entry());
+            let is_listed = beating.is_listed.lock().unwrap();
+            if *is_listed {
+                store.put("keyed.servers", &beating.id, &beating.entry());
+            }
+            drop(is_listed);
             thread::sleep(Duration::from_millis(1_500));
         });
         endpoint
     }
 
+    /// Removes the entry of the endpoint, which serves on, and returns when the store has acknowledged that.
+    pub fn leave(&self, store: &Store) -> Instant {
+        let mut is_listed = self.is_listed.lock().unwrap();
+        *is_listed = false;
+        store.put("keyed.servers", &self.id, "")
+    }
+
     fn entry(&self) -> String {
         let seq = self.seq.fetch_add(1, Ordering::Relaxed);
         let Self { id, service, zone, slots, born, .. } = self;
@@ -120,6 +135,7 @@
         self.record.line(&format!("ran request={id} endpoint={} service={} body_bytes={bytes}", self.id, self.service));
         self.runs.lock().unwrap().push(Run {
             id: id.into(),
+            endpoint: self.id.clone(),
             service: self.service.clone(),
             at: Instant::now(),
         });
--- a/review/standins-2/gateway.rs
+++ b/review/standins-2/gateway.rs
@@ -62,10 +62,6 @@
         Self { front: address(8641), ready: address(8640), child }
     }
 
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Kills the process, as the platform does.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -114,10 +110,3 @@
     let pid = std::process::id();
     format!("127.{}.{}", 100 + pid % 100, pid / 100 % 250)
 }
-
-/// Memory that a process has in use, in KiB.
-pub fn resident_kb(pid: u32) -> Option<u64> {
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let line = status.lines().find(|l| l.starts_with("VmRSS:"))?;
-    line.split_whitespace().nth(1)?.parse().ok()
-}
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,7 +5,7 @@
 mod endpoint;
 mod gateway;
 mod http;
-mod large_bodies;
+mod late_removal;
 mod quota_record;
 mod record;
 mod stale_helper;
@@ -49,7 +49,7 @@
     });
     let scene = Scene { record: Arc::clone(&record), dir: dir.clone(), has_trouble };
     let run = match case {
-        "large-bodies" => large_bodies::run,
+        "late-removal" => late_removal::run,
         "quota-record" => quota_record::run,
         "stale-helper" => stale_helper::run,
         _ => exit(2),
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -56,6 +56,10 @@
     pub address: SocketAddr,
     /// Whether the store refuses all calls of the host.
     pub is_refused: Arc<AtomicBool>,
+    /// Whether the host is partitioned from the store: all its connections are reset.
+    pub is_cut: Arc<AtomicBool>,
+    /// Calls of the host that were answered.
+    pub answered: Arc<AtomicU64>,
 }
 
 /// Replaces the names of endpoints by the addresses that a host's zone uses: `{{id}}` by its address.
@@ -75,22 +79,31 @@
     pub fn link(self: &Arc<Self>, addresses: Addresses) -> StoreLink {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let is_refused = Arc::new(AtomicBool::new(false));
-        let (store, refused) = (Arc::clone(self), Arc::clone(&is_refused));
+        let link = StoreLink {
+            address,
+            is_refused: Arc::default(),
+            is_cut: Arc::default(),
+            answered: Arc::default(),
+        };
+        let (store, served) = (Arc::clone(self), link.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (store, refused) = (Arc::clone(&store), Arc::clone(&refused));
+                let (store, link) = (Arc::clone(&store), served.clone());
                 let addresses = Arc::clone(&addresses);
-                thread::spawn(move || store.serve(stream, &refused, &addresses));
+                thread::spawn(move || store.serve(stream, &link, &addresses));
             }
         });
-        StoreLink { address, is_refused }
+        link
     }
 
-    fn serve(&self, mut stream: TcpStream, refused: &AtomicBool, addresses: &Addresses) {
+    fn serve(&self, mut stream: TcpStream, link: &StoreLink, addresses: &Addresses) {
+        let refused = &*link.is_refused;
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream.try_clone().unwrap());
         while let Ok(Some(call)) = reader.next() {
+            if link.is_cut.load(Ordering::Acquire) {
+                return;
+            }
             // The time of an answer.
             thread::sleep(Duration::from_millis(4));
             if self.loses(&call) {
@@ -102,6 +115,10 @@
                 true => ("503 Service Unavailable", Vec::new()),
                 false => self.answer(&call, refused, addresses),
             };
+            if link.is_cut.load(Ordering::Acquire) {
+                return;
+            }
+            link.answered.fetch_add(1, Ordering::Relaxed);
             if respond(&mut stream, status, "Content-Type: application/json\r\n", &body).is_err() {
                 return;
             }
