--- a/crates/turmericloft-cli/tests/testsuite/main.rs
+++ b/crates/turmericloft-cli/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod leaving;
 mod load;
 mod lost_output;
+mod odd_names;
 mod peers;
 mod platform_gateway;
 mod repeated_refusals;
--- a/crates/turmericloft-cli/tests/testsuite/support/process.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/process.rs
@@ -130,6 +130,13 @@
         self.child.wait().expect("the process is a child")
     }
 
+    /// Kills the process and waits until it is gone.
+    pub fn kill(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     fn next_line(&self, deadline: Instant) -> Result<String, RecvTimeoutError> {
         let remaining = deadline.saturating_duration_since(Instant::now());
         self.lines.recv_timeout(remaining)
@@ -150,7 +157,6 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
