Control characters are escaped in the log's text format

A name of another writer with a line break ended its line of the log and began one of its own (`--log-format text`; the JSON format, which is the default, escapes already). Found by reading; the test came with the change. No metric has a name of the store as a label, and messages of the relay carry names as they are.

--- a/crates/turmericloft/src/util/logging.rs
+++ b/crates/turmericloft/src/util/logging.rs
@@ -1,6 +1,6 @@
 //! Logger setup. Log lines report changes of state only; recurring events are counted in metrics.
 
-use std::io;
+use std::{borrow::Cow, io};
 
 use log::{LevelFilter, SetLoggerError};
 use serde::Deserialize;
@@ -57,7 +57,11 @@
         .format(move |out, message, record| {
             let (level, target) = (record.level(), record.target());
             match format {
-                LogFormat::Text => out.finish(format_args!("{level} {target}: {message}")),
+                LogFormat::Text => {
+                    let message = message.to_string();
+                    let message = escape_controls(&message);
+                    out.finish(format_args!("{level} {target}: {message}"));
+                }
                 LogFormat::Json => {
                     let line = serde_json::json!({
                         "at_ms": unix_ms(),
@@ -70,3 +74,15 @@
             }
         })
 }
+
+/// Escapes control characters, so that a name of another party cannot end a line and begin another one.
+pub fn escape_controls(text: &str) -> Cow<'_, str> {
+    if !text.contains(char::is_control) {
+        return Cow::Borrowed(text);
+    }
+    let escape = |c: char| match c.is_control() {
+        true => c.escape_default().to_string(),
+        false => c.to_string(),
+    };
+    Cow::Owned(text.chars().map(escape).collect())
+}
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod key_lease;
 mod log_service;
 mod log_writer;
+mod logging;
 mod metric_names;
 mod parsers;
 mod peer;
