--- a/crates/turmericloft-cli/tests/testsuite/odd_names.rs
+++ b/crates/turmericloft-cli/tests/testsuite/odd_names.rs
@@ -1,12 +1,16 @@
 //! Gateways beside a store whose lists hold names of another writer, on more than two pages.
 
-use std::{cell::Cell, time::Duration};
+use std::{cell::Cell, fs, time::Duration};
 
+use tempfile::TempDir;
 use turmericloft_platform::standin::{
-    GatewayHost, StandinEndpoint, StandinStore, idempotent_config, idempotent_request,
+    GatewayHost, GatewayProcess, StandinEndpoint, StandinStore, idempotent_config,
+    idempotent_request,
 };
 
-use crate::support::{PlatformGateway, eventually};
+use crate::support::eventually;
+
+const TURMERICLOFT: &str = env!("CARGO_BIN_EXE_turmericloft");
 
 /// All topics that a gateway reads.
 const TOPICS: [&str; 6] = [
@@ -26,7 +30,8 @@
 struct Zone {
     store: StandinStore,
     endpoints: Vec<StandinEndpoint>,
-    gateways: Vec<PlatformGateway>,
+    gateways: Vec<GatewayProcess>,
+    _folder: TempDir,
 }
 
 impl Zone {
@@ -49,25 +54,29 @@
         }
         // Only the lists have what was written so far.
         TOPICS.iter().for_each(|topic| store.delete_history(topic));
+        let folder = TempDir::new().expect("a folder");
         let gateways = (1..=2).map(|n| {
             let host = GatewayHost {
                 name: ["g1", "g2"][n - 1],
                 zone: "a",
                 ip: [127, 0, subnet, n as u8].into(),
             };
-            PlatformGateway::start(host, &host.settings(store.address()))
+            let file = folder.path().join(host.name);
+            fs::write(&file, host.settings(store.address())).expect("written");
+            GatewayProcess::start(TURMERICLOFT.as_ref(), host, &file).expect("it starts")
         });
         Self {
             gateways: gateways.collect(),
             store,
             endpoints,
+            _folder: folder,
         }
     }
 
     /// Sends requests to each gateway once it is ready; all have to be served.
     async fn assert_serves(&self, part: &str) {
         for gateway in &self.gateways {
-            gateway.wait_ready().await;
+            eventually(async || gateway.is_ready().await.then_some(())).await;
             for n in 0..REQUESTS {
                 let request = idempotent_request("/a/1", &format!("r{n}"));
                 let response = gateway.call(request.as_bytes()).await;
@@ -110,7 +119,9 @@
             .await;
         }
 
-        zone.gateways.iter_mut().for_each(PlatformGateway::restart);
+        for gateway in &mut zone.gateways {
+            gateway.restart().expect("it starts");
+        }
         zone.assert_serves(part).await;
     }
 }
--- a/crates/turmericloft-cli/tests/testsuite/support/mod.rs
+++ b/crates/turmericloft-cli/tests/testsuite/support/mod.rs
@@ -8,7 +8,6 @@
 mod http2_caller;
 mod operator_shell;
 mod platform;
-mod platform_gateway;
 mod process;
 mod raw_caller;
 mod tcp_proxy;
@@ -22,7 +21,6 @@
     http2_caller::{Http2Caller, frame_type},
     operator_shell::{OperatorShell, rival_record},
     platform::Platform,
-    platform_gateway::PlatformGateway,
     process::Process,
     raw_caller::RawCaller,
     tcp_proxy::TcpProxy,
