Messages of the relay's followers are 256 KiB at the most

What was seen: 500 connections to the port of the relay, each with the length of a message of 8 MiB and most of its bytes, took a gateway to 484 MiB (112 allowed). Cause: an upstream took messages as long as those that it sends itself, from anyone who connects, on 64 connections at a time. Followers send polls and up to 32 reports of crashes, a few kilobytes.

--- a/crates/turmericloft/src/ops/relay/follow.rs
+++ b/crates/turmericloft/src/ops/relay/follow.rs
@@ -151,5 +151,5 @@
     let stream = connected.map_err(|source| RelayError::Connect { peer, source })?;
     let io = |source| RelayError::Io { peer, source };
     stream.set_nodelay(true).map_err(io)?;
-    Ok(RelayConnection::new(peer, stream))
+    Ok(RelayConnection::to_upstream(peer, stream))
 }
--- a/crates/turmericloft/src/ops/relay/serve.rs
+++ b/crates/turmericloft/src/ops/relay/serve.rs
@@ -99,6 +99,6 @@
 ) -> Result<(), RelayError> {
     let io = |source| RelayError::Io { peer, source };
     stream.set_nodelay(true).map_err(io)?;
-    let connection = RelayConnection::new(peer, stream);
+    let connection = RelayConnection::to_follower(peer, stream);
     FollowerConnection::new(hub, connection).serve().await
 }
--- a/crates/turmericloft/src/ops/relay/wire.rs
+++ b/crates/turmericloft/src/ops/relay/wire.rs
@@ -15,6 +15,8 @@
 const MESSAGE_VERSION: u16 = 8;
 /// Maximum length of a message: large enough for a document of tens of thousands of routes.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
+/// Maximum length of a message of a follower: a poll, and the reports of crashes behind it.
+const MAX_POLL_BYTES: usize = 256 << 10;
 
 #[derive(Serialize, Deserialize)]
 struct Versioned<T> {
@@ -37,10 +39,21 @@
 }
 
 impl RelayConnection {
-    pub(super) fn new(peer: SocketAddr, stream: TcpStream) -> Self {
+    /// The end of a follower.
+    pub(super) fn to_upstream(peer: SocketAddr, stream: TcpStream) -> Self {
+        Self::new(peer, stream, MAX_MESSAGE_BYTES)
+    }
+
+    /// The end of an upstream. Anyone may be at the other one.
+    pub(super) fn to_follower(peer: SocketAddr, stream: TcpStream) -> Self {
+        Self::new(peer, stream, MAX_POLL_BYTES)
+    }
+
+    fn new(peer: SocketAddr, stream: TcpStream, max_received_bytes: usize) -> Self {
         let mut codec = LengthDelimitedCodec::new();
         codec.set_max_frame_length(MAX_MESSAGE_BYTES);
-        let framed = Framed::new(stream, codec);
+        let mut framed = Framed::new(stream, codec);
+        framed.codec_mut().set_max_frame_length(max_received_bytes);
         Self { peer, framed }
     }
 
