The readiness check and the metrics keep 32 connections each

What was seen: 500 connections without a request to either listener took 515 to 520 descriptors of a process that may have 400. Nothing bounded them but their age of 30 s. Now the oldest is closed for a new one: whoever has a check to make sends it at once.

--- a/crates/turmericloft/src/ops/ingress/ready.rs
+++ b/crates/turmericloft/src/ops/ingress/ready.rs
@@ -1,10 +1,11 @@
 //! Serves the readiness check and the metrics.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    task::JoinHandle,
     time::{sleep, timeout},
 };
 
@@ -21,6 +22,8 @@
 };
 /// Time after which a connection is closed, counted from its start.
 const MAX_CONNECTION_AGE: Duration = Duration::from_secs(30);
+/// Connections that are open at the same time on one listener.
+const MAX_CONNECTIONS: usize = 32;
 /// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -61,10 +64,13 @@
     listener: TcpListener,
     respond: impl Fn(&str) -> String + Clone + Send + Sync + 'static,
 ) {
+    let mut open = VecDeque::with_capacity(MAX_CONNECTIONS);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(timeout(MAX_CONNECTION_AGE, serve(stream, respond.clone())));
+                close_oldest(&mut open).await;
+                let serving = timeout(MAX_CONNECTION_AGE, serve(stream, respond.clone()));
+                open.push_back(tokio::spawn(serving));
             }
             Err(e) => {
                 log::warn!("cannot accept a connection for readiness or metrics; retrying: {e}");
@@ -74,6 +80,19 @@
     }
 }
 
+/// Makes room for a further connection. Clients with a check to make send it at once, so the oldest connection is the one to close.
+async fn close_oldest<T>(open: &mut VecDeque<JoinHandle<T>>) {
+    open.retain(|serving| !serving.is_finished());
+    if open.len() < MAX_CONNECTIONS {
+        return;
+    }
+    if let Some(oldest) = open.pop_front() {
+        oldest.abort();
+        // Its descriptor is free only when it has ended.
+        let _ = oldest.await;
+    }
+}
+
 async fn serve(mut stream: TcpStream, respond: impl Fn(&str) -> String) {
     let mut reader = RequestReader::new();
     loop {
