--- a/crates/turmericloft-cli/tests/testsuite/crashing_request.rs
+++ b/crates/turmericloft-cli/tests/testsuite/crashing_request.rs
@@ -87,7 +87,8 @@
     async fn wait_for_crashes(&self, crashes: usize) {
         eventually(async || {
             let response = exchange(self.metrics, METRICS_REQUEST).await?;
-            let metrics = String::from_utf8_lossy(&response.body);
+            let body = response.body.to_bytes();
+            let metrics = String::from_utf8_lossy(&body);
             let counts = metrics.lines().filter(|line| line.starts_with(CHANGES));
             let counts = counts.filter_map(|line| line.rsplit(' ').next()?.parse::<usize>().ok());
             (counts.sum::<usize>() >= crashes).then_some(())
@@ -102,7 +103,7 @@
     stream.write_all(text.as_bytes()).await.ok()?;
     let limits = ResponseLimits {
         body_bytes: 1 << 20,
-        budget: None,
+        memory: None,
     };
     let mut reader = ResponseReader::new(b"GET", limits);
     let mut buf = BytesMut::new();
--- a/crates/turmericloft-cli/tests/testsuite/docs.rs
+++ b/crates/turmericloft-cli/tests/testsuite/docs.rs
@@ -8,6 +8,9 @@
 
 use turmericloft::{core::document::check_document, util::metrics_table::ALL};
 
+/// Folders of the test targets of all packages.
+const TEST_TARGETS: [&str; 2] = ["testsuite", "clients"];
+
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
@@ -22,7 +25,7 @@
         .collect()
 }
 
-/// Whether `path`, as `package::module::test`, names a test in the testsuite of that package.
+/// Whether `path`, as `package::module::test`, names a test of that package.
 fn is_test(path: &str) -> bool {
     let Some((package, rest)) = path.split_once("::") else {
         return false;
@@ -34,15 +37,17 @@
         "turmericloft-platform" => root().join("platform"),
         _ => root().join("crates").join(package),
     };
-    let suite = folder.join("tests/testsuite");
     let module = module.replace("::", "/");
-    let files = [
-        suite.join(format!("{module}.rs")),
-        suite.join(format!("{module}/mod.rs")),
-    ];
+    let files = TEST_TARGETS.iter().flat_map(|target| {
+        let target = folder.join("tests").join(target);
+        [
+            target.join(format!("{module}.rs")),
+            target.join(format!("{module}/mod.rs")),
+        ]
+    });
     let declared = format!("fn {test}(");
     files
-        .iter()
+        .into_iter()
         .any(|f| fs::read_to_string(f).is_ok_and(|text| text.contains(&declared)))
 }
 
--- a/crates/turmericloft-cli/tests/testsuite/unfinished_responses.rs
+++ b/crates/turmericloft-cli/tests/testsuite/unfinished_responses.rs
@@ -136,7 +136,7 @@
     async fn response(&mut self, pause: impl AsyncFn()) -> Option<Response> {
         let limits = ResponseLimits {
             body_bytes: 2 * LARGE_BODY,
-            budget: None,
+            memory: None,
         };
         let mut reader = ResponseReader::new(b"GET", limits);
         let mut since_pause = 0;
--- a/crates/turmericloft/src/core/guard/fingerprint.rs
+++ b/crates/turmericloft/src/core/guard/fingerprint.rs
@@ -14,17 +14,24 @@
 impl Fingerprint {
     /// Computes the fingerprint of a request. Each part is hashed with its length.
     pub fn of(service: &str, method: &str, path_and_query: &str, body: &[u8]) -> Self {
+        Self::of_segments(service, method, path_and_query, &[body])
+    }
+
+    /// Like [`of`](Self::of), with a body in segments.
+    pub fn of_segments(
+        service: &str,
+        method: &str,
+        path_and_query: &str,
+        body: &[impl AsRef<[u8]>],
+    ) -> Self {
         let mut hash = Sha256::new();
-        let parts = [
-            service.as_bytes(),
-            method.as_bytes(),
-            path_and_query.as_bytes(),
-            body,
-        ];
-        for part in parts {
+        for part in [service, method, path_and_query] {
             hash.update((part.len() as u64).to_be_bytes());
             hash.update(part);
         }
+        let length: usize = body.iter().map(|segment| segment.as_ref().len()).sum();
+        hash.update((length as u64).to_be_bytes());
+        body.iter().for_each(|segment| hash.update(segment));
         Self(hash.finalize().into())
     }
 }
--- a/crates/turmericloft/src/core/mod.rs
+++ b/crates/turmericloft/src/core/mod.rs
@@ -15,6 +15,7 @@
 mod host_id;
 pub mod key_lease;
 pub mod membership;
+pub mod memory;
 mod name;
 mod outcome;
 pub mod placement;
--- a/crates/turmericloft/src/ops/ingress/attempt.rs
+++ b/crates/turmericloft/src/ops/ingress/attempt.rs
@@ -105,7 +105,8 @@
             let req = &self.req;
             let text = String::from_utf8_lossy;
             let host = req.headers.get_str("host").unwrap_or_default();
-            Fingerprint::of(host, &text(&req.method), &text(&req.target), &req.body)
+            let (method, target) = (text(&req.method), text(&req.target));
+            Fingerprint::of_segments(host, &method, &target, req.body.segments())
         })
     }
 
--- a/crates/turmericloft/src/ops/ingress/client.rs
+++ b/crates/turmericloft/src/ops/ingress/client.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesOrdered};
 use tokio::net::TcpStream;
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -22,7 +23,10 @@
     shared::Ingress,
 };
 use crate::{
-    core::traffic::{RequestLimits, RouteKind},
+    core::{
+        memory::{ActivityKind, Charge, MemoryClass},
+        traffic::{RequestLimits, RouteKind},
+    },
     sources::{
         http1::{ReaderLimits, Request, RequestError, RequestReader},
         send_buffer::wait_until_sent,
@@ -37,8 +41,16 @@
 /// The same while a response is pending. A client that has sent more is not read, and its disconnect
 /// not noticed, before the response is written.
 const MAX_PENDING_READ_AHEAD_BYTES: usize = 1 << 20;
+/// Bytes that are buffered without memory of their own: the connection has taken them.
+const FREE_READ_AHEAD_BYTES: usize = 16 << 10;
 /// Bytes reserved in the buffer for each read.
 const READ_BYTES: usize = 4 << 10;
+/// The same while a body arrives.
+const BODY_READ_BYTES: usize = 16 << 10;
+/// Time that a request waits for memory that others are to give up.
+const MEMORY_WAIT: Duration = Duration::from_millis(200);
+/// How often it looks for that memory.
+const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 /// Time that a stopping gateway gives a client that has just connected to send its first request.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -77,11 +89,15 @@
     }
     let disconnected = CancellationToken::new();
     let now = ingress.now();
+    let memory = ingress.memory.clone();
     let client = ClientStream {
         ingress,
         origin,
         stream,
-        reader: RequestReader::new(),
+        reader: RequestReader::with_account(memory.clone()),
+        read_ahead: memory.charge(MemoryClass::Requests),
+        waits_for_memory: None,
+        has_request: false,
         pending: FuturesOrdered::new(),
         deferred: None,
         is_exclusive: false,
@@ -102,6 +118,12 @@
     pub(super) origin: RequestOrigin,
     pub(super) stream: TcpStream,
     pub(super) reader: RequestReader,
+    /// What the buffer of the reader has taken.
+    read_ahead: Charge,
+    /// Since when the request that is being read has waited for memory; `None` if it has enough.
+    waits_for_memory: Option<Instant>,
+    /// Whether a complete request has arrived.
+    has_request: bool,
     pub(super) pending: FuturesOrdered<PendingResponse>,
     /// An at-most-once request that waits until all earlier responses are written.
     pub(super) deferred: Option<Request>,
@@ -132,32 +154,47 @@
         let clock = self.ingress.clock.clone();
         loop {
             self.start_requests();
-            if take(&mut self.owes_sign) && self.write_message(TAKEN).await.is_err() {
+            if take(&mut self.owes_sign)
+                && self
+                    .write_message(&Bytes::from_static(TAKEN).into())
+                    .await
+                    .is_err()
+            {
                 return;
             }
+            if self.lacks_memory() {
+                self.refuse_for_memory();
+                continue;
+            }
             if self.pending.is_empty()
+                && self.waits_for_memory.is_none()
                 && self.reader.take_expects_continue()
-                && self.write_message(CONTINUE).await.is_err()
+                && self
+                    .write_message(&Bytes::from_static(CONTINUE).into())
+                    .await
+                    .is_err()
             {
                 return;
             }
             let is_quiet = self.pending.is_empty();
             let is_idle = is_quiet && !self.reader.has_partial_request();
-            self.connection.set_stage(match (is_quiet, is_idle) {
-                (false, _) => ConnectionStage::Responding,
-                (true, false) => ConnectionStage::Receiving,
-                (true, true) => ConnectionStage::Idle,
-            });
+            self.record_activity(is_quiet, is_idle);
+            let waits_for_memory = self.waits_for_memory.is_some();
             let unread = self.reader.buffer().len();
-            let can_read = if is_quiet {
-                self.is_accepting && unread < MAX_READ_AHEAD_BYTES
-            } else {
-                // Reading notices that the client disconnects.
-                unread < MAX_PENDING_READ_AHEAD_BYTES
-            };
+            // Reading notices that the client disconnects, also while a response is pending.
+            let can_read = !waits_for_memory
+                && match is_quiet {
+                    true => self.is_accepting && unread < MAX_READ_AHEAD_BYTES,
+                    false => unread < MAX_PENDING_READ_AHEAD_BYTES,
+                }
+                && self.take_read_ahead(unread);
             let deadline = self.read_deadline();
             let closed_idle = close_idle(&closing_idle, &clock, self.idle_from, &self.stream);
-            self.reader.buffer().reserve(READ_BYTES);
+            let read_bytes = match self.reader.is_in_body() {
+                true => BODY_READ_BYTES,
+                false => READ_BYTES,
+            };
+            self.reader.buffer().reserve(read_bytes);
             tokio::select! {
                 biased;
                 Some(ready) = self.pending.next(), if !is_quiet => {
@@ -168,13 +205,18 @@
                 readable = self.stream.readable(), if can_read => {
                     let read = readable.and_then(|()| self.stream.try_read_buf(self.reader.buffer()));
                     match read {
-                        Ok(n) if n > 0 => self.last_activity = self.ingress.now(),
+                        Ok(n) if n > 0 => {
+                            self.last_activity = self.ingress.now();
+                            self.connection.record_progress(self.last_activity, n);
+                        }
                         Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                         _ => return,
                     }
                 }
                 // Nothing is read any more, so a client whose request crosses the close may repeat it.
                 () = closed_idle, if is_idle => return,
+                () = self.connection.given_up(), if is_quiet => return self.give_up(),
+                () = clock.sleep_until(self.ingress.now() + MEMORY_RETRY_INTERVAL), if waits_for_memory => {}
                 () = ending.cancelled(), if is_quiet => return self.refuse().await,
                 () = clock.sleep_until(deadline), if is_quiet => return self.time_out().await,
             }
@@ -188,15 +230,59 @@
             .map_or_else(RequestLimits::default, |t| t.document().limits)
     }
 
-    /// Time at which the connection is closed if the client sends nothing more.
+    /// Time at which the connection is closed if the client sends nothing more. A body may take as long as it goes on.
     fn read_deadline(&self) -> Instant {
         let limits = self.limits();
-        match self.request_started {
+        match self.request_started.filter(|_| !self.reader.is_in_body()) {
             Some(started) => started + limits.head_timeout,
             None => self.last_activity + limits.idle_timeout,
         }
     }
 
+    /// Records what the connection is in the middle of.
+    fn record_activity(&mut self, is_quiet: bool, is_idle: bool) {
+        let (stage, kind) = match (is_quiet, is_idle) {
+            (false, _) => (ConnectionStage::Responding, ActivityKind::Serving),
+            (true, true) if self.has_request => (ConnectionStage::Idle, ActivityKind::Idle),
+            (true, true) => (ConnectionStage::Idle, ActivityKind::Unused),
+            (true, false) if self.reader.is_in_body() => {
+                (ConnectionStage::Receiving, ActivityKind::PartialBody)
+            }
+            (true, false) => (ConnectionStage::Receiving, ActivityKind::PartialHead),
+        };
+        let held = self.reader.held_bytes() + self.read_ahead.bytes();
+        let now = self.last_activity;
+        self.connection.record_activity(now, stage, kind, held);
+    }
+
+    /// Takes memory for what is buffered beyond what the connection has taken. Returns whether more may be read.
+    fn take_read_ahead(&mut self, unread: usize) -> bool {
+        if unread < FREE_READ_AHEAD_BYTES {
+            self.read_ahead.shrink_to(0);
+            return true;
+        }
+        // The buffer moves to a larger one as it grows.
+        self.read_ahead.try_grow_to(2 * unread)
+    }
+
+    /// Whether there is no memory for the request that is being read, and none is to be expected soon.
+    fn lacks_memory(&mut self) -> bool {
+        if self.reader.missing_memory().is_none() {
+            self.waits_for_memory = None;
+            return false;
+        }
+        let now = self.ingress.now();
+        let since = *self.waits_for_memory.get_or_insert(now);
+        !self.reader.reclaim_memory() || now.saturating_duration_since(since) >= MEMORY_WAIT
+    }
+
+    /// Ends the connection after a response that says that there is no memory for the request that is being read.
+    fn refuse_for_memory(&mut self) {
+        self.waits_for_memory = None;
+        self.reader.abandon();
+        self.push_gateway_response(GatewayResponse::NoMemory, true);
+    }
+
     /// Starts the requests that have arrived, as far as they may be in flight at the same time.
     fn start_requests(&mut self) {
         let limits = self.limits();
@@ -226,6 +312,7 @@
                 }
                 Ok(None) => break,
                 Err(fault) => {
+                    self.reader.abandon();
                     self.push_gateway_response(GatewayResponse::Faulty(fault), true);
                     return;
                 }
@@ -240,6 +327,7 @@
     fn read_request(&mut self, limits: &ReaderLimits) -> Result<Option<Request>, RequestError> {
         let next = self.reader.next(limits)?;
         if let Some(req) = &next {
+            self.has_request = true;
             self.idle_from = self.ingress.now();
             let id = self.ingress.protocol.request_id(&req.headers);
             self.connection.add_request(id.unwrap_or_default());
--- a/crates/turmericloft/src/ops/ingress/client_response.rs
+++ b/crates/turmericloft/src/ops/ingress/client_response.rs
@@ -2,15 +2,18 @@
 
 use std::time::Duration;
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{BufMut, BytesMut};
 use strum::Display;
 
 use super::handover::HANDOVER_HEADER;
 use crate::{
     core::handover::HelperRefusal,
-    sources::http1::{RequestError, Response},
+    sources::http1::{Message, RequestError, Response},
 };
 
+/// `Retry-After` of a request for which there is no room: some bodies have ended by then.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// A response that the gateway generates. It has no body.
 ///
 /// The names of the variants are written to the log as values of `answer=`.
@@ -23,8 +26,12 @@
     NoRequestId,
     /// No route matches the request, or the route has no destination.
     NoRoute,
-    /// The request did not arrive completely before the timeout.
+    /// The request did not arrive completely before the timeout, or made no progress while others needed its memory.
     TooSlow,
+    /// There is no memory for the request. It has not run and never will; the client may retry it.
+    NoMemory,
+    /// The gateway has too many connections. The request has not run and never will; the client may retry it.
+    TooManyConnections,
     /// The gateway has no active document yet.
     NotReady,
     /// The request has not run and never will: it has no key, or one that no configuration contains.
@@ -82,6 +89,8 @@
             Self::QuotaExhausted { .. } => 429,
             Self::NotReady
             | Self::Ending
+            | Self::NoMemory
+            | Self::TooManyConnections
             | Self::KeyUnconfirmed { .. }
             | Self::QuotaUnavailable { .. }
             | Self::Refused { .. }
@@ -109,7 +118,14 @@
     }
 
     fn must_close(self) -> bool {
-        matches!(self, Self::Faulty(_) | Self::TooSlow | Self::Ending)
+        matches!(
+            self,
+            Self::Faulty(_)
+                | Self::TooSlow
+                | Self::NoMemory
+                | Self::TooManyConnections
+                | Self::Ending
+        )
     }
 
     fn retry_after(self) -> Option<Duration> {
@@ -120,6 +136,7 @@
             | Self::Refused { retry_after }
             | Self::Quarantined { retry_after } => Some(retry_after),
             Self::NotReady => Some(Duration::from_millis(500)),
+            Self::NoMemory | Self::TooManyConnections => Some(NO_ROOM_RETRY_AFTER),
             Self::Ending => Some(Duration::from_millis(100)),
             _ => None,
         }
@@ -152,7 +169,7 @@
 
     /// Encodes the response as an HTTP/1.1 message. `is_head` is set for a response to a `HEAD`
     /// request; `close` adds `Connection: close`.
-    pub fn message(&self, is_head: bool, close: bool) -> Bytes {
+    pub fn message(&self, is_head: bool, close: bool) -> Message {
         self.marked_message(is_head, close, None)
     }
 
@@ -162,7 +179,7 @@
         is_head: bool,
         close: bool,
         marker: Option<&'static str>,
-    ) -> Bytes {
+    ) -> Message {
         match self {
             Self::Endpoint(response) => endpoint_message(response, is_head, close),
             Self::Gateway(response) => gateway_message(*response, close, marker),
@@ -170,8 +187,9 @@
     }
 }
 
-fn endpoint_message(response: &Response, is_head: bool, close: bool) -> Bytes {
-    let mut buf = BytesMut::with_capacity(512 + response.body.len());
+fn endpoint_message(response: &Response, is_head: bool, close: bool) -> Message {
+    let small = response.body.len().min(Message::JOINED_BYTES);
+    let mut buf = BytesMut::with_capacity(512 + small);
     buf.put_slice(format!("HTTP/1.1 {} ", response.status).as_bytes());
     buf.put_slice(&response.reason);
     buf.put_slice(b"\r\n");
@@ -183,11 +201,14 @@
         put_content_length(&mut buf, response.body.len());
     }
     put_head_end(&mut buf, close);
-    buf.put_slice(&response.body);
-    buf.freeze()
+    Message::new(buf, &response.body)
 }
 
-fn gateway_message(response: GatewayResponse, close: bool, marker: Option<&'static str>) -> Bytes {
+fn gateway_message(
+    response: GatewayResponse,
+    close: bool,
+    marker: Option<&'static str>,
+) -> Message {
     let mut buf = BytesMut::with_capacity(256);
     buf.put_slice(format!("HTTP/1.1 {} {}\r\n", response.status(), response.reason()).as_bytes());
     if let Some(after) = response.retry_after() {
@@ -201,7 +222,7 @@
     }
     put_content_length(&mut buf, 0);
     put_head_end(&mut buf, close);
-    buf.freeze()
+    buf.freeze().into()
 }
 
 fn put_content_length(buf: &mut BytesMut, length: usize) {
--- a/crates/turmericloft/src/ops/ingress/drain.rs
+++ b/crates/turmericloft/src/ops/ingress/drain.rs
@@ -3,10 +3,8 @@
 use std::time::Instant;
 
 use super::{
-    drain_end::DrainEnd,
-    metrics::count_cut_connection,
-    open_connections::{ConnectionWork, Drained},
-    shared::Ingress,
+    connection_work::ConnectionWork, drain_end::DrainEnd, metrics::count_cut_connection,
+    open_connections::Drained, shared::Ingress,
 };
 use crate::core::drain::DrainPlan;
 
--- a/crates/turmericloft/src/ops/ingress/drain_end.rs
+++ b/crates/turmericloft/src/ops/ingress/drain_end.rs
@@ -1,6 +1,6 @@
 //! How the stop of a gateway ended.
 
-use super::open_connections::{ConnectionWork, Drained};
+use super::{connection_work::ConnectionWork, open_connections::Drained};
 
 /// How the stop of a gateway ended.
 #[derive(Debug)]
--- a/crates/turmericloft/src/ops/ingress/endpoint_exchange.rs
+++ b/crates/turmericloft/src/ops/ingress/endpoint_exchange.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     core::key_lease::Access,
-    sources::http1::{ClientConnection, ExchangeError, Request, Response, ResponseLimits},
+    sources::http1::{ClientConnection, ExchangeError, Message, Request, Response, ResponseLimits},
 };
 
 /// Largest response body that is forwarded, in bytes.
@@ -57,7 +57,7 @@
     let method = &forwarded.req.method;
     let limits = ResponseLimits {
         body_bytes: MAX_BODY_BYTES,
-        budget: Some(ingress.body_budget.clone()),
+        memory: Some(ingress.memory.clone()),
     };
     // What an endpoint states of its limit holds although the rest of the response is missing.
     let read_truncated = |head: &Response| {
@@ -77,9 +77,10 @@
     }
 }
 
-/// Encodes the first line of a request, with room for the rest.
+/// Encodes the first line of a request, with room for the rest of the head and a small body.
 pub(super) fn begin_message(req: &Request) -> BytesMut {
-    let mut buf = BytesMut::with_capacity(512 + req.body.len());
+    let small = req.body.len().min(Message::JOINED_BYTES);
+    let mut buf = BytesMut::with_capacity(512 + small);
     buf.put_slice(&req.method);
     buf.put_u8(b' ');
     buf.put_slice(&req.target);
@@ -92,7 +93,7 @@
     forwarded: &ForwardedRequest,
     attempt: &AttemptHeaders<'_>,
     removes_credentials: bool,
-) -> BytesMut {
+) -> Message {
     let req = &forwarded.req;
     let mut buf = begin_message(req);
     let mut removed = protocol.replaced_headers().to_vec();
@@ -110,6 +111,5 @@
         buf.put_slice(format!("Content-Length: {}\r\n", req.body.len()).as_bytes());
     }
     buf.put_slice(b"\r\n");
-    buf.put_slice(&req.body);
-    buf
+    Message::new(buf, &req.body)
 }
--- a/crates/turmericloft/src/ops/ingress/helper_exchange.rs
+++ b/crates/turmericloft/src/ops/ingress/helper_exchange.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::{BufMut, BytesMut};
+use bytes::BufMut;
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -18,7 +18,7 @@
         handover::{AttemptGrant, HandoverTry, HelperRefusal, HelperTry},
         relay::RelayMember,
     },
-    sources::http1::{ClientConnection, ExchangeError, Response, ResponseLimits},
+    sources::http1::{ClientConnection, ExchangeError, Message, Response, ResponseLimits},
 };
 
 /// Header fields of a request that are not passed on: its body is complete, and its grant is that of this gateway.
@@ -61,7 +61,7 @@
     let message = request_message(ingress, forwarded, next.grant, left);
     let limits = ResponseLimits {
         body_bytes: MAX_BODY_BYTES,
-        budget: Some(ingress.body_budget.clone()),
+        memory: Some(ingress.memory.clone()),
     };
     let is_own_response = |response: &Response| {
         match ingress.protocol.read_metadata(response).request_id {
@@ -132,7 +132,7 @@
     forwarded: &ForwardedRequest,
     grant: AttemptGrant,
     left: Duration,
-) -> BytesMut {
+) -> Message {
     let protocol = &*ingress.protocol;
     let req = &forwarded.req;
     let mut buf = begin_message(req);
@@ -143,8 +143,7 @@
     protocol.write_client_timeout(&mut buf, left);
     buf.put_slice(format!("{HANDOVER_HEADER}: {grant}\r\n").as_bytes());
     buf.put_slice(format!("Content-Length: {}\r\n\r\n", req.body.len()).as_bytes());
-    buf.put_slice(&req.body);
-    buf
+    Message::new(buf, &req.body)
 }
 
 /// Whether a response says that the request has failed, so that an idempotent one is worth another attempt: that of an
--- a/crates/turmericloft/src/ops/ingress/helping.rs
+++ b/crates/turmericloft/src/ops/ingress/helping.rs
@@ -21,8 +21,7 @@
 ) -> impl Future<Output = ()> + Send + 'static {
     let acceptor = ingress.connections().acceptor();
     async move {
-        accept(&ingress.closing_idle, &listener, |stream, peer| {
-            let connection = acceptor.open(peer);
+        accept(&ingress, &acceptor, &listener, |stream, connection| {
             let origin = RequestOrigin::Gateway;
             let serving = serve_connection(Arc::clone(&ingress), stream, connection, origin);
             spawn_contained("serve-gateway", serving);
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -3,22 +3,25 @@
 use std::time::Duration;
 
 use metrics::{counter, gauge, histogram};
+use strum::IntoEnumIterator;
 
 use crate::{
     core::{
         handover::HelperRefusal,
         hedging::{HedgeRefusal, HedgeWinner},
         key_lease::AccessRejection,
+        memory::{ActivityKind, MemoryClass, MemoryUse},
         placement::AttemptOutcome,
         quota::QuotaAnswer,
         rate_limit::{EndpointLimits, LimitEvent, LoanAnswer},
     },
     util::metrics_table::{
         COLD_ENDPOINTS, COLD_KEPT_AWAY, CUT_CONNECTIONS, CUT_OFF, DISCARDED_BYTES, EVACUATED_ZONES,
-        HANDED_OVER, HEDGE_REFUSALS, HEDGE_WASTED_SECONDS, HEDGES, HELPED, INGRESS_ANSWER_SECONDS,
-        INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS, INGRESS_PROBES, KEY_LEASE_AGE,
-        KEY_REJECTIONS, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS, LIMIT_SHARE,
-        LIMITED_ENDPOINTS, QUOTA_ANSWERS, QUOTA_OWNED_PARTS, QUOTA_REJECTIONS,
+        GIVEN_UP_CONNECTIONS, HANDED_OVER, HEDGE_REFUSALS, HEDGE_WASTED_SECONDS, HEDGES, HELPED,
+        INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS,
+        INGRESS_PROBES, KEY_LEASE_AGE, KEY_REJECTIONS, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS,
+        LIMIT_SHARE, LIMITED_ENDPOINTS, QUOTA_ANSWERS, QUOTA_OWNED_PARTS, QUOTA_REJECTIONS,
+        REFUSED_CONNECTIONS, TAKEN_MEMORY,
     },
 };
 
@@ -41,6 +44,25 @@
     counter!(CUT_CONNECTIONS.name, "stage" => stage).increment(1);
 }
 
+/// Counts a connection for which there was no room.
+pub(super) fn count_refused_connection() {
+    counter!(REFUSED_CONNECTIONS.name).increment(1);
+}
+
+/// Counts a connection that is closed to make room for others.
+pub(super) fn count_given_up(activity: ActivityKind) {
+    let activity: &'static str = activity.into();
+    counter!(GIVEN_UP_CONNECTIONS.name, "activity" => activity).increment(1);
+}
+
+/// Shows what connections and messages have taken.
+pub(super) fn set_taken_memory(used: &MemoryUse) {
+    for class in MemoryClass::iter() {
+        let label: &'static str = class.into();
+        gauge!(TAKEN_MEMORY.name, "class" => label).set(used.of(class) as f64);
+    }
+}
+
 /// Counts bytes that a client sent behind the response that closes its connection.
 pub(super) fn count_discarded_bytes(bytes: usize) {
     counter!(DISCARDED_BYTES.name).increment(bytes as u64);
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -13,6 +13,7 @@
 mod client_response;
 mod connection_pool;
 mod connection_stage;
+mod connection_work;
 mod contact;
 mod crash_watch;
 mod drain;
@@ -29,6 +30,7 @@
 mod helper_exchange;
 mod helping;
 mod in_flight_attempt;
+mod limited_listener;
 mod limits;
 mod loans;
 mod metrics;
@@ -45,15 +47,18 @@
 mod settings;
 mod shared;
 mod slow_start;
+mod stage_counts;
 mod suspected;
 mod wait;
 
 pub use self::{
     client_response::{ClientResponse, GatewayResponse},
     connection_stage::ConnectionStage,
+    connection_work::ConnectionWork,
     drain_end::DrainEnd,
     helping::serve_handed_over,
-    open_connections::{ConnectionWork, Drained, OpenConnections},
+    limited_listener::listen,
+    open_connections::{Drained, OpenConnections},
     protocol::{AttemptHeaders, Credentials, EndpointProtocol, ResponseMetadata},
     run::{IngressError, IngressListeners, run_ingress},
     settings::IngressSettings,
--- a/crates/turmericloft/src/ops/ingress/open_connections.rs
+++ b/crates/turmericloft/src/ops/ingress/open_connections.rs
@@ -2,20 +2,37 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    fmt,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Instant,
 };
 
 use parking_lot::Mutex;
-use strum::VariantArray;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
-use super::connection_stage::ConnectionStage;
+use super::{
+    connection_stage::ConnectionStage, connection_work::ConnectionWork, metrics::count_given_up,
+    stage_counts::StageCounts,
+};
+use crate::core::memory::{
+    Activity, ActivityKind, CONNECTION_BYTES, Charge, MemoryAccount, MemoryClass,
+    choose_for_connection, choose_for_memory,
+};
+
+/// Bytes that a message has to advance by to count as progress.
+const MIN_PROGRESS_BYTES: usize = 4 << 10;
+
+/// Connections that were given up and are not closed yet, beyond which no further one is accepted.
+const MAX_LEAVING: usize = 16;
 
 /// All connections of clients and other gateways from the moment at which they are accepted until they are closed.
 #[derive(Debug)]
 pub struct OpenConnections {
+    max: usize,
+    memory: MemoryAccount,
     connections: Mutex<Connections>,
     /// Number of open connections and of acceptors, which may open more.
     open: watch::Sender<usize>,
@@ -23,21 +40,19 @@
 
 #[derive(Debug, Default)]
 struct Connections {
-    by_number: HashMap<u64, Arc<Mutex<ConnectionWork>>>,
+    by_number: HashMap<u64, Arc<Entry>>,
     next_number: u64,
 }
 
-/// What is to be done on a connection.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ConnectionWork {
-    /// Address of the client or the other gateway.
-    pub peer: SocketAddr,
-    /// What the gateway does now.
-    pub stage: ConnectionStage,
-    /// Ids of the requests without a complete response, in the order in which they arrived.
-    pub requests: VecDeque<Vec<u8>>,
-    /// Bytes of the present response that are not handed to the kernel.
-    pub bytes_left: usize,
+#[derive(Debug)]
+struct Entry {
+    work: Mutex<ConnectionWork>,
+    activity: Mutex<Activity>,
+    /// Whether it is to be closed to make room.
+    is_given_up: AtomicBool,
+    given_up: Notify,
+    /// What the connection has taken without its messages. A connection for which another one is given up gets that one's.
+    charge: Mutex<Option<Charge>>,
 }
 
 /// Proof that no connection is open and none can be opened any more, so that no byte is owed to anybody.
@@ -51,8 +66,10 @@
 /// An open connection. Dropped after the socket, as the gateway may be drained from then on.
 #[derive(Debug)]
 pub(super) struct OpenConnection {
-    work: Arc<Mutex<ConnectionWork>>,
+    entry: Arc<Entry>,
     number: u64,
+    /// Bytes since the last progress.
+    advanced: usize,
     counted: Counted,
 }
 
@@ -61,8 +78,11 @@
 struct Counted(Arc<OpenConnections>);
 
 impl OpenConnections {
-    pub(super) fn new() -> Arc<Self> {
+    /// `max` connections at most are kept, each with its part of `memory`.
+    pub(super) fn new(max: usize, memory: MemoryAccount) -> Arc<Self> {
         Arc::new(Self {
+            max,
+            memory,
             connections: Mutex::default(),
             open: watch::Sender::new(0),
         })
@@ -84,8 +104,8 @@
     /// What is to be done on each connection that is open.
     pub fn unfinished(&self) -> Vec<ConnectionWork> {
         let connections = self.connections.lock();
-        let works = connections.by_number.values();
-        works.map(|work| work.lock().clone()).collect()
+        let entries = connections.by_number.values();
+        entries.map(|entry| entry.work.lock().clone()).collect()
     }
 
     /// Number of connections in each stage.
@@ -93,51 +113,159 @@
         let works = self.unfinished();
         StageCounts(works.iter().map(|work| work.stage).collect())
     }
+
+    /// Whether so many connections are open, with those that were given up, that no further one may be accepted yet.
+    pub(super) fn is_overfull(&self) -> bool {
+        self.connections.lock().by_number.len() >= self.max + MAX_LEAVING
+    }
+
+    fn is_full(&self, connections: &Connections) -> bool {
+        let open = connections.by_number.len();
+        open >= self.max && open - connections.leaving() >= self.max
+    }
+
+    /// Gives up connections that hold memory and make no progress, for `bytes`. Returns whether some memory will be free soon.
+    pub(super) fn reclaim(&self, now: Instant, bytes: usize) -> bool {
+        let connections = self.connections.lock();
+        let leaving = connections.by_number.values();
+        let leaving = leaving.filter(|entry| entry.is_given_up());
+        let coming: usize = leaving.map(|entry| entry.activity.lock().held).sum();
+        if coming >= bytes {
+            return true;
+        }
+        let chosen = choose_for_memory(now, bytes - coming, connections.kept());
+        chosen.iter().for_each(|entry| entry.give_up());
+        coming > 0 || !chosen.is_empty()
+    }
+}
+
+impl Connections {
+    /// The connections that are not given up, with what they do.
+    fn kept(&self) -> impl Iterator<Item = (Arc<Entry>, Activity)> {
+        let kept = self.by_number.values().filter(|e| !e.is_given_up());
+        kept.map(|entry| (Arc::clone(entry), *entry.activity.lock()))
+    }
+
+    fn leaving(&self) -> usize {
+        let entries = self.by_number.values();
+        entries.filter(|entry| entry.is_given_up()).count()
+    }
+}
+
+impl Entry {
+    fn is_given_up(&self) -> bool {
+        self.is_given_up.load(Ordering::Acquire)
+    }
+
+    fn give_up(&self) {
+        self.is_given_up.store(true, Ordering::Release);
+        self.given_up.notify_one();
+        count_given_up(self.activity.lock().kind);
+    }
 }
 
 impl Acceptor {
-    /// Records a connection that was accepted.
-    pub(super) fn open(&self, peer: SocketAddr) -> OpenConnection {
+    /// The connections that it opens.
+    pub(super) fn connections(&self) -> &OpenConnections {
+        &self.0.0
+    }
+
+    /// Records a connection that was accepted. When there are too many, one that does least is given up for it; `None` if all do
+    /// something.
+    pub(super) fn open(&self, now: Instant, peer: SocketAddr) -> Option<OpenConnection> {
         let all = &self.0.0;
-        let work = Arc::new(Mutex::new(ConnectionWork {
-            peer,
-            stage: ConnectionStage::Idle,
-            requests: VecDeque::new(),
-            bytes_left: 0,
-        }));
         let mut connections = all.connections.lock();
+        let mut charge = all.memory.charge(MemoryClass::Connections);
+        let has_room = !all.is_full(&connections) && charge.try_grow_to(CONNECTION_BYTES);
+        let charge = if has_room {
+            Some(charge)
+        } else {
+            let leaving = choose_for_connection(now, connections.kept())?;
+            leaving.give_up();
+            leaving.charge.lock().take()
+        };
+        let entry = Arc::new(Entry {
+            work: Mutex::new(ConnectionWork {
+                peer,
+                stage: ConnectionStage::Idle,
+                requests: VecDeque::new(),
+                bytes_left: 0,
+            }),
+            activity: Mutex::new(Activity {
+                kind: ActivityKind::Unused,
+                since: now,
+                held: 0,
+            }),
+            is_given_up: AtomicBool::new(false),
+            given_up: Notify::new(),
+            charge: Mutex::new(charge),
+        });
         let number = connections.next_number;
         connections.next_number += 1;
-        connections.by_number.insert(number, Arc::clone(&work));
-        OpenConnection {
-            work,
+        connections.by_number.insert(number, Arc::clone(&entry));
+        Some(OpenConnection {
+            entry,
             number,
+            advanced: 0,
             counted: Counted::new(all),
-        }
+        })
     }
 }
 
 impl OpenConnection {
     /// Records that a request is complete.
     pub(super) fn add_request(&self, id: &[u8]) {
-        self.work.lock().requests.push_back(id.to_vec());
+        self.entry.work.lock().requests.push_back(id.to_vec());
     }
 
-    /// Records what is done now.
-    pub(super) fn set_stage(&self, stage: ConnectionStage) {
-        self.work.lock().stage = stage;
+    /// Records what is done now, and the memory that the message has taken.
+    pub(super) fn record_activity(
+        &mut self,
+        now: Instant,
+        stage: ConnectionStage,
+        kind: ActivityKind,
+        held: usize,
+    ) {
+        self.entry.work.lock().stage = stage;
+        let mut activity = self.entry.activity.lock();
+        if activity.kind != kind {
+            activity.since = now;
+            self.advanced = 0;
+        }
+        activity.kind = kind;
+        activity.held = held;
+        if kind == ActivityKind::Serving {
+            // A request that has become complete is served, whatever was decided before.
+            self.entry.is_given_up.store(false, Ordering::Release);
+        }
+    }
+
+    /// Records that a message has advanced by this many bytes.
+    pub(super) fn record_progress(&mut self, now: Instant, bytes: usize) {
+        self.advanced += bytes;
+        if self.advanced >= MIN_PROGRESS_BYTES {
+            self.advanced = 0;
+            self.entry.activity.lock().since = now;
+        }
+    }
+
+    /// Waits until the connection is to be closed to make room.
+    pub(super) async fn given_up(&self) {
+        while !self.entry.is_given_up() {
+            self.entry.given_up.notified().await;
+        }
     }
 
     /// Records that this many bytes of the first response are still to be handed to the kernel.
     pub(super) fn record_writing(&self, bytes_left: usize) {
-        let mut work = self.work.lock();
+        let mut work = self.entry.work.lock();
         work.stage = ConnectionStage::Writing;
         work.bytes_left = bytes_left;
     }
 
     /// Records that the response to the first request is with the kernel.
     pub(super) fn record_written(&self) {
-        let mut work = self.work.lock();
+        let mut work = self.entry.work.lock();
         work.requests.pop_front();
         work.bytes_left = 0;
     }
@@ -162,36 +290,3 @@
         self.0.open.send_modify(|open| *open -= 1);
     }
 }
-
-impl fmt::Display for ConnectionWork {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            peer,
-            stage,
-            requests,
-            bytes_left,
-        } = self;
-        let first = requests.front().map(Vec::as_slice).unwrap_or_default();
-        let request = String::from_utf8_lossy(first);
-        let waiting = requests.len().saturating_sub(1);
-        write!(
-            f,
-            "peer={peer} stage={stage} request={request} bytes_left={bytes_left} waiting={waiting}"
-        )
-    }
-}
-
-/// Stages of all connections. Shown as the number in each stage.
-#[derive(Debug)]
-pub(super) struct StageCounts(Vec<ConnectionStage>);
-
-impl fmt::Display for StageCounts {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "connections={}", self.0.len())?;
-        for stage in ConnectionStage::VARIANTS {
-            let count = self.0.iter().filter(|other| *other == stage).count();
-            write!(f, " {stage}={count}")?;
-        }
-        Ok(())
-    }
-}
--- a/crates/turmericloft/src/ops/ingress/origin.rs
+++ b/crates/turmericloft/src/ops/ingress/origin.rs
@@ -53,10 +53,13 @@
         match response {
             ClientResponse::Endpoint(_) => None,
             ClientResponse::Gateway(GatewayResponse::NotHelping(refusal)) => Some(refusal.into()),
-            // A gateway that has no document or is about to end cannot serve what another one can.
-            ClientResponse::Gateway(GatewayResponse::NotReady | GatewayResponse::Ending) => {
-                Some(HelperRefusal::Busy.into())
-            }
+            // A gateway that has no document or no room, or is about to end, cannot serve what another one can.
+            ClientResponse::Gateway(
+                GatewayResponse::NotReady
+                | GatewayResponse::Ending
+                | GatewayResponse::NoMemory
+                | GatewayResponse::TooManyConnections,
+            ) => Some(HelperRefusal::Busy.into()),
             ClientResponse::Gateway(_) => Some(HANDOVER_OWN),
         }
     }
--- a/crates/turmericloft/src/ops/ingress/probe.rs
+++ b/crates/turmericloft/src/ops/ingress/probe.rs
@@ -9,7 +9,6 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::time::timeout;
 
@@ -143,11 +142,11 @@
     sent_at: Instant,
 ) -> Result<ProbeResponse, ExchangeError> {
     let peer = endpoint.address;
-    let message = Bytes::from(format!("GET {path} HTTP/1.1\r\nHost: {peer}\r\n\r\n"));
+    let message = format!("GET {path} HTTP/1.1\r\nHost: {peer}\r\n\r\n").into();
     let is_own_response = |r: &_| ingress.protocol.read_metadata(r).request_id.is_none();
     let limits = ResponseLimits {
         body_bytes: MAX_BODY_BYTES,
-        budget: None,
+        memory: None,
     };
     let response = connection
         .exchange(b"GET", &message, &limits, is_own_response)
--- a/crates/turmericloft/src/ops/ingress/run.rs
+++ b/crates/turmericloft/src/ops/ingress/run.rs
@@ -16,7 +16,9 @@
     drain::drain,
     drain_end::DrainEnd,
     evacuation::apply_evacuation,
+    limited_listener::listen,
     limits::{apply_sharing, check_limited},
+    metrics::set_taken_memory,
     open_connections::Acceptor,
     ready::{serve_metrics, serve_readiness},
     settings::IngressSettings,
@@ -60,14 +62,11 @@
 impl IngressListeners {
     /// Opens the listeners on the addresses in the settings. Fails on the first address that cannot
     /// be bound.
-    pub async fn bind(settings: &IngressSettings) -> Result<Self, IngressError> {
+    pub fn bind(settings: &IngressSettings) -> Result<Self, IngressError> {
         Ok(Self {
-            clients: bind(settings.listen).await?,
-            ready: bind(settings.ready_listen).await?,
-            metrics: match settings.metrics_listen {
-                Some(address) => Some(bind(address).await?),
-                None => None,
-            },
+            clients: bind(settings.listen)?,
+            ready: bind(settings.ready_listen)?,
+            metrics: settings.metrics_listen.map(bind).transpose()?,
         })
     }
 }
@@ -152,8 +151,7 @@
 
 /// Accepts clients until idle connections are closed; later clients connect to another gateway.
 async fn accept_clients(ingress: Arc<Ingress>, listener: TcpListener, acceptor: Acceptor) {
-    accept(&ingress.closing_idle, &listener, |stream, peer| {
-        let connection = acceptor.open(peer);
+    accept(&ingress, &acceptor, &listener, |stream, connection| {
         let serving = serve_client(Arc::clone(&ingress), stream, connection);
         spawn_contained("serve-client", serving);
     })
@@ -215,6 +213,7 @@
         };
         metrics_recorder::install().run_upkeep();
         ingress.report_cold();
+        set_taken_memory(&ingress.memory.used());
         let now = ingress.now();
         // `borrow_and_update` at a sweep may have consumed a change notification, so the lists are
         // compared.
@@ -232,8 +231,6 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, IngressError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| IngressError::Listen { address, source })
+fn bind(address: SocketAddr) -> Result<TcpListener, IngressError> {
+    listen(address).map_err(|source| IngressError::Listen { address, source })
 }
--- a/crates/turmericloft/src/ops/ingress/settings.rs
+++ b/crates/turmericloft/src/ops/ingress/settings.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::core::{
-    hedging::HedgeLimit, key_lease::KeyRules, placement::RetryBudget, quota::QuotaBounds,
-    slow_start::SlowStartBounds,
+    hedging::HedgeLimit, key_lease::KeyRules, memory::MemoryLimits, placement::RetryBudget,
+    quota::QuotaBounds, slow_start::SlowStartBounds,
 };
 
 /// Settings of an ingress gateway that depend on the platform it runs on.
@@ -29,9 +29,10 @@
     pub max_endpoint_probe_rate: Option<f64>,
     /// What is accepted at cold endpoints; `None` treats them like others.
     pub slow_start: Option<SlowStartBounds>,
-    /// Memory for the large bodies of endpoints' responses together, in bytes. A response that finds none
-    /// left counts as incomplete.
-    pub body_memory_bytes: usize,
+    /// Memory for connections and messages together.
+    pub memory: MemoryLimits,
+    /// Most connections of clients and other gateways.
+    pub max_connections: usize,
     /// Budget for the retries that this gateway sends, applied to each service separately.
     pub retry_budget: RetryBudget,
     /// Share of the requests that may be hedged; `None` leaves hedges to the retry budget alone.
--- a/crates/turmericloft/src/ops/ingress/shared.rs
+++ b/crates/turmericloft/src/ops/ingress/shared.rs
@@ -27,6 +27,7 @@
         evacuation::EvacuatedZones,
         hedging::Hedging,
         key_lease::{KeyAuthority, NewestDocument},
+        memory::MemoryAccount,
         placement::{
             Balancer, DiscoveredEndpoint, EndpointNotice, InstanceId, ResponseSizes, WaitQueue,
         },
@@ -36,7 +37,6 @@
         traffic::{Route, RouteTable, Splitter},
     },
     ops::{LoanSocket, SharedQuarantine},
-    sources::http1::BodyBudget,
     util::{
         host_clock::HostClock, rate_limited_log::RateLimitedLog, supervised_tasks::SupervisedTasks,
     },
@@ -90,8 +90,8 @@
     /// for capacity.
     pub(super) capacity_freed: Notify,
     pub(super) pool: ConnectionPool,
-    /// Memory for the large bodies of endpoints' responses.
-    pub(super) body_budget: BodyBudget,
+    /// Memory for connections and messages.
+    pub(super) memory: MemoryAccount,
     pub(super) log: RateLimitedLog,
     /// Connections of clients and other gateways.
     connections: Arc<OpenConnections>,
@@ -148,7 +148,13 @@
         seed: u64,
         clock: HostClock,
     ) -> Arc<Self> {
-        let body_budget = BodyBudget::new(settings.body_memory_bytes);
+        let memory = MemoryAccount::new(settings.memory);
+        let connections = OpenConnections::new(settings.max_connections, memory.clone());
+        let (reclaiming, reclaim_clock) = (Arc::downgrade(&connections), clock.clone());
+        memory.set_on_shortage(move |bytes| {
+            let connections = reclaiming.upgrade();
+            connections.is_some_and(|c| c.reclaim(reclaim_clock.now(), bytes))
+        });
         let budget = settings.retry_budget.clone();
         let zone = Arc::clone(&settings.zone);
         let first_grant = Pcg64Mcg::seed_from_u64(seed.rotate_left(16)).random();
@@ -180,9 +186,9 @@
             queue: Mutex::new(WaitQueue::new()),
             capacity_freed: Notify::new(),
             pool: ConnectionPool::default(),
-            body_budget,
+            memory,
             log: RateLimitedLog::default(),
-            connections: OpenConnections::new(),
+            connections,
             stopping: CancellationToken::new(),
             drain_plan: OnceLock::new(),
             tasks: SupervisedTasks::default(),
--- a/crates/turmericloft/src/sources/http1/client_connection.rs
+++ b/crates/turmericloft/src/sources/http1/client_connection.rs
@@ -9,14 +9,14 @@
 use bytes::BytesMut;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncReadExt,
     net::TcpStream,
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use super::{
-    ConnectionHistory, ExchangeError, ExchangeStep, Response, ResponseError, ResponseLimits,
-    ResponseReader,
+    ConnectionHistory, ExchangeError, ExchangeStep, Message, Response, ResponseError,
+    ResponseLimits, ResponseReader,
 };
 
 /// Maximum number of responses to other requests that are dropped before the expected one.
@@ -26,6 +26,8 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keepalive probes after which the connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
+/// How often a response for which there is no memory is tried again.
+const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Buffer capacity reserved before each read, in bytes.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 
@@ -114,7 +116,7 @@
     pub async fn exchange(
         &mut self,
         method: &[u8],
-        message: &[u8],
+        message: &Message,
         limits: &ResponseLimits,
         is_expected: impl FnMut(&Response) -> bool,
     ) -> Result<Response, ExchangeError> {
@@ -127,7 +129,7 @@
     pub async fn exchange_with_heads(
         &mut self,
         method: &[u8],
-        message: &[u8],
+        message: &Message,
         limits: &ResponseLimits,
         is_expected: impl FnMut(&Response) -> bool,
         on_truncated: impl FnOnce(&Response),
@@ -146,7 +148,7 @@
     pub async fn exchange_with_informational(
         &mut self,
         method: &[u8],
-        message: &[u8],
+        message: &Message,
         limits: &ResponseLimits,
         is_expected: impl FnMut(&Response) -> bool,
         on_informational: impl FnMut(),
@@ -160,7 +162,7 @@
     async fn send_and_read(
         &mut self,
         reader: &mut ResponseReader,
-        (method, message): (&[u8], &[u8]),
+        (method, message): (&[u8], &Message),
         limits: &ResponseLimits,
         mut is_expected: impl FnMut(&Response) -> bool,
         mut on_informational: impl FnMut(),
@@ -171,7 +173,11 @@
             step: ExchangeStep::Sent,
             source,
         };
-        let mut written = match self.stream.try_write(message) {
+        let begun = match &message.rest(0)[..] {
+            [only] => self.stream.try_write(only),
+            slices => self.stream.try_write_vectored(slices),
+        };
+        let mut written = match begun {
             Ok(n) => n,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => 0,
             Err(source) => {
@@ -187,14 +193,16 @@
         let invalid = |source| ExchangeError::Response { peer, source };
         loop {
             self.buf.reserve(READ_BUFFER_BYTES);
+            let awaits_memory = reader.awaits_memory();
             let read = tokio::select! {
-                n = wr.write(&message[written..]), if written < message.len() => {
+                n = message.write_some(written, &mut wr), if written < message.len() => {
                     written += n.map_err(sent)?;
                     continue;
                 }
-                n = rd.read_buf(&mut self.buf) => n.map_err(sent)?,
+                n = rd.read_buf(&mut self.buf), if !awaits_memory => Some(n.map_err(sent)?),
+                () = sleep(MEMORY_RETRY_INTERVAL), if awaits_memory => None,
             };
-            if read == 0 {
+            if read == Some(0) {
                 let response = reader.finish().map_err(invalid)?;
                 let is_own = is_expected(&response);
                 self.history.record_response(response.status, is_own);
--- a/crates/turmericloft/src/sources/http1/framing.rs
+++ b/crates/turmericloft/src/sources/http1/framing.rs
@@ -1,8 +1,9 @@
 //! Message body framing and incremental decoding of bodies.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BytesMut};
 
-use super::{Headers, body_budget::BodyShare};
+use super::{Body, Headers, body_builder::BodyBuilder};
+use crate::core::memory::Charge;
 
 /// Longest chunk size line or trailer line, in bytes.
 const MAX_CHUNK_LINE: usize = 1 << 10;
@@ -66,7 +67,7 @@
 pub(super) enum BodyDecodeError {
     /// The chunked encoding is malformed.
     BadChunk,
-    /// The body exceeds the size limit or the memory for bodies.
+    /// The body exceeds the size limit.
     TooLarge,
 }
 
@@ -85,26 +86,33 @@
     framing: BodyFraming,
     state: ChunkState,
     limit: usize,
-    body: BytesMut,
+    body: BodyBuilder,
     /// Bytes of chunk extensions and trailer fields so far.
     discarded: usize,
-    /// Share of the memory for bodies; `None` if it is not limited.
-    share: Option<BodyShare>,
 }
 
 impl BodyDecoder {
-    pub(super) fn new(framing: BodyFraming, limit: usize, share: Option<BodyShare>) -> Self {
+    /// A body of at most `limit` bytes, which takes its memory by `charge`; `None` if that is not limited.
+    pub(super) fn new(framing: BodyFraming, limit: usize, charge: Option<Charge>) -> Self {
+        let expected = match framing {
+            BodyFraming::Length(n) => usize::try_from(n).ok(),
+            BodyFraming::Chunked | BodyFraming::UntilClose => None,
+        };
         Self {
             framing,
             state: ChunkState::Size,
             limit,
-            body: BytesMut::new(),
+            body: BodyBuilder::new(expected, charge),
             discarded: 0,
-            share,
         }
     }
 
-    /// Removes the bytes of the body from `buf`; returns whether the body is complete.
+    /// The body so far.
+    pub(super) fn body(&self) -> &BodyBuilder {
+        &self.body
+    }
+
+    /// Removes the bytes of the body from `buf`; returns whether the body is complete. Bytes for which memory is missing stay.
     pub(super) fn decode(&mut self, buf: &mut BytesMut) -> Result<bool, BodyDecodeError> {
         match self.framing {
             BodyFraming::Length(n) => {
@@ -112,6 +120,9 @@
                 if n > self.limit {
                     return Err(BodyDecodeError::TooLarge);
                 }
+                if !self.body.reserve() {
+                    return Ok(false);
+                }
                 self.consume(buf, n - self.body.len())?;
                 Ok(self.body.len() == n)
             }
@@ -123,28 +134,16 @@
         }
     }
 
-    /// Returns the body and its share of the memory.
-    pub(super) fn into_body(self) -> (Bytes, Option<BodyShare>) {
-        (self.body.freeze(), self.share)
+    /// Returns the body.
+    pub(super) fn into_body(self) -> Body {
+        self.body.finish()
     }
 
     fn consume(&mut self, buf: &mut BytesMut, max: usize) -> Result<usize, BodyDecodeError> {
-        let n = buf.len().min(max);
-        let length = self.body.len() + n;
-        let has_memory = self
-            .share
-            .as_mut()
-            .is_none_or(|share| share.grow_to(length));
-        if length > self.limit || !has_memory {
+        if self.body.len() + buf.len().min(max) > self.limit {
             return Err(BodyDecodeError::TooLarge);
         }
-        if self.body.is_empty() && n > 0 {
-            self.body = buf.split_to(n);
-        } else {
-            self.body.extend_from_slice(&buf[..n]);
-            buf.advance(n);
-        }
-        Ok(n)
+        Ok(self.body.take_from(buf, max))
     }
 
     /// Counts bytes that are no part of the body.
--- a/crates/turmericloft/src/sources/http1/mod.rs
+++ b/crates/turmericloft/src/sources/http1/mod.rs
@@ -2,12 +2,14 @@
 //! requests, unexpected bytes after a response, truncated responses, and whether any byte of a
 //! request was sent.
 
-mod body_budget;
+mod body;
+mod body_builder;
 mod client_connection;
 mod connection_history;
 mod exchange_error;
 mod framing;
 mod header;
+mod message;
 mod request;
 mod request_error;
 mod request_reader;
@@ -15,12 +17,13 @@
 mod response_reader;
 
 pub use self::{
-    body_budget::BodyBudget,
+    body::Body,
     client_connection::ClientConnection,
     connection_history::ConnectionHistory,
     exchange_error::{ExchangeError, ExchangeStep},
     framing::BodyFraming,
     header::{Header, Headers},
+    message::Message,
     request::Request,
     request_error::RequestError,
     request_reader::{ReaderLimits, RequestReader},
--- a/crates/turmericloft/src/sources/http1/request.rs
+++ b/crates/turmericloft/src/sources/http1/request.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::Headers;
+use super::{Body, Headers};
 
 /// A request with its complete body.
 #[derive(Clone, Debug)]
@@ -16,7 +16,7 @@
     /// Header fields.
     pub headers: Headers,
     /// Body, with chunked encoding removed.
-    pub body: Bytes,
+    pub body: Body,
 }
 
 impl Request {
--- a/crates/turmericloft/src/sources/http1/request_reader.rs
+++ b/crates/turmericloft/src/sources/http1/request_reader.rs
@@ -4,9 +4,10 @@
 use httparse::Status;
 
 use super::{
-    BodyFraming, Headers, Request, RequestError,
+    Body, BodyFraming, Headers, Request, RequestError,
     framing::{BodyDecodeError, BodyDecoder},
 };
+use crate::core::memory::{Charge, MemoryAccount, MemoryClass};
 
 /// Maximum number of header fields of a request.
 const MAX_HEADERS: usize = 100;
@@ -32,6 +33,8 @@
     buf: BytesMut,
     partial: Option<PartialRequest>,
     expects_continue: bool,
+    /// What bodies take their memory from; `None` if that is not limited.
+    account: Option<MemoryAccount>,
 }
 
 impl RequestReader {
@@ -40,6 +43,14 @@
         Self::default()
     }
 
+    /// Like [`new`](Self::new). Bodies take their memory from `account`.
+    pub fn with_account(account: MemoryAccount) -> Self {
+        Self {
+            account: Some(account),
+            ..Self::default()
+        }
+    }
+
     /// Buffer to which received bytes are appended.
     pub fn buffer(&mut self) -> &mut BytesMut {
         &mut self.buf
@@ -50,6 +61,39 @@
         self.partial.is_some() || !self.buf.is_empty()
     }
 
+    /// Whether the head of the next request is complete, and its body is not.
+    pub fn is_in_body(&self) -> bool {
+        self.partial.is_some()
+    }
+
+    /// Bytes of memory that the body of the next request has taken.
+    pub fn held_bytes(&self) -> usize {
+        let charge = self.partial.as_ref().and_then(|p| p.body.body().charge());
+        charge.map_or(0, Charge::bytes)
+    }
+
+    /// Bytes of memory that the body of the next request needs in all, if they are not there.
+    pub fn missing_memory(&self) -> Option<usize> {
+        self.partial.as_ref()?.body.body().missing()
+    }
+
+    /// Has memory reclaimed from others for the body of the next request. Returns whether some will be free soon.
+    pub fn reclaim_memory(&self) -> bool {
+        let Some(body) = self.partial.as_ref().map(|p| p.body.body()) else {
+            return false;
+        };
+        let (Some(charge), Some(bytes)) = (body.charge(), body.missing()) else {
+            return false;
+        };
+        charge.can_ever_grow_to(bytes) && charge.reclaim(bytes - charge.bytes())
+    }
+
+    /// Gives up the request that is being read, with its memory.
+    pub fn abandon(&mut self) {
+        self.partial = None;
+        self.buf = BytesMut::new();
+    }
+
     /// Whether the client waits for `100 Continue` before it sends the body. The flag is reset, so
     /// it is returned once per request.
     pub fn take_expects_continue(&mut self) -> bool {
@@ -74,7 +118,7 @@
         self.expects_continue = false;
         let partial = self.partial.take();
         Ok(partial.map(|partial| Request {
-            body: partial.body.into_body().0,
+            body: partial.body.into_body(),
             ..partial.req
         }))
     }
@@ -98,14 +142,20 @@
             return Err(RequestError::HeadTooLarge);
         }
         let head = self.buf.split_to(used).freeze();
-        let partial = parse_head(&head, limits)?;
+        let account = self.account.as_ref();
+        let charge = account.map(|a| a.charge(MemoryClass::Requests));
+        let partial = parse_head(&head, limits, charge)?;
         self.expects_continue = partial.req.headers.contains_token("expect", "100-continue");
         self.partial = Some(partial);
         Ok(true)
     }
 }
 
-fn parse_head(head: &Bytes, limits: &ReaderLimits) -> Result<PartialRequest, RequestError> {
+fn parse_head(
+    head: &Bytes,
+    limits: &ReaderLimits,
+    charge: Option<Charge>,
+) -> Result<PartialRequest, RequestError> {
     let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut lines);
     let malformed = RequestError::Malformed;
@@ -127,8 +177,8 @@
         target: head.slice_ref(target.as_bytes()),
         http_11,
         headers,
-        body: Bytes::new(),
+        body: Body::default(),
     };
-    let body = BodyDecoder::new(framing, limits.body_bytes, None);
+    let body = BodyDecoder::new(framing, limits.body_bytes, charge);
     Ok(PartialRequest { req, body })
 }
--- a/crates/turmericloft/src/sources/http1/response.rs
+++ b/crates/turmericloft/src/sources/http1/response.rs
@@ -1,10 +1,8 @@
 //! A complete response of a server.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 
-use super::{Headers, body_budget::BodyShare};
+use super::{Body, Headers};
 
 /// A response with its complete body.
 #[derive(Clone, Debug)]
@@ -16,9 +14,7 @@
     /// Header fields.
     pub headers: Headers,
     /// Body, with chunked encoding removed.
-    pub body: Bytes,
+    pub body: Body,
     /// Whether the connection can carry another request.
     pub can_reuse_connection: bool,
-    /// Held until the last copy of the response is dropped.
-    pub(super) _body_share: Option<Arc<BodyShare>>,
 }
--- a/crates/turmericloft/src/sources/http1/response_reader.rs
+++ b/crates/turmericloft/src/sources/http1/response_reader.rs
@@ -1,15 +1,14 @@
 //! Incremental reader of one response.
 
-use std::sync::Arc;
-
 use bytes::{Buf, Bytes, BytesMut};
 use httparse::Status;
 use thiserror::Error;
 
 use super::{
-    BodyBudget, BodyFraming, Headers, Response,
+    Body, BodyFraming, Headers, Response,
     framing::{BodyDecodeError, BodyDecoder},
 };
+use crate::core::memory::{Charge, MemoryAccount, MemoryClass};
 
 /// Maximum number of header fields of a response.
 const MAX_HEADERS: usize = 100;
@@ -50,13 +49,24 @@
     body: BodyDecoder,
 }
 
+impl PartialResponse {
+    /// Whether the body may wait for memory. One of unknown length has taken some already, and would wait for others like it.
+    fn may_wait(&self) -> bool {
+        let BodyFraming::Length(n) = self.framing else {
+            return false;
+        };
+        let charge = self.body.body().charge();
+        charge.is_some_and(|c| usize::try_from(n).is_ok_and(|n| c.can_ever_grow_to(n)))
+    }
+}
+
 /// How large the body of a response may be.
 #[derive(Clone, Debug)]
 pub struct ResponseLimits {
     /// Largest body, in bytes.
     pub body_bytes: usize,
-    /// Memory that the body shares with others; `None` if it is not limited.
-    pub budget: Option<BodyBudget>,
+    /// What the body takes its memory from; `None` if that is not limited.
+    pub memory: Option<MemoryAccount>,
 }
 
 /// Reads the response to one request from bytes as they arrive.
@@ -93,10 +103,23 @@
             return Ok(None);
         };
         let decoded = partial.body.decode(buf);
-        if !decoded? {
-            return Ok(None);
+        if decoded? {
+            return Ok(self.take());
+        }
+        if partial.body.body().missing().is_some() && !partial.may_wait() {
+            return Err(ResponseError::TooLarge);
+        }
+        Ok(None)
+    }
+
+    /// Whether nothing can be read before others have given up memory. Has memory that makes no progress reclaimed.
+    pub fn awaits_memory(&self) -> bool {
+        let body = self.partial.as_ref().map(|p| p.body.body());
+        let missing = body.and_then(|b| Some((b.charge()?, b.missing()?)));
+        if let Some((charge, bytes)) = missing {
+            charge.reclaim(bytes);
         }
-        Ok(self.take())
+        missing.is_some()
     }
 
     /// Number of informational responses so far.
@@ -121,10 +144,8 @@
 
     fn take(&mut self) -> Option<Response> {
         let partial = self.partial.take()?;
-        let (body, share) = partial.body.into_body();
         Some(Response {
-            body,
-            _body_share: share.map(Arc::new),
+            body: partial.body.into_body(),
             ..partial.response
         })
     }
@@ -169,19 +190,19 @@
             Some(framing) => framing,
             None => BodyFraming::UntilClose,
         };
-        let share = self.limits.budget.as_ref().map(BodyBudget::share);
+        let memory = self.limits.memory.as_ref();
+        let charge: Option<Charge> = memory.map(|m| m.charge(MemoryClass::Responses));
         let closes = headers.contains_token("connection", "close") || !http_11;
         Ok(PartialResponse {
             response: Response {
                 status,
                 reason: Bytes::copy_from_slice(reason.as_bytes()),
                 headers,
-                body: Bytes::new(),
-                _body_share: None,
+                body: Body::default(),
                 can_reuse_connection: !closes && framing != BodyFraming::UntilClose,
             },
             framing,
-            body: BodyDecoder::new(framing, self.limits.body_bytes, share),
+            body: BodyDecoder::new(framing, self.limits.body_bytes, charge),
         })
     }
 }
--- a/crates/turmericloft/src/util/connection_metrics.rs
+++ b/crates/turmericloft/src/util/connection_metrics.rs
@@ -19,3 +19,30 @@
     labels: &[],
     help: "Bytes that clients sent behind the response that closes their connection",
 };
+
+/// Connections that were refused since there were too many.
+pub const REFUSED_CONNECTIONS: Metric = Metric {
+    name: "turmericloft_ingress_refused_connections_total",
+    kind: MetricKind::Counter,
+    unit: "connections",
+    labels: &[],
+    help: "Connections that were refused since too many were open and none could be given up",
+};
+
+/// Connections that were closed to make room.
+pub const GIVEN_UP_CONNECTIONS: Metric = Metric {
+    name: "turmericloft_ingress_given_up_connections_total",
+    kind: MetricKind::Counter,
+    unit: "connections",
+    labels: &["activity"],
+    help: "Connections that were given up for the room or memory of others, by what they did",
+};
+
+/// Memory that connections and messages have taken.
+pub const TAKEN_MEMORY: Metric = Metric {
+    name: "turmericloft_ingress_taken_memory_bytes",
+    kind: MetricKind::Gauge,
+    unit: "bytes",
+    labels: &["class"],
+    help: "Memory that connections and messages have taken from the account, by class",
+};
--- a/crates/turmericloft/src/util/metrics_table.rs
+++ b/crates/turmericloft/src/util/metrics_table.rs
@@ -3,7 +3,9 @@
 use strum::Display;
 
 pub use super::{
-    connection_metrics::{CUT_CONNECTIONS, DISCARDED_BYTES},
+    connection_metrics::{
+        CUT_CONNECTIONS, DISCARDED_BYTES, GIVEN_UP_CONNECTIONS, REFUSED_CONNECTIONS, TAKEN_MEMORY,
+    },
     hedge_metrics::{HEDGE_REFUSALS, HEDGE_WASTED_SECONDS, HEDGES},
     ingress_metrics::{
         COLD_ENDPOINTS, COLD_KEPT_AWAY, CUT_OFF, EVACUATED_ZONES, HANDED_OVER, HELPED,
@@ -254,6 +256,9 @@
     HELPED,
     CUT_CONNECTIONS,
     DISCARDED_BYTES,
+    REFUSED_CONNECTIONS,
+    GIVEN_UP_CONNECTIONS,
+    TAKEN_MEMORY,
     HEDGES,
     HEDGE_REFUSALS,
     HEDGE_WASTED_SECONDS,
--- a/crates/turmericloft/tests/testsuite/http1/requests.rs
+++ b/crates/turmericloft/tests/testsuite/http1/requests.rs
@@ -30,7 +30,9 @@
         GET /d HTTP/1.1\r\nHost: h\r\n\r\n";
     for size in [1, 2, 7, 1_000] {
         let requests = read(bytes, size).expect("well-formed");
-        let got: Vec<_> = requests.iter().map(|r| (r.target(), &r.body[..])).collect();
+        let bodies: Vec<_> = requests.iter().map(|r| r.body.to_bytes()).collect();
+        let targets = requests.iter().map(|r| r.target());
+        let got: Vec<_> = targets.zip(bodies.iter().map(|b| &b[..])).collect();
         let expected: [(&str, &[u8]); 4] =
             [("/a", b""), ("/b", b"hello"), ("/c", b"abcde"), ("/d", b"")];
         assert_eq!(got, expected, "in pieces of {size}");
--- a/crates/turmericloft/tests/testsuite/http1/responses.rs
+++ b/crates/turmericloft/tests/testsuite/http1/responses.rs
@@ -2,8 +2,9 @@
 
 use bytes::BytesMut;
 use proptest::prelude::*;
-use turmericloft::sources::http1::{
-    BodyBudget, Response, ResponseError, ResponseLimits, ResponseReader,
+use turmericloft::{
+    core::memory::{MemoryAccount, MemoryLimits},
+    sources::http1::{Response, ResponseError, ResponseLimits, ResponseReader},
 };
 
 /// Reads the response to a `GET` from `bytes`, which arrive in pieces of `size` bytes before the
@@ -11,7 +12,7 @@
 fn read(bytes: &[u8], size: usize) -> Result<Response, ResponseError> {
     let limits = ResponseLimits {
         body_bytes: 1_000,
-        budget: None,
+        memory: None,
     };
     let mut reader = ResponseReader::new(b"GET", limits);
     let mut buf = BytesMut::new();
@@ -35,7 +36,10 @@
     for message in messages {
         for size in [1, 3, 1_000] {
             let response = read(message.as_bytes(), size).expect("complete");
-            assert_eq!((response.status, &response.body[..]), (200, &b"hello"[..]));
+            assert_eq!(
+                (response.status, &response.body.to_bytes()[..]),
+                (200, &b"hello"[..])
+            );
         }
     }
 }
@@ -68,33 +72,39 @@
     );
 }
 
-/// Reads a response with a body of this length within `budget`.
-fn read_body(length: usize, budget: &BodyBudget) -> Result<Response, ResponseError> {
+/// Reads a response with a body of this length, which takes its memory from `account`; `None` if it waits for memory.
+fn read_body(length: usize, account: &MemoryAccount) -> Result<Option<Response>, ResponseError> {
     let limits = ResponseLimits {
         body_bytes: usize::MAX,
-        budget: Some(budget.clone()),
+        memory: Some(account.clone()),
     };
     let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
     let mut reader = ResponseReader::new(b"GET", limits);
     let mut buf = BytesMut::from(text.as_bytes());
     buf.resize(text.len() + length, b'x');
-    Ok(reader.next(&mut buf)?.expect("complete"))
+    let response = reader.next(&mut buf)?;
+    assert_eq!(response.is_none(), reader.awaits_memory());
+    Ok(response)
 }
 
 #[test]
-fn large_bodies_share_a_budget_and_leave_small_ones_room() {
+fn large_bodies_share_an_account_and_leave_small_ones_room() {
     const MIB: usize = 1 << 20;
-    let budget = BodyBudget::new(2 * MIB);
-    let first = read_body(2 * MIB, &budget).expect("enough memory");
+    // Seven eighths of it are for large bodies.
+    let account = MemoryAccount::new(MemoryLimits::new(5 * MIB / 2));
+    let first = read_body(2 * MIB, &account).expect("it may wait");
+    let first = first.expect("enough memory");
     let copy = first.clone();
-    let too_large = |result: Result<Response, _>| result.err() == Some(ResponseError::TooLarge);
-    assert!(too_large(read_body(MIB, &budget)));
-    assert!(read_body(60_000, &budget).is_ok());
+    let waits = |result: Result<Option<Response>, _>| matches!(result, Ok(None));
+    assert!(waits(read_body(MIB, &account)));
+    assert!(!waits(read_body(60_000, &account)));
     drop(first);
-    assert!(too_large(read_body(MIB, &budget)));
+    assert!(waits(read_body(MIB, &account)));
     drop(copy);
-    assert!(read_body(2 * MIB, &budget).is_ok());
-    assert!(too_large(read_body(3 * MIB, &budget)));
+    assert!(!waits(read_body(2 * MIB, &account)));
+    let too_large = read_body(3 * MIB, &account);
+    assert_eq!(too_large.err(), Some(ResponseError::TooLarge));
+    assert_eq!(account.used().total(), 0);
 }
 
 /// Bytes without end are rejected after a bounded number, however they arrive.
@@ -129,12 +139,12 @@
 fn truncated_responses_are_never_complete() {
     let message = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
     for end in 1..message.len() {
-        let result = read(&message[..end], 100).map(|r| r.body);
+        let result = read(&message[..end], 100).map(|r| r.body.to_bytes());
         assert_eq!(result, Err(ResponseError::Truncated), "after {end} bytes");
     }
     let message = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
     for end in 1..message.len() {
-        let result = read(&message[..end], 100).map(|r| r.body);
+        let result = read(&message[..end], 100).map(|r| r.body.to_bytes());
         assert_eq!(result, Err(ResponseError::Truncated), "after {end} bytes");
     }
 }
--- a/crates/turmericloft/tests/testsuite/ingress/client.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/client.rs
@@ -11,7 +11,7 @@
 
 const LIMITS: ResponseLimits = ResponseLimits {
     body_bytes: 1 << 20,
-    budget: None,
+    memory: None,
 };
 
 /// A client connection to a gateway.
--- a/crates/turmericloft/tests/testsuite/ingress/cut_responses.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/cut_responses.rs
@@ -42,7 +42,7 @@
     let mut client = Client::connect(gateway.clients).await;
     let response = client.call(method, path, "r1").await;
     assert!(method == "GET" || endpoint.runs("r1") == 1);
-    (response.status, response.body.to_vec())
+    (response.status, response.body.to_bytes().to_vec())
 }
 
 /// Checks that a client gets 502 after each of these beginnings of a response.
@@ -131,7 +131,7 @@
             assert_eq!(endpoint.runs(id), 1, "{beginning:?}");
             assert!([200, 502].contains(&status), "{beginning:?}: {status}");
             if status == 200 {
-                assert_eq!(&response.body[..], b"hello", "{beginning:?}");
+                assert_eq!(&response.body.to_bytes()[..], b"hello", "{beginning:?}");
             }
         }
     }
--- a/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/endpoint.rs
@@ -311,7 +311,7 @@
         let run = Run {
             id: id.to_owned(),
             target: req.target().to_owned(),
-            body: req.body.to_vec(),
+            body: req.body.to_bytes().to_vec(),
             headers: headers.map(|h| (text(&h.name), text(&h.value))).collect(),
         };
         self.runs.lock().expect("not poisoned").push(run);
--- a/crates/turmericloft/tests/testsuite/ingress/faults.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/faults.rs
@@ -22,7 +22,7 @@
     let response = client.call(method, target, "r1").await;
     CallResult {
         status: response.status,
-        body: response.body.to_vec(),
+        body: response.body.to_bytes().to_vec(),
         runs: endpoint.ran().len(),
     }
 }
@@ -80,7 +80,11 @@
         for i in 0..6 {
             let response = client.call("GET", "/read/1", &format!("r{i}")).await;
             assert_eq!(response.status, 200, "{behaviour:?}, request {i}");
-            assert_eq!(&response.body[..], b"hello", "{behaviour:?}, request {i}");
+            assert_eq!(
+                &response.body.to_bytes()[..],
+                b"hello",
+                "{behaviour:?}, request {i}"
+            );
         }
     }
 }
--- a/crates/turmericloft/tests/testsuite/ingress/gateway.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/gateway.rs
@@ -8,6 +8,7 @@
     core::{
         evacuation::EvacuatedZones,
         key_lease::{KeyRules, LeaseTimings, NewestDocument},
+        memory::MemoryLimits,
         placement::{DiscoveredEndpoint, EndpointState, RetryBudget},
         traffic::{
             Destination, RequestLimits, Route, RouteKind, RouteTable, ServiceSettings,
@@ -69,7 +70,7 @@
         clock: HostClock,
         settings: IngressSettings,
     ) -> Self {
-        let listeners = IngressListeners::bind(&settings).await.expect("free ports");
+        let listeners = IngressListeners::bind(&settings).expect("free ports");
         let clients = listeners.clients.local_addr().expect("an address");
         let ready = listeners.ready.local_addr().expect("an address");
         let quarantine = Arc::new(SharedQuarantine::new("gw"));
@@ -184,7 +185,8 @@
         grace_period: Duration::from_secs(30),
         max_endpoint_probe_rate: None,
         slow_start: None,
-        body_memory_bytes: 1 << 20,
+        memory: MemoryLimits::new(8 << 20),
+        max_connections: 1_000,
         quota_bounds: Default::default(),
         hedge_limit: None,
         retry_budget: RetryBudget::new(Duration::from_secs(10), 1.0, 10.0),
--- a/crates/turmericloft/tests/testsuite/ingress/handover/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/fleet.rs
@@ -13,6 +13,7 @@
     core::{
         evacuation::EvacuatedZones,
         key_lease::{KeyRules, NewestDocument},
+        memory::MemoryLimits,
         placement::{DiscoveredEndpoint, EndpointState, RetryBudget},
         relay::RelayMember,
         traffic::{RouteTable, TrafficDocument},
@@ -67,7 +68,7 @@
     ) -> Self {
         let zone = ZONES[number % ZONES.len()];
         let settings = settings(number, zone);
-        let listeners = IngressListeners::bind(&settings).await.expect("free ports");
+        let listeners = IngressListeners::bind(&settings).expect("free ports");
         let clients = listeners.clients.local_addr().expect("an address");
         let quarantine = Arc::new(SharedQuarantine::new(&settings.host));
         let protocol = Arc::new(TestProtocol);
@@ -254,7 +255,8 @@
         ready_path: "/ready",
         grace_period: Duration::from_secs(30),
         max_endpoint_probe_rate: None,
-        body_memory_bytes: 1 << 20,
+        memory: MemoryLimits::new(8 << 20),
+        max_connections: 1_000,
         retry_budget: RetryBudget::new(Duration::from_secs(10), 0.1, 1.5),
         slow_start: None,
         hedge_limit: None,
--- a/crates/turmericloft/tests/testsuite/ingress/handover/helper.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/helper.rs
@@ -90,7 +90,10 @@
         for n in 0..6 {
             sleep(Duration::from_secs(2)).await;
             let response = call(&gateway, "GET", "/read/1", &format!("r{n}")).await;
-            assert_eq!((response.status, &response.body[..]), (200, &b"hello"[..]));
+            assert_eq!(
+                (response.status, &response.body.to_bytes()[..]),
+                (200, &b"hello"[..])
+            );
         }
         assert!(
             !helpers[0].ran().is_empty(),
--- a/crates/turmericloft/tests/testsuite/ingress/handover/partition.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/partition.rs
@@ -42,7 +42,7 @@
     stream.write_all(text.as_bytes()).await.ok()?;
     let limits = ResponseLimits {
         body_bytes: 1 << 16,
-        budget: None,
+        memory: None,
     };
     let mut reader = ResponseReader::new(method.as_bytes(), limits);
     let mut buf = BytesMut::new();
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -20,6 +20,7 @@
 mod protocol;
 mod raw_endpoint;
 mod repeated_refusals;
+mod room;
 mod routes;
 mod suspension;
 mod task_panics;
--- a/crates/turmericloft/tests/testsuite/ingress/owed.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/owed.rs
@@ -10,7 +10,7 @@
     sync::Semaphore,
 };
 use turmericloft::{
-    core::traffic::RouteTable,
+    core::{memory::MemoryLimits, traffic::RouteTable},
     ops::ingress::{ConnectionStage, ConnectionWork, DrainEnd},
     sources::http1::{ReaderLimits, RequestReader, Response, ResponseLimits, ResponseReader},
     util::host_clock::HostClock,
@@ -112,7 +112,7 @@
         let endpoint = LargeEndpoint::start().await;
         let clock = HostClock::simulated();
         let mut settings = settings();
-        settings.body_memory_bytes = 4 * LARGE_BODY;
+        settings.memory = MemoryLimits::new(4 * LARGE_BODY);
         settings.grace_period = grace_period;
         let endpoints = [endpoint.address];
         let gateway = Gateway::start_with_settings(&endpoints, clock.clone(), settings).await;
@@ -198,7 +198,7 @@
     pub(super) async fn response(&mut self) -> Response {
         let limits = ResponseLimits {
             body_bytes: 2 * LARGE_BODY,
-            budget: None,
+            memory: None,
         };
         let mut reader = ResponseReader::new(b"GET", limits);
         let mut buf = BytesMut::new();
--- a/crates/turmericloft/tests/testsuite/main.rs
+++ b/crates/turmericloft/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod log_service;
 mod log_writer;
 mod logging;
+mod memory;
 mod metric_names;
 mod parsers;
 mod peer;
