A response with a status outside of 100 to 599, or 101, is none

Cause: the parser returns any three digits, and nothing behind it asked whether HTTP has such a status. Statuses 100 to 199 were skipped, with 101, behind which no HTTP follows; the response behind it was passed on. The library of the gateway with tokens accepts 100 to 999.

Change: `ResponseKind` is the one place that says what a status may be. The request may have run: 502 or `unknown`.

Evidence: `ingress::malformed_responses` (status lines, 101, fields, health checks), `http1::responses` (all numbers from 0 to 999) and `backend_pool` failed before where a status is none (status 0 was read as a response; 101 got a response from the pool; the response behind 101 was passed on). The tests of header fields passed before: they keep it so. In all, the next lookup on the connection gets its own answer.

--- a/crates/turmericloft/src/sources/backend/connection_pool.rs
+++ b/crates/turmericloft/src/sources/backend/connection_pool.rs
@@ -21,7 +21,7 @@
     AbortReason, BodyError, ConnectionLease, RequestBody, SendError,
     connection::{Connection, Reuse, now},
 };
-use crate::{core::Step, util::fault_point::FaultPoint};
+use crate::{core::Step, sources::response_status::ResponseKind, util::fault_point::FaultPoint};
 
 /// Time between two checks whether a connection with an outstanding request has stalled.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
@@ -160,6 +160,10 @@
         };
         match result {
             Ok(response) => {
+                if let Err(invalid) = ResponseKind::of(response.status().as_u16()) {
+                    self.release(connection, Reuse::Never);
+                    return Err(self.error(Step::AnswerBegun, None, Box::new(invalid)));
+                }
                 connection.progress.record_bytes(now());
                 let lease = ConnectionLease {
                     pool: Arc::clone(self),
--- a/crates/turmericloft/src/sources/http1/response_reader.rs
+++ b/crates/turmericloft/src/sources/http1/response_reader.rs
@@ -8,7 +8,10 @@
     Body, BodyFraming, Headers, Response,
     framing::{BodyDecodeError, BodyDecoder},
 };
-use crate::core::memory::{Charge, MemoryAccount, MemoryClass};
+use crate::{
+    core::memory::{Charge, MemoryAccount, MemoryClass},
+    sources::response_status::ResponseKind,
+};
 
 /// Maximum number of header fields of a response.
 const MAX_HEADERS: usize = 100;
@@ -162,7 +165,8 @@
         if has_second_status_line(&buf[..used]) {
             return Err(ResponseError::Malformed);
         }
-        if (100..200).contains(&status) {
+        let kind = ResponseKind::of(status).map_err(|_| ResponseError::Malformed)?;
+        if kind == ResponseKind::Informational {
             buf.advance(used);
             self.informational += 1;
             if self.informational > MAX_INFORMATIONAL {
--- a/crates/turmericloft/src/sources/http_client.rs
+++ b/crates/turmericloft/src/sources/http_client.rs
@@ -10,6 +10,8 @@
 use thiserror::Error;
 use tokio::{net::TcpStream, time::timeout};
 
+use super::response_status::ResponseKind;
+
 /// Maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
@@ -113,6 +115,7 @@
     *req.uri_mut() = path.parse()?;
     req.headers_mut().insert(HOST, peer.to_string().parse()?);
     let (head, body) = sender.send_request(req).await?.into_parts();
+    ResponseKind::of(head.status.as_u16())?;
     let body = Limited::new(body, MAX_RESPONSE_BYTES)
         .collect()
         .await?
--- a/crates/turmericloft/src/sources/mod.rs
+++ b/crates/turmericloft/src/sources/mod.rs
@@ -6,4 +6,5 @@
 pub mod http_client;
 pub mod log_service;
 pub mod peer;
+mod response_status;
 pub(crate) mod send_buffer;
--- a/crates/turmericloft/tests/testsuite/backend_pool.rs
+++ b/crates/turmericloft/tests/testsuite/backend_pool.rs
@@ -118,3 +118,27 @@
     let error = outlast_a_stall(true).await.expect_err("given up");
     assert!(!error.is_unsent());
 }
+
+/// Guards against the response of a backend server in trouble that a caller takes for one.
+#[tokio::test]
+async fn response_with_a_status_that_is_none_is_an_error_and_ends_its_connection() {
+    for status in ["000", "099", "101", "600", "999"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let message = format!("HTTP/1.1 {status} Text\r\ncontent-length: 0\r\n\r\n");
+        let serving = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut buf = [0; 4 << 10];
+            let _ = stream.read(&mut buf).await.expect("a request");
+            let written = stream.write_all(message.as_bytes()).await;
+            written.expect("an open connection");
+            // The pool closes the connection.
+            while stream.read(&mut buf).await.is_ok_and(|n| n > 0) {}
+        });
+        let pool = ConnectionPool::new(address);
+        let result = send(&pool, "/", true).await.expect("no panic");
+        let error = result.expect_err(status);
+        assert!(!error.is_unsent(), "{status}");
+        serving.await.expect("no panic");
+    }
+}
--- a/crates/turmericloft/tests/testsuite/http1/responses.rs
+++ b/crates/turmericloft/tests/testsuite/http1/responses.rs
@@ -182,3 +182,19 @@
         let _ = read(&bytes, 7);
     }
 }
+
+/// Guards against a response with a status that HTTP does not have, wherever responses are read.
+#[test]
+fn statuses_from_100_to_599_are_responses_and_others_are_none() {
+    for status in 0..1_000 {
+        let message = format!("HTTP/1.1 {status:03} Text\r\nContent-Length: 0\r\n\r\n");
+        let result = read(message.as_bytes(), 100).map(|r| r.status);
+        let expected = match status {
+            200..=599 => Ok(status),
+            // Others follow; a switch of protocols was not asked for.
+            100 | 102..=199 => Err(ResponseError::Truncated),
+            _ => Err(ResponseError::Malformed),
+        };
+        assert_eq!(result, expected, "{status}");
+    }
+}
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -14,6 +14,7 @@
 mod handover;
 mod hedges;
 mod late_arrivals;
+mod malformed_responses;
 mod organisations;
 mod owed;
 mod pipelining;
