Requests are handed over only to gateways that have their document

Nothing said by which document a request was routed.

If there is none, the client gets 503 with Retry-After. Builds that do not know the header ignore it.

The parts of `ClientStream` that record its activity and memory are a file of their own.

--- a/crates/turmericloft/src/core/handover/helper_choice.rs
+++ b/crates/turmericloft/src/core/handover/helper_choice.rs
@@ -14,6 +14,8 @@
 
 /// Time for which a helper that rejected a request or failed gets no other one.
 const LEFT_OUT_FOR: Duration = Duration::from_secs(1);
+/// The same for one whose document is older. A new document reaches all within a moment, unless a gateway is out of touch.
+const OUTDATED_LEFT_OUT_FOR: Duration = Duration::from_millis(100);
 /// Gateways of the own zone that have to be cut off, one after the other, before the zone counts as cut off.
 const CUT_OFF_ZONE_SIGNS: usize = 2;
 
@@ -99,7 +101,10 @@
     pub fn record_refusal(&mut self, now: Instant, helper: &RelayMember, refusal: HelperRefusal) {
         self.record_failure(now, helper);
         if let Some(helper) = self.helpers.get_mut(&helper.host) {
-            helper.is_busy = refusal == HelperRefusal::Busy;
+            helper.is_busy = refusal != HelperRefusal::CutOff;
+            if refusal == HelperRefusal::Outdated {
+                helper.left_out_until = Some(now + OUTDATED_LEFT_OUT_FOR);
+            }
         }
         if refusal != HelperRefusal::CutOff || helper.zone != self.own_zone {
             return;
--- a/crates/turmericloft/src/core/handover/helper_refusal.rs
+++ b/crates/turmericloft/src/core/handover/helper_refusal.rs
@@ -10,4 +10,6 @@
     CutOff,
     /// It has too many requests of other gateways, or no document.
     Busy,
+    /// Its document is older than the one by which the request was routed.
+    Outdated,
 }
--- a/crates/turmericloft/src/core/handover/progress.rs
+++ b/crates/turmericloft/src/core/handover/progress.rs
@@ -123,7 +123,10 @@
     pub fn record(&mut self, host: Arc<str>, end: HandoverTry) {
         self.tried.push(host);
         let end = match end {
-            HandoverTry::Refused(HelperRefusal::Busy) => return self.was_busy = true,
+            // An outdated helper reaches endpoints, and may have the document in a moment.
+            HandoverTry::Refused(HelperRefusal::Busy | HelperRefusal::Outdated) => {
+                return self.was_busy = true;
+            }
             HandoverTry::Refused(HelperRefusal::CutOff) | HandoverTry::Unsent => return,
             HandoverTry::Broken | HandoverTry::Failed => HandoverEnd::Broken,
             HandoverTry::Silent | HandoverTry::TimedOut => HandoverEnd::TimedOut,
--- a/crates/turmericloft/src/ops/ingress/client.rs
+++ b/crates/turmericloft/src/ops/ingress/client.rs
@@ -16,7 +16,6 @@
 
 use super::{
     client_response::{ClientResponse, GatewayResponse},
-    connection_stage::ConnectionStage,
     forward::forward,
     open_connections::OpenConnection,
     origin::RequestOrigin,
@@ -24,7 +23,7 @@
 };
 use crate::{
     core::{
-        memory::{ActivityKind, Charge, MemoryClass},
+        memory::{Charge, MemoryClass},
         traffic::{RequestLimits, RouteKind},
     },
     sources::{
@@ -41,14 +40,10 @@
 /// The same while a response is pending. A client that has sent more is not read, and its disconnect
 /// not noticed, before the response is written.
 const MAX_PENDING_READ_AHEAD_BYTES: usize = 1 << 20;
-/// Bytes that are buffered without memory of their own: the connection has taken them.
-const FREE_READ_AHEAD_BYTES: usize = 16 << 10;
 /// Bytes reserved in the buffer for each read.
 const READ_BYTES: usize = 4 << 10;
 /// The same while a body arrives.
 const BODY_READ_BYTES: usize = 16 << 10;
-/// Time that a request waits for memory that others are to give up.
-const MEMORY_WAIT: Duration = Duration::from_millis(200);
 /// How often it looks for that memory.
 const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 /// Time that a stopping gateway gives a client that has just connected to send its first request.
@@ -119,11 +114,11 @@
     pub(super) stream: TcpStream,
     pub(super) reader: RequestReader,
     /// What the buffer of the reader has taken.
-    read_ahead: Charge,
+    pub(super) read_ahead: Charge,
     /// Since when the request that is being read has waited for memory; `None` if it has enough.
-    waits_for_memory: Option<Instant>,
+    pub(super) waits_for_memory: Option<Instant>,
     /// Whether a complete request has arrived.
-    has_request: bool,
+    pub(super) has_request: bool,
     pub(super) pending: FuturesOrdered<PendingResponse>,
     /// An at-most-once request that waits until all earlier responses are written.
     pub(super) deferred: Option<Request>,
@@ -239,50 +234,6 @@
         }
     }
 
-    /// Records what the connection is in the middle of.
-    fn record_activity(&mut self, is_quiet: bool, is_idle: bool) {
-        let (stage, kind) = match (is_quiet, is_idle) {
-            (false, _) => (ConnectionStage::Responding, ActivityKind::Serving),
-            (true, true) if self.has_request => (ConnectionStage::Idle, ActivityKind::Idle),
-            (true, true) => (ConnectionStage::Idle, ActivityKind::Unused),
-            (true, false) if self.reader.is_in_body() => {
-                (ConnectionStage::Receiving, ActivityKind::PartialBody)
-            }
-            (true, false) => (ConnectionStage::Receiving, ActivityKind::PartialHead),
-        };
-        let held = self.reader.held_bytes() + self.read_ahead.bytes();
-        let now = self.last_activity;
-        self.connection.record_activity(now, stage, kind, held);
-    }
-
-    /// Takes memory for what is buffered beyond what the connection has taken. Returns whether more may be read.
-    fn take_read_ahead(&mut self, unread: usize) -> bool {
-        if unread < FREE_READ_AHEAD_BYTES {
-            self.read_ahead.shrink_to(0);
-            return true;
-        }
-        // The buffer moves to a larger one as it grows.
-        self.read_ahead.try_grow_to(2 * unread)
-    }
-
-    /// Whether there is no memory for the request that is being read, and none is to be expected soon.
-    fn lacks_memory(&mut self) -> bool {
-        if self.reader.missing_memory().is_none() {
-            self.waits_for_memory = None;
-            return false;
-        }
-        let now = self.ingress.now();
-        let since = *self.waits_for_memory.get_or_insert(now);
-        !self.reader.reclaim_memory() || now.saturating_duration_since(since) >= MEMORY_WAIT
-    }
-
-    /// Ends the connection after a response that says that there is no memory for the request that is being read.
-    fn refuse_for_memory(&mut self) {
-        self.waits_for_memory = None;
-        self.reader.abandon();
-        self.push_gateway_response(GatewayResponse::NoMemory, true);
-    }
-
     /// Starts the requests that have arrived, as far as they may be in flight at the same time.
     fn start_requests(&mut self) {
         let limits = self.limits();
@@ -346,6 +297,11 @@
             self.push_gateway_response(GatewayResponse::NotReady, close);
             return true;
         };
+        let version = table.document().version;
+        if let Err(refusal) = self.origin.check_document(&req.headers, version) {
+            self.push_gateway_response(refusal, close);
+            return true;
+        }
         let host = req.headers.get_str("host").unwrap_or_default();
         let Some(route) = table.find(host, req.target()).cloned() else {
             self.push_gateway_response(GatewayResponse::NoRoute, close);
@@ -383,7 +339,7 @@
         true
     }
 
-    fn push_gateway_response(&mut self, response: GatewayResponse, close: bool) {
+    pub(super) fn push_gateway_response(&mut self, response: GatewayResponse, close: bool) {
         let response = ClientResponse::Gateway(response);
         let close = close || response.must_close();
         self.is_accepting &= !close;
--- a/crates/turmericloft/src/ops/ingress/endpoint_exchange.rs
+++ b/crates/turmericloft/src/ops/ingress/endpoint_exchange.rs
@@ -6,7 +6,7 @@
 
 use super::{
     attempt::ForwardedRequest,
-    handover::HANDOVER_HEADER,
+    handover::{DOCUMENT_HEADER, HANDOVER_HEADER},
     in_flight_attempt::InFlightAttempt,
     protocol::{AttemptHeaders, EndpointProtocol},
     quotas::bound_transit,
@@ -101,7 +101,7 @@
         removed.extend(protocol.credential_headers());
     }
     if forwarded.grant.is_some() {
-        removed.push(HANDOVER_HEADER);
+        removed.extend([HANDOVER_HEADER, DOCUMENT_HEADER]);
     }
     let kept = protocol.kept_headers();
     req.headers.write_end_to_end(&mut buf, &removed, kept);
--- a/crates/turmericloft/src/ops/ingress/handover.rs
+++ b/crates/turmericloft/src/ops/ingress/handover.rs
@@ -27,7 +27,10 @@
 /// Header of a request that is handed over, with its [`AttemptGrant`], and of a helper's own responses to other gateways.
 /// Neither endpoints nor clients get it.
 pub(super) const HANDOVER_HEADER: &str = "X-Handover";
-/// Its value in a response that a gateway made itself and another one passes on. A [`HelperRefusal`] has
+/// Header of a request that is handed over, with the version of the document by which it was routed. Neither endpoints nor
+/// clients get it.
+pub(super) const DOCUMENT_HEADER: &str = "X-Handover-Document";
+/// Value of [`HANDOVER_HEADER`] in a response that a gateway made itself and another one passes on. A [`HelperRefusal`] has
 /// its name as the value.
 pub(super) const HANDOVER_OWN: &str = "own";
 /// `Retry-After` of a request that no helper takes, as all are busy: helpers are left out for as long.
--- a/crates/turmericloft/src/ops/ingress/helper_exchange.rs
+++ b/crates/turmericloft/src/ops/ingress/helper_exchange.rs
@@ -9,7 +9,7 @@
     attempt::ForwardedRequest,
     client_response::GatewayResponse,
     endpoint_exchange::{MAX_BODY_BYTES, RESPONSE_MARGIN, begin_message},
-    handover::HANDOVER_HEADER,
+    handover::{DOCUMENT_HEADER, HANDOVER_HEADER},
     helper_address::helper_address,
     shared::Ingress,
 };
@@ -22,7 +22,7 @@
 };
 
 /// Header fields of a request that are not passed on: its body is complete, and its grant is that of this gateway.
-const SKIPPED_HEADERS: [&str; 2] = ["Expect", HANDOVER_HEADER];
+const SKIPPED_HEADERS: [&str; 3] = ["Expect", HANDOVER_HEADER, DOCUMENT_HEADER];
 /// Timeout for opening a connection to a helper: a few round trips between zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
@@ -142,6 +142,9 @@
         .write_end_to_end(&mut buf, &skipped, protocol.kept_headers());
     protocol.write_client_timeout(&mut buf, left);
     buf.put_slice(format!("{HANDOVER_HEADER}: {grant}\r\n").as_bytes());
+    if let Some(version) = ingress.document_version() {
+        buf.put_slice(format!("{DOCUMENT_HEADER}: {version}\r\n").as_bytes());
+    }
     buf.put_slice(format!("Content-Length: {}\r\n\r\n", req.body.len()).as_bytes());
     Message::new(buf, &req.body)
 }
--- a/crates/turmericloft/src/ops/ingress/mod.rs
+++ b/crates/turmericloft/src/ops/ingress/mod.rs
@@ -9,6 +9,7 @@
 mod access;
 mod attempt;
 mod client;
+mod client_memory;
 mod client_output;
 mod client_response;
 mod connection_pool;
--- a/crates/turmericloft/src/ops/ingress/origin.rs
+++ b/crates/turmericloft/src/ops/ingress/origin.rs
@@ -4,8 +4,9 @@
 
 use super::{
     client_response::{ClientResponse, GatewayResponse},
-    handover::{HANDOVER_HEADER, HANDOVER_OWN},
+    handover::{DOCUMENT_HEADER, HANDOVER_HEADER, HANDOVER_OWN},
     helping::HelpedRequest,
+    metrics::count_helped,
     shared::Ingress,
 };
 use crate::{
@@ -36,6 +37,24 @@
         }
     }
 
+    /// Checks that a request of another gateway was not routed by a later document than that of this one, which has `version`.
+    pub(super) fn check_document(
+        self,
+        headers: &Headers,
+        version: u64,
+    ) -> Result<(), GatewayResponse> {
+        let stated = match self {
+            Self::Client => None,
+            Self::Gateway => headers.get_str(DOCUMENT_HEADER),
+        };
+        let routed_by: Option<u64> = stated.and_then(|text| text.parse().ok());
+        if routed_by.is_none_or(|by| by <= version) {
+            return Ok(());
+        }
+        count_helped(Err(HelperRefusal::Outdated));
+        Err(GatewayResponse::NotHelping(HelperRefusal::Outdated))
+    }
+
     /// What the gateway that sends a request allows; `None` if it does not say, and for a request of a client.
     pub(super) fn grant(self, headers: &Headers) -> Option<AttemptGrant> {
         match self {
--- a/crates/turmericloft/tests/testsuite/ingress/handover/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/fleet.rs
@@ -132,6 +132,17 @@
         self._feeds.0.send_replace(Some(Arc::new(table)));
     }
 
+    /// Gives it a later document, which has the idempotent route `/new/` too.
+    pub fn add_route(&self) {
+        let mut document = fleet_document(2);
+        let mut route = document.routes[0].clone();
+        route.name = "new".into();
+        route.path_prefix = "/new/".into();
+        document.routes.push(route);
+        let table = RouteTable::new(document);
+        self._feeds.0.send_replace(Some(Arc::new(table)));
+    }
+
     /// Cuts it off from all endpoints in this way, or ends that.
     pub fn cut(&self, cut: Cut) {
         self.links.iter().for_each(|link| link.set(cut));
--- a/crates/turmericloft/tests/testsuite/ingress/handover/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/handover/mod.rs
@@ -5,6 +5,7 @@
 mod helper;
 mod link;
 mod long_runs;
+mod outdated_helpers;
 mod partition;
 mod repeated_refusals;
 
