Test: the watch counts all sockets of a process, and its memory apart from them

What a gateway has received from endpoints and not read counts toward its memory like what clients sent; the watch looked only at connections to the gateway's own address.

A connection that is idle and whose client takes no bytes is closed at once when another one needs its place; it was waited for for up to ten seconds, and no further connection was accepted once there were sixteen of them (found by reading).

--- a/crates/turmericloft-cli/tests/clients/installation.rs
+++ b/crates/turmericloft-cli/tests/clients/installation.rs
@@ -63,7 +63,7 @@
         }
         assert!(gateway.is_ready().await, "the gateway never got ready");
         Self {
-            watch: Watch::start(gateway.id(), host.ip),
+            watch: Watch::start(gateway.id()),
             gateway,
             endpoint,
             _store: store,
--- a/crates/turmericloft/src/ops/ingress/client_output.rs
+++ b/crates/turmericloft/src/ops/ingress/client_output.rs
@@ -106,7 +106,10 @@
     async fn close_with(&mut self, response: GatewayResponse) {
         if !self.reader.has_partial_request() {
             // The connection is dropped even if the client reads nothing.
-            let _ = timeout(WRITE_TIMEOUT, wait_until_sent(&self.stream)).await;
+            tokio::select! {
+                _ = timeout(WRITE_TIMEOUT, wait_until_sent(&self.stream)) => {}
+                () = self.connection.given_up() => {}
+            }
             return;
         }
         let message = ClientResponse::Gateway(response).message(false, true);
