--- a/crates/turmericloft-cli/tests/clients/main.rs
+++ b/crates/turmericloft-cli/tests/clients/main.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod crowd;
 mod installation;
+mod mixed_crowds;
 mod watch;
 
 use tokio::sync::{Mutex, MutexGuard};
--- a/crates/turmericloft/tests/testsuite/ingress/mod.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/mod.rs
@@ -13,6 +13,7 @@
 mod gateway;
 mod handover;
 mod hedges;
+mod large_endpoint;
 mod late_arrivals;
 mod malformed_responses;
 mod organisations;
