--- a/crates/turmericloft-cli/tests/clients/crowd.rs
+++ b/crates/turmericloft-cli/tests/clients/crowd.rs
@@ -14,6 +14,10 @@
     net::TcpStream,
     task::JoinSet,
 };
+use turmericloft_platform::standin::upload_head;
+
+/// Time that the clients wait for a response, in milliseconds.
+const TIMEOUT_MS: u32 = 60_000;
 
 /// What one client sends.
 #[derive(Clone, Debug, Default)]
@@ -32,12 +36,8 @@
 impl Script {
     /// A request with this framing header, with `parts` parts and what follows them.
     pub fn request(framing: &str, part: Bytes, parts: usize, tail: &'static [u8]) -> Self {
-        let head = format!(
-            "POST /a/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: crowd\r\nX-Deadline-Ms: 60000\r\n\
-             {framing}\r\n\r\n"
-        );
         Self {
-            head: head.into(),
+            head: upload_head("/a/1", "crowd", TIMEOUT_MS, framing).into(),
             part,
             parts,
             tail: Bytes::from_static(tail),
--- a/crates/turmericloft-cli/tests/clients/installation.rs
+++ b/crates/turmericloft-cli/tests/clients/installation.rs
@@ -6,7 +6,7 @@
 use tempfile::TempDir;
 use tokio::{sync::MutexGuard, task::yield_now, time::timeout};
 use turmericloft_platform::standin::{
-    GatewayHost, GatewayProcess, StandinEndpoint, StandinStore, config_with_limits,
+    GatewayHost, GatewayProcess, StandinEndpoint, StandinStore, config_with_limits, upload_head,
 };
 
 use crate::{alone, crowd::Crowd, watch::Watch};
@@ -22,6 +22,8 @@
 const QUIET_ROUND_TRIPS: usize = 400;
 /// Time without an answer after which a process counts as hanging.
 const HANG_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time that the client of an ordinary request waits for the response, in milliseconds.
+const TIMEOUT_MS: u32 = 20_000;
 /// Body of an ordinary request.
 const ORDINARY_BODY: [u8; 300] = [b'o'; 300];
 
@@ -106,11 +108,8 @@
     /// Checks the process, and that it answers an ordinary request.
     pub async fn assert_well(&mut self, when: &str) {
         assert!(self.gateway.is_running(), "{when}: the process has ended");
-        let head = format!(
-            "POST /a/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: ordinary\r\nX-Deadline-Ms: 20000\r\n\
-             Content-Length: {}\r\n\r\n",
-            ORDINARY_BODY.len()
-        );
+        let framing = format!("Content-Length: {}", ORDINARY_BODY.len());
+        let head = upload_head("/a/1", "ordinary", TIMEOUT_MS, &framing);
         let request = [head.as_bytes(), &ORDINARY_BODY].concat();
         let answered = timeout(HANG_TIMEOUT, self.gateway.call(&request)).await;
         let status = answered.ok().flatten().map(|r| r.status);
--- a/crates/turmericloft-cli/tests/testsuite/odd_names.rs
+++ b/crates/turmericloft-cli/tests/testsuite/odd_names.rs
@@ -4,7 +4,7 @@
 
 use tempfile::TempDir;
 use turmericloft_platform::standin::{
-    GatewayHost, GatewayProcess, StandinEndpoint, StandinStore, idempotent_config,
+    GatewayHost, GatewayProcess, StandinEndpoint, StandinStore, TOPICS, idempotent_config,
     idempotent_request,
 };
 
@@ -12,15 +12,6 @@
 
 const TURMERICLOFT: &str = env!("CARGO_BIN_EXE_turmericloft");
 
-/// All topics that a gateway reads.
-const TOPICS: [&str; 6] = [
-    "keyed.servers",
-    "keyed.gateways",
-    "keyed.op",
-    "keyed.quotas",
-    "keyed.crashes",
-    "keyed.limits",
-];
 const ENDPOINTS: usize = 6;
 /// Entries of the other writer in each topic. They sort before those of endpoints and gateways.
 const ODD_ENTRIES: usize = 1_030;
