Removals are retained only after an outage of the registry, and within the stability window

Cause: a gateway without data for 2.5 s took every removal of the next 1.9 s for an entry that had expired in an outage. It went by its own silence, and not by whether endpoints could write. And the 1.9 s counted from its first read, which a gateway that relies on an upstream makes up to 2.55 s late: 4.45 s after the return, where the gateway is in touch from 3 s on. The test of that sum left such gateways out.

Change: the rate at which the log grows tells whether endpoints wrote meanwhile; if they did, a removal applies at once. What is retained is retained until 0.9 of the stability window after the start of the last failed read at most. Only who reads the registry decides; followers retain what their upstream retains (relay format 9). Before, one that was told just before its poll dropped entries of running endpoints at once.

Ruled out: requests that were placed in time and sent late (no request waits in the test). A shorter pace of reads would have made more calls: it is as before.

`relay::retention`: the tests of a removal after a cut and of one that was read at once failed before; the one of the opposite fault, running endpoints that are dropped after an outage, passed before and passes now. The tests of relayed retention came with the change.

Why it works: the registry returned after the start of the last failed read, so the bound holds however late the first read is.

Tests changed: `record_registry_response` takes the end of the log; the relay frame of `crash_reports` has the new version. Their checks are as before.

--- a/crates/turmericloft/src/core/placement/discovery.rs
+++ b/crates/turmericloft/src/core/placement/discovery.rs
@@ -4,24 +4,21 @@
 //! Load pattern: the registry is unavailable for seconds, entries expire meanwhile, and removing
 //! them on its return would leave all requests without endpoints at once. Entries that expire
 //! during an outage are retained until shortly after its end; at other times a removal applies at
-//! once. The same holds for entries that an older copy lacks. What an endpoint was known to have
-//! reached, draining or removal, stays binding when the copy says otherwise.
+//! once, also if the registry was out of reach of this gateway alone. What an older copy lacks is
+//! retained too. What an endpoint was known to have reached, draining or removal, stays binding when the
+//! copy says otherwise.
 
 use std::{
     collections::{HashMap, HashSet},
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use super::{
     DiscoveredEndpoint, DiscoveryChange, InstanceId, Observation, RegistryEra, RegistryList,
-    RegistryPosition, registry_entry::RegistryEntry,
+    RegistryPosition, RegistryReturn, registry_availability::RegistryAvailability,
+    registry_entry::RegistryEntry,
 };
 
-/// Time after an outage within which running endpoints register again.
-const REREGISTRATION_PERIOD: Duration = Duration::from_millis(1_900);
-/// Time without a response from the registry that counts as an outage.
-const OUTAGE_AFTER: Duration = Duration::from_millis(2_500);
-
 /// Whether all earlier records of an entry were read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum History {
@@ -36,8 +33,7 @@
     era: RegistryEra,
     /// Offset from which on records were certainly written in `era`.
     proven_from: u64,
-    last_response_at: Option<Instant>,
-    retain_until: Option<Instant>,
+    availability: RegistryAvailability,
 }
 
 impl DiscoveryTable {
@@ -51,16 +47,38 @@
         self.era
     }
 
-    /// Records that the registry responded, and starts the retention period if an outage ended.
-    /// Call it before the entries in the response are applied.
-    pub fn record_registry_response(&mut self, now: Instant) {
-        let since_last_response = self
-            .last_response_at
-            .map(|at| now.saturating_duration_since(at));
-        if since_last_response.is_some_and(|elapsed| elapsed > OUTAGE_AFTER) {
-            self.retain_until = Some(now + REREGISTRATION_PERIOD);
-        }
-        self.last_response_at = Some(now);
+    /// Records that the registry responded with what is complete up to `end`, and starts the retention period if an
+    /// outage ended. Call it before the entries in the response are applied.
+    pub fn record_registry_response(&mut self, now: Instant, end: RegistryPosition) {
+        self.availability.record_response(now, end);
+    }
+
+    /// Records data up to `end` that another gateway relays, which retains removed entries until `retained_until`.
+    /// `is_fresh` says whether it shows that the registry is available. Call it before the entries are applied.
+    pub fn record_relayed(
+        &mut self,
+        now: Instant,
+        end: RegistryPosition,
+        is_fresh: bool,
+        retained_until: Option<Instant>,
+    ) {
+        self.availability
+            .record_relayed(now, end, is_fresh, retained_until);
+    }
+
+    /// Records that the registry was out of reach at `at`: what is retained next is retained until `limit` at most.
+    pub fn record_out_of_reach(&mut self, at: Instant, limit: Instant) {
+        self.availability.record_out_of_reach(at, limit);
+    }
+
+    /// Until when followers retain the entries that they lack here; `None` if the list is complete.
+    pub fn relayed_retention(&self) -> Option<Instant> {
+        self.availability.relayed_retention()
+    }
+
+    /// The end of the last time without data, once.
+    pub fn take_registry_return(&mut self) -> Option<RegistryReturn> {
+        self.availability.take_return()
     }
 
     /// Applies one record of the registry's log. All records before it must have been applied.
@@ -86,7 +104,7 @@
         }
         let removed = record.endpoint.is_none();
         let before = known.and_then(|e| e.endpoint.clone());
-        let retain_until = self.retain_until.filter(|until| *until > now);
+        let retain_until = self.availability.retain_until(now);
         let (endpoint, expires_at) = match (removed, retain_until, before.is_some()) {
             (true, Some(until), true) => (before.clone(), Some(until)),
             _ => (record.endpoint, None),
@@ -138,7 +156,7 @@
         if self.is_older_than_known(end) {
             return DiscoveryChange::None;
         }
-        self.begin_era(now, end);
+        self.begin_era(end);
         self.apply_entries(now, end, list.observations)
     }
 
@@ -148,16 +166,11 @@
         end < known_to || newest.is_some_and(|newest| newest >= end)
     }
 
-    /// Begins the era of a list that is complete up to `end`, if it is a new one: what the older
-    /// copy lacks is retained while the endpoints register again.
-    fn begin_era(&mut self, now: Instant, end: RegistryPosition) {
-        if end.era == self.era {
-            return;
-        }
-        self.era = end.era;
-        self.proven_from = end.offset;
-        if !self.entries.is_empty() {
-            self.retain_until = Some(now + REREGISTRATION_PERIOD);
+    /// Begins the era of a list that is complete up to `end`, if it is a new one.
+    fn begin_era(&mut self, end: RegistryPosition) {
+        if end.era != self.era {
+            self.era = end.era;
+            self.proven_from = end.offset;
         }
     }
 
@@ -262,7 +275,7 @@
 
     /// Whether the registry has ever responded.
     pub fn has_registry_response(&self) -> bool {
-        self.last_response_at.is_some()
+        self.availability.has_response()
     }
 }
 
--- a/crates/turmericloft/src/core/placement/mod.rs
+++ b/crates/turmericloft/src/core/placement/mod.rs
@@ -18,6 +18,7 @@
 mod fleet_size;
 mod known_room;
 mod load_report;
+mod log_growth;
 mod observation;
 mod placement_error;
 mod placement_request;
@@ -27,10 +28,12 @@
 mod probe_budget;
 mod queue_limit;
 mod received_report;
+mod registry_availability;
 mod registry_entry;
 mod registry_era;
 mod registry_list;
 mod registry_position;
+mod registry_return;
 mod retry_after;
 mod retry_budget;
 mod service_room;
@@ -61,6 +64,7 @@
     registry_era::RegistryEra,
     registry_list::RegistryList,
     registry_position::RegistryPosition,
+    registry_return::RegistryReturn,
     retry_after::retry_after,
     retry_budget::RetryBudget,
     service_room::ServiceRoom,
--- a/crates/turmericloft/src/core/relay/document_as_of.rs
+++ b/crates/turmericloft/src/core/relay/document_as_of.rs
@@ -38,7 +38,8 @@
 }
 
 impl PollOffset {
-    fn between(received: Instant, at: Instant) -> Self {
+    /// States `at` to a follower whose poll arrived at `received`.
+    pub fn between(received: Instant, at: Instant) -> Self {
         match at.checked_duration_since(received) {
             Some(after) => Self::After(after),
             None => Self::Before(received.saturating_duration_since(at)),
--- a/crates/turmericloft/src/core/relay/recovery_timings.rs
+++ b/crates/turmericloft/src/core/relay/recovery_timings.rs
@@ -23,8 +23,8 @@
 /// Time without a response on a kept connection after which a read of the endpoints is repeated on a new one, as
 /// a fraction of the stability window. A connection that was cut stays silent.
 const PATIENCE_FRACTION: f64 = 0.1;
-/// Time from the end of a failed read to the next one of a gateway that relies on no other, as a fraction of the stability window. Entries that
-/// vanished are retained from the first successful read on, so a late one keeps endpoints that have left.
+/// Time from the end of a failed read to the next one of a gateway that relies on no other, as a fraction of the stability window. The longer it
+/// is, the shorter entries that have vanished are retained.
 const LONE_DELAY_FRACTION: f64 = 0.08;
 /// Time from the start of a failed read to the next one of a gateway that relies on one which precedes
 /// it, as a fraction of the stability window.
@@ -32,6 +32,9 @@
 /// Time that a gateway with fresh relayed endpoints waits for its upstream to confirm the document too, as a
 /// fraction of the stability window.
 const RELAY_GRACE_FRACTION: f64 = 0.04;
+/// Time after a failed read until which removed entries are retained at most, as a fraction of the stability window. The
+/// remainder is for requests on their way.
+const RETENTION_LIMIT_FRACTION: f64 = 0.9;
 /// Time for two successful reads on a busy host, as a fraction of the stability window.
 const READS_FRACTION: f64 = 0.11;
 
@@ -39,6 +42,7 @@
 const _: () = assert!(
     PATIENCE_FRACTION + CALL_TIMEOUT_FRACTION + LONE_DELAY_FRACTION < FOLLOWER_PERIOD_FRACTION
 );
+const _: () = assert!(RETENTION_LIMIT_FRACTION < 1.0);
 const _: () = assert!(CONNECT_TIMEOUT_FRACTION < CALL_TIMEOUT_FRACTION);
 
 /// Timeouts and delays of reads of the registry, all in proportion to the stability window.
@@ -84,6 +88,12 @@
         self.part(RELAY_GRACE_FRACTION)
     }
 
+    /// Time from the start of a failed read until which removed entries are retained at most. The registry returned after
+    /// that start, and an endpoint that has left gets no request once the stability window is over.
+    pub fn retention_limit(&self) -> Duration {
+        self.part(RETENTION_LIMIT_FRACTION)
+    }
+
     /// Time from the end of a failed read to the next one of a gateway that relies on no other.
     pub fn lone_delay(&self) -> Duration {
         self.part(LONE_DELAY_FRACTION)
--- a/crates/turmericloft/src/core/relay/registry_view.rs
+++ b/crates/turmericloft/src/core/relay/registry_view.rs
@@ -2,12 +2,12 @@
 
 use std::time::Instant;
 
-use super::{EraChange, RelayPoll, RelayResponse, RelayTimings};
+use super::{EraChange, PollOffset, RelayPoll, RelayResponse, RelayTimings};
 use crate::core::{
     evacuation::EvacuationList,
     placement::{
         DiscoveredEndpoint, DiscoveryChange, DiscoveryTable, Observation, RegistryList,
-        RegistryPosition,
+        RegistryPosition, RegistryReturn,
     },
     saturating::instant_after,
 };
@@ -76,7 +76,7 @@
         if next.era != self.next.era {
             return DiscoveryChange::None;
         }
-        self.table.record_registry_response(now);
+        self.table.record_registry_response(now, next);
         self.next = self.next.max(next);
         self.advance_as_of(read_started);
         let changes = records.into_iter().map(|o| self.table.observe(now, o));
@@ -94,7 +94,8 @@
         if list.era < self.next.era {
             return DiscoveryChange::None;
         }
-        self.table.record_registry_response(now);
+        self.table
+            .record_registry_response(now, list.next_position());
         let before = self.next;
         self.next = self.next.max(list.next_position());
         self.advance_as_of(read_started);
@@ -121,12 +122,18 @@
         if !self.accepts(response) {
             return DiscoveryChange::None;
         }
-        match response.as_of_after_poll {
-            Some(after) => {
-                // This host, and with it its monotonic clock, may have been suspended in between.
-                let as_of = instant_after(polled_at, after).min(now);
-                self.record_relayed(now, as_of, response.hops);
-            }
+        // This host, and with it its monotonic clock, may have been suspended in between.
+        let as_of = response
+            .as_of_after_poll
+            .map(|after| instant_after(polled_at, after).min(now));
+        let stale_after = self.timings.stale_after(response.hops);
+        let is_fresh = as_of.is_some_and(|at| now.saturating_duration_since(at) < stale_after);
+        let retained_until = response.retained_until;
+        let retained_until = retained_until.and_then(|until| until.from_poll(polled_at));
+        self.table
+            .record_relayed(now, response.next, is_fresh, retained_until);
+        match as_of {
+            Some(as_of) => self.advance_relayed(as_of, response.hops),
             None if response.is_current && self.is_first_response() => {
                 // A response that reflects a read after its poll follows soon.
                 let until = polled_at + self.timings.stale_after(response.hops);
@@ -174,18 +181,29 @@
         self.as_of.is_none() && self.first_response_until.is_none()
     }
 
-    fn record_relayed(&mut self, now: Instant, as_of: Instant, hops: u32) {
-        if self.relayed.is_some_and(|r| r.as_of >= as_of) {
-            return;
-        }
-        self.relayed = Some(RelayedState { as_of, hops });
-        self.advance_as_of(as_of);
-        // Stale data does not show that the registry is available.
-        if now.saturating_duration_since(as_of) < self.timings.stale_after(hops) {
-            self.table.record_registry_response(now);
+    fn advance_relayed(&mut self, as_of: Instant, hops: u32) {
+        if self.relayed.is_none_or(|r| r.as_of < as_of) {
+            self.relayed = Some(RelayedState { as_of, hops });
+            self.advance_as_of(as_of);
         }
     }
 
+    /// Records that a read which began at `started` has failed: the registry was out of reach then.
+    pub fn record_failed_read(&mut self, started: Instant) {
+        let limit = started + self.timings.recovery().retention_limit();
+        self.table.record_out_of_reach(started, limit);
+    }
+
+    /// Records that the host has resumed from a suspension. What was read before is old, as after a failed read.
+    pub fn record_resume(&mut self, now: Instant) {
+        self.record_failed_read(now);
+    }
+
+    /// What was found at the end of the last time without data, once.
+    pub fn take_registry_return(&mut self) -> Option<RegistryReturn> {
+        self.table.take_registry_return()
+    }
+
     /// Whether the view reflects a read after the poll arrived at `received`, or holds a change that
     /// the follower lacks.
     pub fn has_update(&self, received: Instant, poll: &RelayPoll) -> bool {
@@ -214,6 +232,11 @@
             next: self.next,
             is_full_list,
             changes,
+            retained_until: self
+                .table
+                .relayed_retention()
+                .filter(|until| *until > now)
+                .map(|until| PollOffset::between(received, until)),
             document_version: 0,
             document_as_of: None,
             document_position: RegistryPosition::default(),
--- a/crates/turmericloft/src/core/relay/relay_response.rs
+++ b/crates/turmericloft/src/core/relay/relay_response.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{DocumentAsOf, RelayedDocument};
+use super::{DocumentAsOf, PollOffset, RelayedDocument};
 use crate::core::{
     evacuation::EvacuationList,
     placement::{Observation, RegistryPosition},
@@ -29,6 +29,8 @@
     pub is_full_list: bool,
     /// Newest observation of each entry that changed at or after the polled position.
     pub changes: Vec<Observation>,
+    /// Until when entries that are removed here may be those of running endpoints; `None` if that is over.
+    pub retained_until: Option<PollOffset>,
     /// Newest document version that the upstream knows to exist; 0 if it knows of none.
     pub document_version: u64,
     /// As of when that version is the newest one; `None` if the upstream does not know.
--- a/crates/turmericloft/src/ops/relay/hub.rs
+++ b/crates/turmericloft/src/ops/relay/hub.rs
@@ -3,6 +3,7 @@
 
 use std::{
     future::pending,
+    pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -162,8 +163,10 @@
 
     async fn run_entry_expiry(&self) {
         let mut view_updated = self.view_updated.subscribe();
+        let mut resumed = pin!(self.clock.resumed());
         loop {
             self.update_view(|view, now| view.expire(now));
+            self.log_registry_return();
             self.log_era_change();
             let next_expiry = self.view.lock().next_expiry();
             let expiry = async {
@@ -175,10 +178,26 @@
             tokio::select! {
                 _ = view_updated.changed() => {}
                 () = expiry => {}
+                () = &mut resumed => {
+                    resumed.set(self.clock.resumed());
+                    self.view.lock().record_resume(self.now());
+                }
             }
         }
     }
 
+    fn log_registry_return(&self) {
+        let found = self.view.lock().take_registry_return();
+        if let Some(found) = found {
+            log::info!(
+                "endpoints known again unread_ms={} log_silent_ms={:?} removed_entries_retained_ms={}",
+                found.unread_for.as_millis(),
+                found.log_silent_for.map(|silent| silent.as_millis()),
+                found.retained_for.as_millis(),
+            );
+        }
+    }
+
     fn log_era_change(&self) {
         let completed = self.view.lock().take_completed_era_change();
         let Some(change) = completed else {
@@ -215,6 +234,7 @@
             pace.record_response();
         } else {
             pace.record_failure(self.now(), started);
+            self.view.lock().record_failed_read(started);
         }
     }
 
--- a/crates/turmericloft/src/ops/relay/wire.rs
+++ b/crates/turmericloft/src/ops/relay/wire.rs
@@ -12,7 +12,7 @@
 use crate::core::quarantine::CrashReport;
 
 /// Version of the message format. It has to change with every change of the format.
-const MESSAGE_VERSION: u16 = 8;
+const MESSAGE_VERSION: u16 = 9;
 /// Maximum length of a message: large enough for a document of tens of thousands of routes.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 /// Maximum length of a message of a follower: a poll, and the reports of crashes behind it.
--- a/crates/turmericloft/tests/testsuite/placement/discovery.rs
+++ b/crates/turmericloft/tests/testsuite/placement/discovery.rs
@@ -47,7 +47,7 @@
 /// A table with `e1` and `e2`, read at `now`.
 fn table(now: Instant) -> DiscoveryTable {
     let mut table = DiscoveryTable::new();
-    table.record_registry_response(now);
+    table.record_registry_response(now, at(10));
     let listed = vec![registration("e1", 3), registration("e2", 9)];
     table.apply_full_list(now, list(10, listed));
     table
@@ -57,7 +57,7 @@
 fn an_entry_removed_from_a_responding_registry_is_dropped_at_once() {
     let now = Instant::now();
     let mut table = table(now);
-    table.record_registry_response(now + Duration::from_secs(1));
+    table.record_registry_response(now + Duration::from_secs(1), at(12));
     let change = table.observe(now + Duration::from_secs(1), removal("e1", 11));
     assert_eq!(change, DiscoveryChange::Endpoints);
     assert_eq!(ids(&table), ["e2"]);
@@ -68,7 +68,7 @@
     let now = Instant::now();
     let outage_end = now + Duration::from_secs(9);
     let mut table = table(now);
-    table.record_registry_response(outage_end);
+    table.record_registry_response(outage_end, at(12));
     table.observe(outage_end, removal("e1", 11));
     assert_eq!(ids(&table), ["e1", "e2"]);
     let expiry = table.next_expiry().expect("e1 expires");
@@ -82,7 +82,7 @@
     let now = Instant::now();
     let outage_end = now + Duration::from_secs(9);
     let mut table = table(now);
-    table.record_registry_response(outage_end);
+    table.record_registry_response(outage_end, at(12));
     table.observe(outage_end, removal("e1", 11));
     table.observe(outage_end + Duration::from_secs(1), registration("e1", 12));
     table.expire(outage_end + Duration::from_secs(5));
@@ -94,7 +94,7 @@
     let now = Instant::now();
     let outage_end = now + Duration::from_secs(9);
     let mut table = table(now);
-    table.record_registry_response(outage_end);
+    table.record_registry_response(outage_end, at(12));
     let draining = DiscoveredEndpoint {
         state: EndpointState::Draining,
         ..endpoint("e1", "a")
--- a/crates/turmericloft/tests/testsuite/relay/crash_reports.rs
+++ b/crates/turmericloft/tests/testsuite/relay/crash_reports.rs
@@ -98,7 +98,7 @@
 
 /// Encodes a poll as a frame, with a crash report behind it.
 fn poll_frame(reports: &[CrashReport]) -> Vec<u8> {
-    const MESSAGE_VERSION: u16 = 8;
+    const MESSAGE_VERSION: u16 = 9;
     let poll = RelayPoll {
         host: "h1".into(),
         from: at(0, 0),
--- a/crates/turmericloft/tests/testsuite/relay/mod.rs
+++ b/crates/turmericloft/tests/testsuite/relay/mod.rs
@@ -7,6 +7,7 @@
 mod read_pace;
 mod recovery;
 mod registry;
+mod retention;
 mod simulated_gateway;
 mod simulation;
 mod upstream;
--- a/crates/turmericloft/tests/testsuite/relay/view.rs
+++ b/crates/turmericloft/tests/testsuite/relay/view.rs
@@ -5,12 +5,14 @@
 use turmericloft::core::{
     evacuation::EvacuationList,
     placement::{DiscoveryChange, EndpointState, RegistryPosition},
-    relay::{RegistryView, RelayPoll, RelayResponse},
+    relay::{PollOffset, RegistryView, RelayPoll, RelayResponse},
 };
 
 use super::{at, list, observed, removed, timings};
 
 const MS: Duration = Duration::from_millis(1);
+/// Time within which a gateway has to be up to date after a cut.
+const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 
 fn poll_from(from: RegistryPosition) -> RelayPoll {
     RelayPoll {
@@ -51,6 +53,7 @@
         next: at(0, next_offset),
         is_full_list: false,
         changes: Vec::new(),
+        retained_until: None,
         document_version: 0,
         document_as_of: None,
         document_position: RegistryPosition::default(),
@@ -256,6 +259,7 @@
         let mut view = reader(now);
         let extreme = RelayResponse {
             hops: u32::MAX,
+            retained_until: Some(PollOffset::After(after)),
             ..response(Some(after), u64::MAX)
         };
         view.apply_response(now + MS, now, &extreme);
@@ -265,3 +269,65 @@
         assert_eq!(passed_on.hops, u32::MAX);
     }
 }
+
+/// Time without data after which entries of running endpoints may have expired.
+const OUTAGE: Duration = Duration::from_secs(9);
+
+/// Guards against a follower that counts the retention period from when it was told, though its upstream found the
+/// registry earlier.
+#[test]
+fn follower_retains_entries_no_longer_than_its_upstream() {
+    let now = Instant::now();
+    let (mut upstream, mut follower) = (reader(now), reader(now));
+    let back = now + OUTAGE;
+    let failed = back - 1_500 * MS;
+    upstream.record_failed_read(failed);
+    upstream.apply_records(back, back, at(0, 11), vec![removed("e1", 10)]);
+    let polled = back - 50 * MS;
+    let told = back + 200 * MS;
+    let response = upstream.response(told, polled, &poll(10));
+    follower.apply_response(told, polled, &response);
+    assert_eq!(ids(&follower), ["e1", "e2"]);
+    assert_eq!(follower.next_expiry(), upstream.next_expiry());
+    let expiry = follower.next_expiry().expect("e1 expires");
+    assert!(expiry < failed + STABILITY_WINDOW);
+    follower.expire(expiry);
+    assert_eq!(ids(&follower), ["e2"]);
+}
+
+/// Guards against a follower that drops the entries of running endpoints at once: its upstream had read the registry, on
+/// its return, just before the poll.
+#[test]
+fn follower_retains_what_expired_in_an_outage_if_its_upstream_was_told_before_it() {
+    let now = Instant::now();
+    let (mut upstream, mut follower) = (reader(now), reader(now));
+    let back = now + OUTAGE;
+    upstream.apply_records(back, back, at(0, 11), vec![removed("e1", 10)]);
+    let polled = back + 100 * MS;
+    let response = upstream.response(polled + MS, polled, &poll(10));
+    assert_eq!(response.as_of_after_poll, None);
+    follower.apply_response(polled + MS, polled, &response);
+    assert_eq!(ids(&follower), ["e1", "e2"]);
+    assert_eq!(follower.next_expiry(), upstream.next_expiry());
+}
+
+/// Guards against requests to an endpoint that has left, from a gateway that was cut off while its upstream read on.
+#[test]
+fn follower_that_was_cut_off_drops_at_once_what_its_upstream_saw_removed() {
+    let now = Instant::now();
+    let (mut upstream, mut follower) = (reader(now), reader(now));
+    let mut end = 10;
+    let mut read_at = now;
+    while read_at < now + OUTAGE {
+        read_at += 700 * MS;
+        let records = vec![observed("e2", end, EndpointState::Ready)];
+        end += 1;
+        upstream.apply_records(read_at, read_at, at(0, end), records);
+    }
+    let polled = read_at - 10 * MS;
+    follower.record_failed_read(polled - 500 * MS);
+    upstream.apply_records(read_at, read_at, at(0, end + 1), vec![removed("e1", end)]);
+    let response = upstream.response(read_at + MS, polled, &poll(10));
+    follower.apply_response(read_at + MS, polled, &response);
+    assert_eq!(ids(&follower), ["e2"]);
+}
