A follower learns of removals from before its upstream started

Cause: an upstream relays the entries that changed since the follower's position. One that started later has read a list without the removed entry, so it has no removal to relay.

Change: a gateway knows the position of its first data, and a follower from before it gets a full list.

Evidence: `relay::view::follower_drops_what_was_removed_before_its_upstream_started` failed before (the endpoint was known without an expiry).

--- a/crates/turmericloft/src/core/relay/registry_view.rs
+++ b/crates/turmericloft/src/core/relay/registry_view.rs
@@ -25,6 +25,8 @@
     timings: RelayTimings,
     table: DiscoveryTable,
     next: RegistryPosition,
+    /// Position as of the first data. Entries that were removed before it are not known.
+    known_from: RegistryPosition,
     as_of: Option<Instant>,
     relayed: Option<RelayedState>,
     /// Until when a gateway that has not read the registry yet relies on its first response.
@@ -40,6 +42,7 @@
             timings,
             table: DiscoveryTable::new(),
             next: RegistryPosition::default(),
+            known_from: RegistryPosition::default(),
             as_of: None,
             relayed: None,
             first_response_until: None,
@@ -77,7 +80,7 @@
             return DiscoveryChange::None;
         }
         self.table.record_registry_response(now, next);
-        self.next = self.next.max(next);
+        self.advance_next(next);
         self.advance_as_of(read_started);
         let changes = records.into_iter().map(|o| self.table.observe(now, o));
         changes.fold(DiscoveryChange::None, DiscoveryChange::or)
@@ -97,7 +100,7 @@
         self.table
             .record_registry_response(now, list.next_position());
         let before = self.next;
-        self.next = self.next.max(list.next_position());
+        self.advance_next(list.next_position());
         self.advance_as_of(read_started);
         let change = self.table.apply_full_list(now, list);
         self.record_era_change(before);
@@ -142,7 +145,7 @@
             None => {}
         }
         let before = self.next;
-        self.next = self.next.max(response.next);
+        self.advance_next(response.next);
         let newest = response.changes.iter().cloned();
         if response.is_full_list {
             let list = RegistryList {
@@ -216,7 +219,7 @@
 
     /// The response, without a document, to a poll that arrived at `received`.
     pub fn response(&self, now: Instant, received: Instant, poll: &RelayPoll) -> RelayResponse {
-        let is_full_list = self.next.era > poll.from.era;
+        let is_full_list = self.next.era > poll.from.era || self.lacks_removals_since(poll.from);
         let changes = if is_full_list {
             self.table.full_list()
         } else {
@@ -245,6 +248,12 @@
         }
     }
 
+    /// Whether entries may have been removed since `from` that were never known here. A follower without data has none
+    /// of them.
+    fn lacks_removals_since(&self, from: RegistryPosition) -> bool {
+        from > RegistryPosition::default() && from < self.known_from
+    }
+
     /// Number of relay hops between this gateway and the one that read the registry; 0 if this
     /// gateway reads it.
     pub fn hops(&self, now: Instant) -> u32 {
@@ -293,6 +302,13 @@
         self.table.next_expiry()
     }
 
+    fn advance_next(&mut self, next: RegistryPosition) {
+        if self.next == RegistryPosition::default() {
+            self.known_from = next;
+        }
+        self.next = self.next.max(next);
+    }
+
     fn advance_as_of(&mut self, as_of: Instant) {
         if self.as_of.is_none_or(|known| known < as_of) {
             self.as_of = Some(as_of);
--- a/crates/turmericloft/src/core/relay/relay_response.rs
+++ b/crates/turmericloft/src/core/relay/relay_response.rs
@@ -25,7 +25,8 @@
     pub hops: u32,
     /// Position in the registry up to which the changes are complete (exclusive).
     pub next: RegistryPosition,
-    /// Whether `changes` are all registered entries, because the follower knows an earlier era.
+    /// Whether `changes` are all registered entries: the follower knows an earlier era, or data from before the upstream
+    /// started.
     pub is_full_list: bool,
     /// Newest observation of each entry that changed at or after the polled position.
     pub changes: Vec<Observation>,
--- a/crates/turmericloft/tests/testsuite/relay/view.rs
+++ b/crates/turmericloft/tests/testsuite/relay/view.rs
@@ -331,3 +331,19 @@
     follower.apply_response(read_at + MS, polled, &response);
     assert_eq!(ids(&follower), ["e2"]);
 }
+
+/// Guards against an endpoint that has left and is never dropped: its removal was written while the follower was cut off,
+/// and the upstream has started after it and does not know of it.
+#[test]
+fn follower_drops_what_was_removed_before_its_upstream_started() {
+    let now = Instant::now();
+    let (mut upstream, mut follower) = (RegistryView::new(timings()), reader(now));
+    let back = now + OUTAGE;
+    let listed = vec![observed("e2", 12, EndpointState::Ready)];
+    upstream.apply_full_list(back, back, list(0, 13, listed));
+    let response = upstream.response(back + 20 * MS, back - MS, &poll(10));
+    follower.apply_response(back + 20 * MS, back - MS, &response);
+    assert!(follower.next_expiry() <= Some(back + 2_000 * MS));
+    follower.expire(back + 2_000 * MS);
+    assert_eq!(ids(&follower), ["e2"]);
+}
