Records of granted quotas have a generation, so that a late write hides none

Cause: the newest record of a host, by order of arrival, told the next process how much the one before had granted. A write without an answer may be executed at any later time, behind others. And an owner that had written "calm" without an answer and was busy again took its last answered record for the stored one.

Change: a record is written under the name of its host with a generation too, in the same call. A generation with an unanswered write is given up, those of a process are above those of earlier ones, and the highest counts. Until a write of a higher generation is confirmed, an owner relies only on what the confirmed record and the writes in doubt both say. Records of older builds count beside it.

Ruled out: that a process reads too early (an owner uses more than two thirds only once its record is answered).

Why it works: a write can replace only a record of its own generation, and a generation counts only while all its writes are answered.

Tests changed: the calls that read and write records have new names and types; what they check is as before.

--- a/crates/turmericloft/src/core/quota/mod.rs
+++ b/crates/turmericloft/src/core/quota/mod.rs
@@ -8,6 +8,7 @@
 mod asker;
 mod bounds;
 mod call;
+mod earlier_records;
 mod gateways;
 mod grant;
 mod grant_window;
@@ -15,6 +16,9 @@
 mod owned_parts;
 mod quotas;
 mod restart_record;
+mod restart_state;
+mod restart_write;
+mod written_records;
 
 pub use self::{
     bounds::{
@@ -22,8 +26,10 @@
         MAX_OWNERS, QuotaBounds,
     },
     call::{QuotaCall, QuotaRejection, QuotaStep},
+    earlier_records::EarlierRecords,
     grant::{QuotaGrant, QuotaOutcome},
     message::{QuotaAnswer, QuotaRequest, QuotaResponse, QuotaSettlement, SettledGrant},
     quotas::Quotas,
     restart_record::RestartRecord,
+    restart_write::RestartWrite,
 };
--- a/crates/turmericloft/src/core/quota/owned_parts.rs
+++ b/crates/turmericloft/src/core/quota/owned_parts.rs
@@ -8,7 +8,7 @@
 
 use super::{
     QuotaAnswer, QuotaBounds, QuotaSettlement, gateways::QuotaGateways, grant_window::GrantWindow,
-    restart_record::RestartState,
+    restart_state::RestartState,
 };
 use crate::core::traffic::RequestQuota;
 
--- a/crates/turmericloft/src/core/quota/quotas.rs
+++ b/crates/turmericloft/src/core/quota/quotas.rs
@@ -6,8 +6,9 @@
 };
 
 use super::{
-    QuotaAnswer, QuotaBounds, QuotaCall, QuotaGrant, QuotaOutcome, QuotaRejection, QuotaSettlement,
-    QuotaStep, RestartRecord, asker::Asker, gateways::QuotaGateways, owned_parts::OwnedParts,
+    EarlierRecords, QuotaAnswer, QuotaBounds, QuotaCall, QuotaGrant, QuotaOutcome, QuotaRejection,
+    QuotaSettlement, QuotaStep, RestartWrite, asker::Asker, gateways::QuotaGateways,
+    owned_parts::OwnedParts,
 };
 use crate::core::{
     rate_limit::SharingGateways,
@@ -51,14 +52,15 @@
         self.owned.restart.needs_record()
     }
 
-    /// Records what the store says of the earlier process on the host.
-    pub fn record_before_restart(&mut self, now: Instant, before: RestartRecord) {
-        self.owned.restart.record_before(now, before);
+    /// Records what the store says of earlier processes on the host.
+    pub fn record_before_restart(&mut self, now: Instant, earlier: &EarlierRecords) {
+        self.owned.restart.record_before(now, earlier);
     }
 
-    /// The record to be written to the store now; `None` if the store has it.
-    pub fn unwritten_restart_record(&mut self, now: Instant) -> Option<RestartRecord> {
-        self.owned.restart.unwritten(now)
+    /// The record to be written to the store now; `None` if the store has it. It is in doubt until it is recorded as
+    /// confirmed. `unix_ms` is the time of day, in Unix milliseconds.
+    pub fn start_restart_write(&mut self, now: Instant, unix_ms: u64) -> Option<RestartWrite> {
+        self.owned.restart.start_write(now, unix_ms)
     }
 
     /// Whether the store lacks a record.
@@ -66,12 +68,17 @@
         self.owned.restart.has_unwritten()
     }
 
-    /// Records that a record is in the store.
-    pub fn record_restart_record_written(&mut self, record: RestartRecord) {
-        self.owned.restart.record_written(record);
+    /// Records that the store has confirmed a write.
+    pub fn record_restart_write_confirmed(&mut self, write: RestartWrite) {
+        self.owned.restart.record_confirmed(write);
     }
 
-    /// When [`unwritten_restart_record`](Self::unwritten_restart_record) may change without a request.
+    /// Records that a write got no answer, or was refused.
+    pub fn record_restart_write_unconfirmed(&mut self) {
+        self.owned.restart.record_unconfirmed();
+    }
+
+    /// When [`start_restart_write`](Self::start_restart_write) may have a record without a request.
     pub fn restart_record_changes_at(&self) -> Option<Instant> {
         self.owned.restart.changes_at()
     }
--- a/crates/turmericloft/src/ops/ingress/quotas.rs
+++ b/crates/turmericloft/src/ops/ingress/quotas.rs
@@ -24,13 +24,14 @@
 use crate::{
     core::{
         quota::{
-            ASK_TIMEOUT, QuotaAnswer, QuotaGrant, QuotaOutcome, QuotaRejection, QuotaSettlement,
-            QuotaStep, RestartRecord,
+            ASK_TIMEOUT, EarlierRecords, QuotaAnswer, QuotaGrant, QuotaOutcome, QuotaRejection,
+            QuotaSettlement, QuotaStep, RestartWrite,
         },
         rate_limit::{MAX_TRANSIT, SharingGateways},
         traffic::RouteTable,
     },
     sources::http1::{ClientConnection, ExchangeError},
+    util::clock::unix_ms,
 };
 
 /// `Retry-After` where no owner answers: about the time for which silent owners are left out.
@@ -260,26 +261,32 @@
         quotas.refresh_at(self.now()).is_some() && quotas.needs_restart_record()
     }
 
-    /// Records what the store says of the earlier process on this host.
-    pub fn record_before_restart(&self, before: RestartRecord) {
+    /// Records what the store says of earlier processes on this host.
+    pub fn record_before_restart(&self, earlier: &EarlierRecords) {
+        let newest = earlier.newest();
         log::info!(
             "record of the earlier process read busy_organisations={} is_restarting={}",
-            before.busy.len(),
-            before.is_restarting
+            newest.busy.len(),
+            newest.is_restarting
         );
         let now = self.now();
-        self.quotas.lock().record_before_restart(now, before);
+        self.quotas.lock().record_before_restart(now, earlier);
     }
 
     /// The record to be written to the store now; `None` if the store has it.
-    pub fn unwritten_restart_record(&self) -> Option<RestartRecord> {
+    pub fn start_restart_write(&self) -> Option<RestartWrite> {
         let now = self.now();
-        self.quotas.lock().unwritten_restart_record(now)
+        self.quotas.lock().start_restart_write(now, unix_ms())
     }
 
-    /// Records that a record is in the store.
-    pub fn record_restart_record_written(&self, record: RestartRecord) {
-        self.quotas.lock().record_restart_record_written(record);
+    /// Records that the store has confirmed a write.
+    pub fn record_restart_write_confirmed(&self, write: RestartWrite) {
+        self.quotas.lock().record_restart_write_confirmed(write);
+    }
+
+    /// Records that a write got no answer, or was refused.
+    pub fn record_restart_write_unconfirmed(&self) {
+        self.quotas.lock().record_restart_write_unconfirmed();
     }
 
     /// When the record changes without a request; `None` if it does not.
--- a/crates/turmericloft/tests/testsuite/quota/events.rs
+++ b/crates/turmericloft/tests/testsuite/quota/events.rs
@@ -4,7 +4,7 @@
 
 use turmericloft::core::quota::{
     ASK_TIMEOUT, QuotaAnswer, QuotaCall, QuotaGrant, QuotaOutcome, QuotaRejection, QuotaSettlement,
-    QuotaStep, SettledGrant,
+    QuotaStep, RestartWrite, SettledGrant,
 };
 
 use super::fleet::{Fleet, organisation};
@@ -44,6 +44,10 @@
         settlement: QuotaSettlement,
     },
     ReadList(usize),
+    LandWrite {
+        gateway: usize,
+        write: RestartWrite,
+    },
 }
 
 impl Fleet {
@@ -61,7 +65,8 @@
             | Event::Settlement { to, .. } => *to,
             Event::Timeout { gateway, .. }
             | Event::Send { gateway, .. }
-            | Event::Finish { gateway, .. } => *gateway,
+            | Event::Finish { gateway, .. }
+            | Event::LandWrite { gateway, .. } => *gateway,
         };
         let frozen_until = self.gateways[gateway].frozen_until;
         if frozen_until > self.now {
@@ -121,6 +126,7 @@
             }
             Event::Settlement { to, settlement } => self.gateways[to].quotas.settle(&settlement),
             Event::ReadList(gateway) => self.read_list(gateway),
+            Event::LandWrite { gateway, write } => self.land_write(gateway, write),
         }
         gateway
     }
--- a/crates/turmericloft/tests/testsuite/quota/fleet.rs
+++ b/crates/turmericloft/tests/testsuite/quota/fleet.rs
@@ -10,7 +10,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use turmericloft::core::{
-    quota::{DEFAULT_QUOTA_WINDOW, LIST_REFRESH, QuotaBounds, QuotaCall, Quotas, RestartRecord},
+    quota::{
+        DEFAULT_QUOTA_WINDOW, EarlierRecords, LIST_REFRESH, QuotaBounds, QuotaCall, Quotas,
+        RestartRecord, RestartWrite,
+    },
     rate_limit::{ShareStart, SharingGateways},
     traffic::{Organisation, RequestQuota},
 };
@@ -20,6 +23,13 @@
 /// Time from the start of all gateways until they own their parts and clients come.
 pub(super) const WARM_UP: Duration = Duration::from_secs(6);
 
+/// Part of the writes that are not answered while the store loses answers.
+const LATE_WRITES: f64 = 0.5;
+/// Time after which such a write is executed.
+const LATE_BY_MS: std::ops::Range<u64> = 1_000..6_000;
+/// Time from a write that is not answered to the next one.
+const WRITE_RETRY_DELAY: Duration = Duration::from_millis(1_800);
+
 /// Longest delays, in milliseconds.
 #[derive(Clone, Copy)]
 pub(super) struct Delays {
@@ -79,8 +89,12 @@
     pub(super) storeless_until: Instant,
     /// Whether it was started with the whole system, so that every list has it.
     is_founding: bool,
-    /// Record of its host in the store.
-    stored: RestartRecord,
+    /// Records of its host in the store, by generation.
+    stored: BTreeMap<u64, RestartRecord>,
+    /// Until when the store may lose the answer to a write and execute it late.
+    pub(super) late_writes_until: Instant,
+    /// When it writes again after a write that was not answered.
+    writes_again_at: Instant,
 }
 
 /// What became of the requests of the fleet.
@@ -182,7 +196,9 @@
             cut_off_until: self.now,
             storeless_until: self.now,
             is_founding: is_bootstrap,
-            stored: RestartRecord::default(),
+            stored: BTreeMap::new(),
+            late_writes_until: self.now,
+            writes_again_at: self.now,
         }
     }
 
@@ -191,11 +207,13 @@
         let old = &self.gateways[gateway];
         let (host, quota, incarnation) = (Arc::clone(&old.host), old.quota, old.incarnation + 1);
         let (is_founding, stored) = (old.is_founding, old.stored.clone());
+        let late_writes_until = old.late_writes_until;
         let mut restarted = self.new_gateway(host, quota, false, incarnation);
         restarted.quotas.record_restart(self.now);
         self.gateways[gateway] = SimulatedGateway {
             is_founding,
             stored,
+            late_writes_until,
             ..restarted
         };
         self.schedule_in(Duration::ZERO, Event::ReadList(gateway));
@@ -281,7 +299,11 @@
             let list = SharingGateways::new(Arc::clone(&g.host), hosts, now, usable_from);
             g.quotas.record_list(now, &list);
             if g.quotas.needs_restart_record() {
-                g.quotas.record_before_restart(now, g.stored.clone());
+                let mut earlier = EarlierRecords::default();
+                for (generation, record) in &g.stored {
+                    earlier.add(Some(*generation), record.clone());
+                }
+                g.quotas.record_before_restart(now, &earlier);
             }
         }
         self.schedule_in(pause, Event::ReadList(gateway));
@@ -291,12 +313,29 @@
     pub(super) fn write_record(&mut self, gateway: usize) {
         let now = self.now;
         let g = &mut self.gateways[gateway];
-        if g.storeless_until <= now
-            && let Some(record) = g.quotas.unwritten_restart_record(now)
-        {
-            g.stored.clone_from(&record);
-            g.quotas.record_restart_record_written(record);
+        if g.storeless_until > now || g.writes_again_at > now {
+            return;
+        }
+        let unix_ms = (now - self.started_at).as_millis() as u64;
+        let Some(write) = g.quotas.start_restart_write(now, unix_ms) else {
+            return;
+        };
+        if g.late_writes_until > now && self.rng.random_bool(LATE_WRITES) {
+            g.quotas.record_restart_write_unconfirmed();
+            g.writes_again_at = now + WRITE_RETRY_DELAY;
+            let late = Duration::from_millis(self.rng.random_range(LATE_BY_MS));
+            self.schedule_in(late, Event::LandWrite { gateway, write });
+            return;
         }
+        g.quotas.record_restart_write_confirmed(write.clone());
+        self.land_write(gateway, write);
+    }
+
+    /// Executes a write, which may not have been answered.
+    pub(super) fn land_write(&mut self, gateway: usize, write: RestartWrite) {
+        let stored = &mut self.gateways[gateway].stored;
+        stored.insert(write.generation, write.record);
+        stored.retain(|generation, _| !write.superseded.contains(generation));
     }
 
     /// Most requests that arrived in any window from `since` on.
--- a/crates/turmericloft/tests/testsuite/quota/parts.rs
+++ b/crates/turmericloft/tests/testsuite/quota/parts.rs
@@ -43,8 +43,8 @@
 
 /// Writes the record for the next process on the host, without which a third of each part is kept back.
 fn write_record(quotas: &mut Quotas, now: Instant) {
-    if let Some(record) = quotas.unwritten_restart_record(now) {
-        quotas.record_restart_record_written(record);
+    if let Some(write) = quotas.start_restart_write(now, 1) {
+        quotas.record_restart_write_confirmed(write);
     }
 }
 
--- a/crates/turmericloft/tests/testsuite/quota/restarts.rs
+++ b/crates/turmericloft/tests/testsuite/quota/restarts.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Instant};
 
 use turmericloft::core::{
-    quota::{QuotaAnswer, QuotaBounds, Quotas, RestartRecord},
+    quota::{EarlierRecords, QuotaAnswer, QuotaBounds, Quotas, RestartRecord},
     rate_limit::SharingGateways,
     traffic::RequestQuota,
 };
@@ -26,7 +26,9 @@
 fn restarted(now: Instant, before: RestartRecord) -> Quotas {
     let mut quotas = owner(now);
     quotas.record_restart(now);
-    quotas.record_before_restart(now, before);
+    let mut earlier = EarlierRecords::default();
+    earlier.add(Some(1), before);
+    quotas.record_before_restart(now, &earlier);
     quotas
 }
 
@@ -43,8 +45,9 @@
 }
 
 fn write(quotas: &mut Quotas, now: Instant) -> Option<RestartRecord> {
-    let record = quotas.unwritten_restart_record(now)?;
-    quotas.record_restart_record_written(record.clone());
+    let write = quotas.start_restart_write(now, 1)?;
+    let record = write.record.clone();
+    quotas.record_restart_write_confirmed(write);
     Some(record)
 }
 
@@ -107,3 +110,67 @@
     write(&mut restarted, calm);
     assert_eq!(grants(&mut restarted, calm, true), granted / 3);
 }
+
+/// Guards against the last third of a part that is granted twice: a record by which the organisation is calm got no answer, it is
+/// busy again, and the store executes the record later.
+#[test]
+fn owner_keeps_to_two_thirds_while_a_write_without_an_answer_may_be_executed() {
+    let now = Instant::now();
+    let allowance = QuotaBounds::default().allowance(&QUOTA);
+    let mut owner = owner(now);
+    // Enough for a record that it is busy.
+    for _ in 0..allowance * 3 / 5 {
+        assert!(matches!(
+            owner.answer(now, "north", &QUOTA),
+            QuotaAnswer::Granted { .. }
+        ));
+        write(&mut owner, now);
+    }
+    let calm = now + QuotaBounds::default().grant_interval();
+    assert!(owner.start_restart_write(calm, 1).is_some());
+    owner.record_restart_write_unconfirmed();
+    assert_eq!(grants(&mut owner, calm, false), allowance - allowance / 3);
+    write(&mut owner, calm).expect("a record");
+    assert!(grants(&mut owner, calm, false) > 0);
+}
+
+/// Guards against a write that is taken for one of the next process, or for a later one of its own.
+#[test]
+fn each_write_after_one_without_an_answer_is_of_a_higher_generation() {
+    let now = Instant::now();
+    let mut earlier = EarlierRecords::default();
+    earlier.add(Some(7), RestartRecord::default());
+    earlier.add(Some(5), RestartRecord::default());
+    let mut owner = owner(now);
+    owner.record_restart(now);
+    owner.record_before_restart(now, &earlier);
+    let first = owner.start_restart_write(now, 3).expect("a record");
+    assert_eq!((first.generation, &*first.superseded), (8, &[5, 7][..]));
+    // Nothing is recorded of it.
+    let second = owner.start_restart_write(now, 3).expect("a record");
+    assert_eq!(
+        (second.generation, &*second.superseded),
+        (9, &[5, 7, 8][..])
+    );
+    owner.record_restart_write_confirmed(second);
+    assert_eq!(owner.start_restart_write(now, 3), None);
+    let later = now + QuotaBounds::default().grant_interval();
+    let third = owner.start_restart_write(later, 3).expect("a record");
+    assert_eq!((third.generation, &*third.superseded), (9, &[][..]));
+}
+
+/// Guards against the record of an older build, which has no generation, that is passed over after a downgrade.
+#[test]
+fn record_of_an_older_build_counts_beside_the_newest_one() {
+    let busy = |name: &str| RestartRecord {
+        busy: [name.into()].into(),
+        is_restarting: false,
+    };
+    let mut earlier = EarlierRecords::default();
+    earlier.add(Some(1), busy("late"));
+    earlier.add(Some(2), busy("north"));
+    earlier.add(None, busy("south"));
+    let newest = earlier.newest();
+    let names: Vec<_> = newest.busy.iter().map(|name| &**name).collect();
+    assert_eq!(names, ["north", "south"]);
+}
