--- a/crates/turmericloft/src/core/relay/registry_view.rs
+++ b/crates/turmericloft/src/core/relay/registry_view.rs
@@ -2,12 +2,12 @@
 
 use std::time::Instant;
 
-use super::{EraChange, RelayPoll, RelayResponse, RelayTimings};
+use super::{EraChange, PollOffset, RelayPoll, RelayResponse, RelayTimings};
 use crate::core::{
     evacuation::EvacuationList,
     placement::{
         DiscoveredEndpoint, DiscoveryChange, DiscoveryTable, Observation, RegistryList,
-        RegistryPosition,
+        RegistryPosition, RegistryReturn,
     },
     saturating::instant_after,
 };
@@ -25,6 +25,8 @@
     timings: RelayTimings,
     table: DiscoveryTable,
     next: RegistryPosition,
+    /// Position as of the first data. Entries that were removed before it are not known.
+    known_from: RegistryPosition,
     as_of: Option<Instant>,
     relayed: Option<RelayedState>,
     /// Until when a gateway that has not read the registry yet relies on its first response.
@@ -40,6 +42,7 @@
             timings,
             table: DiscoveryTable::new(),
             next: RegistryPosition::default(),
+            known_from: RegistryPosition::default(),
             as_of: None,
             relayed: None,
             first_response_until: None,
@@ -76,8 +79,8 @@
         if next.era != self.next.era {
             return DiscoveryChange::None;
         }
-        self.table.record_registry_response(now);
-        self.next = self.next.max(next);
+        self.table.record_registry_response(now, next);
+        self.advance_next(next);
         self.advance_as_of(read_started);
         let changes = records.into_iter().map(|o| self.table.observe(now, o));
         changes.fold(DiscoveryChange::None, DiscoveryChange::or)
@@ -94,9 +97,10 @@
         if list.era < self.next.era {
             return DiscoveryChange::None;
         }
-        self.table.record_registry_response(now);
+        self.table
+            .record_registry_response(now, list.next_position());
         let before = self.next;
-        self.next = self.next.max(list.next_position());
+        self.advance_next(list.next_position());
         self.advance_as_of(read_started);
         let change = self.table.apply_full_list(now, list);
         self.record_era_change(before);
@@ -121,12 +125,18 @@
         if !self.accepts(response) {
             return DiscoveryChange::None;
         }
-        match response.as_of_after_poll {
-            Some(after) => {
-                // This host, and with it its monotonic clock, may have been suspended in between.
-                let as_of = instant_after(polled_at, after).min(now);
-                self.record_relayed(now, as_of, response.hops);
-            }
+        // This host, and with it its monotonic clock, may have been suspended in between.
+        let as_of = response
+            .as_of_after_poll
+            .map(|after| instant_after(polled_at, after).min(now));
+        let stale_after = self.timings.stale_after(response.hops);
+        let is_fresh = as_of.is_some_and(|at| now.saturating_duration_since(at) < stale_after);
+        let retained_until = response.retained_until;
+        let retained_until = retained_until.and_then(|until| until.from_poll(polled_at));
+        self.table
+            .record_relayed(now, response.next, is_fresh, retained_until);
+        match as_of {
+            Some(as_of) => self.advance_relayed(as_of, response.hops),
             None if response.is_current && self.is_first_response() => {
                 // A response that reflects a read after its poll follows soon.
                 let until = polled_at + self.timings.stale_after(response.hops);
@@ -135,7 +145,7 @@
             None => {}
         }
         let before = self.next;
-        self.next = self.next.max(response.next);
+        self.advance_next(response.next);
         let newest = response.changes.iter().cloned();
         if response.is_full_list {
             let list = RegistryList {
@@ -174,18 +184,29 @@
         self.as_of.is_none() && self.first_response_until.is_none()
     }
 
-    fn record_relayed(&mut self, now: Instant, as_of: Instant, hops: u32) {
-        if self.relayed.is_some_and(|r| r.as_of >= as_of) {
-            return;
-        }
-        self.relayed = Some(RelayedState { as_of, hops });
-        self.advance_as_of(as_of);
-        // Stale data does not show that the registry is available.
-        if now.saturating_duration_since(as_of) < self.timings.stale_after(hops) {
-            self.table.record_registry_response(now);
+    fn advance_relayed(&mut self, as_of: Instant, hops: u32) {
+        if self.relayed.is_none_or(|r| r.as_of < as_of) {
+            self.relayed = Some(RelayedState { as_of, hops });
+            self.advance_as_of(as_of);
         }
     }
 
+    /// Records that a read which began at `started` has failed: the registry was out of reach then.
+    pub fn record_failed_read(&mut self, started: Instant) {
+        let limit = started + self.timings.recovery().retention_limit();
+        self.table.record_out_of_reach(started, limit);
+    }
+
+    /// Records that the host has resumed from a suspension. What was read before is old, as after a failed read.
+    pub fn record_resume(&mut self, now: Instant) {
+        self.record_failed_read(now);
+    }
+
+    /// What was found at the end of the last time without data, once.
+    pub fn take_registry_return(&mut self) -> Option<RegistryReturn> {
+        self.table.take_registry_return()
+    }
+
     /// Whether the view reflects a read after the poll arrived at `received`, or holds a change that
     /// the follower lacks.
     pub fn has_update(&self, received: Instant, poll: &RelayPoll) -> bool {
@@ -198,7 +219,7 @@
 
     /// The response, without a document, to a poll that arrived at `received`.
     pub fn response(&self, now: Instant, received: Instant, poll: &RelayPoll) -> RelayResponse {
-        let is_full_list = self.next.era > poll.from.era;
+        let is_full_list = self.next.era > poll.from.era || self.lacks_removals_since(poll.from);
         let changes = if is_full_list {
             self.table.full_list()
         } else {
@@ -214,6 +235,11 @@
             next: self.next,
             is_full_list,
             changes,
+            retained_until: self
+                .table
+                .relayed_retention()
+                .filter(|until| *until > now)
+                .map(|until| PollOffset::between(received, until)),
             document_version: 0,
             document_as_of: None,
             document_position: RegistryPosition::default(),
@@ -222,6 +248,12 @@
         }
     }
 
+    /// Whether entries may have been removed since `from` that were never known here. A follower without data has none
+    /// of them.
+    fn lacks_removals_since(&self, from: RegistryPosition) -> bool {
+        from > RegistryPosition::default() && from < self.known_from
+    }
+
     /// Number of relay hops between this gateway and the one that read the registry; 0 if this
     /// gateway reads it.
     pub fn hops(&self, now: Instant) -> u32 {
@@ -270,6 +302,13 @@
         self.table.next_expiry()
     }
 
+    fn advance_next(&mut self, next: RegistryPosition) {
+        if self.next == RegistryPosition::default() {
+            self.known_from = next;
+        }
+        self.next = self.next.max(next);
+    }
+
     fn advance_as_of(&mut self, as_of: Instant) {
         if self.as_of.is_none_or(|known| known < as_of) {
             self.as_of = Some(as_of);
--- a/crates/turmericloft/src/core/relay/relay_response.rs
+++ b/crates/turmericloft/src/core/relay/relay_response.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{DocumentAsOf, RelayedDocument};
+use super::{DocumentAsOf, PollOffset, RelayedDocument};
 use crate::core::{
     evacuation::EvacuationList,
     placement::{Observation, RegistryPosition},
@@ -25,10 +25,13 @@
     pub hops: u32,
     /// Position in the registry up to which the changes are complete (exclusive).
     pub next: RegistryPosition,
-    /// Whether `changes` are all registered entries, because the follower knows an earlier era.
+    /// Whether `changes` are all registered entries: the follower knows an earlier era, or data from before the upstream
+    /// started.
     pub is_full_list: bool,
     /// Newest observation of each entry that changed at or after the polled position.
     pub changes: Vec<Observation>,
+    /// Until when entries that are removed here may be those of running endpoints; `None` if that is over.
+    pub retained_until: Option<PollOffset>,
     /// Newest document version that the upstream knows to exist; 0 if it knows of none.
     pub document_version: u64,
     /// As of when that version is the newest one; `None` if the upstream does not know.
