Requests that are refused for want of memory are counted and logged

Evidence: `ingress::room::refused_body_is_counted`. It came with the metric, which did not exist before.

--- a/crates/turmericloft/src/ops/ingress/client_memory.rs
+++ b/crates/turmericloft/src/ops/ingress/client_memory.rs
@@ -4,6 +4,7 @@
 
 use super::{
     client::ClientStream, client_response::GatewayResponse, connection_stage::ConnectionStage,
+    metrics::count_refused_request,
 };
 use crate::core::memory::ActivityKind;
 
@@ -53,6 +54,13 @@
     /// Ends the connection after a response that says that there is no memory for the request that is being read.
     pub(super) fn refuse_for_memory(&mut self) {
         self.waits_for_memory = None;
+        count_refused_request();
+        let missing = self.reader.missing_memory().unwrap_or_default();
+        self.ingress.log.write_line(
+            self.ingress.now(),
+            "request refused; no memory is left for it",
+            format_args!("missing_bytes={missing}"),
+        );
         self.reader.abandon();
         self.push_gateway_response(GatewayResponse::NoMemory, true);
     }
--- a/crates/turmericloft/src/ops/ingress/metrics.rs
+++ b/crates/turmericloft/src/ops/ingress/metrics.rs
@@ -21,7 +21,7 @@
         INGRESS_ANSWER_SECONDS, INGRESS_ANSWERS, INGRESS_ATTEMPT_SECONDS, INGRESS_ATTEMPTS,
         INGRESS_PROBES, KEY_LEASE_AGE, KEY_REJECTIONS, LIMIT_CHANGES, LIMIT_HELD_BACK, LIMIT_LOANS,
         LIMIT_SHARE, LIMITED_ENDPOINTS, QUOTA_ANSWERS, QUOTA_OWNED_PARTS, QUOTA_REJECTIONS,
-        REFUSED_CONNECTIONS, TAKEN_MEMORY,
+        REFUSED_CONNECTIONS, REFUSED_REQUESTS, TAKEN_MEMORY,
     },
 };
 
@@ -49,6 +49,11 @@
     counter!(REFUSED_CONNECTIONS.name).increment(1);
 }
 
+/// Counts a request for which there was no memory.
+pub(super) fn count_refused_request() {
+    counter!(REFUSED_REQUESTS.name).increment(1);
+}
+
 /// Counts a connection that is closed to make room for others.
 pub(super) fn count_given_up(activity: ActivityKind) {
     let activity: &'static str = activity.into();
--- a/crates/turmericloft/src/util/connection_metrics.rs
+++ b/crates/turmericloft/src/util/connection_metrics.rs
@@ -29,6 +29,15 @@
     help: "Connections that were refused since too many were open and none could be given up",
 };
 
+/// Requests that were refused since there was no memory for them.
+pub const REFUSED_REQUESTS: Metric = Metric {
+    name: "turmericloft_ingress_requests_without_memory_total",
+    kind: MetricKind::Counter,
+    unit: "requests",
+    labels: &[],
+    help: "Requests that were refused since there was no memory for them and none could be reclaimed",
+};
+
 /// Connections that were closed to make room.
 pub const GIVEN_UP_CONNECTIONS: Metric = Metric {
     name: "turmericloft_ingress_given_up_connections_total",
--- a/crates/turmericloft/tests/testsuite/ingress/room.rs
+++ b/crates/turmericloft/tests/testsuite/ingress/room.rs
@@ -5,7 +5,7 @@
 use turmericloft::{
     core::memory::{MemoryLimits, STALL_TIME},
     ops::ingress::ConnectionStage,
-    util::host_clock::HostClock,
+    util::{host_clock::HostClock, metrics_recorder, metrics_table::REFUSED_REQUESTS},
 };
 
 use super::{
@@ -104,6 +104,29 @@
     assert_eq!(world.ids(), ["small", "first"]);
 }
 
+/// Number of requests that the gateways of this process have refused for want of memory.
+fn refused_requests() -> u64 {
+    let metrics = metrics_recorder::install().render();
+    let values = metrics
+        .lines()
+        .filter_map(|line| line.strip_prefix(REFUSED_REQUESTS.name));
+    values
+        .filter_map(|value| value.trim().parse::<u64>().ok())
+        .sum()
+}
+
+/// Guards against refusals that operators cannot see.
+#[tokio::test]
+async fn refused_body_is_counted() {
+    let before = refused_requests();
+    let world = World::start(Behaviour::Respond, 100).await;
+    let mut client = world.client().await;
+    client.send(&upload("large", MEMORY)).await;
+    let refusal = client.response().await.expect("a refusal");
+    assert_eq!(refusal.status, 503);
+    assert!(refused_requests() > before);
+}
+
 /// Load pattern: bodies that stop short of their end hold the memory, and others would finish.
 #[tokio::test]
 async fn stalled_body_gives_way_to_one_that_goes_on() {
