Streams are read page by page in one place

Reports and the records of gateways had the same loop over the pages of a stream (`StreamReader`). The end of an outage and the beginning of an era are two steps in `RegistryAvailability`. No change of behaviour.

--- a/crates/turmericloft/src/core/placement/registry_availability.rs
+++ b/crates/turmericloft/src/core/placement/registry_availability.rs
@@ -74,23 +74,14 @@
 
     /// Records data that shows that the registry is available, with the end of the retention if it was not.
     fn record(&mut self, now: Instant, end: RegistryPosition, retained_until: Option<Instant>) {
-        let is_new_era = self.growth.is_of_older_log(end);
         match self.outage_length(now) {
-            None if is_new_era => {
+            Some(unread_for) => self.end_outage(now, end, unread_for, retained_until),
+            None => {
+                if self.growth.is_of_older_log(end) {
+                    self.retain_until = retained_until;
+                }
                 self.growth.record(now, end);
-                self.retain_until = retained_until;
             }
-            Some(unread_for) => {
-                let log_silent_for = self.growth.record_gap(now, end);
-                let was_available = log_silent_for.is_some_and(|silent| silent < MIN_LOG_SILENCE);
-                self.retain_until = retained_until.filter(|_| !was_available);
-                self.registry_return = Some(RegistryReturn {
-                    unread_for,
-                    log_silent_for,
-                    retained_for: self.retention_left(now),
-                });
-            }
-            None => self.growth.record(now, end),
         }
         if self.last_response_at.is_none() {
             self.unknown_until = Some(now + REREGISTRATION_PERIOD);
@@ -99,6 +90,24 @@
         self.retention_limit = None;
     }
 
+    /// Ends a time without data. Nothing is retained if endpoints wrote all the while.
+    fn end_outage(
+        &mut self,
+        now: Instant,
+        end: RegistryPosition,
+        unread_for: Duration,
+        retained_until: Option<Instant>,
+    ) {
+        let log_silent_for = self.growth.record_gap(now, end);
+        let was_available = log_silent_for.is_some_and(|silent| silent < MIN_LOG_SILENCE);
+        self.retain_until = retained_until.filter(|_| !was_available);
+        self.registry_return = Some(RegistryReturn {
+            unread_for,
+            log_silent_for,
+            retained_for: self.retention_left(now),
+        });
+    }
+
     /// Until when a follower retains what it lacks here. A gateway that has just started does not know what has expired
     /// before.
     pub(super) fn relayed_retention(&self) -> Option<Instant> {
--- a/crates/turmericloft/src/ops/gateway_records.rs
+++ b/crates/turmericloft/src/ops/gateway_records.rs
@@ -1,8 +1,6 @@
 //! Reading of the state records that gateways append to the log.
 
-use std::time::Duration;
-
-use super::read_page::{PageRequest, read_page};
+use super::stream_reader::StreamReader;
 use crate::{
     core::{Name, config::GatewayRecord},
     sources::log_service::{LogError, LogRecord, LogService},
@@ -25,20 +23,13 @@
     environment: &Name,
 ) -> Result<Vec<AppendedRecord>, LogError> {
     let stream = GatewayRecord::stream(environment);
+    let mut reader = StreamReader::new(log, &stream, PAGE_RECORDS);
     let mut records = Vec::new();
-    let mut from = 0;
     loop {
-        let req = PageRequest {
-            stream: &stream,
-            from,
-            limit: PAGE_RECORDS,
-            wait: Duration::ZERO,
-        };
-        let page = read_page(log, req).await?;
-        let Some(last) = page.records.last() else {
+        let page = reader.next_page().await?;
+        if page.records.is_empty() {
             return Ok(records);
-        };
-        from = last.offset + 1;
+        }
         records.extend(page.records.iter().filter_map(decode_record));
     }
 }
--- a/crates/turmericloft/src/ops/mod.rs
+++ b/crates/turmericloft/src/ops/mod.rs
@@ -16,6 +16,7 @@
 pub mod reporter;
 mod shared_quarantine;
 mod status;
+mod stream_reader;
 
 pub use self::{
     audit::{Activation, Audit, AuditRow, read_audit},
--- a/crates/turmericloft/src/ops/report/read.rs
+++ b/crates/turmericloft/src/ops/report/read.rs
@@ -13,10 +13,7 @@
         },
         document::{Document, DocumentError},
     },
-    ops::{
-        PromoteError, read_document,
-        read_page::{PageRequest, read_page},
-    },
+    ops::{PromoteError, read_document, stream_reader::StreamReader},
     sources::log_service::{LogError, LogService},
 };
 
@@ -99,24 +96,18 @@
     now_ms: u64,
 ) -> Result<History, ReportError> {
     let stream = RoundPart::stream(environment);
+    let mut reader = StreamReader::new(log, &stream, PAGE_RECORDS);
     let mut history = History::default();
-    let mut from = 0;
     loop {
-        let req = PageRequest {
-            stream: &stream,
-            from,
-            limit: PAGE_RECORDS,
-            wait: Duration::ZERO,
-        };
-        let page = read_page(log, req).await?;
+        let from = reader.position();
+        let page = reader.next_page().await?;
         if page.first > from {
             let kept_from_ms = page.records.first().map_or(now_ms, |r| r.appended_at_ms);
             history.record_retention_start(kept_from_ms);
         }
-        let Some(last) = page.records.last() else {
+        if page.records.is_empty() {
             return Ok(history);
-        };
-        from = last.offset + 1;
+        }
         for record in &page.records {
             history.add_record(&record.body, record.appended_at_ms);
         }
--- a/crates/turmericloft/tests/testsuite/relay/mod.rs
+++ b/crates/turmericloft/tests/testsuite/relay/mod.rs
@@ -22,9 +22,9 @@
     relay::{RelayBounds, RelayMember, RelayTimings},
 };
 
-/// Time within which every gateway has to know that an endpoint is draining.
 /// Link of each host.
 const LINK_MBPS: u32 = 1_000;
+/// Time within which every gateway has to know that an endpoint is draining.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
 pub(crate) fn timings() -> RelayTimings {
