What an older copy of the registry lacks is retained within the stability window

Cause: the 1.9 s counted from when the gateway learned of the era, and began again if it had first learned of it from stale data of another gateway.

Change: they end 0.9 of the stability window after the last data of the era before at the latest, and each era starts them once, whether the data is fresh or not.

Evidence: the simulation of the relay used a pace of its own for failed reads, and checked gateways 4 s after a fault.

--- a/crates/turmericloft/src/core/placement/discovery.rs
+++ b/crates/turmericloft/src/core/placement/discovery.rs
@@ -71,6 +71,11 @@
         self.availability.record_out_of_reach(at, limit);
     }
 
+    /// Ends the retention period that the next response may start at `limit` at the latest.
+    pub fn limit_retention(&mut self, limit: Instant) {
+        self.availability.limit_retention(limit);
+    }
+
     /// Until when followers retain the entries that they lack here; `None` if the list is complete.
     pub fn relayed_retention(&self) -> Option<Instant> {
         self.availability.relayed_retention()
--- a/crates/turmericloft/src/core/placement/log_growth.rs
+++ b/crates/turmericloft/src/core/placement/log_growth.rs
@@ -48,11 +48,6 @@
         Duration::try_from_secs_f64(silent_s).ok()
     }
 
-    /// Whether `end` is of a later era than the log that was watched.
-    pub(super) fn is_of_older_log(&self, end: RegistryPosition) -> bool {
-        self.last.is_some_and(|(_, last)| last.era < end.era)
-    }
-
     /// Data of another gateway may end before what was seen.
     fn advance(&mut self, now: Instant, end: RegistryPosition) {
         let seen = self.last.map(|(_, last)| last);
--- a/crates/turmericloft/src/core/placement/registry_availability.rs
+++ b/crates/turmericloft/src/core/placement/registry_availability.rs
@@ -5,9 +5,12 @@
 //! the registry was out of reach of this gateway alone, endpoints have written all the while, and a removed entry is that
 //! of an endpoint that leaves.
 
-use std::time::{Duration, Instant};
+use std::{
+    mem,
+    time::{Duration, Instant},
+};
 
-use super::{RegistryPosition, RegistryReturn, log_growth::LogGrowth};
+use super::{RegistryEra, RegistryPosition, RegistryReturn, log_growth::LogGrowth};
 
 /// Time after an outage within which running endpoints register again.
 const REREGISTRATION_PERIOD: Duration = Duration::from_millis(1_900);
@@ -22,6 +25,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RegistryAvailability {
     last_response_at: Option<Instant>,
+    /// Era of the latest data, fresh or not; `None` before the first.
+    era: Option<RegistryEra>,
     growth: LogGrowth,
     /// When the next retention period ends at the latest, since the registry was out of reach.
     retention_limit: Option<Instant>,
@@ -46,10 +51,15 @@
     /// Records that the registry was out of reach at `at`: what is retained next is retained until `limit` at most.
     pub(super) fn record_out_of_reach(&mut self, at: Instant, limit: Instant) {
         if self.last_response_at.is_none_or(|response| response < at) {
-            self.retention_limit = self.retention_limit.max(Some(limit));
+            self.limit_retention(limit);
         }
     }
 
+    /// Ends the retention period that the next response may start at `limit` at the latest.
+    pub(super) fn limit_retention(&mut self, limit: Instant) {
+        self.retention_limit = self.retention_limit.max(Some(limit));
+    }
+
     /// Records a response that is complete up to `end`, and starts the retention period if an outage ended.
     pub(super) fn record_response(&mut self, now: Instant, end: RegistryPosition) {
         self.record(now, end, Some(self.retention_end(now)));
@@ -67,17 +77,18 @@
         let retained_until = retained_until.map(|until| until.min(now + REREGISTRATION_PERIOD));
         if is_fresh {
             self.record(now, end, retained_until);
-        } else if self.outage_length(now).is_some() || self.growth.is_of_older_log(end) {
+        } else if self.begins_era(end) || self.outage_length(now).is_some() {
             self.retain_until = retained_until;
         }
     }
 
     /// Records data that shows that the registry is available, with the end of the retention if it was not.
     fn record(&mut self, now: Instant, end: RegistryPosition, retained_until: Option<Instant>) {
+        let begins_era = self.begins_era(end);
         match self.outage_length(now) {
             Some(unread_for) => self.end_outage(now, end, unread_for, retained_until),
             None => {
-                if self.growth.is_of_older_log(end) {
+                if begins_era {
                     self.retain_until = retained_until;
                 }
                 self.growth.record(now, end);
@@ -119,6 +130,12 @@
         self.registry_return.take()
     }
 
+    /// Whether `end` is of a later era than all data before, which it takes note of.
+    fn begins_era(&mut self, end: RegistryPosition) -> bool {
+        let latest = self.era.max(Some(end.era));
+        mem::replace(&mut self.era, latest).is_some_and(|era| era < end.era)
+    }
+
     /// Time since the last response if that is an outage.
     fn outage_length(&self, now: Instant) -> Option<Duration> {
         let since = now.saturating_duration_since(self.last_response_at?);
--- a/crates/turmericloft/src/core/relay/registry_view.rs
+++ b/crates/turmericloft/src/core/relay/registry_view.rs
@@ -97,6 +97,11 @@
         if list.era < self.next.era {
             return DiscoveryChange::None;
         }
+        if let Some(as_of) = self.as_of.filter(|_| list.era > self.next.era) {
+            // The registry has returned after the last data of the era before.
+            let limit = as_of + self.timings.recovery().retention_limit();
+            self.table.limit_retention(limit);
+        }
         self.table
             .record_registry_response(now, list.next_position());
         let before = self.next;
--- a/crates/turmericloft/tests/testsuite/relay/simulation.rs
+++ b/crates/turmericloft/tests/testsuite/relay/simulation.rs
@@ -3,8 +3,8 @@
 //! returns of the registry from an older copy. Time is simulated; a seed always gives the same run.
 //!
 //! Three invariants are checked at regular steps: a gateway's view reflects the registry as of the
-//! instant that the view states; a gateway that can reach the registry is never further behind
-//! than the drain time; and what a gateway knew to be draining or removed is not ready again before
+//! instant that the view states; a gateway that has reached the registry for the stability window is never
+//! further behind than the drain time; and what a gateway knew to be draining or removed is not ready again before
 //! it starts again.
 
 use std::{
@@ -26,6 +26,8 @@
     timings,
 };
 
+/// Time after a fault within which a gateway has to be up to date.
+const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 const STEP: Duration = Duration::from_millis(10);
 const STEPS: u32 = 3_000;
 /// Steps between two checks of the invariants.
@@ -140,7 +142,11 @@
         }
         self.reads += 1;
         if g.registry_unavailable_until > now {
-            g.next_read = now + Duration::from_millis(250);
+            g.view.record_failed_read(clock);
+            let relies_on_upstream =
+                g.chooser.upstream(clock).is_some() && !g.view.is_current(clock);
+            let recovery = timings().recovery();
+            g.next_read = recovery.next_read(now, now, relies_on_upstream);
             return;
         }
         let next = self.registry.end();
@@ -254,7 +260,7 @@
         let g = &self.gateways[i];
         let disturbed_at = self.registry.last_return().max(Some(g.healthy_since));
         let calm_for = disturbed_at.map(|at| now.saturating_duration_since(at));
-        if calm_for.is_some_and(|calm| calm <= 2 * DRAIN_TIME) {
+        if calm_for.is_some_and(|calm| calm <= STABILITY_WINDOW) {
             return Ok(());
         }
         if let Some(as_of) = g.view.as_of() {
@@ -304,6 +310,14 @@
     }
 }
 
+/// Guards against a gateway that never gets a change which was written after the registry had returned from an older copy.
+#[test]
+fn change_after_a_return_of_the_registry_reaches_all_gateways() {
+    if let Err(e) = run(146, true) {
+        panic!("{e}");
+    }
+}
+
 /// If each of the twelve gateways read once per interval, there would be twelve times as many reads.
 #[test]
 fn one_gateway_reads_for_all_without_faults() {
