A follower learns of removals in history that its upstream has skipped

What callers would see (DRAIN): after the store has returned from an older copy, without its history or with more than one page of records, a gateway goes on sending to an endpoint that has left, until its own restart.

Cause: the same as for an upstream that has started, with any later list. What was written and removed in the part of the history that a list skips is unknown to the gateway that reads the list, and it relays no removal of it. A follower that had read that part by itself kept the entry.

Change: `SkippedHistory` keeps the skipped parts; a follower whose position is within one gets a full list. One that is as far as its upstream was before the list gets changes as before, so a list costs no further bytes in the usual case.

--- a/crates/turmericloft/src/core/relay/mod.rs
+++ b/crates/turmericloft/src/core/relay/mod.rs
@@ -26,6 +26,7 @@
 mod relay_response;
 mod relay_timings;
 mod relayed_document;
+mod skipped_history;
 mod spread;
 mod upstream_chooser;
 mod upstream_message;
--- a/crates/turmericloft/src/core/relay/registry_view.rs
+++ b/crates/turmericloft/src/core/relay/registry_view.rs
@@ -2,7 +2,9 @@
 
 use std::time::Instant;
 
-use super::{EraChange, PollOffset, RelayPoll, RelayResponse, RelayTimings};
+use super::{
+    EraChange, PollOffset, RelayPoll, RelayResponse, RelayTimings, skipped_history::SkippedHistory,
+};
 use crate::core::{
     evacuation::EvacuationList,
     placement::{
@@ -25,8 +27,8 @@
     timings: RelayTimings,
     table: DiscoveryTable,
     next: RegistryPosition,
-    /// Position as of the first data. Entries that were removed before it are not known.
-    known_from: RegistryPosition,
+    /// Parts of the registry's history that a list has skipped.
+    skipped: SkippedHistory,
     as_of: Option<Instant>,
     relayed: Option<RelayedState>,
     /// Until when a gateway that has not read the registry yet relies on its first response.
@@ -42,7 +44,7 @@
             timings,
             table: DiscoveryTable::new(),
             next: RegistryPosition::default(),
-            known_from: RegistryPosition::default(),
+            skipped: SkippedHistory::default(),
             as_of: None,
             relayed: None,
             first_response_until: None,
@@ -80,7 +82,7 @@
             return DiscoveryChange::None;
         }
         self.table.record_registry_response(now, next);
-        self.advance_next(next);
+        self.next = self.next.max(next);
         self.advance_as_of(read_started);
         let changes = records.into_iter().map(|o| self.table.observe(now, o));
         changes.fold(DiscoveryChange::None, DiscoveryChange::or)
@@ -105,7 +107,7 @@
         self.table
             .record_registry_response(now, list.next_position());
         let before = self.next;
-        self.advance_next(list.next_position());
+        self.advance_by_list(list.next_position());
         self.advance_as_of(read_started);
         let change = self.table.apply_full_list(now, list);
         self.record_era_change(before);
@@ -150,7 +152,11 @@
             None => {}
         }
         let before = self.next;
-        self.advance_next(response.next);
+        if response.is_full_list || before == RegistryPosition::default() {
+            self.advance_by_list(response.next);
+        } else {
+            self.next = self.next.max(response.next);
+        }
         let newest = response.changes.iter().cloned();
         if response.is_full_list {
             let list = RegistryList {
@@ -224,7 +230,7 @@
 
     /// The response, without a document, to a poll that arrived at `received`.
     pub fn response(&self, now: Instant, received: Instant, poll: &RelayPoll) -> RelayResponse {
-        let is_full_list = self.next.era > poll.from.era || self.lacks_removals_since(poll.from);
+        let is_full_list = self.next.era > poll.from.era || self.skipped.contains(poll.from);
         let changes = if is_full_list {
             self.table.full_list()
         } else {
@@ -253,12 +259,6 @@
         }
     }
 
-    /// Whether entries may have been removed since `from` that were never known here. A follower without data has none
-    /// of them.
-    fn lacks_removals_since(&self, from: RegistryPosition) -> bool {
-        from > RegistryPosition::default() && from < self.known_from
-    }
-
     /// Number of relay hops between this gateway and the one that read the registry; 0 if this
     /// gateway reads it.
     pub fn hops(&self, now: Instant) -> u32 {
@@ -307,11 +307,12 @@
         self.table.next_expiry()
     }
 
-    fn advance_next(&mut self, next: RegistryPosition) {
-        if self.next == RegistryPosition::default() {
-            self.known_from = next;
+    /// Moves to the end of a list, which lacks what was written and removed since the data before.
+    fn advance_by_list(&mut self, next: RegistryPosition) {
+        if next > self.next {
+            self.skipped.add(self.next, next);
+            self.next = next;
         }
-        self.next = self.next.max(next);
     }
 
     fn advance_as_of(&mut self, as_of: Instant) {
