--- a/crates/turmericloft/tests/testsuite/quota/restarts.rs
+++ b/crates/turmericloft/tests/testsuite/quota/restarts.rs
@@ -111,8 +111,8 @@
     assert_eq!(grants(&mut restarted, calm, true), granted / 3);
 }
 
-/// Guards against the last third of a part that is granted twice: a record by which the organisation is calm got no answer, it is
-/// busy again, and the store executes the record later.
+/// Guards against the last third of a part that is granted twice: a record by which the organisation is calm got no
+/// answer, it is busy again, and the store executes the record later.
 #[test]
 fn owner_keeps_to_two_thirds_while_a_write_without_an_answer_may_be_executed() {
     let now = Instant::now();
