--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -11,6 +11,7 @@
 mod lost_owners;
 mod proxy;
 mod record;
+mod replaced_fleet;
 mod restart_in_outage;
 mod returned_endpoint;
 mod store;
@@ -103,6 +104,7 @@
     let run = match case {
         "changed-service" => changed_service::run,
         "lost-owners" => lost_owners::run,
+        "replaced-fleet" => replaced_fleet::run,
         "restart-in-outage" => restart_in_outage::run,
         "cut-off-gateway" => cut_off_gateway::run,
         "returned-endpoint" => returned_endpoint::run,
