--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -16,6 +16,7 @@
 mod returned_endpoint;
 mod store;
 
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::exit;
 use std::sync::Arc;
@@ -85,6 +86,16 @@
     )
 }
 
+/// First three numbers of loopback addresses on which nobody listens at the ports of the scenarios.
+fn free_net(pid: u32) -> Option<String> {
+    let nets = (pid..pid + 20).map(|n| format!("127.{}.{}", 64 + n / 250 % 128, n % 250));
+    let is_free = |net: &String| {
+        let wanted = ["10:8640", "10:8641", "10:7620", "10:7621", "10:7622", "10:9464", "20:8500", "100:8500", "100:8600"];
+        wanted.iter().all(|host| TcpListener::bind(format!("{net}.{host}")).is_ok())
+    };
+    nets.into_iter().find(is_free)
+}
+
 fn main() {
     let args: Vec<_> = std::env::args().collect();
     let (case, folder) = (args[1].as_str(), Path::new(&args[2]));
@@ -99,7 +110,10 @@
         eprintln!("the scenario did not end in time");
         exit(2);
     });
-    let net = format!("127.{}.{}", 64 + pid / 250 % 128, pid % 250);
+    let Some(net) = free_net(pid) else {
+        record.say("could not run: no free loopback addresses");
+        exit(2);
+    };
     let scene = Scene { record: Arc::clone(&record), dir: dir.clone(), has_trouble, net };
     let run = match case {
         "changed-service" => changed_service::run,
