--- a/review/standins-3/gateway.rs
+++ b/review/standins-3/gateway.rs
@@ -113,6 +113,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            forget_pid(child.id());
         }
     }
 }
@@ -133,6 +134,16 @@
     }
 }
 
+/// Removes a process that has ended: its number may be that of another one by now.
+fn forget_pid(pid: u32) {
+    if let Some(path) = std::env::var_os("PIDS") {
+        let text = fs::read_to_string(&path).unwrap_or_default();
+        let left = text.lines().filter(|line| *line != pid.to_string());
+        let left: String = left.map(|line| format!("{line}\n")).collect();
+        let _ = fs::write(path, left);
+    }
+}
+
 fn is_ready(address: SocketAddr) -> bool {
     let limit = Duration::from_millis(300);
     let Ok(mut stream) = TcpStream::connect_timeout(&address, limit) else {
